--- /dev/null
+++ b/coordination/path/path.go
@@ -0,0 +1,257 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package path chooses the runners that a request goes through.
+//
+// A path covers the layers [0, L) of a model without gap or overlap. Choose is
+// pure: it reads a view of the fleet and a time, and returns a typed decision.
+//
+//	switch d := path.Choose(view.Model("fares"), path.Query{Now: now, Draw: draw}).(type) {
+//	case path.Found:
+//		// d.Path() has one runner for each stage
+//	case path.Missing:
+//		// no usable runner holds layer d.Layer()
+//	}
+package path
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"pinerun.example/pinerun/state/fleet"
+)
+
+const (
+	// MaxStages is the largest number of stages of a path.
+	MaxStages = 32
+	// MaxLayers is the largest number of layers of a model.
+	MaxLayers = 256
+	// candidates is how many runners of a group are compared for one request.
+	// Comparing few, drawn at random, keeps entries from herding.
+	candidates = 3
+)
+
+// Path is one runner for each stage, in order of layers.
+type Path struct {
+	length  int
+	runners [MaxStages]*fleet.Runner
+	cost    float64
+}
+
+// Len returns the number of stages.
+func (p *Path) Len() int { return p.length }
+
+// Runner returns the runner of a stage.
+func (p *Path) Runner(stage int) *fleet.Runner { return p.runners[stage] }
+
+// Cost returns the expected seconds for one pass through all stages.
+func (p *Path) Cost() float64 { return p.cost }
+
+// Policy is a way to choose among the runners of a group.
+type Policy interface{ policy() }
+
+// ByCost compares a few runners drawn at random by their expected time. It is
+// the policy in use; the others are baselines.
+type ByCost struct{}
+
+// ByReport takes the runner with the least load as last reported.
+type ByReport struct{}
+
+// ByTurn takes the runners in turn.
+type ByTurn struct{ Turn *uint64 }
+
+// ByChance takes any runner.
+type ByChance struct{}
+
+// ByChain always takes the same runner of a group for the same chain number,
+// as a fixed pipeline does.
+type ByChain struct{ Turn *uint64 }
+
+func (ByCost) policy()   {}
+func (ByReport) policy() {}
+func (ByTurn) policy()   {}
+func (ByChance) policy() {}
+func (ByChain) policy()  {}
+
+// Query is what a choice depends on besides the fleet. Avoid lists runners that
+// have failed this request; they are taken only when nothing else holds a layer.
+type Query struct {
+	Now       time.Time
+	Positions int
+	Draw      *rand.Rand
+	Avoid     []*fleet.Runner
+	Policy    Policy
+}
+
+// Decision is either Found or Missing.
+type Decision interface{ decision() }
+
+// Found holds a complete path.
+type Found struct{ path Path }
+
+// Path returns the path.
+func (f *Found) Path() *Path { return &f.path }
+
+// Missing says which layer no usable runner holds.
+type Missing struct{ layer int }
+
+// Layer returns the first layer that can't be reached.
+func (m Missing) Layer() int { return m.layer }
+
+func (*Found) decision()  {}
+func (Missing) decision() {}
+
+// Choose returns the path with the least expected time over the candidates of
+// each group, or the first layer that can't be reached.
+func Choose(m *fleet.Model, q Query) Decision {
+	found := &Found{}
+	if missing := choose(m, &q, &found.path); missing >= 0 {
+		return Missing{layer: missing}
+	}
+	return found
+}
+
+// Into is Choose for hot paths: it fills p and returns -1, or returns the first
+// layer that can't be reached. It does not allocate.
+func Into(m *fleet.Model, q *Query, p *Path) int { return choose(m, q, p) }
+
+func choose(m *fleet.Model, q *Query, p *Path) int {
+	if m == nil || m.Layers() <= 0 || m.Layers() > MaxLayers {
+		return 0
+	}
+	var best [MaxLayers + 1]float64
+	var via [MaxLayers + 1]*fleet.Runner
+	for i := 1; i <= m.Layers(); i++ {
+		best[i] = math.Inf(1)
+	}
+	groups := m.Groups()
+	for i := range groups {
+		g := &groups[i]
+		span := g.Span()
+		if !span.Valid(m.Layers()) || math.IsInf(best[span.From], 1) {
+			continue
+		}
+		r, cost := pick(g.Runners(), q)
+		if r == nil || best[span.From]+cost >= best[span.To] {
+			continue
+		}
+		best[span.To] = best[span.From] + cost
+		via[span.To] = r
+	}
+	if math.IsInf(best[m.Layers()], 1) {
+		return furthest(&best, m.Layers())
+	}
+	return collect(&via, m.Layers(), best[m.Layers()], p)
+}
+
+func furthest(best *[MaxLayers + 1]float64, layers int) int {
+	for i := layers; i > 0; i-- {
+		if !math.IsInf(best[i], 1) {
+			return i
+		}
+	}
+	return 0
+}
+
+func collect(via *[MaxLayers + 1]*fleet.Runner, layers int, cost float64, p *Path) int {
+	n := 0
+	for at := layers; at > 0; at = via[at].Span().From {
+		n++
+	}
+	if n > MaxStages {
+		return 0
+	}
+	p.length = n
+	p.cost = cost
+	for at := layers; at > 0; at = via[at].Span().From {
+		n--
+		p.runners[n] = via[at]
+	}
+	return -1
+}
+
+func pick(runners []*fleet.Runner, q *Query) (*fleet.Runner, float64) {
+	switch policy := q.Policy.(type) {
+	case ByReport:
+		return pickLeastReported(runners, q)
+	case ByTurn:
+		*policy.Turn++
+		return pickFrom(runners, q, int(*policy.Turn%uint64(max(1, len(runners)))))
+	case ByChain:
+		return pickFrom(runners, q, int(*policy.Turn%uint64(max(1, len(runners)))))
+	case ByChance:
+		return pickFrom(runners, q, q.Draw.IntN(max(1, len(runners))))
+	default:
+		return pickByCost(runners, q)
+	}
+}
+
+func pickByCost(runners []*fleet.Runner, q *Query) (*fleet.Runner, float64) {
+	if len(runners) == 0 {
+		return nil, 0
+	}
+	var chosen *fleet.Runner
+	least := math.Inf(1)
+	tries := min(candidates, len(runners))
+	start := q.Draw.IntN(len(runners))
+	for i := range tries {
+		at := (start + i) % len(runners)
+		if len(runners) > candidates && i > 0 {
+			at = q.Draw.IntN(len(runners))
+		}
+		r := runners[at]
+		if !r.Usable(q.Now) || avoided(q.Avoid, r) {
+			continue
+		}
+		if cost := r.Cost(q.Now, q.Positions); cost < least {
+			chosen, least = r, cost
+		}
+	}
+	if chosen != nil {
+		return chosen, least
+	}
+	return pickFrom(runners, q, start)
+}
+
+// pickFrom takes the first usable runner from a starting point on, one that was
+// not avoided if there is any.
+func pickFrom(runners []*fleet.Runner, q *Query, start int) (*fleet.Runner, float64) {
+	var second *fleet.Runner
+	for i := range runners {
+		r := runners[(start+i)%len(runners)]
+		if !r.Usable(q.Now) {
+			continue
+		}
+		if !avoided(q.Avoid, r) {
+			return r, r.Cost(q.Now, q.Positions)
+		}
+		second = r
+	}
+	if second == nil {
+		return nil, 0
+	}
+	return second, second.Cost(q.Now, q.Positions)
+}
+
+func pickLeastReported(runners []*fleet.Runner, q *Query) (*fleet.Runner, float64) {
+	var chosen *fleet.Runner
+	least := math.Inf(1)
+	for _, r := range runners {
+		if load := r.Reported() / r.Spec().Speed; r.Usable(q.Now) && !avoided(q.Avoid, r) && load < least {
+			chosen, least = r, load
+		}
+	}
+	if chosen == nil {
+		return pickFrom(runners, q, 0)
+	}
+	return chosen, chosen.Cost(q.Now, q.Positions)
+}
+
+func avoided(avoid []*fleet.Runner, r *fleet.Runner) bool {
+	for _, a := range avoid {
+		if a == r {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package event is the catalogue of log events. Each has a number that never
+// changes and a line in docs/EVENTS.md; a test compares the two.
+//
+//	event.EntryReady.Log(logger, slog.String("entry", "e1"))
+package event
+
+import (
+	"context"
+	"log/slog"
+)
+
+// Event is one sort of log line.
+type Event struct {
+	number int
+	name   string
+	level  slog.Level
+}
+
+// The events of an entry, by number.
+var (
+	EntryReady         = Event{1001, "entry ready", slog.LevelInfo}
+	EntryStopping      = Event{1002, "entry stopping", slog.LevelInfo}
+	EntryStopped       = Event{1003, "entry stopped", slog.LevelInfo}
+	RequestRefused     = Event{2001, "request refused", slog.LevelInfo}
+	RequestRetried     = Event{2002, "request retried", slog.LevelWarn}
+	RunnerConnected    = Event{3001, "runner connected", slog.LevelInfo}
+	RunnerLost         = Event{3002, "runner lost", slog.LevelWarn}
+	RunnerEjected      = Event{3003, "runner ejected", slog.LevelWarn}
+	FrameBroken        = Event{3004, "frame broken", slog.LevelWarn}
+	ReportIgnored      = Event{3005, "load report ignored", slog.LevelWarn}
+	ConfigInForce      = Event{4001, "configuration in force", slog.LevelInfo}
+	ConfigIgnored      = Event{4002, "configuration ignored", slog.LevelWarn}
+	PlatformUnreached  = Event{5001, "platform unreached", slog.LevelWarn}
+	PlatformBack       = Event{5002, "platform back", slog.LevelInfo}
+	ClaimShardLoaded   = Event{6001, "claim shard loaded", slog.LevelInfo}
+	ClaimWriteRaced    = Event{6002, "claim write raced", slog.LevelInfo}
+	ClaimAnswerLost    = Event{6003, "claim write answer lost", slog.LevelWarn}
+	ClaimOutcomeUnkept = Event{6004, "claim outcome not kept", slog.LevelError}
+	PeerConnected      = Event{7001, "peer connected", slog.LevelInfo}
+	PeerLost           = Event{7002, "peer lost", slog.LevelWarn}
+	LeaseTaken         = Event{8001, "lease taken", slog.LevelInfo}
+	LeaseLost          = Event{8002, "lease lost", slog.LevelWarn}
+	PlanConfirmed      = Event{9001, "plan confirmed", slog.LevelInfo}
+)
+
+// All returns the whole catalogue in order of number.
+func All() []Event {
+	return []Event{
+		EntryReady, EntryStopping, EntryStopped,
+		RequestRefused, RequestRetried,
+		RunnerConnected, RunnerLost, RunnerEjected, FrameBroken, ReportIgnored,
+		ConfigInForce, ConfigIgnored,
+		PlatformUnreached, PlatformBack,
+		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
+		PeerConnected, PeerLost,
+		LeaseTaken, LeaseLost,
+		PlanConfirmed,
+	}
+}
+
+// Number returns the event's number.
+func (e Event) Number() int { return e.number }
+
+// Name returns the event's name, which is also the log line's message.
+func (e Event) Name() string { return e.name }
+
+// Level returns how grave the event is.
+func (e Event) Level() slog.Level { return e.level }
+
+// Log writes the event with its number and details. A nil logger writes nothing.
+func (e Event) Log(l *slog.Logger, details ...slog.Attr) {
+	if l == nil {
+		return
+	}
+	details = append([]slog.Attr{slog.Int("event", e.number)}, details...)
+	l.LogAttrs(context.Background(), e.level, e.name, details...)
+}
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,100 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package metric counts what an entry did, in expvar's form. Each entry has a
+// Set of its own, so that several entries can live in one process.
+//
+//	var s metric.Set
+//	s.Refused(protocol.QueueFull)
+//	s.Retried("stream_error")
+//	s.String() // {"refused.queue_full": 1, "retried.stream_error": 1}
+package metric
+
+import (
+	"expvar"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+// Reason says why a request was tried again.
+type Reason string
+
+// The reasons for which an entry tries again, each with a counter
+// "retried.REASON".
+const (
+	StreamError   Reason = "stream_error"
+	Silence       Reason = "silence"
+	CacheLost     Reason = "cache_lost"
+	SpanMoved     Reason = "span_moved"
+	RunnerLeaving Reason = "runner_leaving"
+	Overloaded    Reason = "overloaded"
+	BadReply      Reason = "bad_reply"
+	NotSent       Reason = "not_sent"
+	ClaimRace     Reason = "claim_race"
+	ClaimLost     Reason = "claim_answer_lost"
+)
+
+// Reasons returns every retry reason.
+func Reasons() []Reason {
+	return []Reason{
+		StreamError, Silence, CacheLost, SpanMoved, RunnerLeaving, Overloaded,
+		BadReply, NotSent, ClaimRace, ClaimLost,
+	}
+}
+
+// Name is a counter that is neither a refusal nor a retry.
+type Name string
+
+// The other counters.
+const (
+	Requests        Name = "requests"
+	AnsweredInTime  Name = "answered"
+	AnsweredLate    Name = "late"
+	TokensEmitted   Name = "tokens"
+	StepsSent       Name = "steps_sent"
+	FramesSent      Name = "frames_sent"
+	RepliesDropped  Name = "replies_dropped"
+	FramesBroken    Name = "frames_broken"
+	ReportsIgnored  Name = "reports_ignored"
+	PlatformCalls   Name = "platform_calls"
+	PlatformFaults  Name = "platform_faults"
+	ClaimsGranted   Name = "claims_granted"
+	ClaimsReplayed  Name = "claims_replayed"
+	ClaimWrites     Name = "claim_writes"
+	ConfigAccepted  Name = "config_accepted"
+	ConfigIgnored   Name = "config_ignored"
+	RunnersEjected  Name = "runners_ejected"
+	PeerConnections Name = "peer_connections"
+)
+
+// Names returns every counter that is neither a refusal nor a retry.
+func Names() []Name {
+	return []Name{
+		Requests, AnsweredInTime, AnsweredLate, TokensEmitted, StepsSent, FramesSent,
+		RepliesDropped, FramesBroken, ReportsIgnored, PlatformCalls, PlatformFaults,
+		ClaimsGranted, ClaimsReplayed, ClaimWrites, ConfigAccepted, ConfigIgnored,
+		RunnersEjected, PeerConnections,
+	}
+}
+
+// Set is one entry's counters. The zero value counts from nothing.
+type Set struct{ counters expvar.Map }
+
+// Refused counts a refusal of that kind.
+func (s *Set) Refused(k protocol.Kind) { s.counters.Add("refused."+string(k), 1) }
+
+// Retried counts a further try for that reason.
+func (s *Set) Retried(r Reason) { s.counters.Add("retried."+string(r), 1) }
+
+// Add raises a counter by n.
+func (s *Set) Add(n Name, delta int64) { s.counters.Add(string(n), delta) }
+
+// Value returns a counter by its full name, zero when it was never raised.
+func (s *Set) Value(name string) int64 {
+	if v, ok := s.counters.Get(name).(*expvar.Int); ok {
+		return v.Value()
+	}
+	return 0
+}
+
+// String returns the counters as a JSON object.
+func (s *Set) String() string { return s.counters.String() }
--- /dev/null
+++ b/protocol/object.go
@@ -0,0 +1,34 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package protocol
+
+// MaxObjectBytes is the largest value that the platform holds.
+const MaxObjectBytes = 1 << 20
+
+// Object is one value in the platform with the version that conditional updates
+// compare. Version 0 means that the object does not exist.
+type Object struct {
+	Kind    string `json:"kind"`
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
+}
+
+// VM is one line of the platform's list of VMs, which lags behind the truth.
+type VM struct {
+	Name       string `json:"name"`
+	DataCenter string `json:"data_center"`
+	Leaving    bool   `json:"leaving"`
+}
+
+// The kinds of objects that pinerun keeps in the platform.
+const (
+	ObjectManifest = "manifest"
+	ObjectPart     = "part"
+	ObjectClaim    = "claim"
+	ObjectLease    = "lease"
+	ObjectPlan     = "plan"
+	ObjectEntry    = "entry"
+	// ManifestName is the name of the one manifest.
+	ManifestName = "current"
+)
--- /dev/null
+++ b/standin/ledger.go
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+// Run is one entry of a ledger: an engine ran Span over Count positions.
+// Order rises over all engines that share the ledger.
+type Run struct {
+	Runner   string             `json:"runner"`
+	Request  protocol.RequestID `json:"request"`
+	Attempt  uint32             `json:"attempt"`
+	Position int                `json:"position"`
+	Count    int                `json:"count"`
+	From     int                `json:"from"`
+	To       int                `json:"to"`
+	Order    uint64             `json:"order"`
+}
+
+// Ledger records what every engine ran, so that a test can prove that each
+// layer ran exactly once and in order. The zero value is empty.
+type Ledger struct {
+	mutex sync.Mutex
+	order uint64
+	runs  []Run
+}
+
+func (l *Ledger) add(runner string, s *protocol.Step) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.order++
+	l.runs = append(l.runs, Run{
+		Runner: runner, Request: s.Request, Attempt: s.Attempt,
+		Position: s.Position, Count: s.Count,
+		From: s.Span.From, To: s.Span.To, Order: l.order,
+	})
+}
+
+// Runs returns a copy of everything recorded.
+func (l *Ledger) Runs() []Run {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.Clone(l.runs)
+}
+
+type attemptKey struct {
+	request protocol.RequestID
+	attempt uint32
+}
+
+// Violations returns a line for each place where layers ran twice, out of order
+// or with a gap. Work that broke off half-way is no violation.
+func Violations(runs []Run) []string {
+	byAttempt := map[attemptKey][]Run{}
+	for _, r := range runs {
+		k := attemptKey{request: r.Request, attempt: r.Attempt}
+		byAttempt[k] = append(byAttempt[k], r)
+	}
+	var found []string
+	for k, rs := range byAttempt {
+		if line := violation(rs); line != "" {
+			found = append(found, fmt.Sprintf("%s attempt %d: %s", k.request, k.attempt, line))
+		}
+	}
+	slices.Sort(found)
+	return found
+}
+
+// violation walks one attempt's runs in order of execution. Each must go on
+// where the last ended: the next layers of the same positions, or the first
+// layer of the next positions.
+func violation(rs []Run) string {
+	slices.SortFunc(rs, func(a, b Run) int { return cmp.Compare(a.Order, b.Order) })
+	position, count, layer := 0, 0, 0
+	for i, r := range rs {
+		switch {
+		case r.From > 0 && (r.Position != position || r.Count != count || r.From != layer):
+			return fmt.Sprintf("run %d: layer %d of position %d, want layer %d of position %d", i, r.From, r.Position, layer, position)
+		case r.From == 0 && r.Position != position+count:
+			return fmt.Sprintf("run %d: position %d, want %d", i, r.Position, position+count)
+		}
+		position, count, layer = r.Position, r.Count, r.To
+	}
+	return ""
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,331 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"cmp"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+const (
+	// Rates of the platform, in calls a second. A waiting watch is one call.
+	writesPerSecond = 100
+	readsPerSecond  = 2000
+	// listLag is how far the list of VMs lags behind the truth.
+	listLag = 2 * time.Second
+	// watchLimit is the longest that a watch waits.
+	watchLimit = 30 * time.Second
+)
+
+// Faults say what is wrong with the platform. The zero value means nothing.
+type Faults struct {
+	Down       bool          // every call is refused
+	Slow       time.Duration // every call takes this much longer
+	LoseAnswer int           // one in so many writes takes effect unanswered
+	LoseNext   int           // that many next writes take effect unanswered
+}
+
+// Calls counts what the platform served and refused.
+type Calls struct {
+	Reads, Writes, Limited, Lost, Bytes int64
+}
+
+// Platform is a stand-in for the object API and the list of VMs.
+type Platform struct {
+	server
+	Unlimited bool // lifts the call rates
+
+	mutex   sync.Mutex
+	objects map[objectKey]protocol.Object
+	version uint64
+	changed chan struct{}
+	faults  Faults
+	calls   Calls
+	vms     []vmChange
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+}
+
+type objectKey struct{ kind, name string }
+
+type vmChange struct {
+	vm   protocol.VM
+	seen time.Time // from when the list shows it
+}
+
+// Listen starts the platform on an address.
+func (p *Platform) Listen(address string) error {
+	p.reads = rate.NewLimiter(readsPerSecond, readsPerSecond)
+	p.writes = rate.NewLimiter(writesPerSecond, writesPerSecond)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /objects/{kind}/{name}", p.serveGet)
+	mux.HandleFunc("PUT /objects/{kind}/{name}", p.servePut)
+	mux.HandleFunc("DELETE /objects/{kind}/{name}", p.serveDelete)
+	mux.HandleFunc("GET /objects/{kind}", p.serveList)
+	mux.HandleFunc("GET /vms", p.serveVMs)
+	mux.HandleFunc("POST /faults", p.serveFaults)
+	return p.listen(address, mux)
+}
+
+// Fail sets what is wrong from now on.
+func (p *Platform) Fail(f Faults) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.faults = f
+}
+
+// Calls returns the counts so far.
+func (p *Platform) Calls() Calls {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.calls
+}
+
+// SetVM records a VM; the list shows it after the lag.
+func (p *Platform) SetVM(vm protocol.VM) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.vms = append(p.vms, vmChange{vm: vm, seen: time.Now().Add(listLag)})
+}
+
+// admit applies faults and rates; it reports false after it has refused.
+func (p *Platform) admit(w http.ResponseWriter, q *http.Request, limit *rate.Limiter, count *int64) bool {
+	p.mutex.Lock()
+	f := p.faults
+	p.mutex.Unlock()
+	if f.Slow > 0 && !p.sleep(q, f.Slow) {
+		return false
+	}
+	if f.Down {
+		http.Error(w, "platform is down", http.StatusServiceUnavailable)
+		return false
+	}
+	if !p.Unlimited && !limit.Allow() {
+		p.mutex.Lock()
+		p.calls.Limited++
+		p.mutex.Unlock()
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "too many calls", http.StatusTooManyRequests)
+		return false
+	}
+	p.mutex.Lock()
+	*count++
+	p.mutex.Unlock()
+	return true
+}
+
+func (p *Platform) sleep(q *http.Request, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-q.Context().Done():
+		return false
+	}
+}
+
+func keyOf(q *http.Request) objectKey {
+	return objectKey{kind: q.PathValue("kind"), name: q.PathValue("name")}
+}
+
+func (p *Platform) serveGet(w http.ResponseWriter, q *http.Request) {
+	if !p.admit(w, q, p.reads, &p.calls.Reads) {
+		return
+	}
+	known, err := strconv.ParseUint(cmp.Or(q.URL.Query().Get("watch"), "0"), 10, 64)
+	if err != nil {
+		http.Error(w, "watch must be a version", http.StatusBadRequest)
+		return
+	}
+	o, found := p.wait(q, keyOf(q), known, q.URL.Query().Has("watch"))
+	switch {
+	case !found:
+		http.Error(w, "no such object", http.StatusNotFound)
+	case q.URL.Query().Has("watch") && o.Version == known:
+		w.WriteHeader(http.StatusNotModified)
+	default:
+		w.Header().Set("ETag", etag(o.Version))
+		_, _ = w.Write(o.Value)
+	}
+}
+
+// wait returns the object, for a watch once its version differs from known.
+func (p *Platform) wait(q *http.Request, k objectKey, known uint64, watch bool) (protocol.Object, bool) {
+	limit := time.NewTimer(watchLimit)
+	defer limit.Stop()
+	for {
+		p.mutex.Lock()
+		o, found := p.objects[k]
+		if p.changed == nil {
+			p.changed = make(chan struct{})
+		}
+		changed, down := p.changed, p.faults.Down
+		p.mutex.Unlock()
+		if !watch || o.Version != known || down {
+			return o, found
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return o, found
+		case <-q.Context().Done():
+			return o, found
+		case <-p.done.Done():
+			return o, found
+		}
+	}
+}
+
+func etag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
+
+// condition reads If-Match or If-None-Match: the version to replace, 0 for an
+// object that must not exist yet.
+func condition(q *http.Request) (uint64, bool) {
+	if q.Header.Get("If-None-Match") == "*" {
+		return 0, true
+	}
+	tag := q.Header.Get("If-Match")
+	if len(tag) < 2 {
+		return 0, false
+	}
+	v, err := strconv.ParseUint(tag[1:len(tag)-1], 10, 64)
+	return v, err == nil && v > 0
+}
+
+func (p *Platform) servePut(w http.ResponseWriter, q *http.Request) {
+	if !p.admit(w, q, p.writes, &p.calls.Writes) {
+		return
+	}
+	want, ok := condition(q)
+	value, err := io.ReadAll(http.MaxBytesReader(w, q.Body, protocol.MaxObjectBytes))
+	if !ok || err != nil {
+		http.Error(w, "a write needs If-Match or If-None-Match and at most 1 MiB", http.StatusBadRequest)
+		return
+	}
+	version, done := p.put(keyOf(q), want, value)
+	if done && p.losesAnswer() {
+		panic(http.ErrAbortHandler) // the write took effect, its answer is lost
+	}
+	w.Header().Set("ETag", etag(version))
+	if !done {
+		http.Error(w, "the version is another", http.StatusPreconditionFailed)
+	}
+}
+
+func (p *Platform) put(k objectKey, want uint64, value []byte) (uint64, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if held := p.objects[k].Version; held != want {
+		return held, false
+	}
+	if p.objects == nil {
+		p.objects = map[objectKey]protocol.Object{}
+	}
+	p.version++
+	p.calls.Bytes += int64(len(value))
+	p.objects[k] = protocol.Object{Kind: k.kind, Name: k.name, Version: p.version, Value: value}
+	p.wakeWatches()
+	return p.version, true
+}
+
+func (p *Platform) wakeWatches() {
+	if p.changed != nil {
+		close(p.changed)
+	}
+	p.changed = make(chan struct{})
+}
+
+func (p *Platform) losesAnswer() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	lost := hit(p.faults.LoseAnswer)
+	if p.faults.LoseNext > 0 {
+		p.faults.LoseNext--
+		lost = true
+	}
+	if lost {
+		p.calls.Lost++
+	}
+	return lost
+}
+
+func (p *Platform) serveDelete(w http.ResponseWriter, q *http.Request) {
+	if !p.admit(w, q, p.writes, &p.calls.Writes) {
+		return
+	}
+	want, ok := condition(q)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if held := p.objects[keyOf(q)].Version; !ok || held != want {
+		http.Error(w, "the version is another", http.StatusPreconditionFailed)
+		return
+	}
+	delete(p.objects, keyOf(q))
+	p.wakeWatches()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) serveList(w http.ResponseWriter, q *http.Request) {
+	if !p.admit(w, q, p.reads, &p.calls.Reads) {
+		return
+	}
+	writeJSON(w, http.StatusOK, p.list(q.PathValue("kind")))
+}
+
+func (p *Platform) list(kind string) []protocol.Object {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	found := []protocol.Object{}
+	for k, o := range p.objects {
+		if k.kind == kind {
+			found = append(found, o)
+		}
+	}
+	slices.SortFunc(found, func(a, b protocol.Object) int { return cmp.Compare(a.Name, b.Name) })
+	return found
+}
+
+func (p *Platform) serveVMs(w http.ResponseWriter, q *http.Request) {
+	if !p.admit(w, q, p.reads, &p.calls.Reads) {
+		return
+	}
+	writeJSON(w, http.StatusOK, p.visibleVMs(time.Now()))
+}
+
+func (p *Platform) visibleVMs(now time.Time) []protocol.VM {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	shown := map[string]protocol.VM{}
+	for _, c := range p.vms {
+		if !now.Before(c.seen) {
+			shown[c.vm.Name] = c.vm
+		}
+	}
+	list := []protocol.VM{}
+	for _, vm := range shown {
+		list = append(list, vm)
+	}
+	slices.SortFunc(list, func(a, b protocol.VM) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+func (p *Platform) serveFaults(_ http.ResponseWriter, q *http.Request) {
+	v := q.URL.Query()
+	slow, _ := time.ParseDuration(v.Get("slow"))
+	lose, _ := strconv.Atoi(v.Get("lose_answer"))
+	next, _ := strconv.Atoi(v.Get("lose_next"))
+	p.Fail(Faults{Down: v.Get("down") == "true", Slow: slow, LoseAnswer: lose, LoseNext: next})
+	p.mutex.Lock()
+	p.wakeWatches()
+	p.mutex.Unlock()
+}
--- /dev/null
+++ b/standin/runner.go
@@ -0,0 +1,325 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"encoding/binary"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+const (
+	// reportLag is how old an engine's load report is when it leaves.
+	reportLag = 100 * time.Millisecond
+	// maxQueuedSteps is how many steps wait before an engine refuses more.
+	maxQueuedSteps = 4096
+	// maxSequences is how many requests' caches an engine keeps.
+	maxSequences = 8192
+)
+
+// Runner is a stand-in engine. It batches continuously: all steps that wait go
+// into the next batch, urgent ones first, and a batch takes as long as its
+// layer passes need at the runner's speed.
+type Runner struct {
+	server
+	Spec     protocol.Runner
+	Layers   int // of the whole model
+	Ledger   *Ledger
+	Unfenced bool // takes orders without checking their epoch
+
+	mutex     sync.Mutex
+	queue     []job
+	wake      chan struct{}
+	sequences map[protocol.RequestID]*sequence
+	prefixes  prefixCache
+	conns     map[*runnerConn]struct{}
+	slowdown  float64
+	mangle    Mangle
+	leaving   bool
+	nextFree  time.Time
+	fence     uint64
+}
+
+type job struct {
+	conn *runnerConn
+	step protocol.Step
+}
+
+// sequence is the KV cache of one request: one value for each layer held, after
+// the first `positions` positions.
+type sequence struct {
+	attempt   uint32
+	positions int
+	caches    []uint64
+	cancelled bool
+}
+
+// Mangle says what goes wrong with one in so many replies; zero means never.
+type Mangle struct {
+	Double, Delay, Drop, WrongSpan, WrongPosition, Truncate int
+}
+
+// Listen starts the engine on an address.
+func (r *Runner) Listen(address string) error {
+	r.wake = make(chan struct{}, 1)
+	r.sequences = map[protocol.RequestID]*sequence{}
+	r.conns = map[*runnerConn]struct{}{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /steps", r.serveSteps)
+	mux.HandleFunc("GET /load", r.serveLoad)
+	mux.HandleFunc("GET /ledger", r.serveLedger)
+	mux.HandleFunc("GET /kv/{request}", r.serveExport)
+	mux.HandleFunc("PUT /kv/{request}", r.serveImport)
+	mux.HandleFunc("GET /events", r.serveEvents)
+	mux.HandleFunc("POST /orders", r.serveOrder)
+	if err := r.listen(address, mux); err != nil {
+		return err
+	}
+	go r.run()
+	return nil
+}
+
+// Slow makes the engine that many times slower; 1 restores it.
+func (r *Runner) Slow(times float64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.slowdown = times
+}
+
+// Break sets what goes wrong with the engine's replies.
+func (r *Runner) Break(m Mangle) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.mangle = m
+}
+
+// Leave makes the engine refuse new sequences and report that it is leaving.
+func (r *Runner) Leave() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.leaving = true
+}
+
+// run is the engine's batch loop.
+func (r *Runner) run() {
+	report := time.NewTicker(reportLag)
+	defer report.Stop()
+	for {
+		select {
+		case <-r.done.Done():
+			return
+		case <-report.C:
+			r.report()
+		case <-r.wake:
+			r.runBatches()
+		}
+	}
+}
+
+func (r *Runner) runBatches() {
+	for !r.done.Closed() {
+		batch, passes := r.takeBatch()
+		if len(batch) == 0 {
+			return
+		}
+		r.pace(passes)
+		if r.done.Closed() {
+			return // killed in the middle of a batch
+		}
+		r.answer(batch)
+	}
+}
+
+// takeBatch removes all waiting steps, most urgent first.
+func (r *Runner) takeBatch() ([]job, int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	batch := r.queue
+	r.queue = nil
+	passes := 0
+	for i := range batch {
+		passes += batch[i].step.Count * batch[i].step.Span.Layers()
+	}
+	return batch, passes
+}
+
+// pace sleeps until the batch would be done. It keeps account of oversleeping,
+// so that the long-run speed is the configured one.
+func (r *Runner) pace(passes int) {
+	r.mutex.Lock()
+	slowdown := max(1, r.slowdown)
+	now := time.Now()
+	if r.nextFree.Before(now.Add(-time.Millisecond * 5)) {
+		r.nextFree = now
+	}
+	r.nextFree = r.nextFree.Add(time.Duration(float64(passes) * slowdown / r.Spec.Speed * float64(time.Second)))
+	wait := r.nextFree.Sub(now)
+	r.mutex.Unlock()
+	if wait > 0 {
+		time.Sleep(wait)
+	}
+}
+
+// answer runs each step of a batch and replies, one frame a connection.
+func (r *Runner) answer(batch []job) {
+	replies := map[*runnerConn][]protocol.Reply{}
+	r.mutex.Lock()
+	mangle := r.mangle
+	for i := range batch {
+		reply := r.step(&batch[i].step)
+		replies[batch[i].conn] = append(replies[batch[i].conn], reply)
+	}
+	r.mutex.Unlock()
+	for c, rs := range replies {
+		c.send(rs, mangle)
+	}
+}
+
+// step runs one step on the caches, or says why not. The mutex is held.
+func (r *Runner) step(s *protocol.Step) protocol.Reply {
+	reply := protocol.Reply{
+		Request: s.Request, Attempt: s.Attempt, Position: s.Position,
+		Count: s.Count, Span: s.Span, Epoch: s.Epoch,
+	}
+	seq, fault := r.sequenceFor(s)
+	if fault != protocol.FaultNone {
+		reply.Fault = fault
+		return reply
+	}
+	r.Ledger.add(r.Spec.Name, s)
+	reply.Hidden = make([]byte, s.Count*protocol.HiddenBytes)
+	var hidden uint64
+	for i := range s.Count {
+		hidden = stepInput(s, i)
+		for l := range seq.caches {
+			hidden, seq.caches[l] = runLayer(s.Span.From+l, hidden, seq.caches[l])
+		}
+		binary.LittleEndian.PutUint64(reply.Hidden[i*protocol.HiddenBytes:], hidden)
+	}
+	seq.positions = s.Position + s.Count
+	r.prefixes.store(s, seq)
+	if s.Span.To == r.Layers {
+		reply.Hidden = nil
+		reply.Token = pickToken(hidden)
+	}
+	return reply
+}
+
+// sequenceFor returns the caches that the step goes on from.
+func (r *Runner) sequenceFor(s *protocol.Step) (*sequence, protocol.Fault) {
+	if s.Span.From != r.Spec.From || s.Span.To != r.Spec.To || s.Epoch != r.Spec.Epoch {
+		return nil, protocol.FaultSpan
+	}
+	seq := r.sequences[s.Request]
+	if seq != nil && (s.Attempt < seq.attempt || seq.cancelled && s.Attempt == seq.attempt) {
+		return nil, protocol.FaultFenced
+	}
+	if s.Position == 0 {
+		if seq == nil && r.leaving {
+			return nil, protocol.FaultLeaving
+		}
+		if seq == nil && len(r.sequences) >= maxSequences {
+			return nil, protocol.FaultOverload
+		}
+		if seq != nil && seq.attempt == s.Attempt {
+			return nil, protocol.FaultFenced // this attempt has begun already
+		}
+		seq = &sequence{attempt: s.Attempt, caches: make([]uint64, s.Span.Layers())}
+		r.sequences[s.Request] = seq
+		return seq, protocol.FaultNone
+	}
+	if seq == nil || seq.attempt != s.Attempt || seq.positions < s.Position {
+		return nil, protocol.FaultCache
+	}
+	if seq.positions > s.Position {
+		return nil, protocol.FaultFenced // ran already
+	}
+	return seq, protocol.FaultNone
+}
+
+// cancel forgets a request's caches and drops its waiting steps.
+func (r *Runner) cancel(c protocol.Cancel) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if seq := r.sequences[c.Request]; seq != nil && seq.attempt <= c.Attempt {
+		delete(r.sequences, c.Request)
+	}
+	kept := r.queue[:0]
+	for _, j := range r.queue {
+		if j.step.Request != c.Request || j.step.Attempt > c.Attempt {
+			kept = append(kept, j)
+		}
+	}
+	r.queue = kept
+}
+
+// enqueue puts steps behind those at least as urgent.
+func (r *Runner) enqueue(c *runnerConn, steps []protocol.Step) {
+	r.mutex.Lock()
+	for _, s := range steps {
+		r.queue = append(r.queue, job{conn: c, step: s})
+	}
+	overflow := max(0, len(r.queue)-maxQueuedSteps)
+	refused := r.queue[len(r.queue)-overflow:]
+	r.queue = r.queue[:len(r.queue)-overflow]
+	sortByPriority(r.queue)
+	r.mutex.Unlock()
+	for i := range refused {
+		s := &refused[i].step
+		refused[i].conn.send([]protocol.Reply{{
+			Request: s.Request, Attempt: s.Attempt, Position: s.Position, Count: s.Count, Fault: protocol.FaultOverload,
+		}}, Mangle{})
+	}
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Runner) load() protocol.LoadReport {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	queued := int64(max(0, time.Until(r.nextFree).Seconds()) * r.Spec.Speed)
+	for i := range r.queue {
+		queued += int64(r.queue[i].step.Count * r.queue[i].step.Span.Layers())
+	}
+	return protocol.LoadReport{
+		Runner: r.Spec.Name, Epoch: r.Spec.Epoch, From: r.Spec.From, To: r.Spec.To,
+		Queued: queued, Streams: len(r.sequences), Leaving: r.leaving,
+		UnixMS: time.Now().UnixMilli(),
+	}
+}
+
+func (r *Runner) serveSteps(w http.ResponseWriter, q *http.Request) {
+	ws, err := websocket.Accept(w, q, nil)
+	if err != nil {
+		return
+	}
+	c := &runnerConn{runner: r, socket: ws}
+	r.mutex.Lock()
+	r.conns[c] = struct{}{}
+	r.mutex.Unlock()
+	c.run()
+	r.mutex.Lock()
+	delete(r.conns, c)
+	r.mutex.Unlock()
+}
+
+// report sends the load to every connected entry.
+func (r *Runner) report() {
+	l := r.load()
+	r.mutex.Lock()
+	conns := make([]*runnerConn, 0, len(r.conns))
+	for c := range r.conns {
+		conns = append(conns, c)
+	}
+	r.mutex.Unlock()
+	for _, c := range conns {
+		c.sendReport(l)
+	}
+}
--- /dev/null
+++ b/standin/runner_cache.go
@@ -0,0 +1,207 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+const (
+	// blockTokens is how many prompt positions one cached prefix block covers.
+	blockTokens = 16
+	// maxBlocks bounds an engine's prefix cache.
+	maxBlocks = 1024
+	// maxEvents bounds how many cache events an engine still has to tell.
+	maxEvents = 4096
+	// eventGap is one in how many cache events is never told.
+	eventGap = 50
+)
+
+// CacheEvent tells that a block of a prompt's prefix was stored or dropped.
+// Numbers rise by one; a missing number is a gap.
+type CacheEvent struct {
+	Number  uint64 `json:"number"`
+	Block   uint64 `json:"block"`
+	Dropped bool   `json:"dropped"`
+}
+
+// prefixCache remembers which prompt prefixes an engine has run, by hash of the
+// tokens up to each block's end, with the caches at that point.
+type prefixCache struct {
+	blocks map[uint64][]uint64
+	order  []uint64
+	events []CacheEvent
+	number uint64
+}
+
+// store keeps the caches of a prompt's first block. Later blocks are kept when
+// a step happens to end on a block's border.
+func (p *prefixCache) store(s *protocol.Step, seq *sequence) {
+	if len(s.Tokens) == 0 || seq.positions%blockTokens != 0 || s.Position != 0 {
+		return
+	}
+	hash := BlockHash(s.Tokens)
+	if p.blocks == nil {
+		p.blocks = map[uint64][]uint64{}
+	}
+	if _, ok := p.blocks[hash]; ok {
+		return
+	}
+	p.blocks[hash] = slices.Clone(seq.caches)
+	p.order = append(p.order, hash)
+	p.tell(hash, false)
+	if len(p.order) > maxBlocks {
+		oldest := p.order[0]
+		p.order = p.order[1:]
+		delete(p.blocks, oldest)
+		p.tell(oldest, true)
+	}
+}
+
+func (p *prefixCache) tell(block uint64, dropped bool) {
+	p.number++
+	if rand.IntN(eventGap) == 0 {
+		return
+	}
+	p.events = append(p.events, CacheEvent{Number: p.number, Block: block, Dropped: dropped})
+	if len(p.events) > maxEvents {
+		p.events = p.events[1:]
+	}
+}
+
+// BlockHash names a prompt's prefix.
+func BlockHash(tokens []int32) uint64 {
+	var h uint64
+	for _, t := range tokens {
+		h = mix(h, embed(t))
+	}
+	return h
+}
+
+// stepInput returns the hidden state that enters the step's i-th position.
+func stepInput(s *protocol.Step, i int) uint64 {
+	if s.Span.From == 0 {
+		return embed(s.Tokens[i])
+	}
+	return littleEndian(s.Hidden[i*protocol.HiddenBytes:])
+}
+
+func (r *Runner) serveEvents(w http.ResponseWriter, q *http.Request) {
+	after, err := strconv.ParseUint(q.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after must be a number", http.StatusBadRequest)
+		return
+	}
+	r.mutex.Lock()
+	told := []CacheEvent{}
+	for _, e := range r.prefixes.events {
+		if e.Number > after {
+			told = append(told, e)
+		}
+	}
+	r.mutex.Unlock()
+	writeJSON(w, http.StatusOK, told)
+}
+
+// kvCache is an exported KV cache on the wire.
+type kvCache struct {
+	Attempt   uint32   `json:"attempt"`
+	Positions int      `json:"positions"`
+	From      int      `json:"from"`
+	To        int      `json:"to"`
+	Caches    []uint64 `json:"caches"`
+}
+
+func (r *Runner) serveExport(w http.ResponseWriter, q *http.Request) {
+	id, err := protocol.ParseRequestID(q.PathValue("request"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	r.mutex.Lock()
+	seq := r.sequences[id]
+	var out kvCache
+	if seq != nil {
+		out = kvCache{
+			Attempt: seq.attempt, Positions: seq.positions,
+			From: r.Spec.From, To: r.Spec.To, Caches: slices.Clone(seq.caches),
+		}
+	}
+	r.mutex.Unlock()
+	if seq == nil {
+		http.Error(w, "no cache of this request", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+func (r *Runner) serveImport(w http.ResponseWriter, q *http.Request) {
+	id, err := protocol.ParseRequestID(q.PathValue("request"))
+	var in kvCache
+	if err == nil {
+		err = json.NewDecoder(http.MaxBytesReader(w, q.Body, protocol.MaxFrameBytes)).Decode(&in)
+	}
+	if err != nil || in.From != r.Spec.From || in.To != r.Spec.To || len(in.Caches) != in.To-in.From {
+		http.Error(w, "not a cache of the layers held here", http.StatusBadRequest)
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if seq := r.sequences[id]; seq != nil && seq.attempt > in.Attempt {
+		http.Error(w, "fenced by a later attempt", http.StatusConflict)
+		return
+	}
+	r.sequences[id] = &sequence{attempt: in.Attempt, positions: in.Positions, caches: in.Caches}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (r *Runner) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, r.load())
+}
+
+func (r *Runner) serveLedger(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, r.Ledger.Runs())
+}
+
+// Order tells an engine to hold other layers, another model version, or to
+// leave. Epoch fences orders: an engine that checks refuses one below the last.
+type Order struct {
+	Epoch uint64 `json:"epoch"`
+	From  int    `json:"from"`
+	To    int    `json:"to"`
+	Leave bool   `json:"leave"`
+}
+
+func (r *Runner) serveOrder(w http.ResponseWriter, q *http.Request) {
+	var o Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, q.Body, protocol.MaxFrameBytes)).Decode(&o); err != nil {
+		http.Error(w, "not an order", http.StatusBadRequest)
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if !r.Unfenced && o.Epoch < r.fence {
+		http.Error(w, "fenced by a later order", http.StatusConflict)
+		return
+	}
+	r.fence = o.Epoch
+	if o.Leave {
+		r.leaving = true
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	if o.From < 0 || o.From >= o.To || o.To > r.Layers {
+		http.Error(w, "not a span of the model", http.StatusBadRequest)
+		return
+	}
+	r.Spec.From, r.Spec.To, r.Spec.Epoch = o.From, o.To, o.Epoch
+	r.sequences = map[protocol.RequestID]*sequence{}
+	r.prefixes = prefixCache{}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"net"
+	"net/http"
+	"sync"
+
+	"pinerun.example/pinerun/internal/part"
+)
+
+// server is a listener that can be cut off with all its connections, as when a
+// VM dies. The zero value is closed.
+type server struct {
+	mutex    sync.Mutex
+	listener net.Listener
+	http     *http.Server
+	done     part.Done
+}
+
+// Listen starts to serve on an address such as "127.0.0.1:0".
+func (s *server) listen(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.listener = l
+	s.http = &http.Server{Handler: h}
+	go s.run(s.http, l)
+	return nil
+}
+
+func (s *server) run(h *http.Server, l net.Listener) { _ = h.Serve(l) }
+
+// Address returns the IP and port served, or "" before Listen.
+func (s *server) Address() string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.listener == nil {
+		return ""
+	}
+	return s.listener.Addr().String()
+}
+
+// Close cuts the listener and every connection.
+func (s *server) Close() {
+	s.done.Close()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.http != nil {
+		_ = s.http.Close()
+	}
+}
+
+// Dead reports whether Close was called.
+func (s *server) Dead() bool { return s.done.Closed() }
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,122 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// maxCallBytes bounds the body of a call to a stand-in service.
+const maxCallBytes = 1 << 20
+
+// CallHeader names a call so that the service can count how often it ran.
+const CallHeader = "Idempotency-Key"
+
+// Service is a stand-in plain service that records each run of a call.
+type Service struct {
+	server
+	Name string
+	Book *CallBook // shared by the service's endpoints
+
+	mutex sync.Mutex
+	delay time.Duration
+	lose  int
+}
+
+// CallBook counts the runs of each call over all endpoints of a service.
+type CallBook struct {
+	mutex sync.Mutex
+	runs  map[string]int
+}
+
+func (b *CallBook) add(key string) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.runs == nil {
+		b.runs = map[string]int{}
+	}
+	b.runs[key]++
+	return b.runs[key]
+}
+
+// Runs returns how often the call ran.
+func (b *CallBook) Runs(key string) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.runs[key]
+}
+
+// Doubled returns how many calls ran more than once.
+func (b *CallBook) Doubled() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	doubled := 0
+	for _, n := range b.runs {
+		if n > 1 {
+			doubled++
+		}
+	}
+	return doubled
+}
+
+// Listen starts the service on an address.
+func (s *Service) Listen(address string) error {
+	if s.Book == nil {
+		s.Book = &CallBook{}
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /runs", s.serveRuns)
+	mux.HandleFunc("POST /faults", s.serveFaults)
+	mux.HandleFunc("/", s.serveCall)
+	return s.listen(address, mux)
+}
+
+// Fail makes each call take longer and loses one in so many answers after the
+// call has run; zero means never.
+func (s *Service) Fail(delay time.Duration, lose int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.delay, s.lose = delay, lose
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, q *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxCallBytes))
+	if err != nil {
+		http.Error(w, "body cut off", http.StatusBadRequest)
+		return
+	}
+	s.mutex.Lock()
+	delay, lose := s.delay, s.lose
+	s.mutex.Unlock()
+	run := 0
+	if key := q.Header.Get(CallHeader); key != "" {
+		run = s.Book.add(key)
+	}
+	time.Sleep(delay)
+	if hit(lose) {
+		panic(http.ErrAbortHandler) // it ran, and its answer is lost
+	}
+	writeJSON(w, http.StatusOK, struct {
+		Service string `json:"service"`
+		Method  string `json:"method"`
+		Path    string `json:"path"`
+		Run     int    `json:"run"`
+		Bytes   int    `json:"bytes"`
+	}{s.Name, q.Method, q.URL.Path, run, len(body)})
+}
+
+func (s *Service) serveRuns(w http.ResponseWriter, q *http.Request) {
+	writeJSON(w, http.StatusOK, struct {
+		Runs int `json:"runs"`
+	}{s.Book.Runs(q.URL.Query().Get("key"))})
+}
+
+func (s *Service) serveFaults(_ http.ResponseWriter, q *http.Request) {
+	delay, _ := time.ParseDuration(q.URL.Query().Get("delay"))
+	lose, _ := strconv.Atoi(q.URL.Query().Get("lose"))
+	s.Fail(delay, lose)
+}
--- /dev/null
+++ b/standin/wire.go
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"net/http"
+	"slices"
+)
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func littleEndian(b []byte) uint64 { return binary.LittleEndian.Uint64(b) }
+
+// sortByPriority puts the most urgent jobs first and keeps the order of equals.
+func sortByPriority(jobs []job) {
+	slices.SortStableFunc(jobs, func(a, b job) int {
+		return int(a.step.Priority) - int(b.step.Priority)
+	})
+}
--- /dev/null
+++ b/state/config/config.go
@@ -0,0 +1,210 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package config is what an entry believes the configuration to be.
+//
+// A Config is immutable and built from a manifest and its parts, every hash
+// checked. A Store holds the highest version seen and never steps back:
+//
+//	c, err := config.Build(manifest, parts)
+//	if err == nil && store.Offer(c) { ... } // in force from here on
+package config
+
+import (
+	"cmp"
+	"crypto/subtle"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"sync/atomic"
+
+	"github.com/go-playground/validator/v10"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+// Config is one accepted configuration. It never changes once built.
+type Config struct {
+	manifest  protocol.Manifest
+	teams     []protocol.Team
+	models    map[string]protocol.Model
+	services  map[string]protocol.Service
+	runners   []protocol.Runner
+	operators []protocol.Operator
+}
+
+// Invalid is the error for a manifest or part that can't be taken.
+type Invalid struct {
+	part  protocol.PartRef
+	cause error
+}
+
+// Error names the part and the remedy.
+func (i *Invalid) Error() string {
+	return fmt.Sprintf("part %s/%s is not valid: %v; write the part anew and accept a higher manifest version",
+		i.part.Kind, i.part.Name, i.cause)
+}
+
+// Unwrap returns what was wrong with the part.
+func (i *Invalid) Unwrap() error { return i.cause }
+
+var validate = validator.New(validator.WithRequiredStructEnabled())
+
+// Build checks every part's hash and content and returns the configuration.
+// Parts are keyed by hash.
+func Build(m protocol.Manifest, parts map[string][]byte) (*Config, error) {
+	c := &Config{
+		manifest: m,
+		models:   map[string]protocol.Model{},
+		services: map[string]protocol.Service{},
+	}
+	for _, ref := range m.Parts {
+		if err := c.add(ref, parts[ref.Hash]); err != nil {
+			return nil, &Invalid{part: ref, cause: err}
+		}
+	}
+	return c, c.checkRunners()
+}
+
+func (c *Config) add(ref protocol.PartRef, content []byte) error {
+	if content == nil {
+		return fmt.Errorf("its content %.12s is missing", ref.Hash)
+	}
+	if protocol.HashPart(content) != ref.Hash {
+		return fmt.Errorf("its content does not have the hash %.12s", ref.Hash)
+	}
+	switch ref.Kind {
+	case protocol.TeamPart:
+		var t protocol.Team
+		err := readPart(content, &t)
+		c.teams = append(c.teams, t)
+		return err
+	case protocol.ModelPart:
+		var m protocol.Model
+		err := readPart(content, &m)
+		c.models[m.Name] = m
+		return err
+	case protocol.ServicePart:
+		var s protocol.Service
+		err := readPart(content, &s)
+		c.services[s.Name] = s
+		return err
+	case protocol.FleetPart:
+		var f protocol.Fleet
+		err := readPart(content, &f)
+		c.runners = append(c.runners, f.Runners...)
+		return err
+	case protocol.OperatorPart:
+		var o protocol.Operator
+		err := readPart(content, &o)
+		c.operators = append(c.operators, o)
+		return err
+	default:
+		return fmt.Errorf("kind %q is unknown", ref.Kind)
+	}
+}
+
+func readPart(content []byte, into any) error {
+	if err := json.Unmarshal(content, into); err != nil {
+		return err
+	}
+	return validate.Struct(into)
+}
+
+func (c *Config) checkRunners() error {
+	for _, r := range c.runners {
+		m, ok := c.models[r.Model]
+		ref := protocol.PartRef{Kind: protocol.FleetPart, Name: r.DataCenter}
+		if !ok {
+			return &Invalid{part: ref, cause: fmt.Errorf("runner %s serves the unknown model %q", r.Name, r.Model)}
+		}
+		if r.To > m.Layers {
+			return &Invalid{part: ref, cause: fmt.Errorf("runner %s holds layers beyond the %d of %q", r.Name, m.Layers, r.Model)}
+		}
+	}
+	return nil
+}
+
+// Version returns the manifest's version.
+func (c *Config) Version() uint64 { return c.manifest.Version }
+
+// Manifest returns the manifest that the configuration was built from.
+func (c *Config) Manifest() protocol.Manifest { return c.manifest }
+
+// Model returns a model by name.
+func (c *Config) Model(name string) (protocol.Model, bool) {
+	m, ok := c.models[name]
+	return m, ok
+}
+
+// ModelList returns every model, ordered by name.
+func (c *Config) ModelList() []protocol.Model {
+	list := slices.Collect(maps.Values(c.models))
+	slices.SortFunc(list, func(a, b protocol.Model) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Service returns a plain service by name.
+func (c *Config) Service(name string) (protocol.Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
+
+// Teams returns every team. The caller must not change the slice.
+func (c *Config) Teams() []protocol.Team { return c.teams }
+
+// Runners returns every runner. The caller must not change the slice.
+func (c *Config) Runners() []protocol.Runner { return c.runners }
+
+// TeamByKey returns the team that holds the key, comparing in constant time
+// with every known hash.
+func (c *Config) TeamByKey(key string) (protocol.Team, bool) {
+	hash := []byte(protocol.HashKey(key))
+	found := -1
+	for i := range c.teams {
+		for _, h := range c.teams[i].KeyHashes {
+			if subtle.ConstantTimeCompare(hash, []byte(h)) == 1 {
+				found = i
+			}
+		}
+	}
+	if found < 0 {
+		return protocol.Team{}, false
+	}
+	return c.teams[found], true
+}
+
+// OperatorByKey returns the operator who holds the key.
+func (c *Config) OperatorByKey(key string) (protocol.Operator, bool) {
+	hash := []byte(protocol.HashKey(key))
+	found := -1
+	for i := range c.operators {
+		if subtle.ConstantTimeCompare(hash, []byte(c.operators[i].KeyHash)) == 1 {
+			found = i
+		}
+	}
+	if found < 0 {
+		return protocol.Operator{}, false
+	}
+	return c.operators[found], true
+}
+
+// Store holds the configuration in force. The zero value holds none.
+type Store struct{ current atomic.Pointer[Config] }
+
+// Offer puts c in force if its version is higher than the one held, and
+// reports whether it did.
+func (s *Store) Offer(c *Config) bool {
+	for {
+		held := s.current.Load()
+		if held != nil && held.Version() >= c.Version() {
+			return false
+		}
+		if s.current.CompareAndSwap(held, c) {
+			return true
+		}
+	}
+}
+
+// Current returns the configuration in force, or nil before the first.
+func (s *Store) Current() *Config { return s.current.Load() }
--- /dev/null
+++ b/state/fleet/runner.go
@@ -0,0 +1,195 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleet
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+// Link is the class of the way between an entry and a runner.
+type Link uint8
+
+// The link classes, from the fastest. A slow link is a hundred times slower
+// than a near one.
+const (
+	Near Link = iota
+	Far
+	Slow
+)
+
+// linkSeconds is the expected time there and back, before anything is measured.
+var linkSeconds = [...]float64{Near: 0.0005, Far: 0.005, Slow: 0.05}
+
+const (
+	// initialBatch is how long one batch is expected to last, in seconds,
+	// before anything is measured.
+	initialBatch = 0.002
+	// smoothing is the weight of a new sample in a running mean.
+	smoothing = 0.1
+	// ejectFirst and ejectMost bound how long a failing runner is left out.
+	ejectFirst = 500 * time.Millisecond
+	ejectMost  = 30 * time.Second
+	ejectRuns  = 6
+	// reportTrust is the age at which a load report counts for nothing.
+	reportTrust = 5 * time.Second
+)
+
+// Runner is what an entry believes of one engine. Its methods are safe for use
+// by many goroutines and cost no allocation.
+type Runner struct {
+	spec        protocol.Runner
+	link        Link
+	outstanding atomic.Int64 // layer passes sent and not answered
+	queued      atomic.Int64 // layer passes, as last reported
+	sentSince   atomic.Int64 // layer passes sent since that report
+	reportedAt  atomic.Int64 // unix nanoseconds
+	latency     atomic.Uint64
+	deviation   atomic.Uint64
+	ejectedTill atomic.Int64 // unix nanoseconds
+	failures    atomic.Int64
+	leaving     atomic.Bool
+}
+
+// NewRunner returns a runner of which nothing has been measured yet.
+func NewRunner(spec protocol.Runner, home string) *Runner {
+	r := &Runner{spec: spec, link: classify(spec, home)}
+	expected := initialBatch + linkSeconds[r.link]
+	r.latency.Store(math.Float64bits(expected))
+	r.deviation.Store(math.Float64bits(expected / 2))
+	return r
+}
+
+func classify(spec protocol.Runner, home string) Link {
+	switch {
+	case spec.Link == "slow":
+		return Slow
+	case spec.Link == "far":
+		return Far
+	case spec.Link == "near" || spec.DataCenter == home:
+		return Near
+	default:
+		return Near // data centers of one region are within half a millisecond
+	}
+}
+
+// Spec returns the runner as configured.
+func (r *Runner) Spec() protocol.Runner { return r.spec }
+
+// Name returns the runner's name.
+func (r *Runner) Name() string { return r.spec.Name }
+
+// Span returns the layers that the runner holds.
+func (r *Runner) Span() protocol.Span { return protocol.Span{From: r.spec.From, To: r.spec.To} }
+
+// Link returns the class of the way to the runner.
+func (r *Runner) Link() Link { return r.link }
+
+// Usable reports whether new work may be sent to the runner.
+func (r *Runner) Usable(now time.Time) bool {
+	return !r.leaving.Load() && now.UnixNano() >= r.ejectedTill.Load()
+}
+
+// Leaving reports whether the runner is known to be leaving.
+func (r *Runner) Leaving() bool { return r.leaving.Load() }
+
+// MarkLeaving notes that the runner takes no new work from now on.
+func (r *Runner) MarkLeaving() bool { return !r.leaving.Swap(true) }
+
+// Wait returns the seconds that a step sent now is expected to queue: the last
+// report less what was worked off since, plus what this entry sent since.
+func (r *Runner) Wait(now time.Time) float64 {
+	own := float64(r.outstanding.Load())
+	age := float64(now.UnixNano()-r.reportedAt.Load()) / float64(time.Second)
+	if age < 0 || age > reportTrust.Seconds() {
+		return own / r.spec.Speed
+	}
+	reported := float64(r.queued.Load()+r.sentSince.Load()) - r.spec.Speed*age
+	return max(own, reported) / r.spec.Speed
+}
+
+// Cost returns the seconds until a reply to a step of that many positions.
+func (r *Runner) Cost(now time.Time, positions int) float64 {
+	work := float64(positions*r.Span().Layers()) / r.spec.Speed
+	return r.Wait(now) + work + linkSeconds[r.link]
+}
+
+// Sent notes that a step of that many layer passes left for the runner.
+func (r *Runner) Sent(passes int64) {
+	r.outstanding.Add(passes)
+	r.sentSince.Add(passes)
+}
+
+// Settled notes that a step was answered, or given up.
+func (r *Runner) Settled(passes int64) { r.outstanding.Add(-passes) }
+
+// Measured notes how long a step took, and ends any ejection.
+func (r *Runner) Measured(took time.Duration) {
+	mean := math.Float64frombits(r.latency.Load())
+	dev := math.Float64frombits(r.deviation.Load())
+	sample := took.Seconds()
+	dev += smoothing * (math.Abs(sample-mean) - dev)
+	mean += smoothing * (sample - mean)
+	r.latency.Store(math.Float64bits(mean))
+	r.deviation.Store(math.Float64bits(dev))
+	r.failures.Store(0)
+}
+
+// Latency returns the running mean and mean deviation of a step's time, in
+// seconds.
+func (r *Runner) Latency() (mean, deviation float64) {
+	return math.Float64frombits(r.latency.Load()), math.Float64frombits(r.deviation.Load())
+}
+
+// Failed leaves the runner out for a time that doubles with each failure in a
+// row, and returns until when.
+func (r *Runner) Failed(now time.Time) time.Time {
+	runs := min(r.failures.Add(1)-1, ejectRuns)
+	till := now.Add(min(ejectFirst<<runs, ejectMost))
+	r.ejectedTill.Store(till.UnixNano())
+	return till
+}
+
+// ReportFault says why a load report was not believed.
+type ReportFault uint8
+
+// The reasons to ignore a load report.
+const (
+	ReportTaken ReportFault = iota
+	ReportOfOther
+	ReportImpossible
+	ReportFuture
+	ReportOld
+)
+
+// maxReportSkew is how far ahead a report's clock may run.
+const maxReportSkew = 2 * time.Second
+
+// Report takes a load report, or says why it was ignored.
+func (r *Runner) Report(l protocol.LoadReport, now time.Time) ReportFault {
+	at := time.UnixMilli(l.UnixMS)
+	switch {
+	case l.Runner != r.spec.Name:
+		return ReportOfOther
+	case l.Queued < 0 || l.Streams < 0 || l.From != r.spec.From || l.To != r.spec.To:
+		return ReportImpossible
+	case at.After(now.Add(maxReportSkew)):
+		return ReportFuture
+	case now.Sub(at) > reportTrust:
+		return ReportOld
+	}
+	r.queued.Store(l.Queued)
+	r.sentSince.Store(0)
+	r.reportedAt.Store(min(at.UnixNano(), now.UnixNano()))
+	if l.Leaving {
+		r.MarkLeaving()
+	}
+	return ReportTaken
+}
+
+// Reported returns the layer passes queued at the runner by its last report,
+// uncorrected.
+func (r *Runner) Reported() float64 { return float64(r.queued.Load()) }
--- /dev/null
+++ b/state/fleet/view.go
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package fleet is what an entry believes of the runners: which layers each
+// holds, how loaded it is, how fast it answers, and whether it is leaving.
+//
+// A View groups the runners of each model by the span that they hold. It is
+// rebuilt when the configuration changes and keeps what was measured:
+//
+//	view := fleet.Build(nil, cfg, "jhb-a")
+//	for _, g := range view.Model("fares").Groups() { ... }
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/config"
+)
+
+// Group is the runners that hold the same span of a model.
+type Group struct {
+	span    protocol.Span
+	runners []*Runner
+}
+
+// Span returns the layers that every runner of the group holds.
+func (g *Group) Span() protocol.Span { return g.span }
+
+// Runners returns the group's runners. The caller must not change the slice.
+func (g *Group) Runners() []*Runner { return g.runners }
+
+// Model is the runners of one model, grouped by span and ordered by first layer.
+type Model struct {
+	layers int
+	groups []Group
+}
+
+// Layers returns how many layers the model has.
+func (m *Model) Layers() int { return m.layers }
+
+// Groups returns the groups in order of their first layer.
+func (m *Model) Groups() []Group { return m.groups }
+
+// View is the whole fleet under one configuration.
+type View struct {
+	models  map[string]*Model
+	runners map[string]*Runner
+}
+
+// Build returns the view of a configuration for an entry whose data center is
+// home. Runners that the older view knows unchanged keep their measurements.
+func Build(older *View, c *config.Config, home string) *View {
+	v := &View{models: map[string]*Model{}, runners: map[string]*Runner{}}
+	for _, spec := range c.Runners() {
+		r := older.Runner(spec.Name)
+		if r == nil || r.Spec() != spec {
+			r = NewRunner(spec, home)
+		}
+		v.runners[spec.Name] = r
+		v.place(c, r)
+	}
+	for _, m := range v.models {
+		slices.SortFunc(m.groups, func(a, b Group) int {
+			return cmp.Or(cmp.Compare(a.span.From, b.span.From), cmp.Compare(a.span.To, b.span.To))
+		})
+	}
+	return v
+}
+
+func (v *View) place(c *config.Config, r *Runner) {
+	spec := r.Spec()
+	m := v.models[spec.Model]
+	if m == nil {
+		configured, _ := c.Model(spec.Model)
+		m = &Model{layers: configured.Layers}
+		v.models[spec.Model] = m
+	}
+	for i := range m.groups {
+		if m.groups[i].span == r.Span() {
+			m.groups[i].runners = append(m.groups[i].runners, r)
+			return
+		}
+	}
+	m.groups = append(m.groups, Group{span: r.Span(), runners: []*Runner{r}})
+}
+
+// Model returns the runners of a model, or nil when it has none.
+func (v *View) Model(name string) *Model {
+	if v == nil {
+		return nil
+	}
+	return v.models[name]
+}
+
+// Runner returns a runner by name, or nil.
+func (v *View) Runner(name string) *Runner {
+	if v == nil {
+		return nil
+	}
+	return v.runners[name]
+}
+
+// Runners returns every runner by name. The caller must not change the map.
+func (v *View) Runners() map[string]*Runner { return v.runners }
--- /dev/null
+++ b/transport/engine/mailbox.go
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package engine
+
+import (
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/fleet"
+)
+
+// mailboxDepth holds the replies of a request that its stream has not read yet.
+// One step is in flight at a time, so more are doubles and may be dropped.
+const mailboxDepth = 8
+
+// Arrival is what comes back for a request: Replied or Lost.
+type Arrival interface{ arrival() }
+
+// Replied is a reply with the runner that it came from.
+type Replied struct {
+	from  *fleet.Runner
+	reply protocol.Reply
+}
+
+// From returns the runner that replied.
+func (r Replied) From() *fleet.Runner { return r.from }
+
+// Reply returns the reply.
+func (r Replied) Reply() protocol.Reply { return r.reply }
+
+// Lost says that the connection ended before the reply came.
+type Lost struct {
+	from *fleet.Runner
+	sent bool
+}
+
+// From returns the runner whose connection ended.
+func (l Lost) From() *fleet.Runner { return l.from }
+
+// Sent reports whether any byte of the step may have reached the engine.
+func (l Lost) Sent() bool { return l.sent }
+
+func (Replied) arrival() {}
+func (Lost) arrival()    {}
+
+// Mailbox gets the arrivals of one request. Make it with NewMailbox.
+type Mailbox struct{ arrivals chan Arrival }
+
+// NewMailbox returns an empty mailbox.
+func NewMailbox() *Mailbox { return &Mailbox{arrivals: make(chan Arrival, mailboxDepth)} }
+
+// Arrivals returns the channel to read from.
+func (m *Mailbox) Arrivals() <-chan Arrival { return m.arrivals }
+
+// put reports whether there was room.
+func (m *Mailbox) put(a Arrival) bool {
+	select {
+	case m.arrivals <- a:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/transport/engine/reader.go
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package engine
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/coder/websocket"
+
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/internal/part"
+	"pinerun.example/pinerun/protocol"
+)
+
+// reader reads one connection's reply frames until it breaks.
+type reader struct {
+	client *Client
+	socket *websocket.Conn
+	done   part.Done
+	err    error // set before done closes
+}
+
+func (r *reader) run(ctx context.Context) {
+	defer r.done.Close()
+	for {
+		_, b, err := r.socket.Read(ctx)
+		if err != nil {
+			r.err = err
+			return
+		}
+		f, err := protocol.DecodeReplies(b)
+		if err != nil {
+			r.client.Counters.Add(metric.FramesBroken, 1)
+			event.FrameBroken.Log(r.client.Logger, slog.String("runner", r.client.Runner.Name()), slog.Any("cause", err))
+			r.err = err
+			return
+		}
+		for i := range f.Replies {
+			r.client.deliver(f.Replies[i])
+		}
+		if f.Report != nil {
+			r.client.report(*f.Report)
+		}
+	}
+}
--- /dev/null
+++ b/transport/entry/model_run.go
@@ -0,0 +1,309 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"pinerun.example/pinerun/coordination/detect"
+	"pinerun.example/pinerun/coordination/path"
+	"pinerun.example/pinerun/coordination/retry"
+	"pinerun.example/pinerun/coordination/stream"
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/fleet"
+	"pinerun.example/pinerun/state/story"
+	"pinerun.example/pinerun/transport/engine"
+)
+
+// tokenSink gets the tokens of an answer, each once and in order.
+type tokenSink interface{ token(t int32) error }
+
+// modelRun carries one model request over the runners until its answer is whole
+// or it is given up.
+type modelRun struct {
+	entry      *Entry
+	id         protocol.RequestID
+	model      protocol.Model
+	repeatable bool
+	deadline   time.Time
+	story      *story.Story
+	sink       tokenSink
+
+	machine stream.Machine
+	mailbox *engine.Mailbox
+	draw    *rand.Rand
+	avoid   []*fleet.Runner
+	tries   int
+	ran     bool // some engine may have run a step
+	silence *time.Timer
+	sentTo  *fleet.Runner
+	turn    uint64
+	sentAt  time.Time
+	lostAt  time.Time // when a step was given up; zero once a token came since
+}
+
+// serve runs the request. The error, if any, is a Refusal with a true outcome.
+func (m *modelRun) serve(ctx context.Context, prompt []int32, limit int, priority uint8) error {
+	m.machine.Open(m.id, m.model.Layers, prompt, limit, priority)
+	m.mailbox = engine.NewMailbox()
+	m.draw = rand.New(rand.NewPCG(uint64(m.id), 0))
+	m.turn = uint64(m.id)
+	m.silence = time.NewTimer(time.Hour)
+	defer m.silence.Stop()
+	defer m.forgetPath()
+	m.entry.retries.first()
+	if err := m.begin(); err != nil {
+		return err
+	}
+	for {
+		finished, err := m.wait(ctx)
+		if finished || err != nil {
+			return err
+		}
+	}
+}
+
+// begin chooses a path and sends the first step of a new attempt.
+func (m *modelRun) begin() error {
+	m.tries++
+	now := time.Now()
+	query := path.Query{
+		Now: now, Positions: 1, Draw: m.draw, Avoid: m.avoid, Policy: m.policy(),
+	}
+	var p path.Path
+	if missing := path.Into(m.entry.view.Load().Model(m.model.Name), &query, &p); missing >= 0 {
+		return m.noPath(missing)
+	}
+	m.story.Note(now, story.Path, describe(&p))
+	m.send(m.machine.Begin(&p))
+	return nil
+}
+
+func (m *modelRun) policy() path.Policy {
+	switch m.entry.Settings.PathPolicy {
+	case "report":
+		return path.ByReport{}
+	case "turn":
+		return path.ByTurn{Turn: &m.turn}
+	case "chance":
+		return path.ByChance{}
+	case "chain":
+		return path.ByChain{Turn: &m.turn}
+	default:
+		return path.ByCost{}
+	}
+}
+
+func (m *modelRun) noPath(layer int) error {
+	message := "no usable runner holds layer " + itoa(layer) + " of model " + m.model.Name
+	again := time.Now().Add(time.Second)
+	if m.ran {
+		return protocol.Uncertain(protocol.NoPath, message).Again(again)
+	}
+	return protocol.Refuse(protocol.NoPath, message).Again(again)
+}
+
+func describe(p *path.Path) string {
+	names := make([]string, p.Len())
+	for i := range names {
+		names[i] = p.Runner(i).Name()
+	}
+	return strings.Join(names, " ")
+}
+
+func (m *modelRun) send(s stream.Send) {
+	m.sentTo = s.Runner()
+	m.sentAt = time.Now()
+	until := detect.Deadline(s.Runner(), m.sentAt, s.Step().Count)
+	m.silence.Reset(time.Until(until))
+	m.entry.pool.Client(s.Runner()).Send(s, m.mailbox)
+}
+
+// wait takes the next arrival and acts on it.
+func (m *modelRun) wait(ctx context.Context) (finished bool, err error) {
+	select {
+	case a := <-m.mailbox.Arrivals():
+		return m.arrived(ctx, a)
+	case <-m.silence.C:
+		return false, m.silent(ctx)
+	case <-ctx.Done():
+		return false, m.givenUp(ctx)
+	}
+}
+
+func (m *modelRun) arrived(ctx context.Context, a engine.Arrival) (finished bool, err error) {
+	switch a := a.(type) {
+	case engine.Replied:
+		return m.decide(ctx, m.machine.Take(a.From(), a.Reply()))
+	case engine.Lost:
+		if a.From() != m.sentTo {
+			return false, nil // an older attempt's runner
+		}
+		m.ran = m.ran || a.Sent()
+		reason := metric.StreamError
+		if !a.Sent() {
+			reason = metric.NotSent
+		}
+		return false, m.again(ctx, reason, a.From())
+	}
+	return false, nil
+}
+
+func (m *modelRun) decide(ctx context.Context, d stream.Decision) (finished bool, err error) {
+	switch d := d.(type) {
+	case stream.Send:
+		m.ran = true
+		m.send(d)
+	case stream.Emit:
+		m.ran = true
+		if err := m.emit(d.Token()); err != nil {
+			return false, err
+		}
+		m.send(d.Next())
+	case stream.Finish:
+		m.ran = true
+		if t, ok := d.Token(); ok {
+			return true, m.emit(t)
+		}
+		return true, nil
+	case stream.Break:
+		return false, m.broken(ctx, d)
+	case stream.Ignore:
+		m.entry.counters.Add(metric.RepliesDropped, 1)
+	}
+	return false, nil
+}
+
+func (m *modelRun) emit(t int32) error {
+	if len(m.machine.Emitted()) == 1 {
+		m.story.Note(time.Now(), story.FirstByte, "")
+	}
+	m.entry.counters.Add(metric.TokensEmitted, 1)
+	if !m.lostAt.IsZero() {
+		m.entry.recovery.Record(time.Since(m.lostAt))
+		m.lostAt = time.Time{}
+	}
+	if err := m.sink.token(t); err != nil {
+		return protocol.Uncertain(protocol.CallerGone, "the caller stopped reading").Because(err)
+	}
+	return nil
+}
+
+func (m *modelRun) broken(ctx context.Context, b stream.Break) error {
+	if b.Reason() == metric.RunnerLeaving && b.Runner().MarkLeaving() {
+		event.RunnerEjected.Log(m.entry.Logger, slog.String("runner", b.Runner().Name()), slog.String("cause", "it is leaving"))
+	}
+	if b.Reason() == metric.BadReply {
+		m.ran = true
+		b.Runner().Failed(time.Now())
+		m.entry.counters.Add(metric.RunnersEjected, 1)
+		event.RunnerEjected.Log(m.entry.Logger, slog.String("runner", b.Runner().Name()), slog.String("cause", "a reply that was not asked for"))
+	}
+	return m.again(ctx, b.Reason(), b.Runner())
+}
+
+// silent handles a runner that has not answered within its bound.
+func (m *modelRun) silent(ctx context.Context) error {
+	unsent := m.entry.pool.Client(m.sentTo).Forget(m.id, m.machine.Attempt())
+	m.ran = m.ran || !unsent
+	m.sentTo.Failed(time.Now())
+	m.entry.counters.Add(metric.RunnersEjected, 1)
+	event.RunnerEjected.Log(m.entry.Logger, slog.String("runner", m.sentTo.Name()), slog.String("cause", "silence"))
+	return m.again(ctx, metric.Silence, m.sentTo)
+}
+
+// givenUp ends a request whose deadline passed or whose caller left.
+func (m *modelRun) givenUp(ctx context.Context) error {
+	unsent := m.entry.pool.Client(m.sentTo).Forget(m.id, m.machine.Attempt())
+	m.ran = m.ran || !unsent
+	kind, message := protocol.CallerGone, "the caller closed the connection"
+	if !time.Now().Before(m.deadline) {
+		kind, message = protocol.DeadlinePassed, "the deadline passed"
+	}
+	if m.ran {
+		return protocol.Uncertain(kind, message).Because(ctx.Err())
+	}
+	return protocol.Refuse(kind, message).Because(ctx.Err())
+}
+
+// again tries on another path, where the outcome permits it.
+func (m *modelRun) again(ctx context.Context, reason metric.Reason, failed *fleet.Runner) error {
+	m.noteLoss(reason)
+	m.forgetPath()
+	if m.ran && !m.repeatable {
+		return protocol.Uncertain(protocol.StageFailed, "a stage failed ("+string(reason)+") and the request may not run twice")
+	}
+	if failed != nil {
+		m.avoid = append(m.avoid, failed)
+	}
+	now := time.Now()
+	d := m.entry.retries.again(retry.Query{
+		Now: now, Deadline: m.deadline, Tries: m.tries,
+		Resuming: len(m.machine.Emitted()) > 0, Draw: m.draw,
+	})
+	wait, ok := d.(retry.Wait)
+	if !ok {
+		return m.stopped(d.(retry.Stop), reason)
+	}
+	m.entry.counters.Retried(reason)
+	m.story.Note(now, story.Retried, string(reason)+" at "+nameOf(failed))
+	event.RequestRetried.Log(m.entry.Logger, slog.String("request", m.id.String()),
+		slog.String("reason", string(reason)), slog.String("runner", nameOf(failed)))
+	if !m.rest(ctx, wait.Till()) {
+		return m.givenUp(ctx)
+	}
+	return m.begin()
+}
+
+// noteLoss times how long it took to see a stage's death.
+func (m *modelRun) noteLoss(reason metric.Reason) {
+	if reason != metric.StreamError && reason != metric.Silence {
+		return
+	}
+	m.lostAt = time.Now()
+	m.entry.detected.Record(m.lostAt.Sub(m.sentAt))
+}
+
+func (m *modelRun) stopped(s retry.Stop, reason metric.Reason) error {
+	message := "a stage failed (" + string(reason) + ") and no further try is allowed"
+	if m.ran {
+		return protocol.Uncertain(s.Kind(), message)
+	}
+	return protocol.Refuse(s.Kind(), message).Again(time.Now().Add(time.Second))
+}
+
+func (m *modelRun) rest(ctx context.Context, till time.Time) bool {
+	d := time.Until(till)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// forgetPath tells the engines of the current path to drop the request.
+func (m *modelRun) forgetPath() {
+	p := m.machine.Path()
+	for i := range p.Len() {
+		m.entry.pool.Client(p.Runner(i)).Forget(m.id, m.machine.Attempt())
+	}
+}
+
+func nameOf(r *fleet.Runner) string {
+	if r == nil {
+		return "-"
+	}
+	return r.Name()
+}
--- /dev/null
+++ b/transport/entry/operator.go
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/story"
+)
+
+func (e *Entry) operatorRoutes() http.Handler {
+	r := echo.New()
+	r.HideBanner = true
+	r.HTTPErrorHandler = e.routeError
+	r.GET("/health", e.serveHealth)
+	r.GET("/debug/vars", e.serveVars)
+	r.GET("/admin/v1/status", e.operator(e.serveStatus))
+	r.GET("/admin/v1/requests/:id", e.operator(e.serveStory))
+	return r
+}
+
+// operatorHandler serves one call of a known operator.
+type operatorHandler func(c echo.Context, o protocol.Operator) error
+
+// operator checks the operator's key.
+func (e *Entry) operator(h operatorHandler) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		cfg := e.store.Current()
+		if cfg == nil {
+			return e.refuse(c, protocol.Refuse(protocol.NoConfiguration, "no configuration yet"))
+		}
+		key, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+		o, known := cfg.OperatorByKey(key)
+		if !ok || !known {
+			return e.refuse(c, protocol.Refuse(protocol.WrongKey, "the operator's key is missing or not known"))
+		}
+		if err := h(c, o); err != nil {
+			return e.refuse(c, protocol.AsRefusal(err))
+		}
+		return nil
+	}
+}
+
+func (e *Entry) serveVars(c echo.Context) error {
+	return c.JSON(http.StatusOK, struct {
+		Counters    json.RawMessage `json:"pinerun"`
+		DetectionMS metric.Summary  `json:"detection_ms"`
+		RecoveryMS  metric.Summary  `json:"recovery_ms"`
+	}{json.RawMessage(e.counters.String()), e.detected.Summary(), e.recovery.Summary()})
+}
+
+// runnerStatus is one runner as an entry sees it.
+type runnerStatus struct {
+	Name    string  `json:"name"`
+	Model   string  `json:"model"`
+	Layers  string  `json:"layers"`
+	Usable  bool    `json:"usable"`
+	Leaving bool    `json:"leaving"`
+	WaitMS  float64 `json:"wait_ms"`
+}
+
+// modelStatus is one model as an entry sees it.
+type modelStatus struct {
+	Name    string `json:"name"`
+	Layers  int    `json:"layers"`
+	Running int    `json:"running"`
+	Waiting int    `json:"waiting"`
+}
+
+// entryStatus is the answer to a status call.
+type entryStatus struct {
+	Entry   string         `json:"entry"`
+	Ready   bool           `json:"ready"`
+	Version uint64         `json:"version"`
+	Open    int64          `json:"open"`
+	Entries int            `json:"entries"`
+	Models  []modelStatus  `json:"models"`
+	Runners []runnerStatus `json:"runners"`
+}
+
+func (e *Entry) serveStatus(c echo.Context, _ protocol.Operator) error {
+	return c.JSON(http.StatusOK, e.status(time.Now()))
+}
+
+func (e *Entry) status(now time.Time) entryStatus {
+	s := entryStatus{
+		Entry: e.Settings.Name, Ready: e.Ready(), Open: e.open.Load(), Entries: e.liveEntries(),
+		Version: e.store.Current().Version(), Models: []modelStatus{}, Runners: []runnerStatus{},
+	}
+	for _, m := range e.store.Current().ModelList() {
+		running, waiting := e.gate.load(m.Name)
+		s.Models = append(s.Models, modelStatus{Name: m.Name, Layers: m.Layers, Running: running, Waiting: waiting})
+	}
+	for _, r := range e.view.Load().Runners() {
+		s.Runners = append(s.Runners, runnerStatus{
+			Name: r.Name(), Model: r.Spec().Model, Layers: r.Span().String(),
+			Usable: r.Usable(now), Leaving: r.Leaving(), WaitMS: r.Wait(now) * 1000,
+		})
+	}
+	slices.SortFunc(s.Runners, func(a, b runnerStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return s
+}
+
+func (e *Entry) serveStory(c echo.Context, _ protocol.Operator) error {
+	id, err := protocol.ParseRequestID(c.Param("id"))
+	if err != nil {
+		return err
+	}
+	lines, dropped, ok := e.stories.Read(id)
+	if !ok {
+		return protocol.Refuse(protocol.UnknownRequest, "this entry has not run "+id.String()+" lately")
+	}
+	return c.JSON(http.StatusOK, struct {
+		Request string       `json:"request"`
+		Lines   []story.Line `json:"lines"`
+		Dropped int          `json:"dropped"`
+	}{id.String(), lines, dropped})
+}
+
+// liveEntries returns how many entries share the callers, at least 1.
+func (e *Entry) liveEntries() int { return max(1, int(e.entries.Load())) }
