stream: send a prompt in chunks that follow each other

Cause: one unbounded batch at an engine and a whole prompt in one step made steps last for seconds; the detection bound, fitted to a step alone, took that for death, and every retry ran the whole prompt again. The demo's runners are twice as fast from here on.

--- a/command/demo_setup.go
+++ b/command/demo_setup.go
@@ -19,9 +19,9 @@
 	demoStages  = 4
 	demoTeams   = 10
 	// Speeds of the three accelerator kinds, in layer passes a second.
-	demoFast   = 2400
-	demoMiddle = 1200
-	demoSlow   = 600
+	demoFast   = 4800
+	demoMiddle = 2400
+	demoSlow   = 1200
 )
 
 func demoKeys() []string {
--- a/coordination/detect/detect.go
+++ b/coordination/detect/detect.go
@@ -1,10 +1,18 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package detect decides how long a silent runner may take before a step counts
-// as lost. The bound follows what the runner has shown: its running mean and
-// deviation, the work sent and the queue expected there.
+// Package detect decides whether a runner that has not replied is dead, too
+// slow, or merely busy.
 //
-//	deadline := detect.Deadline(runner, sentAt, positions)
+// The bound on a step follows what the runner has shown: the expected time of
+// the step times its running slowness and several deviations of that. Beyond
+// the bound, a runner that has sent nothing at all since the step left is dead.
+// One that still talks is given a few times longer, since its reply may be
+// stuck behind others; then the step is lost all the same.
+//
+//	switch d := detect.Judge(runner, step, now).(type) {
+//	case detect.Busy: // look again at d.Till()
+//	case detect.Lost: // give the step up
+//	}
 package detect
 
 import (
@@ -14,19 +22,59 @@
 )
 
 const (
-	// deviations is how far beyond the mean a step may take, as in
-	// phi-accrual detection with phi near 8 for a normal tail.
+	// deviations is how far beyond the mean a step may take.
 	deviations = 6
-	// slack allows for pauses of this process and of the engine.
-	slack = 60 * time.Millisecond
-	// workMargin is how often the expected work may last longer than expected.
-	workMargin = 3
+	// slack allows for pauses of this process and of the engine's timers.
+	slack = 40 * time.Millisecond
+	// patience is how many times the bound a runner that still talks may take.
+	patience = 6
 )
 
-// Deadline returns the time by which a reply to a step of that many positions,
-// sent now, must have come.
-func Deadline(r *fleet.Runner, now time.Time, positions int) time.Time {
-	mean, deviation := r.Latency()
-	seconds := mean + deviations*deviation + workMargin*r.Cost(now, positions)
-	return now.Add(slack + time.Duration(seconds*float64(time.Second)))
+// Step is a step in flight: when it left and how many seconds it was then
+// expected to take.
+type Step struct {
+	SentAt   time.Time
+	Expected float64
+}
+
+// Verdict is Busy or Lost.
+type Verdict interface{ verdict() }
+
+// Busy says until when to wait before looking again.
+type Busy struct{ till time.Time }
+
+// Till returns the time to look again.
+func (b Busy) Till() time.Time { return b.till }
+
+// Lost says that the step is to be given up. Dead tells a runner that has
+// fallen silent from one that is slow or has lost the reply.
+type Lost struct{ dead bool }
+
+// Dead reports whether the runner has sent nothing since the step left.
+func (l Lost) Dead() bool { return l.dead }
+
+func (Busy) verdict() {}
+func (Lost) verdict() {}
+
+// Bound returns the time by which the step's reply is normally there.
+func Bound(r *fleet.Runner, s Step) time.Time {
+	mean, deviation := r.Slowness(s.SentAt)
+	seconds := s.Expected * (max(1, mean) + deviations*deviation)
+	return s.SentAt.Add(slack + time.Duration(seconds*float64(time.Second)))
+}
+
+// Judge returns the verdict on a step in flight.
+func Judge(r *fleet.Runner, s Step, now time.Time) Verdict {
+	bound := Bound(r, s)
+	if now.Before(bound) {
+		return Busy{till: bound}
+	}
+	if !r.HeardAt().After(s.SentAt) {
+		return Lost{dead: true}
+	}
+	last := s.SentAt.Add(patience * bound.Sub(s.SentAt))
+	if now.Before(last) {
+		return Busy{till: last}
+	}
+	return Lost{}
 }
--- a/coordination/path/path.go
+++ b/coordination/path/path.go
@@ -214,18 +214,26 @@
 }
 
 // pickFrom takes the first usable runner from a starting point on, one that was
-// not avoided if there is any.
+// not avoided if there is any. When every runner is ejected it takes the one
+// whose ejection ends first, so that ejection can't empty a group.
 func pickFrom(runners []*fleet.Runner, q *Query, start int) (*fleet.Runner, float64) {
-	var second *fleet.Runner
+	var second, last *fleet.Runner
 	for i := range runners {
 		r := runners[(start+i)%len(runners)]
-		if !r.Usable(q.Now) {
-			continue
-		}
-		if !avoided(q.Avoid, r) {
+		switch {
+		case r.Leaving():
+		case !r.Usable(q.Now):
+			if last == nil || r.EjectedTill().Before(last.EjectedTill()) {
+				last = r
+			}
+		case avoided(q.Avoid, r):
+			second = r
+		default:
 			return r, r.Cost(q.Now, q.Positions)
 		}
-		second = r
+	}
+	if second == nil {
+		second = last
 	}
 	if second == nil {
 		return nil, 0
--- a/coordination/stream/stream.go
+++ b/coordination/stream/stream.go
@@ -1,23 +1,25 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package stream is the state of one model request: which step goes out next,
+// Package stream is the state of one model request: which steps go out next,
 // which replies count, and which tokens the caller has got.
 //
 // It is pure. The caller of Begin and Take does the sending:
 //
-//	m := stream.Machine{}
-//	m.Open(id, layers, prompt, limit)
-//	send := m.Begin(path)
+//	var m stream.Machine
+//	m.Open(id, layers, prompt, limit, priority)
+//	sends := m.Begin(path)
 //	switch d := m.Take(runner, reply).(type) {
-//	case stream.Send:   // send d.Step() to d.Runner()
+//	case stream.Sends:  // send each of d.All()
 //	case stream.Emit:   // give d.Token() to the caller, then send d.Next()
 //	case stream.Finish: // the answer is whole
 //	case stream.Ignore: // an old, doubled or foreign reply: count it
 //	case stream.Break:  // the path no longer works: choose another and Begin
 //	}
 //
-// A token is emitted only when replies under the current attempt have covered
-// every layer once and in order for its position.
+// A prompt goes through the stages in chunks, one behind the other, so that all
+// stages work on it at once. Each stage has at most one step of the request in
+// flight. A token is emitted only when replies under the current attempt have
+// covered every layer once and in order for its position.
 package stream
 
 import (
@@ -28,9 +30,11 @@
 )
 
 const (
-	// Chunk is the most positions that one step carries, so that a long prompt
-	// does not hold up the other streams of a batch.
-	Chunk = 256
+	// chunkSeconds is how long one chunk of a prompt may take on the slowest
+	// stage of its path, so that it does not hold up the other streams there.
+	chunkSeconds = 0.020
+	minChunk     = 4
+	maxChunk     = 256
 	// EndToken is the token by which a model says that its answer is complete.
 	EndToken = 0
 )
@@ -45,13 +49,28 @@
 }
 
 // Runner returns the runner that gets the step.
-func (s Send) Runner() *fleet.Runner { return s.runner }
+func (s *Send) Runner() *fleet.Runner { return s.runner }
 
 // Step returns the step.
-func (s Send) Step() protocol.Step { return s.step }
+func (s *Send) Step() *protocol.Step { return &s.step }
 
 // Passes returns the layer passes that the step asks for.
-func (s Send) Passes() int64 { return int64(s.step.Count * s.step.Span.Layers()) }
+func (s *Send) Passes() int64 { return int64(s.step.Count * s.step.Span.Layers()) }
+
+// Sends is up to two steps: the stage that replied takes its next chunk, and
+// the stage after it takes the one that was passed on.
+type Sends struct {
+	count int
+	sends [2]Send
+}
+
+// All returns the steps to send, possibly none.
+func (s *Sends) All() []Send { return s.sends[:s.count] }
+
+func (s *Sends) add(x Send) {
+	s.sends[s.count] = x
+	s.count++
+}
 
 // Emit is a token for the caller and the step that follows it.
 type Emit struct {
@@ -89,12 +108,27 @@
 // Runner returns the runner to leave out of the next path, or nil.
 func (b Break) Runner() *fleet.Runner { return b.runner }
 
-func (Send) decision()   {}
+func (Sends) decision()  {}
 func (Emit) decision()   {}
 func (Finish) decision() {}
 func (Ignore) decision() {}
 func (Break) decision()  {}
 
+// piece is a run of positions on its way through the stages.
+type piece struct {
+	position int
+	count    int
+	hidden   []byte
+}
+
+// stage is one stage of the current attempt: the step in flight, if any, and
+// the pieces that the stage before it has passed on meanwhile.
+type stage struct {
+	busy    bool
+	flight  piece
+	waiting []piece
+}
+
 // Machine is one request's progress. Open it before use.
 type Machine struct {
 	request  protocol.RequestID
@@ -105,10 +139,9 @@
 	prompt   int     // how many of them are prompt
 	attempt  uint32
 	path     path.Path
-	stage    int
-	position int // first position of the step in flight
-	count    int
-	inFlight bool
+	stages   []stage
+	chunk    int
+	fed      int // positions given to the first stage
 	finished bool
 }
 
@@ -125,9 +158,20 @@
 func (m *Machine) Begin(p *path.Path) Send {
 	m.attempt++
 	m.path = *p
-	m.position = 0
-	m.stage = 0
-	return m.first()
+	m.stages = make([]stage, p.Len())
+	m.chunk = chunkFor(p)
+	m.fed = 0
+	return m.feed()
+}
+
+// chunkFor returns how many positions the slowest stage runs in chunkSeconds.
+func chunkFor(p *path.Path) int {
+	chunk := float64(maxChunk)
+	for i := range p.Len() {
+		r := p.Runner(i)
+		chunk = min(chunk, r.Spec().Speed/float64(r.Span().Layers())*chunkSeconds)
+	}
+	return max(minChunk, int(chunk))
 }
 
 // Attempt returns the number of the current attempt, 1 for the first.
@@ -140,39 +184,43 @@
 // change the slice.
 func (m *Machine) Emitted() []int32 { return m.tokens[m.prompt:] }
 
-// Positions returns how many positions the current attempt has to run before
-// the next token.
-func (m *Machine) Positions() int { return len(m.tokens) - m.position }
+// Known returns how many tokens a new attempt has to run before the next one.
+func (m *Machine) Known() int { return len(m.tokens) }
 
 // Finished reports whether the answer is whole.
 func (m *Machine) Finished() bool { return m.finished }
 
-// first returns the first stage's step from the current position on.
-func (m *Machine) first() Send {
-	m.stage = 0
-	m.count = min(Chunk, len(m.tokens)-m.position)
-	return m.send(m.tokens[m.position:m.position+m.count], nil)
+// feed returns the first stage's step over the next positions.
+func (m *Machine) feed() Send {
+	count := min(m.chunk, len(m.tokens)-m.fed)
+	p := piece{position: m.fed, count: count}
+	tokens := m.tokens[m.fed : m.fed+count]
+	m.fed += count
+	return m.start(0, p, tokens)
 }
 
-func (m *Machine) send(tokens []int32, hidden []byte) Send {
-	m.inFlight = true
-	r := m.path.Runner(m.stage)
+func (m *Machine) start(at int, p piece, tokens []int32) Send {
+	s := &m.stages[at]
+	s.busy = true
+	s.flight = p
+	r := m.path.Runner(at)
 	return Send{runner: r, step: protocol.Step{
 		Request:  m.request,
 		Attempt:  m.attempt,
-		Position: m.position,
-		Count:    m.count,
+		Position: p.position,
+		Count:    p.count,
 		Span:     r.Span(),
 		Epoch:    r.Spec().Epoch,
 		Priority: m.priority,
 		Tokens:   tokens,
-		Hidden:   hidden,
+		Hidden:   p.hidden,
 	}}
 }
 
 // Take decides on a reply that came from a runner.
 func (m *Machine) Take(from *fleet.Runner, r protocol.Reply) Decision {
-	if m.finished || !m.inFlight || !m.expects(from, &r) {
+	at := m.stageOf(from, &r)
+	if at < 0 {
 		return Ignore{}
 	}
 	if r.Fault != protocol.FaultNone {
@@ -181,21 +229,31 @@
 	if r.Span != from.Span() || r.Epoch != from.Spec().Epoch {
 		return Break{reason: metric.SpanMoved, runner: from}
 	}
-	if m.stage+1 < m.path.Len() {
-		return m.pass(from, r.Hidden)
+	m.stages[at].busy = false
+	if at+1 < len(m.stages) {
+		return m.pass(at, &r)
 	}
-	m.inFlight = false
-	m.position += m.count
-	if m.position < len(m.tokens) {
-		return m.first()
+	if r.Position+r.Count < len(m.tokens) {
+		return m.refill(at, Sends{})
 	}
 	return m.emit(r.Token)
 }
 
-// expects reports whether r answers the one step in flight.
-func (m *Machine) expects(from *fleet.Runner, r *protocol.Reply) bool {
-	return r.Request == m.request && r.Attempt == m.attempt && r.Position == m.position &&
-		(r.Count == m.count || r.Fault != protocol.FaultNone) && from == m.path.Runner(m.stage)
+// stageOf returns the stage whose step in flight r answers, or -1.
+func (m *Machine) stageOf(from *fleet.Runner, r *protocol.Reply) int {
+	if m.finished || r.Request != m.request || r.Attempt != m.attempt {
+		return -1
+	}
+	for i := range m.stages {
+		s := &m.stages[i]
+		if m.path.Runner(i) != from || !s.busy || s.flight.position != r.Position {
+			continue
+		}
+		if r.Count == s.flight.count || r.Fault != protocol.FaultNone {
+			return i
+		}
+	}
+	return -1
 }
 
 func (m *Machine) faulted(from *fleet.Runner, f protocol.Fault) Decision {
@@ -213,12 +271,34 @@
 	}
 }
 
-func (m *Machine) pass(from *fleet.Runner, hidden []byte) Decision {
-	if len(hidden) != m.count*protocol.HiddenBytes {
-		return Break{reason: metric.BadReply, runner: from}
+// pass hands a piece on to the next stage.
+func (m *Machine) pass(at int, r *protocol.Reply) Decision {
+	if len(r.Hidden) != r.Count*protocol.HiddenBytes {
+		return Break{reason: metric.BadReply, runner: m.path.Runner(at)}
+	}
+	var out Sends
+	p := piece{position: r.Position, count: r.Count, hidden: r.Hidden}
+	next := &m.stages[at+1]
+	if next.busy || len(next.waiting) > 0 {
+		next.waiting = append(next.waiting, p)
+	} else {
+		out.add(m.start(at+1, p, nil))
+	}
+	return m.refill(at, out)
+}
+
+// refill gives an idle stage its next piece, if there is one.
+func (m *Machine) refill(at int, out Sends) Decision {
+	s := &m.stages[at]
+	switch {
+	case len(s.waiting) > 0:
+		p := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		out.add(m.start(at, p, nil))
+	case at == 0 && m.fed < len(m.tokens):
+		out.add(m.feed())
 	}
-	m.stage++
-	return m.send(nil, hidden)
+	return out
 }
 
 func (m *Machine) emit(token int32) Decision {
@@ -231,5 +311,5 @@
 		m.finished = true
 		return Finish{token: token}
 	}
-	return Emit{token: token, next: m.first()}
+	return Emit{token: token, next: m.feed()}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -67,15 +67,15 @@
 
 // The defaults of an entry's limits.
 const (
-	defaultBodyBytes       = 1 << 20
-	defaultHeaderBytes     = 16 << 10
-	defaultOpenRequests    = 4096
-	defaultSlowCallerMS    = 10_000
-	defaultDeadlineMS      = 30_000
-	defaultLongestMS       = 600_000
-	defaultKeyRetentionMS  = 600_000
-	defaultStopWithinMS    = 30_000
-	defaultClaimShards     = 4
+	defaultBodyBytes      = 1 << 20
+	defaultHeaderBytes    = 16 << 10
+	defaultOpenRequests   = 4096
+	defaultSlowCallerMS   = 10_000
+	defaultDeadlineMS     = 30_000
+	defaultLongestMS      = 600_000
+	defaultKeyRetentionMS = 600_000
+	defaultStopWithinMS   = 30_000
+	defaultClaimShards    = 4
 )
 
 // WithDefaults returns the entry with every zero limit replaced.
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -25,11 +25,18 @@
 var linkSeconds = [...]float64{Near: 0.0005, Far: 0.005, Slow: 0.05}
 
 const (
-	// initialBatch is how long one batch is expected to last, in seconds,
-	// before anything is measured.
-	initialBatch = 0.002
+	// batchSeconds is the least time that a step is expected to take at an
+	// engine, which works in batches.
+	batchSeconds = 0.002
 	// smoothing is the weight of a new sample in a running mean.
 	smoothing = 0.1
+	// initialDeviation is the deviation of slowness before anything is measured.
+	initialDeviation = 0.5
+	// maxSlowness bounds a sample of slowness.
+	maxSlowness = 1000
+	// forgetSlowness is the time in which half of what a runner has shown is
+	// forgotten, so that one left out for slowness is tried again.
+	forgetSlowness = 5 * time.Second
 	// ejectFirst and ejectMost bound how long a failing runner is left out.
 	ejectFirst = 500 * time.Millisecond
 	ejectMost  = 30 * time.Second
@@ -43,12 +50,14 @@
 type Runner struct {
 	spec        protocol.Runner
 	link        Link
-	outstanding atomic.Int64 // layer passes sent and not answered
-	queued      atomic.Int64 // layer passes, as last reported
-	sentSince   atomic.Int64 // layer passes sent since that report
-	reportedAt  atomic.Int64 // unix nanoseconds
-	latency     atomic.Uint64
+	outstanding atomic.Int64  // layer passes sent and not answered
+	queued      atomic.Int64  // layer passes, as last reported
+	sentSince   atomic.Int64  // layer passes sent since that report
+	reportedAt  atomic.Int64  // unix nanoseconds
+	slowness    atomic.Uint64 // taken over expected time, a running mean
 	deviation   atomic.Uint64
+	measuredAt  atomic.Int64 // unix nanoseconds
+	heardAt     atomic.Int64 // unix nanoseconds
 	ejectedTill atomic.Int64 // unix nanoseconds
 	failures    atomic.Int64
 	leaving     atomic.Bool
@@ -57,9 +66,8 @@
 // NewRunner returns a runner of which nothing has been measured yet.
 func NewRunner(spec protocol.Runner, home string) *Runner {
 	r := &Runner{spec: spec, link: classify(spec, home)}
-	expected := initialBatch + linkSeconds[r.link]
-	r.latency.Store(math.Float64bits(expected))
-	r.deviation.Store(math.Float64bits(expected / 2))
+	r.slowness.Store(math.Float64bits(1))
+	r.deviation.Store(math.Float64bits(initialDeviation))
 	return r
 }
 
@@ -111,10 +119,18 @@
 	return max(own, reported) / r.spec.Speed
 }
 
-// Cost returns the seconds until a reply to a step of that many positions.
-func (r *Runner) Cost(now time.Time, positions int) float64 {
+// Expected returns the seconds until the reply to a step of that many positions
+// if the runner keeps its configured speed.
+func (r *Runner) Expected(now time.Time, positions int) float64 {
 	work := float64(positions*r.Span().Layers()) / r.spec.Speed
-	return r.Wait(now) + work + linkSeconds[r.link]
+	return r.Wait(now) + work + batchSeconds + linkSeconds[r.link]
+}
+
+// Cost returns the seconds until the reply to a step of that many positions, by
+// what the runner has shown lately.
+func (r *Runner) Cost(now time.Time, positions int) float64 {
+	slowness, _ := r.Slowness(now)
+	return r.Expected(now, positions) * slowness
 }
 
 // Sent notes that a step of that many layer passes left for the runner.
@@ -126,24 +142,44 @@
 // Settled notes that a step was answered, or given up.
 func (r *Runner) Settled(passes int64) { r.outstanding.Add(-passes) }
 
-// Measured notes how long a step took, and ends any ejection.
-func (r *Runner) Measured(took time.Duration) {
-	mean := math.Float64frombits(r.latency.Load())
-	dev := math.Float64frombits(r.deviation.Load())
-	sample := took.Seconds()
+// Measured notes how long a step took that was expected to take that many
+// seconds, and ends any ejection.
+func (r *Runner) Measured(took time.Duration, expected float64, now time.Time) {
+	mean, dev := r.Slowness(now)
+	sample := min(took.Seconds()/expected, maxSlowness)
 	dev += smoothing * (math.Abs(sample-mean) - dev)
 	mean += smoothing * (sample - mean)
-	r.latency.Store(math.Float64bits(mean))
+	r.slowness.Store(math.Float64bits(mean))
 	r.deviation.Store(math.Float64bits(dev))
+	r.measuredAt.Store(now.UnixNano())
 	r.failures.Store(0)
 }
 
-// Latency returns the running mean and mean deviation of a step's time, in
-// seconds.
-func (r *Runner) Latency() (mean, deviation float64) {
-	return math.Float64frombits(r.latency.Load()), math.Float64frombits(r.deviation.Load())
+// Slowness returns how many times longer than expected the runner's steps take,
+// and the mean deviation of that. Both fade as they grow old.
+func (r *Runner) Slowness(now time.Time) (mean, deviation float64) {
+	mean = math.Float64frombits(r.slowness.Load())
+	deviation = math.Float64frombits(r.deviation.Load())
+	if mean <= 1 {
+		return mean, deviation
+	}
+	age := now.UnixNano() - r.measuredAt.Load()
+	if age <= 0 {
+		return mean, deviation
+	}
+	kept := math.Exp2(-float64(age) / float64(forgetSlowness))
+	return 1 + (mean-1)*kept, deviation
 }
 
+// Heard notes that the runner sent something.
+func (r *Runner) Heard(now time.Time) { r.heardAt.Store(now.UnixNano()) }
+
+// HeardAt returns when the runner last sent anything.
+func (r *Runner) HeardAt() time.Time { return time.Unix(0, r.heardAt.Load()) }
+
+// EjectedTill returns until when the runner is left out.
+func (r *Runner) EjectedTill() time.Time { return time.Unix(0, r.ejectedTill.Load()) }
+
 // Failed leaves the runner out for a time that doubles with each failure in a
 // row, and returns until when.
 func (r *Runner) Failed(now time.Time) time.Time {
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -57,6 +57,7 @@
 	attempt  uint32
 	position int
 	passes   int64
+	expected float64 // seconds
 	sentAt   time.Time
 	sent     bool
 }
@@ -74,8 +75,9 @@
 	<-c.ended.Done()
 }
 
-// Send queues a step. Its reply, or Lost, arrives in the mailbox.
-func (c *Client) Send(s stream.Send, m *Mailbox) {
+// Send queues a step that is expected to take that many seconds. Its reply, or
+// Lost, arrives in the mailbox.
+func (c *Client) Send(s *stream.Send, expected float64, m *Mailbox) {
 	step := s.Step()
 	passes := s.Passes()
 	c.mutex.Lock()
@@ -84,10 +86,10 @@
 		m.put(Lost{from: c.Runner})
 		return
 	}
-	c.queue = append(c.queue, step)
+	c.queue = append(c.queue, *step)
 	c.waiting[step.Request] = waiter{
 		mailbox: m, attempt: step.Attempt, position: step.Position,
-		passes: passes, sentAt: time.Now(),
+		passes: passes, expected: expected, sentAt: time.Now(),
 	}
 	c.mutex.Unlock()
 	c.Runner.Sent(passes)
@@ -277,8 +279,8 @@
 		return
 	}
 	c.Runner.Settled(w.passes)
-	work := time.Duration(float64(w.passes) / c.Runner.Spec().Speed * float64(time.Second))
-	c.Runner.Measured(max(0, time.Since(w.sentAt)-work))
+	now := time.Now()
+	c.Runner.Measured(now.Sub(w.sentAt), w.expected, now)
 	if !w.mailbox.put(Replied{from: c.Runner, reply: r}) {
 		c.Counters.Add(metric.RepliesDropped, 1)
 	}
--- a/transport/engine/reader.go
+++ b/transport/engine/reader.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/coder/websocket"
 
@@ -30,6 +31,7 @@
 			r.err = err
 			return
 		}
+		r.client.Runner.Heard(time.Now())
 		f, err := protocol.DecodeReplies(b)
 		if err != nil {
 			r.client.Counters.Add(metric.FramesBroken, 1)
--- a/transport/entry/chat.go
+++ b/transport/entry/chat.go
@@ -134,8 +134,8 @@
 
 // chunkChoice is one choice of a streamed chunk.
 type chunkChoice struct {
-	Index        int         `json:"index"`
-	Delta        chunkDelta  `json:"delta"`
+	Index        int        `json:"index"`
+	Delta        chunkDelta `json:"delta"`
 	FinishReason *string    `json:"finish_reason"`
 }
 
