claim: make not-repeatable calls durable before they are sent

Cause: keyed calls that may not be repeated were refused, for nothing kept them. Change: each shard is a log of batches in a ring of platform slots. A batch is written only if its slot has the version last read, so a writer that succeeds has seen every batch before; the first record of a key wins. A lost answer or a conflict is settled by reading the slot. Weighed: one growing object a shard (rewrites megabytes each batch at the planned rate), a log with deletes (doubles the writes). The ring needs neither. Three entries that all write a shard race often; one of them should write for all.

--- /dev/null
+++ b/coordination/claim/log.go
@@ -0,0 +1,400 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package claim decides who may run a request that must run at most once.
+//
+// The claims of a shard form a log of batches in the platform. Batch n lives in
+// slot n modulo Slots, and is written only on the condition that the slot still
+// has the version that the writer has read. So a writer that succeeds has seen
+// every batch before its own, whoever else believes that it writes this shard,
+// and the first record of a key wins.
+//
+// A Log is pure. Its owner asks what to do and reports what came of it:
+//
+//	log.Add(record)
+//	switch a := log.Next(now).(type) {
+//	case claim.Load:  // read every slot, then log.Loaded(stored)
+//	case claim.Write: // write a.Batch() to a.Slot() if its version is a.Known();
+//	                  // then log.Wrote(version), log.Unwritten() or log.Doubt()
+//	case claim.Read:  // read a.Slot(), then log.Found(stored)
+//	case claim.Rest:  // nothing to do
+//	}
+//	for _, r := range log.Results() { ... }
+package claim
+
+import (
+	"slices"
+	"time"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+const (
+	// Slots is how many batches a shard keeps.
+	Slots = 2048
+	// maxBatchRecords and maxBatchBytes bound one write.
+	maxBatchRecords = 512
+	maxBatchBytes   = 256 << 10
+	recordBytes     = 96
+	// skewMargin is how much longer than the retention a record is kept, so
+	// that entries whose clocks differ by less agree on what has expired.
+	skewMargin = time.Minute
+)
+
+// Action is what the owner of a log does next.
+type Action interface{ action() }
+
+// Load asks for every slot of the shard.
+type Load struct{}
+
+// Write asks for one conditional write.
+type Write struct {
+	slot  int
+	known uint64
+	batch protocol.ClaimBatch
+}
+
+// Slot returns where to write.
+func (w Write) Slot() int { return w.slot }
+
+// Known returns the version that the slot must have, 0 for none.
+func (w Write) Known() uint64 { return w.known }
+
+// Batch returns what to write.
+func (w Write) Batch() protocol.ClaimBatch { return w.batch }
+
+// Read asks for one slot.
+type Read struct{ slot int }
+
+// Slot returns which.
+func (r Read) Slot() int { return r.slot }
+
+// Rest says that nothing is to be done.
+type Rest struct{}
+
+func (Load) action()  {}
+func (Write) action() {}
+func (Read) action()  {}
+func (Rest) action()  {}
+
+// Stored is a slot's content in the platform. A slot that does not exist has
+// version 0.
+type Stored struct {
+	Slot    int
+	Version uint64
+	Batch   protocol.ClaimBatch
+}
+
+// Verdict is what became of a claim.
+type Verdict uint8
+
+// The verdicts on a claim.
+const (
+	Granted  Verdict = iota // the claim is durable: run the request
+	Held                    // another claimant holds the key and has not settled
+	Settled                 // it ran; the result holds the record with its answer
+	Doubtful                // it may have run, and nobody can tell
+	Reused                  // the key stands for another request
+	Expired                 // issued too long ago to be sure that it has not run
+	Full                    // no room until older claims expire
+	Kept                    // a release or outcome is durable
+)
+
+// Result is a verdict on one record.
+type Result struct {
+	record  protocol.ClaimRecord
+	verdict Verdict
+	held    protocol.ClaimRecord
+}
+
+// Record returns the record that was added.
+func (r Result) Record() protocol.ClaimRecord { return r.record }
+
+// Verdict returns what became of it.
+func (r Result) Verdict() Verdict { return r.verdict }
+
+// Held returns the record that stands under the key; for Settled it holds the
+// answer.
+func (r Result) Held() protocol.ClaimRecord { return r.held }
+
+// Log is one shard. The zero value must be loaded first. Retain is how long a
+// key is remembered after it was issued; set it before use.
+type Log struct {
+	Retain func(issued time.Time) time.Time
+
+	loaded   bool
+	next     uint64 // sequence of the next batch
+	versions [Slots]uint64
+	expiries [Slots]time.Time
+	index    map[protocol.ClaimKey]protocol.ClaimRecord
+	pending  []protocol.ClaimRecord
+	written  int  // how many of pending the write in flight holds
+	doubt    bool // the slot of the next batch must be read first
+	stale    bool // a read of the next slot was asked for
+	results  []Result
+}
+
+// Add queues a record; its result comes later.
+func (l *Log) Add(r protocol.ClaimRecord) { l.pending = append(l.pending, r) }
+
+// Withdraw takes a claim out that no write holds, and reports whether it did.
+// A claim in doubt can't be withdrawn: release it instead.
+func (l *Log) Withdraw(claimant uint64) bool {
+	if l.written > 0 || l.doubt {
+		return false
+	}
+	before := len(l.pending)
+	l.pending = slices.DeleteFunc(l.pending, func(r protocol.ClaimRecord) bool {
+		return r.Claimant == claimant && r.Kind == protocol.ClaimTaken
+	})
+	return len(l.pending) < before
+}
+
+// Refresh asks for the next slot to be read, to see what others have written.
+func (l *Log) Refresh() { l.stale = true }
+
+// Pending returns how many records wait.
+func (l *Log) Pending() int { return len(l.pending) }
+
+// Results returns the results since the last call.
+func (l *Log) Results() []Result {
+	r := l.results
+	l.results = nil
+	return r
+}
+
+// Next returns what to do. After a Write it must be told the end of that write
+// before it is asked again.
+func (l *Log) Next(now time.Time) Action {
+	if !l.loaded {
+		if len(l.pending) == 0 {
+			return Rest{}
+		}
+		return Load{}
+	}
+	if l.doubt || l.stale {
+		return Read{slot: l.slot()}
+	}
+	l.judge(now)
+	if len(l.pending) == 0 {
+		return Rest{}
+	}
+	if l.expiries[l.slot()].After(now) {
+		l.refuseFull()
+		return Rest{}
+	}
+	return l.write()
+}
+
+func (l *Log) slot() int { return int(l.next % Slots) }
+
+// write makes a batch of the first pending records.
+func (l *Log) write() Action {
+	size := 0
+	l.written = 0
+	for _, r := range l.pending {
+		size += recordBytes + len(r.Answer)
+		if l.written == maxBatchRecords || l.written > 0 && size > maxBatchBytes {
+			break
+		}
+		l.written++
+	}
+	return Write{
+		slot: l.slot(), known: l.versions[l.slot()],
+		batch: protocol.ClaimBatch{Sequence: l.next, Records: slices.Clone(l.pending[:l.written])},
+	}
+}
+
+// judge gives results to the pending records that need no write, and leaves at
+// most one claim of a key.
+func (l *Log) judge(now time.Time) {
+	claimed := map[protocol.ClaimKey]protocol.ClaimRecord{}
+	kept := l.pending[:0]
+	for _, r := range l.pending {
+		verdict, held := l.verdict(r, now)
+		first, taken := claimed[r.Key]
+		switch {
+		case verdict != Kept && verdict != Granted:
+			l.result(r, verdict, held)
+		case verdict == Granted && l.owns(r):
+			l.result(r, Granted, held)
+		case r.Kind == protocol.ClaimTaken && taken && first.Claimant != r.Claimant:
+			l.result(r, Held, first)
+		default:
+			if r.Kind == protocol.ClaimTaken {
+				claimed[r.Key] = r
+			}
+			kept = append(kept, r)
+		}
+	}
+	l.pending = kept
+}
+
+// verdict says what a record may become by what the log holds now.
+func (l *Log) verdict(r protocol.ClaimRecord, now time.Time) (Verdict, protocol.ClaimRecord) {
+	if r.Kind != protocol.ClaimTaken {
+		return Kept, r
+	}
+	if !l.Retain(time.UnixMilli(r.IssuedMS)).After(now) {
+		return Expired, r
+	}
+	held, found := l.index[r.Key]
+	switch {
+	case !found:
+		return Granted, r
+	case held.Digest != r.Digest:
+		return Reused, held
+	case held.Kind == protocol.ClaimSettled:
+		return Settled, held
+	case held.Kind == protocol.ClaimDoubtful:
+		return Doubtful, held
+	case held.Claimant == r.Claimant:
+		return Granted, held
+	default:
+		return Held, held
+	}
+}
+
+// owns reports whether r's own claim is in the log already.
+func (l *Log) owns(r protocol.ClaimRecord) bool {
+	held, found := l.index[r.Key]
+	return found && held.Claimant == r.Claimant
+}
+
+func (l *Log) result(r protocol.ClaimRecord, v Verdict, held protocol.ClaimRecord) {
+	l.results = append(l.results, Result{record: r, verdict: v, held: held})
+}
+
+func (l *Log) refuseFull() {
+	kept := l.pending[:0]
+	for _, r := range l.pending {
+		if r.Kind != protocol.ClaimTaken {
+			kept = append(kept, r)
+			continue
+		}
+		l.result(r, Full, r)
+	}
+	l.pending = kept
+}
+
+// Loaded takes every slot of the shard. It reports false when the slots do not
+// fit together, because one was written meanwhile: load again.
+func (l *Log) Loaded(all []Stored) bool {
+	l.index = map[protocol.ClaimKey]protocol.ClaimRecord{}
+	l.versions = [Slots]uint64{}
+	l.expiries = [Slots]time.Time{}
+	l.next = 0
+	slices.SortFunc(all, func(a, b Stored) int { return int(a.Batch.Sequence) - int(b.Batch.Sequence) })
+	for i, s := range all {
+		if s.Slot < 0 || s.Slot >= Slots || i > 0 && s.Batch.Sequence != all[i-1].Batch.Sequence+1 {
+			return false
+		}
+		l.apply(s)
+	}
+	l.loaded, l.doubt, l.written = true, false, 0
+	return true
+}
+
+// Wrote takes the success of the write in flight.
+func (l *Log) Wrote(version uint64) {
+	batch := protocol.ClaimBatch{Sequence: l.next, Records: slices.Clone(l.pending[:l.written])}
+	for _, r := range batch.Records {
+		v := Kept
+		if r.Kind == protocol.ClaimTaken {
+			v = Granted
+		}
+		l.result(r, v, r)
+	}
+	l.pending = slices.Delete(l.pending, 0, l.written)
+	l.written = 0
+	l.apply(Stored{Slot: l.slot(), Version: version, Batch: batch})
+}
+
+// Unwritten notes that the write in flight had no effect.
+func (l *Log) Unwritten() { l.written = 0 }
+
+// Doubt notes that the write in flight met another version or that its answer
+// was lost. What happened shows once the slot is read.
+func (l *Log) Doubt() { l.written, l.doubt = 0, true }
+
+// Found takes the slot of the next batch as read. Records of ours that turn out
+// to be in the log get their results from the next call of Next.
+func (l *Log) Found(s Stored) {
+	l.doubt, l.stale = false, false
+	switch {
+	case s.Version == 0:
+		l.versions[l.slot()] = 0
+	case s.Batch.Sequence == l.next:
+		l.apply(s)
+		l.keptNow(s.Batch)
+		l.doubt = true // others may have written further: read on
+	case s.Batch.Sequence > l.next:
+		l.loaded = false // a whole ring behind
+	default:
+		l.versions[l.slot()] = s.Version
+	}
+}
+
+// keptNow gives results to releases and outcomes that a found batch holds.
+func (l *Log) keptNow(b protocol.ClaimBatch) {
+	l.pending = slices.DeleteFunc(l.pending, func(r protocol.ClaimRecord) bool {
+		if r.Kind == protocol.ClaimTaken || !holds(b, r) {
+			return false
+		}
+		l.result(r, Kept, r)
+		return true
+	})
+}
+
+func holds(b protocol.ClaimBatch, r protocol.ClaimRecord) bool {
+	return slices.ContainsFunc(b.Records, func(x protocol.ClaimRecord) bool {
+		return x.Kind == r.Kind && x.Key == r.Key && x.Claimant == r.Claimant
+	})
+}
+
+// apply adds the next batch of the log to the index.
+func (l *Log) apply(s Stored) {
+	l.forget(s.Slot, s.Batch)
+	for _, r := range s.Batch.Records {
+		l.applyRecord(r)
+	}
+	l.versions[s.Slot] = s.Version
+	l.next = s.Batch.Sequence + 1
+}
+
+// forget notes until when a slot must be kept.
+func (l *Log) forget(slot int, b protocol.ClaimBatch) {
+	l.expiries[slot] = time.Time{}
+	for _, r := range b.Records {
+		if till := l.Retain(time.UnixMilli(r.IssuedMS)).Add(skewMargin); till.After(l.expiries[slot]) {
+			l.expiries[slot] = till
+		}
+	}
+}
+
+// applyRecord lets the first claim of a key win, and only its claimant release
+// or settle it.
+func (l *Log) applyRecord(r protocol.ClaimRecord) {
+	held, found := l.index[r.Key]
+	switch {
+	case r.Kind == protocol.ClaimTaken && !found:
+		l.index[r.Key] = r
+	case r.Kind == protocol.ClaimTaken || !found || held.Claimant != r.Claimant:
+		// a later claim of the key, or a word from someone who does not hold it
+	case r.Kind == protocol.ClaimReleased:
+		delete(l.index, r.Key)
+	default:
+		l.index[r.Key] = r
+	}
+}
+
+// Expire drops keys that are remembered no longer, to bound memory.
+func (l *Log) Expire(now time.Time) {
+	for k, r := range l.index {
+		if now.After(l.Retain(time.UnixMilli(r.IssuedMS)).Add(skewMargin)) {
+			delete(l.index, k)
+		}
+	}
+}
+
+// Keys returns how many keys the log remembers.
+func (l *Log) Keys() int { return len(l.index) }
--- /dev/null
+++ b/transport/claims/keeper.go
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package claims keeps the claims of not-repeatable requests in the platform.
+// The decisions are in coordination/claim; here are the calls and the waiting.
+//
+//	k := &claims.Keeper{Platform: p, Shards: 4, Retain: retain, Counters: &c}
+//	k.Start()
+//	result, err := k.Claim(ctx, record) // durable, or the reason why not
+//	k.Keep(outcome)                     // in the background
+//	k.Flush(ctx)                        // before a planned stop
+package claims
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"pinerun.example/pinerun/coordination/claim"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/transport/platform"
+)
+
+const (
+	// writeEvery is the least time between two writes of a shard. A claim that
+	// comes after a pause is written at once; under load they gather.
+	writeEvery = 80 * time.Millisecond
+	// Pauses after the platform did not answer.
+	pauseFirst = 20 * time.Millisecond
+	pauseMost  = 500 * time.Millisecond
+	// Pauses between two looks at a claim that another entry holds.
+	lookFirst = 25 * time.Millisecond
+	lookMost  = 400 * time.Millisecond
+	// expireEvery is how often keys that are remembered no longer are dropped.
+	expireEvery = 10 * time.Second
+)
+
+// Keeper holds every claim shard. Set the exported fields before Start.
+type Keeper struct {
+	Platform *platform.Client
+	Counters *metric.Set
+	Logger   *slog.Logger
+	Shards   int
+	Retain   func(issued time.Time) time.Time
+
+	shards []*shard
+}
+
+// Start begins to serve claims. No shard is read before its first claim.
+func (k *Keeper) Start() {
+	for i := range k.Shards {
+		s := newShard(k, i)
+		k.shards = append(k.shards, s)
+		go s.run()
+	}
+}
+
+// Close ends the shards; what was not written is lost.
+func (k *Keeper) Close() {
+	for _, s := range k.shards {
+		s.done.Close()
+	}
+}
+
+func (k *Keeper) shardOf(key protocol.ClaimKey) *shard { return k.shards[key.Shard(len(k.shards))] }
+
+// Claim returns once the claim is durable or refused. An error means that it
+// was given up before either; it will then never be granted.
+func (k *Keeper) Claim(ctx context.Context, r protocol.ClaimRecord) (claim.Result, error) {
+	return k.shardOf(r.Key).claim(ctx, r)
+}
+
+// Await claims again and again while another claimant holds the key, until it
+// has settled, has released the key to us, or ctx ends.
+func (k *Keeper) Await(ctx context.Context, r protocol.ClaimRecord) (claim.Result, error) {
+	pause := lookFirst
+	for {
+		result, err := k.Claim(ctx, r)
+		if err != nil || result.Verdict() != claim.Held {
+			return result, err
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return result, nil
+		}
+		pause = min(lookMost, 2*pause)
+		k.shardOf(r.Key).refresh()
+	}
+}
+
+// Keep makes a release or an outcome durable in the background.
+func (k *Keeper) Keep(r protocol.ClaimRecord) { k.shardOf(r.Key).add(r, nil) }
+
+// Flush waits until everything is durable or ctx ends, and returns how many
+// records are not.
+func (k *Keeper) Flush(ctx context.Context) int {
+	left := 0
+	for _, s := range k.shards {
+		left += s.flush(ctx)
+	}
+	return left
+}
--- /dev/null
+++ b/transport/claims/shard.go
@@ -0,0 +1,300 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package claims
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"pinerun.example/pinerun/coordination/claim"
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/internal/part"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/transport/platform"
+)
+
+// shard runs one claim log against the platform.
+type shard struct {
+	keeper *Keeper
+	number int
+	done   part.Done
+	wake   chan struct{}
+
+	mutex   sync.Mutex
+	log     claim.Log
+	waiting map[uint64][]chan claim.Result // by claimant
+	emptied chan struct{}                  // closed when nothing is pending
+
+	pause     time.Duration
+	nextWrite time.Time
+}
+
+func newShard(k *Keeper, number int) *shard {
+	return &shard{
+		keeper: k, number: number, wake: make(chan struct{}, 1),
+		log: claim.Log{Retain: k.Retain}, waiting: map[uint64][]chan claim.Result{},
+	}
+}
+
+func (s *shard) kind() string { return protocol.ObjectClaim + "-" + strconv.Itoa(s.number) }
+
+// claim adds a claim and waits for its result.
+func (s *shard) claim(ctx context.Context, r protocol.ClaimRecord) (claim.Result, error) {
+	if ctx.Err() != nil {
+		return claim.Result{}, ctx.Err()
+	}
+	result := make(chan claim.Result, 1)
+	s.add(r, result)
+	select {
+	case got := <-result:
+		return got, nil
+	case <-ctx.Done():
+		return s.giveUp(r, result, ctx.Err())
+	case <-s.done.Done():
+		return s.giveUp(r, result, context.Canceled)
+	}
+}
+
+// giveUp takes a claim back. If a write may hold it already, a release follows,
+// so that a repeat can run; the caller of claim must not run it any more.
+func (s *shard) giveUp(r protocol.ClaimRecord, result chan claim.Result, cause error) (claim.Result, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	select {
+	case got := <-result: // it came in the same moment
+		return got, nil
+	default:
+	}
+	delete(s.waiting, r.Claimant)
+	if !s.log.Withdraw(r.Claimant) {
+		r.Kind = protocol.ClaimReleased
+		s.log.Add(r)
+		s.nudge()
+	}
+	return claim.Result{}, cause
+}
+
+func (s *shard) add(r protocol.ClaimRecord, result chan claim.Result) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if result != nil {
+		s.waiting[r.Claimant] = append(s.waiting[r.Claimant], result)
+	}
+	s.log.Add(r)
+	s.nudge()
+}
+
+// refresh reads what others have written before the next verdict.
+func (s *shard) refresh() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.log.Refresh()
+}
+
+func (s *shard) nudge() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *shard) flush(ctx context.Context) int {
+	s.mutex.Lock()
+	if s.log.Pending() == 0 {
+		s.mutex.Unlock()
+		return 0
+	}
+	if s.emptied == nil {
+		s.emptied = make(chan struct{})
+	}
+	emptied := s.emptied
+	s.mutex.Unlock()
+	select {
+	case <-emptied:
+	case <-ctx.Done():
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.log.Pending()
+}
+
+// run acts on the log whenever something was added.
+func (s *shard) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	expire := time.NewTicker(expireEvery)
+	defer expire.Stop()
+	for {
+		select {
+		case <-s.done.Done():
+			return
+		case now := <-expire.C:
+			s.mutex.Lock()
+			s.log.Expire(now)
+			s.mutex.Unlock()
+		case <-s.wake:
+			s.work(ctx)
+		}
+	}
+}
+
+// work acts until the log rests.
+func (s *shard) work(ctx context.Context) {
+	for !s.done.Closed() {
+		s.mutex.Lock()
+		action := s.log.Next(time.Now())
+		s.deliver()
+		s.mutex.Unlock()
+		switch a := action.(type) {
+		case claim.Rest:
+			s.tellEmptied()
+			return
+		case claim.Load:
+			s.load(ctx)
+		case claim.Read:
+			s.read(ctx, a)
+		case claim.Write:
+			s.write(ctx, a)
+		}
+		s.rest()
+	}
+}
+
+// deliver hands out results. The mutex is held.
+func (s *shard) deliver() {
+	for _, r := range s.log.Results() {
+		if r.Record().Kind != protocol.ClaimTaken {
+			continue
+		}
+		claimant := r.Record().Claimant
+		waiting := s.waiting[claimant]
+		if len(waiting) == 0 {
+			continue
+		}
+		waiting[0] <- r
+		s.waiting[claimant] = waiting[1:]
+		if len(waiting) == 1 {
+			delete(s.waiting, claimant)
+		}
+	}
+}
+
+func (s *shard) tellEmptied() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.emptied != nil && s.log.Pending() == 0 {
+		close(s.emptied)
+		s.emptied = nil
+	}
+}
+
+// rest pauses after a failure, longer each time.
+func (s *shard) rest() {
+	if s.pause == 0 {
+		return
+	}
+	s.sleep(s.pause/2 + rand.N(s.pause/2+1))
+}
+
+func (s *shard) sleep(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-s.done.Done():
+	}
+}
+
+func (s *shard) failed() { s.pause = min(pauseMost, max(pauseFirst, 2*s.pause)) }
+
+func (s *shard) load(ctx context.Context) {
+	objects, err := s.keeper.Platform.List(ctx, s.kind())
+	if err != nil {
+		s.failed()
+		return
+	}
+	stored := make([]claim.Stored, 0, len(objects))
+	for _, o := range objects {
+		if one, err := storedOf(o); err == nil {
+			stored = append(stored, one)
+		}
+	}
+	s.pause = 0
+	s.mutex.Lock()
+	loaded := s.log.Loaded(stored)
+	keys := s.log.Keys()
+	s.mutex.Unlock()
+	if !loaded {
+		s.failed()
+		return
+	}
+	event.ClaimShardLoaded.Log(s.keeper.Logger, slog.Int("shard", s.number), slog.Int("keys", keys))
+}
+
+func storedOf(o protocol.Object) (claim.Stored, error) {
+	slot, err := strconv.Atoi(o.Name)
+	if err != nil {
+		return claim.Stored{}, err
+	}
+	batch, err := protocol.DecodeClaims(o.Value)
+	return claim.Stored{Slot: slot, Version: o.Version, Batch: batch}, err
+}
+
+func (s *shard) read(ctx context.Context, a claim.Read) {
+	o, err := s.keeper.Platform.Get(ctx, s.kind(), strconv.Itoa(a.Slot()))
+	var missing *platform.NotFound
+	if err != nil && !errors.As(err, &missing) {
+		s.failed()
+		return
+	}
+	found := claim.Stored{Slot: a.Slot()}
+	if err == nil {
+		if found, err = storedOf(o); err != nil {
+			s.failed()
+			return
+		}
+	}
+	s.pause = 0
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.log.Found(found)
+}
+
+func (s *shard) write(ctx context.Context, w claim.Write) {
+	s.sleep(time.Until(s.nextWrite))
+	value, err := protocol.EncodeClaims(w.Batch())
+	if err != nil {
+		s.failed()
+		return
+	}
+	s.keeper.Counters.Add(metric.ClaimWrites, 1)
+	version, err := s.keeper.Platform.Put(ctx, s.kind(), strconv.Itoa(w.Slot()), w.Known(), value)
+	s.nextWrite = time.Now().Add(writeEvery)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var conflict *platform.Conflict
+	var uncertain *platform.Uncertain
+	switch {
+	case err == nil:
+		s.pause = 0
+		s.log.Wrote(version)
+	case errors.As(err, &conflict):
+		s.pause = 0
+		s.keeper.Counters.Retried(metric.ClaimRace)
+		event.ClaimWriteRaced.Log(s.keeper.Logger, slog.Int("shard", s.number))
+		s.log.Doubt()
+	case errors.As(err, &uncertain):
+		s.keeper.Counters.Retried(metric.ClaimLost)
+		event.ClaimAnswerLost.Log(s.keeper.Logger, slog.Int("shard", s.number), slog.Any("cause", err))
+		s.log.Doubt()
+	default:
+		s.failed()
+		s.log.Unwritten()
+	}
+}
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -25,6 +25,7 @@
 	"pinerun.example/pinerun/state/config"
 	"pinerun.example/pinerun/state/fleet"
 	"pinerun.example/pinerun/state/story"
+	"pinerun.example/pinerun/transport/claims"
 	"pinerun.example/pinerun/transport/engine"
 	"pinerun.example/pinerun/transport/platform"
 )
@@ -47,6 +48,7 @@
 	inForce  sync.Mutex
 	services serviceClient
 	retries  retries
+	claims   claims.Keeper
 
 	done     part.Done
 	stopping atomic.Bool
@@ -77,6 +79,12 @@
 		_ = e.callers.socket.Close()
 		return err
 	}
+	e.claims.Platform = &e.platform
+	e.claims.Counters = &e.counters
+	e.claims.Logger = e.Logger
+	e.claims.Shards = e.Settings.ClaimShards
+	e.claims.Retain = e.Settings.Limits.KeyExpiry
+	e.claims.Start()
 	go e.callers.run()
 	go e.admins.run()
 	go (&configWatch{entry: e}).run()
@@ -117,6 +125,9 @@
 	case <-waited.done.Done():
 	case <-ctx.Done():
 	}
+	if unkept := e.claims.Flush(ctx); unkept > 0 {
+		event.ClaimOutcomeUnkept.Log(e.Logger, slog.Int("records", unkept))
+	}
 	e.Kill()
 	event.EntryStopped.Log(e.Logger, slog.Int64("cut_off", e.open.Load()))
 }
@@ -139,6 +150,7 @@
 	_ = e.callers.server.Close()
 	_ = e.admins.server.Close()
 	e.pool.Close()
+	e.claims.Close()
 }
 
 func (l *listener) open(address string, h http.Handler, s *settings.Entry) error {
