stream: number each step, and prove the path under failure

Cause, found by TestAnyOrderOfRepliesGivesTheSameAnswer (rapid): a doubled reply whose position was changed passed for the reply to the next step, and a caller got a token twice. Ruled out: the attempt's fence (both steps were of one attempt) and the span. Change: a step's number comes back with its reply; another position or count under the right number breaks the path at once. Before: the property failed after 71 tests. After: 100 of 100 pass, with -race.

--- a/command/command.go
+++ b/command/command.go
@@ -95,7 +95,7 @@
     pinerun demo -faults                             the same while things fail
     pinerun check -settings examples/tekweni.jsonc   every mistake in a settings file
     pinerun standin -settings examples/tekweni.jsonc platform, engines and services
-    pinerun entry -settings examples/entry-1.jsonc   one entry
+    pinerun entry -settings examples/tekweni-entry-1.jsonc   one entry
   Exit codes: 0 good, 1 failed or a promise was broken, 2 wrong command line or settings.`
 
 func buildVersion() string {
--- a/command/demo_setup.go
+++ b/command/demo_setup.go
@@ -94,7 +94,8 @@
 	f.kill(13, 29)
 	outside.Platform.Fail(standin.Faults{Slow: 20 * time.Millisecond, LoseAnswer: 4})
 	f.after(0.15)
-	f.kill(39)
+	outside.Runners[39].Vanish()
+	f.demo.note(time.Now())
 	f.after(0.15)
 	outside.Platform.Fail(standin.Faults{})
 	for _, i := range []int{12, 23, 34} {
--- a/command/serve.go
+++ b/command/serve.go
@@ -19,7 +19,7 @@
 
 func (v *entryVerb) define() *flaggy.Subcommand {
 	s := flaggy.NewSubcommand("entry")
-	s.Description = "Run one entry: pinerun entry -settings examples/entry-1.jsonc"
+	s.Description = "Run one entry: pinerun entry -settings examples/tekweni-entry-1.jsonc"
 	s.String(&v.file, "s", "settings", "the settings file")
 	return s
 }
--- a/coordination/stream/stream.go
+++ b/coordination/stream/stream.go
@@ -118,6 +118,7 @@
 type piece struct {
 	position int
 	count    int
+	number   uint32 // of the step that carries it
 	hidden   []byte
 }
 
@@ -142,6 +143,7 @@
 	stages   []stage
 	chunk    int
 	fed      int // positions given to the first stage
+	number   uint32
 	finished bool
 }
 
@@ -201,12 +203,15 @@
 
 func (m *Machine) start(at int, p piece, tokens []int32) Send {
 	s := &m.stages[at]
+	m.number++
+	p.number = m.number
 	s.busy = true
 	s.flight = p
 	r := m.path.Runner(at)
 	return Send{runner: r, step: protocol.Step{
 		Request:  m.request,
 		Attempt:  m.attempt,
+		Number:   p.number,
 		Position: p.position,
 		Count:    p.count,
 		Span:     r.Span(),
@@ -229,6 +234,9 @@
 	if r.Span != from.Span() || r.Epoch != from.Spec().Epoch {
 		return Break{reason: metric.SpanMoved, runner: from}
 	}
+	if f := &m.stages[at].flight; r.Position != f.position || r.Count != f.count {
+		return Break{reason: metric.BadReply, runner: from}
+	}
 	m.stages[at].busy = false
 	if at+1 < len(m.stages) {
 		return m.pass(at, &r)
@@ -246,10 +254,7 @@
 	}
 	for i := range m.stages {
 		s := &m.stages[i]
-		if m.path.Runner(i) != from || !s.busy || s.flight.position != r.Position {
-			continue
-		}
-		if r.Count == s.flight.count || r.Fault != protocol.FaultNone {
+		if s.busy && s.flight.number == r.Number && m.path.Runner(i) == from {
 			return i
 		}
 	}
--- /dev/null
+++ b/main_test.go
@@ -0,0 +1,195 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"pinerun.example/pinerun/command"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"pinerun": func() { os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScenarios runs each scenario over real processes. Its commands beside
+// those of testscript:
+//
+//	ports A B            set variables to free ports
+//	expand FILE          replace $VARIABLES in a file
+//	await URL            until it answers 200
+//	call METHOD URL [HEADER:VALUE...] [@FILE]
+//	                     print status, Pinerun-Outcome and body
+//	begin NAME METHOD... the same in the background
+//	end NAME             wait for it and print what call prints
+//	now A, deadline A    set a variable to the time, or to one soon after
+//	freeze N, thaw N     SIGSTOP and SIGCONT to the N-th background process
+func TestScenarios(t *testing.T) {
+	examples, err := filepath.Abs("examples")
+	if err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/scenarios",
+		Setup: func(e *testscript.Env) error {
+			e.Setenv("EXAMPLES", examples)
+			e.Values[callsKey] = calls{}
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"ports":  setPorts,
+			"expand": expandFile,
+			"await":  await,
+			"call":   callNow,
+			"begin":  beginCall,
+			"end":    endCall,
+			"now":    func(ts *testscript.TestScript, _ bool, args []string) { setTime(ts, args[0], 0) },
+			"deadline": func(ts *testscript.TestScript, _ bool, args []string) {
+				setTime(ts, args[0], shortDeadline)
+			},
+			"freeze": func(ts *testscript.TestScript, _ bool, args []string) { signalTo(ts, args[0], syscall.SIGSTOP) },
+			"thaw":   func(ts *testscript.TestScript, _ bool, args []string) { signalTo(ts, args[0], syscall.SIGCONT) },
+		},
+	})
+}
+
+// calls holds the calls of a scenario that run in the background.
+type calls map[string]chan string
+
+const callsKey = "calls"
+
+// Ports are taken below the range from which the system draws ports for
+// outgoing connections, each once in a run, so that nothing else takes one
+// between here and the process that it is meant for.
+const (
+	firstPort = 20000
+	portRange = 12000
+)
+
+var portsTaken atomic.Int64
+
+func setPorts(ts *testscript.TestScript, _ bool, names []string) {
+	for _, name := range names {
+		ts.Setenv(name, strconv.Itoa(freePort()))
+	}
+}
+
+func freePort() int {
+	for {
+		port := firstPort + int(int64(os.Getpid())*97+portsTaken.Add(1))%portRange
+		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
+		if err == nil {
+			_ = l.Close()
+			return port
+		}
+	}
+}
+
+func expandFile(ts *testscript.TestScript, _ bool, files []string) {
+	for _, file := range files {
+		text := os.Expand(ts.ReadFile(file), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(file), []byte(text), 0o600))
+	}
+}
+
+const (
+	awaitLimit = time.Minute
+	awaitPause = 10 * time.Millisecond
+)
+
+func await(ts *testscript.TestScript, neg bool, urls []string) {
+	for _, url := range urls {
+		for end := time.Now().Add(awaitLimit); ; time.Sleep(awaitPause) {
+			res, err := http.Get(url)
+			if err == nil {
+				_ = res.Body.Close()
+			}
+			if (err == nil && res.StatusCode == http.StatusOK) != neg {
+				break
+			}
+			if time.Now().After(end) {
+				ts.Fatalf("%s: not as awaited: %v", url, err)
+			}
+		}
+	}
+}
+
+func callNow(ts *testscript.TestScript, _ bool, args []string) {
+	_, err := io.WriteString(ts.Stdout(), request(ts, args)())
+	ts.Check(err)
+}
+
+func beginCall(ts *testscript.TestScript, _ bool, args []string) {
+	done := make(chan string, 1)
+	send := request(ts, args[1:])
+	go func() { done <- send() }()
+	ts.Value(callsKey).(calls)[args[0]] = done
+}
+
+func endCall(ts *testscript.TestScript, _ bool, args []string) {
+	_, err := io.WriteString(ts.Stdout(), <-ts.Value(callsKey).(calls)[args[0]])
+	ts.Check(err)
+}
+
+// request returns a function that sends a call and tells its end.
+func request(ts *testscript.TestScript, args []string) func() string {
+	var body []byte
+	header := http.Header{}
+	for _, a := range args[2:] {
+		if file, ok := strings.CutPrefix(a, "@"); ok {
+			body = []byte(ts.ReadFile(file))
+			continue
+		}
+		name, value, _ := strings.Cut(a, ":")
+		header.Set(name, value)
+	}
+	return func() string {
+		ctx, cancel := context.WithTimeout(context.Background(), awaitLimit)
+		defer cancel()
+		q, err := http.NewRequestWithContext(ctx, args[0], args[1], bytes.NewReader(body))
+		if err != nil {
+			return err.Error()
+		}
+		q.Header = header
+		res, err := http.DefaultClient.Do(q)
+		if err != nil {
+			return "no answer: " + err.Error() + "\n"
+		}
+		defer res.Body.Close()
+		text, err := io.ReadAll(res.Body)
+		if err != nil {
+			return "answer cut off: " + err.Error() + "\n"
+		}
+		return fmt.Sprintf("%d %s\n%s\n", res.StatusCode, res.Header.Get("Pinerun-Outcome"), text)
+	}
+}
+
+// shortDeadline is what a scenario waits at most for a refusal at the deadline.
+const shortDeadline = 1500 * time.Millisecond
+
+func setTime(ts *testscript.TestScript, name string, ahead time.Duration) {
+	ts.Setenv(name, time.Now().Add(ahead).UTC().Format(time.RFC3339Nano))
+}
+
+func signalTo(ts *testscript.TestScript, number string, s os.Signal) {
+	n, err := strconv.Atoi(number)
+	ts.Check(err)
+	ts.Check(ts.BackgroundCmds()[n-1].Process.Signal(s))
+}
--- a/protocol/engine.go
+++ b/protocol/engine.go
@@ -36,11 +36,14 @@
 // Step asks an engine to run its layers over Count positions of one sequence,
 // starting at Position. The first stage gets Tokens, later stages get Hidden
 // (HiddenBytes for each position). Attempt fences: an engine that has seen a
-// higher attempt of the request ignores the step.
+// higher attempt of the request ignores the step. Number tells an attempt's
+// steps apart and comes back in the reply, so that a reply with a wrong position
+// can't pass for that of a later step.
 type Step struct {
 	_        struct{} `cbor:",toarray"`
 	Request  RequestID
 	Attempt  uint32
+	Number   uint32
 	Position int
 	Count    int
 	Span     Span
@@ -89,6 +92,7 @@
 	_        struct{} `cbor:",toarray"`
 	Request  RequestID
 	Attempt  uint32
+	Number   uint32
 	Position int
 	Count    int
 	Span     Span
--- /dev/null
+++ b/protocol/protocol_test.go
@@ -0,0 +1,115 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package protocol_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+func TestEveryKindHasAStatusAndARemedy(t *testing.T) {
+	for _, k := range protocol.Kinds() {
+		r := protocol.Refuse(k, "m")
+		require.GreaterOrEqual(t, r.Status(), 400, k)
+		require.NotEmpty(t, r.Remedy(), k)
+		require.Contains(t, r.Error(), r.Remedy())
+	}
+}
+
+func TestAnUnforeseenErrorNeverClaimsSafety(t *testing.T) {
+	r := protocol.AsRefusal(errors.New("surprise"))
+	require.Equal(t, protocol.MayHaveRun, r.Outcome())
+	require.Equal(t, protocol.Internal, r.Kind())
+}
+
+func TestRequestIDsAreReadBack(t *testing.T) {
+	id := protocol.NewRequestID()
+	got, err := protocol.ParseRequestID(id.String())
+	require.NoError(t, err)
+	require.Equal(t, id, got)
+	for _, bad := range []string{"", "r-", "r-zz", "00c0ffee", "r-0000000000000000"} {
+		_, err := protocol.ParseRequestID(bad)
+		require.Error(t, err, bad)
+	}
+}
+
+func FuzzDecodeSteps(f *testing.F) {
+	good, err := protocol.EncodeSteps(protocol.StepFrame{
+		Steps:   []protocol.Step{{Request: 1, Attempt: 1, Count: 2, Span: protocol.Span{To: 3}, Tokens: []int32{1, 2}}},
+		Cancels: []protocol.Cancel{{Request: 1, Attempt: 1}},
+	})
+	require.NoError(f, err)
+	f.Add(good)
+	f.Add([]byte{0x9f, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		frame, err := protocol.DecodeSteps(b)
+		if err != nil {
+			return
+		}
+		for _, s := range frame.Steps {
+			if s.Count <= 0 || s.Span.Layers() <= 0 || s.Span.From == 0 && len(s.Tokens) != s.Count {
+				t.Fatalf("a malformed step was taken: %+v", s)
+			}
+		}
+		again, err := protocol.EncodeSteps(frame)
+		require.NoError(t, err)
+		_, err = protocol.DecodeSteps(again)
+		require.NoError(t, err)
+	})
+}
+
+func FuzzDecodeReplies(f *testing.F) {
+	good, err := protocol.EncodeReplies(protocol.ReplyFrame{
+		Replies: []protocol.Reply{{Request: 1, Attempt: 1, Count: 1, Span: protocol.Span{To: 3}, Hidden: make([]byte, 8)}},
+		Report:  &protocol.LoadReport{Runner: "a"},
+	})
+	require.NoError(f, err)
+	f.Add(good)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		frame, err := protocol.DecodeReplies(b)
+		if err != nil {
+			return
+		}
+		for _, r := range frame.Replies {
+			if r.Fault == protocol.FaultNone && len(r.Hidden) != 0 && len(r.Hidden) != r.Count*protocol.HiddenBytes {
+				t.Fatalf("a malformed reply was taken: %+v", r)
+			}
+		}
+	})
+}
+
+func FuzzDecodeClaims(f *testing.F) {
+	good, err := protocol.EncodeClaims(protocol.ClaimBatch{Sequence: 3, Records: []protocol.ClaimRecord{{Claimant: 1}}})
+	require.NoError(f, err)
+	f.Add(good)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		batch, err := protocol.DecodeClaims(b)
+		if err != nil {
+			return
+		}
+		for _, r := range batch.Records {
+			if r.Kind > protocol.ClaimDoubtful {
+				t.Fatalf("an unknown record was taken: %+v", r)
+			}
+		}
+	})
+}
+
+func FuzzParseChat(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}]}`))
+	f.Add([]byte(`{"model":1}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := protocol.ParseChat(b)
+		if err != nil {
+			require.Equal(t, protocol.NotRun, protocol.AsRefusal(err).Outcome())
+			return
+		}
+		if r.Limit() <= 0 || len(r.Prompt()) == 0 {
+			t.Fatalf("an empty request was taken: %+v", r)
+		}
+	})
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -279,7 +279,7 @@
 	if !p.admit(w, q, p.reads, &p.calls.Reads) {
 		return
 	}
-	writeJSON(w, http.StatusOK, p.list(q.PathValue("kind")))
+	writeJSON(w, p.list(q.PathValue("kind")))
 }
 
 func (p *Platform) list(kind string) []protocol.Object {
@@ -299,7 +299,7 @@
 	if !p.admit(w, q, p.reads, &p.calls.Reads) {
 		return
 	}
-	writeJSON(w, http.StatusOK, p.visibleVMs(time.Now()))
+	writeJSON(w, p.visibleVMs(time.Now()))
 }
 
 func (p *Platform) visibleVMs(now time.Time) []protocol.VM {
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -86,6 +86,20 @@
 	return nil
 }
 
+// Close kills the engine's process: its connections break at once.
+func (r *Runner) Close() {
+	r.server.Close()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for c := range r.conns {
+		_ = c.socket.CloseNow()
+	}
+}
+
+// Vanish cuts the engine off as when its VM loses power: connections stay open
+// and nothing answers any more.
+func (r *Runner) Vanish() { r.server.Close() }
+
 // Slow makes the engine that many times slower; 1 restores it.
 func (r *Runner) Slow(times float64) {
 	r.mutex.Lock()
@@ -197,7 +211,7 @@
 // step runs one step on the caches, or says why not. The mutex is held.
 func (r *Runner) step(s *protocol.Step) protocol.Reply {
 	reply := protocol.Reply{
-		Request: s.Request, Attempt: s.Attempt, Position: s.Position,
+		Request: s.Request, Attempt: s.Attempt, Number: s.Number, Position: s.Position,
 		Count: s.Count, Span: s.Span, Epoch: s.Epoch,
 	}
 	seq, fault := r.sequenceFor(s)
@@ -286,7 +300,7 @@
 	for i := range refused {
 		s := &refused[i].step
 		refused[i].conn.send([]protocol.Reply{{
-			Request: s.Request, Attempt: s.Attempt, Position: s.Position, Count: s.Count, Fault: protocol.FaultOverload,
+			Request: s.Request, Attempt: s.Attempt, Number: s.Number, Position: s.Position, Count: s.Count, Fault: protocol.FaultOverload,
 		}}, Mangle{})
 	}
 	select {
--- a/standin/runner_cache.go
+++ b/standin/runner_cache.go
@@ -106,7 +106,7 @@
 		}
 	}
 	r.mutex.Unlock()
-	writeJSON(w, http.StatusOK, told)
+	writeJSON(w, told)
 }
 
 // kvCache is an exported KV cache on the wire.
@@ -138,7 +138,7 @@
 		http.Error(w, "no cache of this request", http.StatusNotFound)
 		return
 	}
-	writeJSON(w, http.StatusOK, out)
+	writeJSON(w, out)
 }
 
 func (r *Runner) serveImport(w http.ResponseWriter, q *http.Request) {
@@ -162,11 +162,11 @@
 }
 
 func (r *Runner) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, r.load())
+	writeJSON(w, r.load())
 }
 
 func (r *Runner) serveLedger(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, r.Ledger.Runs())
+	writeJSON(w, r.Ledger.Runs())
 }
 
 // Order tells an engine to hold other layers, another model version, or to
--- a/standin/service.go
+++ b/standin/service.go
@@ -70,6 +70,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /runs", s.serveRuns)
+	mux.HandleFunc("GET /ran", s.serveRan)
 	mux.HandleFunc("POST /faults", s.serveFaults)
 	mux.HandleFunc("/", s.serveCall)
 	return s.listen(address, mux)
@@ -100,7 +101,7 @@
 	if hit(lose) {
 		panic(http.ErrAbortHandler) // it ran, and its answer is lost
 	}
-	writeJSON(w, http.StatusOK, struct {
+	writeJSON(w, struct {
 		Service string `json:"service"`
 		Method  string `json:"method"`
 		Path    string `json:"path"`
@@ -110,7 +111,7 @@
 }
 
 func (s *Service) serveRuns(w http.ResponseWriter, q *http.Request) {
-	writeJSON(w, http.StatusOK, struct {
+	writeJSON(w, struct {
 		Runs int `json:"runs"`
 	}{s.Book.Runs(q.URL.Query().Get("key"))})
 }
@@ -120,3 +121,10 @@
 	lose, _ := strconv.Atoi(q.URL.Query().Get("lose"))
 	s.Fail(delay, lose)
 }
+
+// serveRan answers 200 once the call has begun to run.
+func (s *Service) serveRan(w http.ResponseWriter, q *http.Request) {
+	if s.Book.Runs(q.URL.Query().Get("key")) == 0 {
+		http.Error(w, "not yet", http.StatusNotFound)
+	}
+}
--- a/standin/wire.go
+++ b/standin/wire.go
@@ -9,9 +9,8 @@
 	"slices"
 )
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
+func writeJSON(w http.ResponseWriter, body any) {
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
 }
 
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -208,3 +208,28 @@
 
 // Current returns the configuration in force, or nil before the first.
 func (s *Store) Current() *Config { return s.current.Load() }
+
+// Make builds a configuration of models and fleets alone, for tests and
+// measurements that need no platform.
+func Make(version uint64, models []protocol.Model, fleets ...protocol.Fleet) (*Config, error) {
+	m := protocol.Manifest{Version: version}
+	parts := map[string][]byte{}
+	add := func(k protocol.PartKind, name string, part any) error {
+		content, err := json.Marshal(part)
+		hash := protocol.HashPart(content)
+		parts[hash] = content
+		m.Parts = append(m.Parts, protocol.PartRef{Kind: k, Name: name, Hash: hash})
+		return err
+	}
+	for _, x := range models {
+		if err := add(protocol.ModelPart, x.Name, x); err != nil {
+			return nil, err
+		}
+	}
+	for _, f := range fleets {
+		if err := add(protocol.FleetPart, f.Name, f); err != nil {
+			return nil, err
+		}
+	}
+	return Build(m, parts)
+}
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -55,7 +55,7 @@
 type waiter struct {
 	mailbox  *Mailbox
 	attempt  uint32
-	position int
+	number   uint32
 	passes   int64
 	expected float64 // seconds
 	sentAt   time.Time
@@ -88,7 +88,7 @@
 	}
 	c.queue = append(c.queue, *step)
 	c.waiting[step.Request] = waiter{
-		mailbox: m, attempt: step.Attempt, position: step.Position,
+		mailbox: m, attempt: step.Attempt, number: step.Number,
 		passes: passes, expected: expected, sentAt: time.Now(),
 	}
 	c.mutex.Unlock()
@@ -269,7 +269,7 @@
 func (c *Client) deliver(r protocol.Reply) {
 	c.mutex.Lock()
 	w, ok := c.waiting[r.Request]
-	ok = ok && w.attempt == r.Attempt && w.position == r.Position
+	ok = ok && w.attempt == r.Attempt && w.number == r.Number
 	if ok {
 		delete(c.waiting, r.Request)
 	}
