peer: relay configurations and gather claims between entries

Change: entries link by WebSocket with CBOR. Two relays in each data center watch the manifest and pass changes on as deltas with a checked sum; heartbeats carry the version, so a lost message is made good. The entry that ranks first for a claim shard writes for all; without its verdict the asker writes itself. TLS for callers, operators and peers, from settings. Found on the way, each with a test: a link's heartbeat could overtake its hello and the peer hung up; a claim given up while another entry still held it in its queue became durable after its release and held the key for good (scenario claims.txtar, property TestAReleasedKeyIsFree).

--- a/coordination/claim/log.go
+++ b/coordination/claim/log.go
@@ -106,6 +106,11 @@
 	held    protocol.ClaimRecord
 }
 
+// Told returns the result that another entry's log gave.
+func Told(r protocol.ClaimRecord, v Verdict, held protocol.ClaimRecord) Result {
+	return Result{record: r, verdict: v, held: held}
+}
+
 // Record returns the record that was added.
 func (r Result) Record() protocol.ClaimRecord { return r.record }
 
@@ -241,6 +246,10 @@
 	switch {
 	case !found:
 		return Granted, r
+	case held.Kind == protocol.ClaimReleased && held.Claimant == r.Claimant:
+		return Held, held // it was given up, and a late copy must not revive it
+	case held.Kind == protocol.ClaimReleased:
+		return Granted, r
 	case held.Digest != r.Digest:
 		return Reused, held
 	case held.Kind == protocol.ClaimSettled:
@@ -257,7 +266,7 @@
 // owns reports whether r's own claim is in the log already.
 func (l *Log) owns(r protocol.ClaimRecord) bool {
 	held, found := l.index[r.Key]
-	return found && held.Claimant == r.Claimant
+	return found && held.Claimant == r.Claimant && held.Kind == protocol.ClaimTaken
 }
 
 func (l *Log) result(r protocol.ClaimRecord, v Verdict, held protocol.ClaimRecord) {
@@ -334,13 +343,22 @@
 	}
 }
 
-// keptNow gives results to releases and outcomes that a found batch holds.
+// keptNow gives results to the pending records that a found batch holds, so
+// that none is written twice. A claim that was released in the same batch is
+// held no more, and never granted.
 func (l *Log) keptNow(b protocol.ClaimBatch) {
 	l.pending = slices.DeleteFunc(l.pending, func(r protocol.ClaimRecord) bool {
-		if r.Kind == protocol.ClaimTaken || !holds(b, r) {
+		if !holds(b, r) {
 			return false
 		}
-		l.result(r, Kept, r)
+		verdict := Kept
+		if r.Kind == protocol.ClaimTaken {
+			verdict = Held
+			if l.owns(r) {
+				verdict = Granted
+			}
+		}
+		l.result(r, verdict, l.index[r.Key])
 		return true
 	})
 }
@@ -372,18 +390,25 @@
 }
 
 // applyRecord lets the first claim of a key win, and only its claimant release
-// or settle it.
+// or settle it. A release is remembered until another claim comes, so that a
+// copy of the released claim that lands late holds nothing.
 func (l *Log) applyRecord(r protocol.ClaimRecord) {
 	held, found := l.index[r.Key]
-	switch {
-	case r.Kind == protocol.ClaimTaken && !found:
-		l.index[r.Key] = r
-	case r.Kind == protocol.ClaimTaken || !found || held.Claimant != r.Claimant:
-		// a later claim of the key, or a word from someone who does not hold it
-	case r.Kind == protocol.ClaimReleased:
-		delete(l.index, r.Key)
+	free := !found || held.Kind == protocol.ClaimReleased
+	own := found && held.Claimant == r.Claimant
+	switch r.Kind {
+	case protocol.ClaimTaken:
+		if free && !own {
+			l.index[r.Key] = r
+		}
+	case protocol.ClaimReleased:
+		if free || own && held.Kind == protocol.ClaimTaken {
+			l.index[r.Key] = r
+		}
 	default:
-		l.index[r.Key] = r
+		if own && !free {
+			l.index[r.Key] = r
+		}
 	}
 }
 
@@ -396,5 +421,13 @@
 	}
 }
 
-// Keys returns how many keys the log remembers.
-func (l *Log) Keys() int { return len(l.index) }
+// Keys returns how many keys are held or settled.
+func (l *Log) Keys() int {
+	held := 0
+	for _, r := range l.index {
+		if r.Kind != protocol.ClaimReleased {
+			held++
+		}
+	}
+	return held
+}
--- a/coordination/claim/log_test.go
+++ b/coordination/claim/log_test.go
@@ -68,6 +68,13 @@
 	})
 }
 
+// release gives a claimant's claim up, whatever became of it.
+func (w *world) release(i int, claimant uint64) {
+	w.entries[i].log.Add(protocol.ClaimRecord{
+		Kind: protocol.ClaimReleased, Key: protocol.ClaimKey{1}, Claimant: claimant, IssuedMS: epoch.UnixMilli(),
+	})
+}
+
 func (w *world) put(x claim.Write) (uint64, bool) {
 	held := w.slots[x.Slot()].Version
 	if held != x.Known() && w.mutant != unconditional {
@@ -252,6 +259,38 @@
 	require.True(t, search(believesLost, searchDepth))
 }
 
+// TestAReleasedKeyIsFree lets claimants give up at any point, with answers lost
+// and writes that land late. Whoever gave up is never counted as granted, and in
+// the end, when all have given up, a new claimant must get the key.
+func TestAReleasedKeyIsFree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(sound, 2)
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				i := rapid.IntRange(0, 1).Draw(t, "entry")
+				w.offer(i, 1)
+				w.release(i, w.next)
+			},
+			"step": func(t *rapid.T) {
+				w.step(rapid.IntRange(0, 1).Draw(t, "entry"), answer(rapid.IntRange(0, int(answers)-1).Draw(t, "answer")))
+			},
+			"land": func(*rapid.T) { w.land() },
+		})
+		for range 200 {
+			w.land()
+			w.step(0, answered)
+			w.step(1, answered)
+		}
+		w.runs = map[protocol.ClaimKey]int{}
+		w.entries[0].log.Refresh()
+		w.offer(0, 1)
+		for range 20 {
+			w.step(0, answered)
+		}
+		require.Equal(t, 1, w.runs[protocol.ClaimKey{1}])
+	})
+}
+
 // TestOutcomesAnswerRepeats follows one key through its life at two entries.
 func TestOutcomesAnswerRepeats(t *testing.T) {
 	w := newWorld(sound, 2)
--- /dev/null
+++ b/coordination/member/member_test.go
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pinerun.example/pinerun/coordination/member"
+	"pinerun.example/pinerun/protocol"
+)
+
+var now = time.Unix(1_800_000_000, 0)
+
+func entries(n, centers int) []protocol.Member {
+	list := make([]protocol.Member, n)
+	for i := range list {
+		list[i] = protocol.Member{
+			Name: fmt.Sprint("entry-", i), DataCenter: fmt.Sprint("dc-", i%centers),
+			Address: fmt.Sprint("127.0.0.1:", 1000+i), Incarnation: 1,
+		}
+	}
+	return list
+}
+
+// TestOnlyTheWorkOfALostEntryMoves holds for any set of entries.
+func TestOnlyTheWorkOfALostEntryMoves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var table member.Table
+		list := entries(rapid.IntRange(2, 40).Draw(t, "entries"), 3)
+		table.Learn(list, now)
+		lost := rapid.SampledFrom(list).Draw(t, "lost").Name
+		var work []string
+		before := map[string]string{}
+		for i := range 30 {
+			w := fmt.Sprint("claim-", i)
+			work = append(work, w)
+			first, _ := table.First(w, now)
+			before[w] = first.Name
+		}
+		table.Suspect(lost, now)
+		for _, w := range work {
+			after, _ := table.First(w, now)
+			require.NotEqual(t, lost, after.Name)
+			if before[w] != lost {
+				require.Equal(t, before[w], after.Name)
+			}
+		}
+	})
+}
+
+func TestLinksGrowWithDataCentersNotEntries(t *testing.T) {
+	for _, n := range []int{40, 380} {
+		var table member.Table
+		list := entries(n, 9)
+		table.Learn(list, now)
+		relays := 0
+		for _, m := range list {
+			peers := table.Peers(m, now)
+			if table.IsRelay(m, now) {
+				relays++
+				require.Len(t, peers, 9*member.RelaysPerDataCenter-1)
+			} else {
+				require.Len(t, peers, member.RelaysPerDataCenter)
+			}
+		}
+		require.Equal(t, 9*member.RelaysPerDataCenter, relays)
+	}
+}
+
+func TestFewEntriesAllTalk(t *testing.T) {
+	var table member.Table
+	list := entries(8, 3)
+	table.Learn(list, now)
+	require.Len(t, table.Peers(list[0], now), 7)
+}
+
+func TestSeedsAreOnlyAskedWhenNobodyIsKnown(t *testing.T) {
+	var table member.Table
+	self := entries(1, 1)[0]
+	table.Learn([]protocol.Member{self, member.Seed("127.0.0.1:1001")}, now)
+	require.Len(t, table.Peers(self, now), 1)
+	require.Len(t, table.Alive(now), 1, "a seed takes no part in rankings")
+	table.Learn(entries(2, 1), now)
+	require.Equal(t, "entry-1", table.Peers(self, now)[0].Name)
+}
+
+func TestWhoIsListedNoLongerIsForgotten(t *testing.T) {
+	var table member.Table
+	list := entries(3, 1)
+	table.Learn(list, now)
+	later := now.Add(time.Minute)
+	table.Heard("entry-1", later)
+	table.Learn(list[:1], later)
+	require.Len(t, table.Known(), 2)
+	table.Forget("entry-1")
+	require.Len(t, table.Known(), 1)
+}
+
+func TestSweepJudgesAgeByItsOwnEyes(t *testing.T) {
+	var s member.Sweep
+	lines := []protocol.Object{{Name: "a", Version: 1}, {Name: "b", Version: 2}}
+	require.Empty(t, s.Stale(lines, now))
+	lines[0].Version = 3 // a is written anew
+	require.Empty(t, s.Stale(lines, now.Add(10*time.Minute)))
+	stale := s.Stale(lines, now.Add(16*time.Minute))
+	require.Len(t, stale, 1)
+	require.Equal(t, "b", stale[0].Name)
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -64,6 +64,8 @@
 	ConfigIgnored   Name = "config_ignored"
 	RunnersEjected  Name = "runners_ejected"
 	PeerConnections Name = "peer_connections"
+	PeerFrames      Name = "peer_frames_sent"
+	PeerBytes       Name = "peer_bytes_sent"
 )
 
 // Names returns every counter that is neither a refusal nor a retry.
@@ -72,7 +74,7 @@
 		Requests, AnsweredInTime, AnsweredLate, TokensEmitted, StepsSent, FramesSent,
 		RepliesDropped, FramesBroken, ReportsIgnored, PlatformCalls, PlatformFaults,
 		ClaimsGranted, ClaimsReplayed, ClaimWrites, ConfigAccepted, ConfigIgnored,
-		RunnersEjected, PeerConnections,
+		RunnersEjected, PeerConnections, PeerFrames, PeerBytes,
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,20 +23,22 @@
 
 // Entry is the settings of one entry process. All addresses are IP:port.
 type Entry struct {
-	Name         string `json:"name" validate:"required,hostname_rfc1123"`
-	DataCenter   string `json:"data_center" validate:"required"`
-	Region       string `json:"region" validate:"required"`
-	Listen       Listen `json:"listen"`
-	Platform     string `json:"platform" validate:"required,http_url"`
-	Limits       Limits `json:"limits"`
-	CallerTLS    TLS    `json:"caller_tls"`
-	OperatorTLS  TLS    `json:"operator_tls"`
-	PeerTLS      TLS    `json:"peer_tls"`
-	PeerKey      string `json:"peer_key" validate:"required,min=16"`
-	LogLevel     string `json:"log_level" validate:"omitempty,oneof=debug info warn error"`
-	PathPolicy   string `json:"path_policy" validate:"omitempty,oneof=cost report turn chance chain"`
-	ClaimShards  int    `json:"claim_shards" validate:"gte=0,lte=64"`
-	StopWithinMS int    `json:"stop_within_ms" validate:"gte=0"`
+	Name        string `json:"name" validate:"required,hostname_rfc1123"`
+	DataCenter  string `json:"data_center" validate:"required"`
+	Region      string `json:"region" validate:"required"`
+	Listen      Listen `json:"listen"`
+	Platform    string `json:"platform" validate:"required,http_url"`
+	Limits      Limits `json:"limits"`
+	CallerTLS   TLS    `json:"caller_tls"`
+	OperatorTLS TLS    `json:"operator_tls"`
+	PeerTLS     TLS    `json:"peer_tls"`
+	// Seeds are peer addresses to ask when the platform is down at the start.
+	Seeds        []string `json:"seeds" validate:"dive,hostname_port"`
+	PeerKey      string   `json:"peer_key" validate:"required,min=16"`
+	LogLevel     string   `json:"log_level" validate:"omitempty,oneof=debug info warn error"`
+	PathPolicy   string   `json:"path_policy" validate:"omitempty,oneof=cost report turn chance chain"`
+	ClaimShards  int      `json:"claim_shards" validate:"gte=0,lte=64"`
+	StopWithinMS int      `json:"stop_within_ms" validate:"gte=0"`
 }
 
 // Listen is where an entry serves callers, operators and its peers.
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -26,6 +26,7 @@
 // Config is one accepted configuration. It never changes once built.
 type Config struct {
 	manifest  protocol.Manifest
+	contents  map[string][]byte // of the parts, by hash
 	teams     []protocol.Team
 	models    map[string]protocol.Model
 	services  map[string]protocol.Service
@@ -55,6 +56,7 @@
 func Build(m protocol.Manifest, parts map[string][]byte) (*Config, error) {
 	c := &Config{
 		manifest: m,
+		contents: make(map[string][]byte, len(m.Parts)),
 		models:   map[string]protocol.Model{},
 		services: map[string]protocol.Service{},
 	}
@@ -73,6 +75,7 @@
 	if protocol.HashPart(content) != ref.Hash {
 		return fmt.Errorf("its content does not have the hash %.12s", ref.Hash)
 	}
+	c.contents[ref.Hash] = content
 	switch ref.Kind {
 	case protocol.TeamPart:
 		var t protocol.Team
@@ -131,6 +134,14 @@
 // Manifest returns the manifest that the configuration was built from.
 func (c *Config) Manifest() protocol.Manifest { return c.manifest }
 
+// Content returns a part's content by its hash, or nil.
+func (c *Config) Content(hash string) []byte {
+	if c == nil {
+		return nil
+	}
+	return c.contents[hash]
+}
+
 // Model returns a model by name.
 func (c *Config) Model(name string) (protocol.Model, bool) {
 	m, ok := c.models[name]
@@ -233,3 +244,7 @@
 	}
 	return Build(m, parts)
 }
+
+func comparePart(a, b protocol.PartRef) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Hash, b.Hash))
+}
--- a/state/fleet/view.go
+++ b/state/fleet/view.go
@@ -102,4 +102,9 @@
 }
 
 // Runners returns every runner by name. The caller must not change the map.
-func (v *View) Runners() map[string]*Runner { return v.runners }
+func (v *View) Runners() map[string]*Runner {
+	if v == nil {
+		return nil
+	}
+	return v.runners
+}
--- a/transport/claims/keeper.go
+++ b/transport/claims/keeper.go
@@ -18,6 +18,7 @@
 	"pinerun.example/pinerun/coordination/claim"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/transport/peer"
 	"pinerun.example/pinerun/transport/platform"
 )
 
@@ -40,10 +41,12 @@
 	Platform *platform.Client
 	Counters *metric.Set
 	Logger   *slog.Logger
+	Mesh     *peer.Mesh // nil when this entry writes every shard itself
 	Shards   int
 	Retain   func(issued time.Time) time.Time
 
 	shards []*shard
+	asks   asks
 }
 
 // Start begins to serve claims. No shard is read before its first claim.
@@ -65,9 +68,27 @@
 func (k *Keeper) shardOf(key protocol.ClaimKey) *shard { return k.shards[key.Shard(len(k.shards))] }
 
 // Claim returns once the claim is durable or refused. An error means that it
-// was given up before either; it will then never be granted.
+// was given up before either; it will then never be granted. The entry that
+// ranks first for the shard writes for all; without its verdict this one writes.
 func (k *Keeper) Claim(ctx context.Context, r protocol.ClaimRecord) (claim.Result, error) {
-	return k.shardOf(r.Key).claim(ctx, r)
+	s := k.shardOf(r.Key)
+	writer, remote := k.remote(s)
+	if !remote {
+		return s.claim(ctx, r)
+	}
+	result, err := k.ask(ctx, writer, r)
+	if err == nil {
+		return result, nil
+	}
+	s.refresh()
+	result, err = s.claim(ctx, r)
+	if err != nil {
+		// The writer may still make the claim durable. The release goes the same
+		// way, so that it comes behind the claim.
+		r.Kind = protocol.ClaimReleased
+		k.Keep(r)
+	}
+	return result, err
 }
 
 // Await claims again and again while another claimant holds the key, until it
@@ -92,11 +113,21 @@
 }
 
 // Keep makes a release or an outcome durable in the background.
-func (k *Keeper) Keep(r protocol.ClaimRecord) { k.shardOf(r.Key).add(r, nil) }
+func (k *Keeper) Keep(r protocol.ClaimRecord) {
+	s := k.shardOf(r.Key)
+	writer, remote := k.remote(s)
+	if !remote {
+		s.add(r, nil)
+		return
+	}
+	k.asks.keepOne()
+	go (&keeping{keeper: k, shard: s, writer: writer, record: r}).run()
+}
 
 // Flush waits until everything is durable or ctx ends, and returns how many
 // records are not.
 func (k *Keeper) Flush(ctx context.Context) int {
+	k.asks.flush(ctx)
 	left := 0
 	for _, s := range k.shards {
 		left += s.flush(ctx)
--- a/transport/claims/shard.go
+++ b/transport/claims/shard.go
@@ -28,22 +28,45 @@
 
 	mutex   sync.Mutex
 	log     claim.Log
-	waiting map[uint64][]chan claim.Result // by claimant
-	emptied chan struct{}                  // closed when nothing is pending
+	waiting map[waitKey][]chan claim.Result
+	emptied chan struct{} // closed when nothing is pending
 
 	pause     time.Duration
 	nextWrite time.Time
 }
 
+// waitKey tells apart who waits for what became of a record.
+type waitKey struct {
+	claimant uint64
+	kind     protocol.ClaimKind
+}
+
+func keyOf(r protocol.ClaimRecord) waitKey { return waitKey{claimant: r.Claimant, kind: r.Kind} }
+
 func newShard(k *Keeper, number int) *shard {
 	return &shard{
 		keeper: k, number: number, wake: make(chan struct{}, 1),
-		log: claim.Log{Retain: k.Retain}, waiting: map[uint64][]chan claim.Result{},
+		log: claim.Log{Retain: k.Retain}, waiting: map[waitKey][]chan claim.Result{},
 	}
 }
 
 func (s *shard) kind() string { return protocol.ObjectClaim + "-" + strconv.Itoa(s.number) }
 
+// decide makes any record durable for another entry and waits for the result.
+func (s *shard) decide(ctx context.Context, r protocol.ClaimRecord) (claim.Result, error) {
+	if r.Kind == protocol.ClaimTaken {
+		return s.claim(ctx, r)
+	}
+	result := make(chan claim.Result, 1)
+	s.add(r, result)
+	select {
+	case got := <-result:
+		return got, nil
+	case <-ctx.Done():
+		return claim.Result{}, ctx.Err() // it stays queued; twice does no harm
+	}
+}
+
 // claim adds a claim and waits for its result.
 func (s *shard) claim(ctx context.Context, r protocol.ClaimRecord) (claim.Result, error) {
 	if ctx.Err() != nil {
@@ -71,7 +94,7 @@
 		return got, nil
 	default:
 	}
-	delete(s.waiting, r.Claimant)
+	delete(s.waiting, keyOf(r))
 	if !s.log.Withdraw(r.Claimant) {
 		r.Kind = protocol.ClaimReleased
 		s.log.Add(r)
@@ -84,7 +107,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if result != nil {
-		s.waiting[r.Claimant] = append(s.waiting[r.Claimant], result)
+		s.waiting[keyOf(r)] = append(s.waiting[keyOf(r)], result)
 	}
 	s.log.Add(r)
 	s.nudge()
@@ -169,18 +192,15 @@
 // deliver hands out results. The mutex is held.
 func (s *shard) deliver() {
 	for _, r := range s.log.Results() {
-		if r.Record().Kind != protocol.ClaimTaken {
-			continue
-		}
-		claimant := r.Record().Claimant
-		waiting := s.waiting[claimant]
+		key := keyOf(r.Record())
+		waiting := s.waiting[key]
 		if len(waiting) == 0 {
 			continue
 		}
 		waiting[0] <- r
-		s.waiting[claimant] = waiting[1:]
+		s.waiting[key] = waiting[1:]
 		if len(waiting) == 1 {
-			delete(s.waiting, claimant)
+			delete(s.waiting, key)
 		}
 	}
 }
--- a/transport/entry/caller.go
+++ b/transport/entry/caller.go
@@ -173,7 +173,7 @@
 	if open > e.Settings.Limits.OpenRequests {
 		return protocol.Refuse(protocol.TooManyOpen, "this entry has all the open requests that it may").Again(now.Add(time.Second))
 	}
-	k.config = e.store.Current()
+	k.config = e.follower.Current()
 	if k.config == nil {
 		return protocol.Refuse(protocol.NoConfiguration, "no configuration yet").Again(now.Add(time.Second))
 	}
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -12,21 +12,24 @@
 import (
 	"context"
 	"log/slog"
-	"net"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
+	"pinerun.example/pinerun/coordination/member"
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/internal/part"
+	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/settings"
 	"pinerun.example/pinerun/state/config"
 	"pinerun.example/pinerun/state/fleet"
 	"pinerun.example/pinerun/state/story"
 	"pinerun.example/pinerun/transport/claims"
 	"pinerun.example/pinerun/transport/engine"
+	"pinerun.example/pinerun/transport/follow"
+	"pinerun.example/pinerun/transport/peer"
 	"pinerun.example/pinerun/transport/platform"
 )
 
@@ -39,30 +42,23 @@
 	detected metric.Times // from a step's sending to its being given up
 	recovery metric.Times // from there to the next token
 	stories  story.Book
-	store    config.Store
 	view     atomic.Pointer[fleet.View]
 	pool     engine.Pool
 	platform platform.Client
 	gate     gate
-	parts    partCache
-	inForce  sync.Mutex
 	services serviceClient
 	retries  retries
 	claims   claims.Keeper
+	mesh     peer.Mesh
+	follower follow.Follower
 
 	done     part.Done
 	stopping atomic.Bool
 	open     atomic.Int64
-	entries  atomic.Int64
 	requests sync.WaitGroup
 	callers  listener
 	admins   listener
-}
-
-// listener is one HTTP server of the entry.
-type listener struct {
-	server http.Server
-	socket net.Listener
+	peers    listener
 }
 
 // Start opens the listeners and begins to follow the configuration.
@@ -72,26 +68,99 @@
 	e.platform.Counters = &e.counters
 	e.pool.Counters = &e.counters
 	e.pool.Logger = e.Logger
-	if err := e.callers.open(e.Settings.Listen.Callers, e.callerRoutes(), &e.Settings); err != nil {
+	if err := e.listen(); err != nil {
 		return err
 	}
-	if err := e.admins.open(e.Settings.Listen.Operators, e.operatorRoutes(), &e.Settings); err != nil {
-		_ = e.callers.socket.Close()
-		return err
+	e.startMesh()
+	e.startFollower()
+	e.startClaims()
+	go e.callers.run()
+	go e.admins.run()
+	go e.peers.run()
+	go (&gateClock{entry: e}).run()
+	go (&registration{entry: e}).run()
+	event.EntryReady.Log(e.Logger, slog.String("entry", e.Settings.Name),
+		slog.String("callers", e.CallerAddress()), slog.String("operators", e.OperatorAddress()))
+	return nil
+}
+
+// listen opens all three listeners, or none.
+func (e *Entry) listen() error {
+	routes := http.NewServeMux()
+	routes.Handle(peer.Path, &e.mesh)
+	for _, x := range []struct {
+		listener *listener
+		address  string
+		handler  http.Handler
+		tls      settings.TLS
+	}{
+		{&e.callers, e.Settings.Listen.Callers, e.callerRoutes(), e.Settings.CallerTLS},
+		{&e.admins, e.Settings.Listen.Operators, e.operatorRoutes(), e.Settings.OperatorTLS},
+		{&e.peers, e.Settings.Listen.Peers, routes, e.Settings.PeerTLS},
+	} {
+		if err := x.listener.open(x.address, x.handler, x.tls, &e.Settings); err != nil {
+			e.closeListeners()
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *Entry) closeListeners() {
+	for _, l := range []*listener{&e.callers, &e.admins, &e.peers} {
+		l.close()
+	}
+}
+
+func (e *Entry) startMesh() {
+	e.mesh.Self = protocol.Member{
+		Name: e.Settings.Name, DataCenter: e.Settings.DataCenter, Region: e.Settings.Region,
+		Address: e.peers.socket.Addr().String(), Incarnation: rand.Uint64(),
+	}
+	e.mesh.Key = e.Settings.PeerKey
+	e.mesh.TLS = e.peers.dial
+	e.mesh.Handler = &peerHandler{entry: e}
+	e.mesh.Counters = &e.counters
+	e.mesh.Logger = e.Logger
+	e.mesh.Learn([]protocol.Member{e.mesh.Self})
+	e.mesh.Learn(e.seeds())
+	e.mesh.Start()
+}
+
+// seeds are the peers named in the settings, for a start without the platform.
+func (e *Entry) seeds() []protocol.Member {
+	seeds := make([]protocol.Member, 0, len(e.Settings.Seeds))
+	for _, address := range e.Settings.Seeds {
+		seeds = append(seeds, member.Seed(address))
 	}
+	return seeds
+}
+
+func (e *Entry) startFollower() {
+	e.follower.Platform = &e.platform
+	e.follower.Mesh = &e.mesh
+	e.follower.Counters = &e.counters
+	e.follower.Logger = e.Logger
+	e.follower.InForce = e.inForce
+	e.follower.Start()
+}
+
+func (e *Entry) startClaims() {
 	e.claims.Platform = &e.platform
 	e.claims.Counters = &e.counters
 	e.claims.Logger = e.Logger
+	e.claims.Mesh = &e.mesh
 	e.claims.Shards = e.Settings.ClaimShards
 	e.claims.Retain = e.Settings.Limits.KeyExpiry
 	e.claims.Start()
-	go e.callers.run()
-	go e.admins.run()
-	go (&configWatch{entry: e}).run()
-	go (&gateClock{entry: e}).run()
-	event.EntryReady.Log(e.Logger, slog.String("entry", e.Settings.Name),
-		slog.String("callers", e.CallerAddress()), slog.String("operators", e.OperatorAddress()))
-	return nil
+}
+
+// inForce rebuilds the view of the fleet for a new configuration. What was
+// measured of unchanged runners is kept.
+func (e *Entry) inForce(c *config.Config) {
+	view := fleet.Build(e.view.Load(), c, e.Settings.DataCenter)
+	e.view.Store(view)
+	e.pool.Keep(view)
 }
 
 // CallerAddress returns the IP and port that callers reach.
@@ -110,7 +179,7 @@
 func (e *Entry) Recovery() *metric.Times { return &e.recovery }
 
 // Ready reports whether the entry takes requests.
-func (e *Entry) Ready() bool { return e.store.Current() != nil && !e.stopping.Load() }
+func (e *Entry) Ready() bool { return e.follower.Current() != nil && !e.stopping.Load() }
 
 // Stop fails the health check, waits for open requests until ctx ends, and
 // closes everything.
@@ -119,6 +188,7 @@
 		return
 	}
 	event.EntryStopping.Log(e.Logger, slog.Int64("open", e.open.Load()))
+	e.mesh.Goodbye()
 	waited := &waitForOpen{entry: e}
 	go waited.run()
 	select {
@@ -147,25 +217,9 @@
 func (e *Entry) Kill() {
 	e.stopping.Store(true)
 	e.done.Close()
-	_ = e.callers.server.Close()
-	_ = e.admins.server.Close()
+	e.closeListeners()
+	e.follower.Close()
+	e.mesh.Close()
 	e.pool.Close()
 	e.claims.Close()
 }
-
-func (l *listener) open(address string, h http.Handler, s *settings.Entry) error {
-	socket, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	l.socket = socket
-	l.server = http.Server{
-		Handler:           h,
-		MaxHeaderBytes:    s.Limits.HeaderBytes,
-		ReadHeaderTimeout: time.Until(s.Limits.SlowCaller(time.Now())),
-		IdleTimeout:       2 * time.Minute,
-	}
-	return nil
-}
-
-func (l *listener) run() { _ = l.server.Serve(l.socket) }
--- a/transport/entry/operator.go
+++ b/transport/entry/operator.go
@@ -34,7 +34,7 @@
 // operator checks the operator's key.
 func (e *Entry) operator(h operatorHandler) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		cfg := e.store.Current()
+		cfg := e.follower.Current()
 		if cfg == nil {
 			return e.refuse(c, protocol.Refuse(protocol.NoConfiguration, "no configuration yet"))
 		}
@@ -94,9 +94,9 @@
 func (e *Entry) status(now time.Time) entryStatus {
 	s := entryStatus{
 		Entry: e.Settings.Name, Ready: e.Ready(), Open: e.open.Load(), Entries: e.liveEntries(),
-		Version: e.store.Current().Version(), Models: []modelStatus{}, Runners: []runnerStatus{},
+		Version: e.follower.Current().Version(), Models: []modelStatus{}, Runners: []runnerStatus{},
 	}
-	for _, m := range e.store.Current().ModelList() {
+	for _, m := range e.follower.Current().ModelList() {
 		running, waiting := e.gate.load(m.Name)
 		s.Models = append(s.Models, modelStatus{Name: m.Name, Layers: m.Layers, Running: running, Waiting: waiting})
 	}
@@ -125,6 +125,3 @@
 		Dropped int          `json:"dropped"`
 	}{id.String(), lines, dropped})
 }
-
-// liveEntries returns how many entries share the callers, at least 1.
-func (e *Entry) liveEntries() int { return max(1, int(e.entries.Load())) }
--- /dev/null
+++ b/transport/peer/mesh.go
@@ -0,0 +1,339 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package peer connects entries to each other: WebSocket with CBOR frames.
+//
+// A Mesh keeps a link to each peer that coordination/member names, sends a
+// heartbeat on each once a second, and hands every frame to its Handler. A frame
+// may be lost at any time; whoever sends one that matters sends it again.
+//
+//	m := &peer.Mesh{Self: self, Key: key, Handler: h, Counters: &c}
+//	http.Handle("/peer", m)
+//	m.Start()
+//	m.Send("entry-3", protocol.PeerFrame{...})
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"crypto/tls"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"pinerun.example/pinerun/coordination/member"
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/internal/part"
+	"pinerun.example/pinerun/protocol"
+)
+
+const (
+	// BeatEvery is the time between two heartbeats on a link.
+	BeatEvery = time.Second
+	// silentFor is the time without a frame after which a link is closed.
+	silentFor = 3500 * time.Millisecond
+	// wantedFor is how long a link that was asked for stays without being used.
+	wantedFor = time.Minute
+	dialLimit = time.Second
+	// Path is where a Mesh is served.
+	Path      = "/peer"
+	keyHeader = "Authorization"
+	keyPrefix = "Bearer "
+)
+
+// Handler gets what peers say. Its methods are called from many goroutines.
+type Handler interface {
+	// Frame takes a frame from a peer.
+	Frame(from string, f *protocol.PeerFrame)
+	// Beat returns what to tell peers now.
+	Beat() protocol.PeerBeat
+}
+
+// Mesh is an entry's links to its peers. Set the exported fields before Start.
+type Mesh struct {
+	Self     protocol.Member
+	Key      string
+	TLS      *tls.Config // for dialling, nil for plain TCP
+	Handler  Handler
+	Counters *metric.Set
+	Logger   *slog.Logger
+	// Lose, if set, is asked for each frame whether to lose it; for tests.
+	Lose func() bool
+
+	done   part.Done
+	mutex  sync.Mutex
+	table  member.Table
+	links  map[string]*link
+	wanted map[string]time.Time // until when a link is kept that was asked for
+	stops  bool
+}
+
+// Start begins to connect and to send heartbeats.
+func (m *Mesh) Start() {
+	m.mutex.Lock()
+	m.init()
+	m.mutex.Unlock()
+	go m.run()
+}
+
+func (m *Mesh) init() {
+	if m.links == nil {
+		m.links = map[string]*link{}
+		m.wanted = map[string]time.Time{}
+	}
+}
+
+// Close ends every link.
+func (m *Mesh) Close() {
+	m.done.Close()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, l := range m.links {
+		l.done.Close()
+	}
+}
+
+// Goodbye tells the peers that this entry takes no new work, so that others
+// take over what it ranks first for.
+func (m *Mesh) Goodbye() {
+	m.mutex.Lock()
+	m.stops = true
+	m.table.Forget(m.Self.Name)
+	m.mutex.Unlock()
+	m.beat()
+}
+
+// beat sends a heartbeat on every link.
+func (m *Mesh) beat() {
+	beat := m.Handler.Beat()
+	m.mutex.Lock()
+	beat.Stops = m.stops
+	m.mutex.Unlock()
+	m.Broadcast(protocol.PeerFrame{Beat: &beat})
+}
+
+// Learn takes a list of entries.
+func (m *Mesh) Learn(listed []protocol.Member) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.table.Learn(listed, time.Now())
+}
+
+// Known returns every entry known.
+func (m *Mesh) Known() []protocol.Member {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.table.Known()
+}
+
+// Alive returns the entries that are not suspected, in order of name.
+func (m *Mesh) Alive() []protocol.Member {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.table.Alive(time.Now())
+}
+
+// IsRelay reports whether this entry watches the platform for its data center.
+func (m *Mesh) IsRelay() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.table.IsRelay(m.Self, time.Now())
+}
+
+// First returns the name of the entry that ranks first for a piece of work,
+// this one's if it knows nobody.
+func (m *Mesh) First(work string) string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	first, ok := m.table.First(work, time.Now())
+	if !ok {
+		return m.Self.Name
+	}
+	return first.Name
+}
+
+// Peers returns the names of the linked peers.
+func (m *Mesh) Peers() []string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	names := make([]string, 0, len(m.links))
+	for name := range m.links {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Send gives a frame to a peer's link and reports whether there is one. If
+// there is none it is opened for the next time.
+func (m *Mesh) Send(to string, f protocol.PeerFrame) bool {
+	m.mutex.Lock()
+	l := m.links[to]
+	if l == nil && m.wanted != nil {
+		m.wanted[to] = time.Now().Add(wantedFor)
+		m.dialMissing(time.Now())
+	}
+	m.mutex.Unlock()
+	return l != nil && l.send(f)
+}
+
+// Broadcast gives a frame to every link.
+func (m *Mesh) Broadcast(f protocol.PeerFrame) {
+	m.mutex.Lock()
+	links := make([]*link, 0, len(m.links))
+	for _, l := range m.links {
+		links = append(links, l)
+	}
+	m.mutex.Unlock()
+	for _, l := range links {
+		l.send(f)
+	}
+}
+
+// run keeps links and heartbeats going.
+func (m *Mesh) run() {
+	t := time.NewTicker(BeatEvery)
+	defer t.Stop()
+	m.tick(time.Now())
+	for {
+		select {
+		case <-m.done.Done():
+			return
+		case now := <-t.C:
+			m.tick(now)
+		}
+	}
+}
+
+func (m *Mesh) tick(now time.Time) {
+	m.mutex.Lock()
+	for name, l := range m.links {
+		if l.silent(now) {
+			l.done.Close()
+			delete(m.links, name)
+			m.table.Suspect(name, now)
+			event.PeerLost.Log(m.Logger, slog.String("peer", name), slog.String("cause", "silence"))
+		}
+	}
+	m.dialMissing(now)
+	m.mutex.Unlock()
+	m.beat()
+}
+
+// dialMissing opens the links that should be there. The mutex is held.
+func (m *Mesh) dialMissing(now time.Time) {
+	peers := m.table.Peers(m.Self, now)
+	for _, k := range m.table.Alive(now) {
+		if now.Before(m.wanted[k.Name]) && k.Name != m.Self.Name {
+			peers = append(peers, k)
+		}
+	}
+	for _, p := range peers {
+		if m.links[p.Name] != nil || m.done.Closed() {
+			continue
+		}
+		l := newLink(m, p.Name)
+		m.links[p.Name] = l
+		go (&dialer{link: l, address: p.Address}).run()
+	}
+}
+
+// ServeHTTP accepts a peer's connection.
+func (m *Mesh) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	want := keyPrefix + m.Key
+	if subtle.ConstantTimeCompare([]byte(q.Header.Get(keyHeader)), []byte(want)) != 1 {
+		http.Error(w, "not a peer of this entry; set the same peer_key at all entries", http.StatusUnauthorized)
+		return
+	}
+	socket, err := websocket.Accept(w, q, nil)
+	if err != nil {
+		return
+	}
+	l := newLink(m, "")
+	l.serve(socket)
+}
+
+// dialer opens one link.
+type dialer struct {
+	link    *link
+	address string
+}
+
+func (d *dialer) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
+	scheme, client := "ws://", http.DefaultClient
+	m := d.link.mesh
+	if m.TLS != nil {
+		scheme = "wss://"
+		client = &http.Client{Transport: &http.Transport{TLSClientConfig: m.TLS}}
+	}
+	socket, res, err := websocket.Dial(ctx, scheme+d.address+Path, &websocket.DialOptions{
+		HTTPClient: client, HTTPHeader: http.Header{keyHeader: {keyPrefix + m.Key}},
+	})
+	cancel()
+	if res != nil && res.Body != nil {
+		_ = res.Body.Close()
+	}
+	if err != nil {
+		m.lost(d.link, err)
+		return
+	}
+	d.link.serve(socket)
+}
+
+// opened registers a link under its peer's name.
+func (m *Mesh) opened(l *link) {
+	m.mutex.Lock()
+	m.init()
+	old := m.links[l.name]
+	m.links[l.name] = l
+	if l.asked != l.name && m.links[l.asked] == l {
+		delete(m.links, l.asked) // a seed that now has a name
+	}
+	m.table.Heard(l.name, time.Now())
+	m.mutex.Unlock()
+	if old != nil && old != l && old.isOpen() {
+		return // the second of two links that were dialled at once
+	}
+	m.Counters.Add(metric.PeerConnections, 1)
+	event.PeerConnected.Log(m.Logger, slog.String("peer", l.name))
+}
+
+// lost removes a link that broke.
+func (m *Mesh) lost(l *link, err error) {
+	l.done.Close()
+	m.mutex.Lock()
+	current := m.links[l.name] == l
+	if current {
+		delete(m.links, l.name)
+		m.table.Suspect(l.name, time.Now())
+	}
+	m.mutex.Unlock()
+	if current && !m.done.Closed() {
+		event.PeerLost.Log(m.Logger, slog.String("peer", l.name), slog.Any("cause", err))
+	}
+}
+
+// heard notes a frame of a peer.
+func (m *Mesh) heard(l *link, f *protocol.PeerFrame) {
+	m.mutex.Lock()
+	if f.Hello != nil {
+		m.table.Learn([]protocol.Member{*f.Hello}, time.Now())
+	}
+	if f.Beat != nil && f.Beat.Stops {
+		m.table.Forget(l.name)
+	}
+	if len(f.Members) > 0 {
+		m.table.Learn(f.Members, time.Now())
+	}
+	m.table.Heard(l.name, time.Now())
+	current := m.links[l.name]
+	m.mutex.Unlock()
+	if current != nil && current != l {
+		// Both sides dialled at once: each sends on its own link, and a word on
+		// either is a sign of life for both.
+		current.note()
+	}
+}
