--- a/coordination/path/path.go
+++ b/coordination/path/path.go
@@ -29,10 +29,6 @@
 	// candidates is how many runners of a group are compared for one request.
 	// Comparing few, drawn at random, keeps entries from herding.
 	candidates = 3
-	// pledgeWeight is how much of the work that streams will still need at a
-	// runner counts as cost. A stream stays on its path, so a queue that is
-	// short now says too little when all runners are busy.
-	pledgeWeight = 0.25
 )
 
 // Path is one runner for each stage, in order of layers.
@@ -207,7 +203,7 @@
 		if !r.Usable(q.Now) || avoided(q.Avoid, r) {
 			continue
 		}
-		if cost := r.Cost(q.Now, q.Positions) + pledgeWeight*r.Pledged(); cost < least {
+		if cost := r.Cost(q.Now, q.Positions); cost < least {
 			chosen, least = r, cost
 		}
 	}
