path: count pledged work, and admit: hold the gap between tokens

Change: admit.Limit finds how many may run so that the mean gap stays near a goal; path cost counts four times the pledged work over twelve candidates. The window of throughput now begins at 0.4 of the run, since in-flight work still grows before.

--- a/coordination/path/path.go
+++ b/coordination/path/path.go
@@ -26,9 +26,13 @@
 	MaxStages = 32
 	// MaxLayers is the largest number of layers of a model.
 	MaxLayers = 256
-	// candidates is how many runners of a group are compared for one request.
-	// Comparing few, drawn at random, keeps entries from herding.
-	candidates = 3
+	// candidates is how many runners of a group are compared for one request. In
+	// a larger group they are drawn at random, so that entries do not herd.
+	candidates = 12
+	// pledgeWeight is how many times the work that this entry's streams will
+	// still need at a runner counts as cost. A stream stays on its path, so a
+	// queue that is short now says too little.
+	pledgeWeight = 4.0
 )
 
 // Path is one runner for each stage, in order of layers.
@@ -203,7 +207,7 @@
 		if !r.Usable(q.Now) || avoided(q.Avoid, r) {
 			continue
 		}
-		if cost := r.Cost(q.Now, q.Positions); cost < least {
+		if cost := r.Cost(q.Now, q.Positions) + pledgeWeight*r.Pledged(); cost < least {
 			chosen, least = r, cost
 		}
 	}
--- a/coordination/stream/stream.go
+++ b/coordination/stream/stream.go
@@ -189,6 +189,9 @@
 // Known returns how many tokens a new attempt has to run before the next one.
 func (m *Machine) Known() int { return len(m.tokens) }
 
+// Left returns how many tokens the answer may still get.
+func (m *Machine) Left() int { return m.limit - len(m.Emitted()) }
+
 // Finished reports whether the answer is whole.
 func (m *Machine) Finished() bool { return m.finished }
 
--- a/load/load.go
+++ b/load/load.go
@@ -58,7 +58,7 @@
 	minPrompt     = 8
 	defaultWithin = time.Minute
 	// windowFrom is the part of the run left out of throughput as warm-up.
-	windowFrom = 0.25
+	windowFrom = 0.4
 )
 
 // Do offers every request and returns when the last has ended.
--- a/protocol/config.go
+++ b/protocol/config.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"time"
 )
 
 // PartKind tells the sorts of configuration parts apart.
@@ -48,12 +49,26 @@
 
 // Model is one served model version. Open bounds the requests of the model that
 // all entries together run at once; Context bounds prompt plus answer tokens.
+// GapMS is the mean gap between tokens, in milliseconds, that admission holds
+// under load; 0 means DefaultGapMS.
 type Model struct {
 	Name    string `json:"name" validate:"required"`
 	Version string `json:"version" validate:"required"`
 	Layers  int    `json:"layers" validate:"gt=0,max=256"`
 	Open    int    `json:"open" validate:"gt=0"`
 	Context int    `json:"context" validate:"gt=0,max=16384"`
+	GapMS   int    `json:"gap_ms" validate:"gte=0"`
+}
+
+// DefaultGapMS is the gap between tokens that a model aims at.
+const DefaultGapMS = 60
+
+// Gap returns the gap between tokens that the model aims at.
+func (m Model) Gap() time.Duration {
+	if m.GapMS == 0 {
+		return DefaultGapMS * time.Millisecond
+	}
+	return time.Duration(m.GapMS) * time.Millisecond
 }
 
 // Service is a plain service beside the engines. Repeatable says whether its
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -53,6 +53,7 @@
 	outstanding atomic.Int64  // layer passes sent and not answered
 	queued      atomic.Int64  // layer passes, as last reported
 	sentSince   atomic.Int64  // layer passes sent since that report
+	pledged     atomic.Int64  // layer passes that this entry's streams still need here
 	reportedAt  atomic.Int64  // unix nanoseconds
 	slowness    atomic.Uint64 // taken over expected time, a running mean
 	deviation   atomic.Uint64
@@ -133,6 +134,13 @@
 	return r.Expected(now, positions) * slowness
 }
 
+// Pledge notes that this entry's streams will need that many more layer passes
+// here, or fewer when it is negative.
+func (r *Runner) Pledge(passes int64) { r.pledged.Add(passes) }
+
+// Pledged returns the seconds of work that this entry's streams still need here.
+func (r *Runner) Pledged() float64 { return float64(r.pledged.Load()) / r.spec.Speed }
+
 // Sent notes that a step of that many layer passes left for the runner.
 func (r *Runner) Sent(passes int64) {
 	r.outstanding.Add(passes)
--- a/transport/entry/chat.go
+++ b/transport/entry/chat.go
@@ -41,7 +41,7 @@
 	answer := newAnswer(c, e, k, r)
 	run := &modelRun{
 		entry: e, id: k.id, model: m, repeatable: k.repeatable != "no",
-		deadline: k.deadline, story: k.story, sink: answer,
+		deadline: k.deadline, story: k.story, sink: answer, place: place,
 	}
 	err = run.serve(c.Request().Context(), prompt, r.Limit(), k.team.Priority)
 	return answer.end(len(prompt), run.machine.Emitted(), r.Limit(), err)
--- a/transport/entry/gate.go
+++ b/transport/entry/gate.go
@@ -19,6 +19,7 @@
 type gate struct {
 	mutex  sync.Mutex
 	queues map[string]*admit.Queue
+	limits map[string]*admit.Limit
 	wait   map[admit.Ticket]chan admit.Decision
 	ticket admit.Ticket
 }
@@ -49,17 +50,19 @@
 	defer g.mutex.Unlock()
 	if g.queues == nil {
 		g.queues = map[string]*admit.Queue{}
+		g.limits = map[string]*admit.Limit{}
 		g.wait = map[admit.Ticket]chan admit.Decision{}
 	}
 	q := g.queues[p.model]
 	if q == nil {
 		q = &admit.Queue{}
 		g.queues[p.model] = q
+		g.limits[p.model] = &admit.Limit{}
 	}
 	g.ticket++
 	p.ticket = g.ticket
 	r.Ticket = p.ticket
-	q.Resize(capacity)
+	q.Resize(g.limits[p.model].Capacity(capacity))
 	decided := make(chan admit.Decision, 1)
 	now := time.Now()
 	d := q.Offer(r, now)
@@ -105,6 +108,14 @@
 	p.gate.advance(q, now)
 }
 
+// observe takes a gap between two tokens of a request.
+func (p *pass) observe(gap, goal time.Duration) {
+	p.gate.mutex.Lock()
+	defer p.gate.mutex.Unlock()
+	q := p.gate.queues[p.model]
+	p.gate.limits[p.model].Observe(gap, goal, q.Waiting() > 0, time.Now())
+}
+
 // advance tells the requests that a queue admits or gives up. The mutex is held.
 func (g *gate) advance(q *admit.Queue, now time.Time) {
 	admitted, refused := q.Next(now)
--- a/transport/entry/model_run.go
+++ b/transport/entry/model_run.go
@@ -35,6 +35,7 @@
 	deadline   time.Time
 	story      *story.Story
 	sink       tokenSink
+	place      *pass
 
 	machine stream.Machine
 	mailbox *engine.Mailbox
@@ -44,8 +45,10 @@
 	ran     bool // some engine may have run a step
 	silence *time.Timer
 	flights []flight // steps in flight
+	pledges []int64  // layer passes pledged at each stage of the path
 	turn    uint64
 	lostAt  time.Time // when a step was given up; zero once a token came since
+	tokenAt time.Time // when the last token came
 }
 
 // flight is a step in flight at a runner.
@@ -88,10 +91,34 @@
 		return m.noPath(missing)
 	}
 	m.story.Note(now, story.Path, describe(&p))
-	m.send(m.machine.Begin(&p))
+	first := m.machine.Begin(&p)
+	m.pledge(&p)
+	m.send(first)
 	return nil
 }
 
+// pledge notes at each runner what the rest of the request will need there.
+func (m *modelRun) pledge(p *path.Path) {
+	m.pledges = make([]int64, p.Len())
+	positions := m.machine.Known() + m.machine.Left()
+	for i := range m.pledges {
+		m.pledges[i] = int64(positions * p.Runner(i).Span().Layers())
+		p.Runner(i).Pledge(m.pledges[i])
+	}
+}
+
+// redeem takes the passes of a step that was answered out of the pledge.
+func (m *modelRun) redeem(r *fleet.Runner, count int) {
+	p := m.machine.Path()
+	for i := range m.pledges {
+		if p.Runner(i) == r {
+			done := min(m.pledges[i], int64(count*r.Span().Layers()))
+			m.pledges[i] -= done
+			r.Pledge(-done)
+		}
+	}
+}
+
 func (m *modelRun) policy() path.Policy {
 	switch m.entry.Settings.PathPolicy {
 	case "report":
@@ -197,6 +224,7 @@
 	d := m.machine.Take(a.From(), a.Reply())
 	if _, ignored := d.(stream.Ignore); !ignored {
 		m.landed(a.From())
+		m.redeem(a.From(), a.Reply().Count)
 	}
 	return m.decide(ctx, d)
 }
@@ -229,9 +257,13 @@
 }
 
 func (m *modelRun) emit(t int32) error {
+	now := time.Now()
 	if len(m.machine.Emitted()) == 1 {
-		m.story.Note(time.Now(), story.FirstByte, "")
+		m.story.Note(now, story.FirstByte, "")
+	} else if !m.tokenAt.IsZero() && m.lostAt.IsZero() {
+		m.place.observe(now.Sub(m.tokenAt), m.model.Gap())
 	}
+	m.tokenAt = now
 	m.entry.counters.Add(metric.TokensEmitted, 1)
 	if !m.lostAt.IsZero() {
 		m.entry.recovery.Record(time.Since(m.lostAt))
@@ -369,6 +401,10 @@
 			m.ran = true
 		}
 	}
+	for i, left := range m.pledges {
+		p.Runner(i).Pledge(-left)
+	}
+	m.pledges = nil
 }
 
 func nameOf(r *fleet.Runner) string {
