plan: let operators state intents and confirm plans

Cause: a change of configuration could only be written into the platform by hand; two operators could undo each other without knowing. Change: intents (teams, models, services, drain and restore a VM) become plans kept in the platform, with steps, effect on each model's flow bound and each team's share, base version and deadline. Confirming is one conditional update of the manifest, which names the last accepted plans, so that a lost answer or a dead entry settles by confirming again. Weighed: a plan applied by the entry that made it (dies with it) and a lock on the configuration (a paused holder blocks all); the conditional update needs neither.

--- a/command/command.go
+++ b/command/command.go
@@ -57,6 +57,7 @@
 	o := &output{out: out, err: errs}
 	verbs := []verb{
 		&demoVerb{}, &entryVerb{}, &standinVerb{}, &loadVerb{}, &checkVerb{}, &statusVerb{},
+		&intentVerb{}, &plansVerb{}, &confirmVerb{}, &withdrawVerb{},
 	}
 	parser := flaggy.NewParser("pinerun")
 	parser.Description = "A router for model pipelines split over mixed accelerators."
@@ -96,6 +97,8 @@
     pinerun check -settings examples/tekweni.jsonc   every mistake in a settings file
     pinerun standin -settings examples/tekweni.jsonc platform, engines and services
     pinerun entry -settings examples/tekweni-entry-1.jsonc   one entry
+    pinerun intent -do drain_vm -vm vm-fast1-1       a plan, nothing changed yet
+    pinerun confirm -plan p-0a1b2c3d4e5f             accept it
   Exit codes: 0 good, 1 failed or a promise was broken, 2 wrong command line or settings.`
 
 func buildVersion() string {
--- a/main_test.go
+++ b/main_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -32,7 +33,7 @@
 // TestScenarios runs each scenario over real processes. Its commands beside
 // those of testscript:
 //
-//	ports A B            set variables to free ports
+//	ports A B            set variables to free ports, each with the next one free
 //	expand FILE          replace $VARIABLES in a file
 //	await URL            until it answers 200
 //	call METHOD URL [HEADER:VALUE...] [@FILE]
@@ -40,6 +41,8 @@
 //	begin NAME METHOD... the same in the background
 //	end NAME             wait for it and print what call prints
 //	now A, deadline A    set a variable to the time, or to one soon after
+//	until PATTERN URL    until an operator's call answers so
+//	planid stdout A      set a variable to the id of the plan printed last
 //	freeze N, thaw N     SIGSTOP and SIGCONT to the N-th background process
 func TestScenarios(t *testing.T) {
 	examples, err := filepath.Abs("examples")
@@ -60,6 +63,8 @@
 			"call":   callNow,
 			"begin":  beginCall,
 			"end":    endCall,
+			"until":  until,
+			"planid": planID,
 			"now":    func(ts *testscript.TestScript, _ bool, args []string) { setTime(ts, args[0], 0) },
 			"deadline": func(ts *testscript.TestScript, _ bool, args []string) {
 				setTime(ts, args[0], shortDeadline)
@@ -93,7 +98,7 @@
 
 func freePort() int {
 	for {
-		port := firstPort + int(int64(os.Getpid())*97+portsTaken.Add(1))%portRange
+		port := firstPort + int(int64(os.Getpid())*97+portsTaken.Add(2))%portRange
 		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
 		if err == nil {
 			_ = l.Close()
@@ -131,6 +136,21 @@
 	}
 }
 
+func until(ts *testscript.TestScript, _ bool, args []string) {
+	pattern, err := regexp.Compile(args[0])
+	ts.Check(err)
+	ask := request(ts, []string{http.MethodGet, args[1], "Authorization:Bearer " + ts.Getenv("PINERUN_OPERATOR_KEY")})
+	for end := time.Now().Add(awaitLimit); ; time.Sleep(awaitPause) {
+		answer := ask()
+		if pattern.MatchString(answer) {
+			return
+		}
+		if time.Now().After(end) {
+			ts.Fatalf("never so: %s", answer)
+		}
+	}
+}
+
 func callNow(ts *testscript.TestScript, _ bool, args []string) {
 	_, err := io.WriteString(ts.Stdout(), request(ts, args)())
 	ts.Check(err)
@@ -188,6 +208,16 @@
 	ts.Setenv(name, time.Now().Add(ahead).UTC().Format(time.RFC3339Nano))
 }
 
+var planPattern = regexp.MustCompile(`p-[0-9a-f]{12}`)
+
+func planID(ts *testscript.TestScript, _ bool, args []string) {
+	id := planPattern.FindString(ts.ReadFile(args[0]))
+	if id == "" {
+		ts.Fatalf("no plan was printed")
+	}
+	ts.Setenv(args[1], id)
+}
+
 func signalTo(ts *testscript.TestScript, number string, s os.Signal) {
 	n, err := strconv.Atoi(number)
 	ts.Check(err)
--- a/protocol/config.go
+++ b/protocol/config.go
@@ -34,6 +34,14 @@
 	Plan    string    `json:"plan"`
 	Author  string    `json:"author"`
 	Parts   []PartRef `json:"parts"`
+	// Accepted names the last plans that were accepted, the newest first.
+	Accepted []AcceptedPlan `json:"accepted,omitempty"`
+}
+
+// AcceptedPlan is a plan and the version that accepted it.
+type AcceptedPlan struct {
+	Plan    string `json:"plan"`
+	Version uint64 `json:"version"`
 }
 
 // Team is one of the operator's callers, with the hashes of its bearer keys.
@@ -101,6 +109,7 @@
 	Epoch       uint64  `json:"epoch"`
 	Speed       float64 `json:"speed" validate:"gt=0"`
 	Link        string  `json:"link" validate:"omitempty,oneof=near far slow"`
+	Drain       bool    `json:"drain,omitempty"` // takes no new work
 }
 
 // Fleet lists the runners of one data center.
--- a/state/config/change.go
+++ b/state/config/change.go
@@ -49,6 +49,7 @@
 // sumOf names a manifest by its content, whatever the order of its parts.
 func sumOf(m protocol.Manifest) string {
 	sorted := m
+	sorted.Accepted = nil // of use to who confirms, not to who follows
 	sorted.Parts = slices.Clone(m.Parts)
 	slices.SortFunc(sorted.Parts, comparePart)
 	content, err := json.Marshal(sorted)
--- a/state/config/config.go
+++ b/state/config/config.go
@@ -30,6 +30,7 @@
 	teams     []protocol.Team
 	models    map[string]protocol.Model
 	services  map[string]protocol.Service
+	fleets    []protocol.Fleet
 	runners   []protocol.Runner
 	operators []protocol.Operator
 }
@@ -95,6 +96,7 @@
 	case protocol.FleetPart:
 		var f protocol.Fleet
 		err := readPart(content, &f)
+		c.fleets = append(c.fleets, f)
 		c.runners = append(c.runners, f.Runners...)
 		return err
 	case protocol.OperatorPart:
@@ -167,6 +169,10 @@
 // Runners returns every runner. The caller must not change the slice.
 func (c *Config) Runners() []protocol.Runner { return c.runners }
 
+// Fleets returns the runners of each data center. The caller must not change
+// the slice.
+func (c *Config) Fleets() []protocol.Fleet { return c.fleets }
+
 // TeamByKey returns the team that holds the key, comparing in constant time
 // with every known hash.
 func (c *Config) TeamByKey(key string) (protocol.Team, bool) {
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -67,6 +67,7 @@
 // NewRunner returns a runner of which nothing has been measured yet.
 func NewRunner(spec protocol.Runner, home string) *Runner {
 	r := &Runner{spec: spec, link: classify(spec, home)}
+	r.leaving.Store(spec.Drain)
 	r.slowness.Store(math.Float64bits(1))
 	r.deviation.Store(math.Float64bits(initialDeviation))
 	return r
--- a/transport/entry/operator.go
+++ b/transport/entry/operator.go
@@ -25,6 +25,11 @@
 	r.GET("/debug/vars", e.serveVars)
 	r.GET("/admin/v1/status", e.operator(e.serveStatus))
 	r.GET("/admin/v1/requests/:id", e.operator(e.serveStory))
+	r.POST("/admin/v1/intents", e.operator(e.serveIntent))
+	r.GET("/admin/v1/plans", e.operator(e.servePlans))
+	r.GET("/admin/v1/plans/:id", e.operator(e.servePlan))
+	r.POST("/admin/v1/plans/:id/confirm", e.operator(e.serveConfirm))
+	r.POST("/admin/v1/plans/:id/withdraw", e.operator(e.serveWithdraw))
 	return r
 }
 
@@ -83,6 +88,7 @@
 	Version uint64         `json:"version"`
 	Open    int64          `json:"open"`
 	Entries int            `json:"entries"`
+	InForce []peerVersion  `json:"in_force"`
 	Models  []modelStatus  `json:"models"`
 	Runners []runnerStatus `json:"runners"`
 }
@@ -96,6 +102,7 @@
 		Entry: e.Settings.Name, Ready: e.Ready(), Open: e.open.Load(), Entries: e.liveEntries(),
 		Version: e.follower.Current().Version(), Models: []modelStatus{}, Runners: []runnerStatus{},
 	}
+	s.InForce, _ = e.versions(0)
 	for _, m := range e.follower.Current().ModelList() {
 		running, waiting := e.gate.load(m.Name)
 		s.Models = append(s.Models, modelStatus{Name: m.Name, Layers: m.Layers, Running: running, Waiting: waiting})
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -53,8 +53,9 @@
 	heardAt  time.Time // when a peer last sent its version
 	version  uint64    // platform version of the manifest last seen
 	reached  bool
-	fetched  map[string][]byte // parts read for a manifest that is not whole yet
 	started  time.Time
+	taking   sync.Mutex        // held while a manifest's parts are read
+	fetched  map[string][]byte // parts read for a manifest that is not whole yet
 }
 
 // Start begins to follow.
@@ -182,6 +183,8 @@
 // take fetches the parts that are not held and puts the manifest in force. What
 // was fetched before an error is kept for the next try.
 func (f *Follower) take(ctx context.Context, m protocol.Manifest) error {
+	f.taking.Lock()
+	defer f.taking.Unlock()
 	held := f.store.Current()
 	if held != nil && m.Version <= held.Version() {
 		return nil
@@ -249,7 +252,9 @@
 	if f.Mesh.IsRelay() {
 		change := c.Since(held)
 		f.Mesh.Broadcast(protocol.PeerFrame{Change: &change})
+		return
 	}
+	f.Mesh.Beat() // tell the version without waiting for the next second
 }
 
 // Frame takes what a peer says about configurations.
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -31,6 +32,7 @@
 	mutex sync.Mutex
 	open  bool
 	heard time.Time
+	told  atomic.Uint64 // configuration version
 }
 
 func newLink(m *Mesh, name string) *link {
--- a/transport/peer/mesh.go
+++ b/transport/peer/mesh.go
@@ -13,11 +13,13 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/subtle"
 	"crypto/tls"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -103,11 +105,11 @@
 	m.stops = true
 	m.table.Forget(m.Self.Name)
 	m.mutex.Unlock()
-	m.beat()
+	m.Beat()
 }
 
-// beat sends a heartbeat on every link.
-func (m *Mesh) beat() {
+// Beat sends a heartbeat on every link now.
+func (m *Mesh) Beat() {
 	beat := m.Handler.Beat()
 	m.mutex.Lock()
 	beat.Stops = m.stops
@@ -119,7 +121,11 @@
 func (m *Mesh) Learn(listed []protocol.Member) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.table.Learn(listed, time.Now())
+	now := time.Now()
+	m.table.Learn(listed, now)
+	if m.links != nil {
+		m.dialMissing(now)
+	}
 }
 
 // Known returns every entry known.
@@ -166,6 +172,26 @@
 	return names
 }
 
+// Told is the configuration version that a linked peer last told.
+type Told struct {
+	Name    string
+	Version uint64
+}
+
+// Versions returns what every linked peer last told, in order of name.
+func (m *Mesh) Versions() []Told {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	all := make([]Told, 0, len(m.links))
+	for name, l := range m.links {
+		if l.isOpen() {
+			all = append(all, Told{Name: name, Version: l.told.Load()})
+		}
+	}
+	slices.SortFunc(all, func(a, b Told) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
 // Send gives a frame to a peer's link and reports whether there is one. If
 // there is none it is opened for the next time.
 func (m *Mesh) Send(to string, f protocol.PeerFrame) bool {
@@ -219,7 +245,7 @@
 	}
 	m.dialMissing(now)
 	m.mutex.Unlock()
-	m.beat()
+	m.Beat()
 }
 
 // dialMissing opens the links that should be there. The mutex is held.
@@ -331,6 +357,9 @@
 	m.table.Heard(l.name, time.Now())
 	current := m.links[l.name]
 	m.mutex.Unlock()
+	if f.Beat != nil && current != nil {
+		current.told.Store(f.Beat.Version)
+	}
 	if current != nil && current != l {
 		// Both sides dialled at once: each sends on its own link, and a word on
 		// either is a sign of life for both.
