lease: give orders to engines under a fenced lease

Cause: a drained VM was left alone by entries, but its engines were never told; orders need one giver at a time, over entries that may be paused at any point. Change: coordination/lease (conditional renewals, expiry judged by each entry's own sight of the version, a margin for the holder, an epoch in every order) and a director that reads each engine's state and orders what differs. Mutants without the fence, the holder's own deadline or the conditional update are each caught by TestTheHandoverIsSoundAndEachMutantIsCaught. Window that remains with engines that don't check fences: an order decided on within the margin and delivered later than it; it names a state, and the next pass of the holder, half a second later, corrects it.

--- a/command/demo.go
+++ b/command/demo.go
@@ -27,6 +27,7 @@
 	demoLoad     = 0.7
 	demoPrompt   = 48
 	demoTokens   = 48
+	demoWithin   = 60
 	// meanPositions is the mean of positions that one demo request takes: the
 	// words around the message, half the longest message and half the answer.
 	meanPositions = 7 + (8+demoPrompt)/2 + demoTokens/2
@@ -43,10 +44,12 @@
 	requests int
 	load     float64
 	policy   string
+	within   int
+	burst    float64
 }
 
 func (v *demoVerb) define() *flaggy.Subcommand {
-	v.seed, v.requests, v.load, v.policy = 1, demoRequests, demoLoad, "cost"
+	v.seed, v.requests, v.load, v.policy, v.within = 1, demoRequests, demoLoad, "cost", demoWithin
 	s := flaggy.NewSubcommand("demo")
 	s.Description = "Run the whole path in one process: pinerun demo -faults"
 	s.Bool(&v.faults, "f", "faults", "kill stages, spoil replies and take the platform down meanwhile")
@@ -55,6 +58,8 @@
 	s.Int(&v.requests, "n", "requests", "how many requests")
 	s.Float64(&v.load, "l", "load", "offered load as a part of the flow bound; above 1 is overload")
 	s.String(&v.policy, "p", "policy", "path policy: cost, report, turn, chance or chain")
+	s.Int(&v.within, "w", "within", "seconds from a request's arrival to its deadline")
+	s.Float64(&v.burst, "b", "burst", "times the load during the second quarter of the requests")
 	return s
 }
 
@@ -64,8 +69,8 @@
 	default:
 		return o.fail(exitUsage, fmt.Errorf("policy %q is unknown; give cost, report, turn, chance or chain", v.policy))
 	}
-	if v.requests <= 0 || v.load <= 0 {
-		return o.fail(exitUsage, errors.New("nothing to do; give -requests and -load above 0"))
+	if v.requests <= 0 || v.load <= 0 || v.within <= 0 || v.burst < 0 {
+		return o.fail(exitUsage, errors.New("nothing to do; give -requests, -load and -within above 0"))
 	}
 	d := &demo{verb: v, output: o}
 	defer d.close()
@@ -147,6 +152,7 @@
 		Model: d.model.Name, Service: demoService, Requests: d.verb.requests, Rate: rate,
 		PromptMax: demoPrompt, MaxTokens: demoTokens, Seed: d.verb.seed, Progress: d.output.progress(),
 		Expect: d.expect, Keys: demoKeys(),
+		DeadlineBy: time.Duration(d.verb.within) * time.Second, Burst: d.verb.burst,
 	}
 	for _, e := range d.entries {
 		run.Entries = append(run.Entries, "http://"+e.CallerAddress())
--- /dev/null
+++ b/coordination/lease/lease.go
@@ -0,0 +1,167 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package lease decides who does the work that one entry at a time does.
+//
+// A lease is an object in the platform that names its holder and an epoch. It is
+// taken and renewed by conditional update. Others judge its expiry by how long
+// they have themselves seen its version unchanged, so no two clocks are ever
+// compared; the holder stops a margin earlier by its own clock, counted from
+// before it asked. A Lease is pure:
+//
+//	switch a := l.Next(now).(type) {
+//	case lease.Read:  // read the object, then l.Seen(version, record, now)
+//	case lease.Write: // write a.Record() if the version is a.Known(); then
+//	                  // l.Wrote(version), or l.Doubt() for any other end
+//	case lease.Rest:  // until a.Till()
+//	}
+//	if epoch, ok := l.Epoch(now); ok { ... } // ask again right before each order
+//
+// The epoch rises with each new holder and goes into every order, so that an
+// endpoint that checks refuses the orders of an older holder.
+package lease
+
+import "time"
+
+const (
+	// Length is how long a lease lasts without renewal.
+	Length = 6 * time.Second
+	// renewEvery is when the holder renews, counted from its last renewal.
+	renewEvery = 2 * time.Second
+	// Margin is how much earlier the holder stops than others may take over. It
+	// covers an order that was sent right before the end.
+	Margin = 2 * time.Second
+	// lookEvery is how often others read the lease.
+	lookEvery = time.Second
+)
+
+// Record is a lease's content in the platform.
+type Record struct {
+	Holder string `json:"holder"`
+	Epoch  uint64 `json:"epoch"`
+	// Nonce differs in each write, so that every renewal has its own mark.
+	Nonce uint64 `json:"nonce"`
+}
+
+// Action is what to do next.
+type Action interface{ action() }
+
+// Read asks for the object.
+type Read struct{}
+
+// Write asks for a conditional write.
+type Write struct {
+	known  uint64
+	record Record
+}
+
+// Known returns the version that must still be there, 0 for none.
+func (w Write) Known() uint64 { return w.known }
+
+// Record returns what to write.
+func (w Write) Record() Record { return w.record }
+
+// Rest says until when there is nothing to do.
+type Rest struct{ till time.Time }
+
+// Till returns when to ask again.
+func (r Rest) Till() time.Time { return r.till }
+
+func (Read) action()  {}
+func (Write) action() {}
+func (Rest) action()  {}
+
+// Lease is one entry's view of a lease. Set Self before use.
+type Lease struct {
+	Self string
+
+	seen      bool
+	version   uint64
+	record    Record
+	since     time.Time // from when this entry has seen the version unchanged
+	readAt    time.Time // when it was last read
+	asking    Record    // of the write in flight
+	askedAt   time.Time // when that write was decided on
+	heldUntil time.Time // by this entry's clock, margin taken off
+	writes    uint64
+}
+
+// Next returns what to do.
+func (l *Lease) Next(now time.Time) Action {
+	switch {
+	case !l.seen:
+		return Read{}
+	case l.mine():
+		return l.renew(now)
+	case l.version == 0 || now.Sub(l.since) > Length:
+		return l.write(l.record.Epoch+1, now)
+	case now.Sub(l.readAt) >= lookEvery:
+		return Read{}
+	default:
+		return Rest{till: l.readAt.Add(lookEvery)}
+	}
+}
+
+// mine reports whether the record seen last is this entry's own, still held by
+// its clock. A record of ours that lapsed is taken anew, with a new epoch, like
+// anybody else's.
+func (l *Lease) mine() bool { return l.record.Holder == l.Self && !l.heldUntil.IsZero() }
+
+func (l *Lease) renew(now time.Time) Action {
+	if now.After(l.heldUntil) {
+		l.heldUntil = time.Time{}
+		l.since = now // wait a whole length before taking it again
+		return Read{}
+	}
+	if next := l.askedAt.Add(renewEvery); now.Before(next) {
+		return Rest{till: next}
+	}
+	return l.write(l.record.Epoch, now)
+}
+
+func (l *Lease) write(epoch uint64, now time.Time) Action {
+	l.writes++
+	l.asking = Record{Holder: l.Self, Epoch: epoch, Nonce: l.writes}
+	l.askedAt = now
+	return Write{known: l.version, record: l.asking}
+}
+
+// Wrote takes the success of the write in flight.
+func (l *Lease) Wrote(version uint64) { l.take(version) }
+
+// take notes that the write in flight stands. The lease counts from when it was
+// asked for, since others may have seen it any time after.
+func (l *Lease) take(version uint64) {
+	l.version = version
+	l.record = l.asking
+	l.since = l.askedAt
+	l.readAt = l.askedAt
+	l.heldUntil = l.askedAt.Add(Length - Margin)
+}
+
+// Doubt notes that the write in flight met another version, had no effect, or
+// that its answer was lost. The object is read to find out.
+func (l *Lease) Doubt() { l.seen = false }
+
+// Seen takes the object as read; version 0 means that there is none.
+func (l *Lease) Seen(version uint64, r Record, now time.Time) {
+	l.seen = true
+	l.readAt = now
+	if version != 0 && r == l.asking && version != l.version {
+		l.take(version)
+		return
+	}
+	if version != l.version {
+		l.since = now
+		if r.Holder != l.Self {
+			l.heldUntil = time.Time{}
+		}
+	}
+	l.version = version
+	l.record = r
+}
+
+// Epoch returns the epoch to put into an order, and whether this entry may give
+// one now.
+func (l *Lease) Epoch(now time.Time) (uint64, bool) {
+	return l.record.Epoch, l.record.Holder == l.Self && now.Before(l.heldUntil)
+}
--- /dev/null
+++ b/coordination/lease/lease_test.go
@@ -0,0 +1,220 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pinerun.example/pinerun/coordination/lease"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// mutant is a mistake that the tests must catch when it is made on purpose.
+type mutant int
+
+const (
+	sound     mutant = iota
+	unfenced         // endpoints take orders whatever their epoch
+	impatient        // holders ignore their own deadline
+	unmatched        // writes do not compare versions
+)
+
+// world is a platform with one lease, an endpoint, and entries whose clocks run
+// alike but show different times, and which may be paused at any point.
+type world struct {
+	mutant  mutant
+	now     time.Time
+	version uint64
+	record  lease.Record
+	entries []*entry
+	fence   uint64 // the highest epoch that the endpoint has seen
+	stale   bool   // the endpoint took an order of a holder that was deposed
+	both    bool   // two entries believed to hold the lease at one moment
+}
+
+type entry struct {
+	lease  lease.Lease
+	skew   time.Duration
+	paused bool
+	flight lease.Action
+	order  uint64 // epoch of an order that was decided on and not yet sent
+}
+
+func newWorld(m mutant, n int) *world {
+	w := &world{mutant: m, now: start}
+	for i := range n {
+		w.entries = append(w.entries, &entry{lease: lease.Lease{Self: fmt.Sprint("e", i)}, skew: time.Duration(i) * time.Hour})
+	}
+	return w
+}
+
+func (w *world) clock(e *entry) time.Time { return w.now.Add(e.skew) }
+
+// step begins an action of an entry or ends the one in flight; lost says that
+// the answer of a write that took effect is lost.
+func (w *world) step(i int, lost bool) {
+	e := w.entries[i]
+	if e.paused {
+		return
+	}
+	if e.flight == nil {
+		e.flight = e.lease.Next(w.clock(e))
+		return
+	}
+	action := e.flight
+	e.flight = nil
+	switch a := action.(type) {
+	case lease.Read:
+		e.lease.Seen(w.version, w.record, w.clock(e))
+	case lease.Write:
+		if w.version != a.Known() && w.mutant != unmatched {
+			e.lease.Doubt()
+			return
+		}
+		w.version++
+		w.record = a.Record()
+		if lost {
+			e.lease.Doubt()
+			return
+		}
+		e.lease.Wrote(w.version)
+	}
+}
+
+// decide lets an entry decide on an order if it believes to hold the lease.
+func (w *world) decide(i int) {
+	e := w.entries[i]
+	epoch, ok := e.lease.Epoch(w.clock(e))
+	if w.mutant == impatient {
+		ok = epoch > 0 && w.holds(e)
+	}
+	if ok && !e.paused {
+		e.order = epoch
+	}
+}
+
+// holds is what an entry believes that forgets its own deadline.
+func (w *world) holds(e *entry) bool {
+	_, ok := e.lease.Epoch(time.Time{})
+	return ok
+}
+
+// send lets a decided order reach the endpoint, perhaps after a pause.
+func (w *world) send(i int) {
+	e := w.entries[i]
+	if e.order == 0 || e.paused {
+		return
+	}
+	if e.order < w.fence {
+		w.stale = w.stale || w.mutant == unfenced
+	} else {
+		w.fence = e.order
+	}
+	e.order = 0
+}
+
+// check looks whether two entries that are not paused may both give orders.
+func (w *world) check() {
+	holders := 0
+	for _, e := range w.entries {
+		if _, ok := e.lease.Epoch(w.clock(e)); ok {
+			holders++
+		} else if w.mutant == impatient && w.holds(e) {
+			holders++
+		}
+	}
+	w.both = w.both || holders > 1
+}
+
+// drive interleaves everything at random and reports what went wrong.
+func drive(t *rapid.T, w *world) {
+	t.Repeat(map[string]func(*rapid.T){
+		"step": func(t *rapid.T) {
+			w.step(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry"), rapid.IntRange(0, 3).Draw(t, "lost") == 0)
+		},
+		"decide": func(t *rapid.T) { w.decide(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry")) },
+		"send":   func(t *rapid.T) { w.send(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry")) },
+		"pause": func(t *rapid.T) {
+			e := rapid.SampledFrom(w.entries).Draw(t, "who")
+			e.paused = !e.paused
+		},
+		"wait": func(t *rapid.T) {
+			w.now = w.now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+		},
+		"": func(*rapid.T) { w.check() },
+	})
+}
+
+// TestOneHolderAtATime: whatever is paused, lost or late, no two entries believe
+// at one moment that they may give orders, and a fenced endpoint never takes an
+// order after one of a later holder.
+func TestOneHolderAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(sound, 3)
+		drive(t, w)
+		if w.both || w.stale {
+			t.Fatalf("both %v, stale %v", w.both, w.stale)
+		}
+	})
+}
+
+// handover plays the case that each mutant fails: the holder decides on an order
+// and is paused past its lease, another takes over and gives an order, and the
+// first wakes.
+func handover(m mutant) *world {
+	w := newWorld(m, 2)
+	settle := func(i int) {
+		for range 4 {
+			w.step(i, false)
+		}
+		w.check()
+	}
+	settle(0)
+	w.decide(0)
+	if m == unmatched {
+		w.entries[1].lease.Seen(0, lease.Record{}, w.clock(w.entries[1]))
+		settle(1) // it wrote over a lease that it had not seen
+		return w
+	}
+	w.entries[0].paused = true
+	settle(1)
+	w.now = w.now.Add(lease.Length + time.Second)
+	settle(1)
+	settle(1)
+	w.decide(1)
+	w.send(1)
+	w.entries[0].paused = false
+	w.check()
+	w.send(0)
+	return w
+}
+
+func TestTheHandoverIsSoundAndEachMutantIsCaught(t *testing.T) {
+	w := handover(sound)
+	require.Equal(t, uint64(2), w.fence, "the second holder gave its order")
+	require.False(t, w.both)
+	require.False(t, w.stale)
+	require.True(t, handover(unfenced).stale, "no fence")
+	require.True(t, handover(impatient).both, "no deadline of its own")
+	require.True(t, handover(unmatched).both, "no conditional update")
+}
+
+func TestAHolderThatRenewsStays(t *testing.T) {
+	w := newWorld(sound, 2)
+	for range 200 {
+		for i := range w.entries {
+			w.step(i, false)
+			w.step(i, false)
+		}
+		w.now = w.now.Add(500 * time.Millisecond)
+	}
+	require.Equal(t, lease.Record{Holder: "e0", Epoch: 1, Nonce: w.record.Nonce}, w.record)
+	_, holds := w.entries[0].lease.Epoch(w.clock(w.entries[0]))
+	require.True(t, holds)
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -42,6 +42,7 @@
 	PeerLost           = Event{7002, "peer lost", slog.LevelWarn}
 	LeaseTaken         = Event{8001, "lease taken", slog.LevelInfo}
 	LeaseLost          = Event{8002, "lease lost", slog.LevelWarn}
+	OrderGiven         = Event{8003, "order given", slog.LevelInfo}
 	PlanConfirmed      = Event{9001, "plan confirmed", slog.LevelInfo}
 )
 
@@ -55,7 +56,7 @@
 		PlatformUnreached, PlatformBack,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
 		PeerConnected, PeerLost,
-		LeaseTaken, LeaseLost,
+		LeaseTaken, LeaseLost, OrderGiven,
 		PlanConfirmed,
 	}
 }
--- a/load/load.go
+++ b/load/load.go
@@ -27,6 +27,7 @@
 	Service    string  // if set, one in eight requests is a non-repeatable call
 	Requests   int     // how many in all
 	Rate       float64 // arrivals a second
+	Burst      float64 // if above 0, times Rate during the second quarter of the requests
 	PromptMax  int     // longest message in bytes
 	MaxTokens  int
 	Seed       uint64
@@ -74,7 +75,7 @@
 		}
 		r.idle.Add(1)
 		go r.plan(i, draw).run(ctx)
-		next = next.Add(time.Duration(draw.ExpFloat64() / r.Rate * float64(time.Second)))
+		next = next.Add(time.Duration(draw.ExpFloat64() / r.rateAt(i) * float64(time.Second)))
 	}
 	r.stopped = time.Now()
 	r.idle.Wait()
@@ -82,6 +83,13 @@
 	return r.summary()
 }
 
+func (r *Run) rateAt(i int) float64 {
+	if r.Burst > 0 && i >= r.Requests/4 && i < r.Requests/2 {
+		return r.Rate * r.Burst
+	}
+	return r.Rate
+}
+
 func sleepUntil(ctx context.Context, at time.Time) bool {
 	t := time.NewTimer(time.Until(at))
 	defer t.Stop()
@@ -174,11 +182,26 @@
 		r.report.Bound = float64(tokens) / float64(positions)
 		r.report.BoundRatio = float64(positions) / seconds
 	}
+	r.report.GoodputByTenth = r.goodput()
 	r.report.FirstTokenMS = PercentilesOf(r.first)
 	r.report.BetweenTokensMS = PercentilesOf(r.between)
 	return r.report
 }
 
+// goodput returns the useful work of each tenth of the time in which load was
+// offered, in positions a second.
+func (r *Run) goodput() []float64 {
+	const parts = 10
+	tenths := make([]float64, parts)
+	length := r.stopped.Sub(r.started).Seconds() / parts
+	for _, m := range r.marks {
+		if at := int(m.at.Sub(r.started).Seconds() / length); at >= 0 && at < parts {
+			tenths[at] += float64(m.positions) / length
+		}
+	}
+	return tenths
+}
+
 // Level is what the hardware allows from a time on, in positions a second.
 type Level struct {
 	At    time.Time
--- a/load/report.go
+++ b/load/report.go
@@ -33,6 +33,7 @@
 	BetweenTokensMS Percentiles `json:"between_tokens_ms"`
 	RecoveryMS      Percentiles `json:"recovery_ms"`
 	Recoveries      int64       `json:"recoveries"`
+	GoodputByTenth  []float64   `json:"goodput_by_tenth"` // of the run, in positions a second
 	LayerViolations int         `json:"layer_violations"`
 	Doubled         int         `json:"doubled"`
 }
--- a/main_test.go
+++ b/main_test.go
@@ -43,6 +43,8 @@
 //	now A, deadline A    set a variable to the time, or to one soon after
 //	until PATTERN URL    until an operator's call answers so
 //	planid stdout A      set a variable to the id of the plan printed last
+//	holder N M           freeze whichever of the processes of e1 and e2 holds the
+//	                     director's lease; set HOLDER, and OTHER to the other's port
 //	freeze N, thaw N     SIGSTOP and SIGCONT to the N-th background process
 func TestScenarios(t *testing.T) {
 	examples, err := filepath.Abs("examples")
@@ -64,6 +66,7 @@
 			"begin":  beginCall,
 			"end":    endCall,
 			"until":  until,
+			"holder": holder,
 			"planid": planID,
 			"now":    func(ts *testscript.TestScript, _ bool, args []string) { setTime(ts, args[0], 0) },
 			"deadline": func(ts *testscript.TestScript, _ bool, args []string) {
@@ -218,6 +221,17 @@
 	ts.Setenv(args[1], id)
 }
 
+func holder(ts *testscript.TestScript, _ bool, args []string) {
+	lease := request(ts, []string{http.MethodGet, "http://127.0.0.1:" + ts.Getenv("PLATFORM") + "/objects/lease/director"})()
+	held, other := args[0], "O2"
+	if strings.Contains(lease, `"holder":"e2"`) {
+		held, other = args[1], "O1"
+	}
+	ts.Setenv("HOLDER", held)
+	ts.Setenv("OTHER", ts.Getenv(other))
+	signalTo(ts, held, syscall.SIGSTOP)
+}
+
 func signalTo(ts *testscript.TestScript, number string, s os.Signal) {
 	n, err := strconv.Atoi(number)
 	ts.Check(err)
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -45,6 +45,7 @@
 	leaving   bool
 	nextFree  time.Time
 	fence     uint64
+	orders    []OrderLine
 }
 
 type job struct {
@@ -79,6 +80,7 @@
 	mux.HandleFunc("PUT /kv/{request}", r.serveImport)
 	mux.HandleFunc("GET /events", r.serveEvents)
 	mux.HandleFunc("POST /orders", r.serveOrder)
+	mux.HandleFunc("GET /orders", r.serveOrders)
 	if err := r.listen(address, mux); err != nil {
 		return err
 	}
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -79,6 +79,7 @@
 	go e.peers.run()
 	go (&gateClock{entry: e}).run()
 	go (&registration{entry: e}).run()
+	go (&director{entry: e}).run()
 	event.EntryReady.Log(e.Logger, slog.String("entry", e.Settings.Name),
 		slog.String("callers", e.CallerAddress()), slog.String("operators", e.OperatorAddress()))
 	return nil
