fleet: bound an entry to a subset of each group's runners

Cause: before 4,900 runners an entry would in time be connected to all of them, with ten load reports a second from each. Change: in groups of more than twelve an entry uses twelve runners, drawn by rendezvous hashing, and goes beyond them when none is usable. Property tests for load reports and configuration changes, a race of three keepers over a platform that loses answers, benchmarks for claims, views and configurations.

--- a/coordination/path/path.go
+++ b/coordination/path/path.go
@@ -26,9 +26,6 @@
 	MaxStages = 32
 	// MaxLayers is the largest number of layers of a model.
 	MaxLayers = 256
-	// candidates is how many runners of a group are compared for one request. In
-	// a larger group they are drawn at random, so that entries do not herd.
-	candidates = 12
 	// pledgeWeight is how many times the work that this entry's streams will
 	// still need at a runner counts as cost. A stream stays on its path, so a
 	// queue that is short now says too little.
@@ -54,7 +51,7 @@
 // Policy is a way to choose among the runners of a group.
 type Policy interface{ policy() }
 
-// ByCost compares a few runners drawn at random by their expected time. It is
+// ByCost compares the runners of the entry's subset by their expected time. It is
 // the policy in use; the others are baselines.
 type ByCost struct{}
 
@@ -105,7 +102,7 @@
 func (*Found) decision()  {}
 func (Missing) decision() {}
 
-// Choose returns the path with the least expected time over the candidates of
+// Choose returns the path with the least expected time over the entry's subset of
 // each group, or the first layer that can't be reached.
 func Choose(m *fleet.Model, q Query) Decision {
 	found := &Found{}
@@ -135,7 +132,7 @@
 		if !span.Valid(m.Layers()) || math.IsInf(best[span.From], 1) {
 			continue
 		}
-		r, cost := pick(g.Runners(), q)
+		r, cost := pick(g, q)
 		if r == nil || best[span.From]+cost >= best[span.To] {
 			continue
 		}
@@ -174,7 +171,19 @@
 	return -1
 }
 
-func pick(runners []*fleet.Runner, q *Query) (*fleet.Runner, float64) {
+// pick chooses within the entry's subset of a group, and beyond it when nothing
+// of the subset is usable.
+func pick(g *fleet.Group, q *Query) (*fleet.Runner, float64) {
+	r, cost := pickWithin(g.Runners(), q)
+	if (r == nil || !r.Usable(q.Now)) && len(g.All()) > len(g.Runners()) {
+		if other, otherCost := pickFrom(g.All(), q, q.Draw.IntN(len(g.All()))); other != nil {
+			return other, otherCost
+		}
+	}
+	return r, cost
+}
+
+func pickWithin(runners []*fleet.Runner, q *Query) (*fleet.Runner, float64) {
 	switch policy := q.Policy.(type) {
 	case ByReport:
 		return pickLeastReported(runners, q)
@@ -190,20 +199,17 @@
 	}
 }
 
+// pickByCost compares all runners of the subset, from a random one on, so that
+// equals are taken alike.
 func pickByCost(runners []*fleet.Runner, q *Query) (*fleet.Runner, float64) {
 	if len(runners) == 0 {
 		return nil, 0
 	}
 	var chosen *fleet.Runner
 	least := math.Inf(1)
-	tries := min(candidates, len(runners))
 	start := q.Draw.IntN(len(runners))
-	for i := range tries {
-		at := (start + i) % len(runners)
-		if len(runners) > candidates && i > 0 {
-			at = q.Draw.IntN(len(runners))
-		}
-		r := runners[at]
+	for i := range runners {
+		r := runners[(start+i)%len(runners)]
 		if !r.Usable(q.Now) || avoided(q.Avoid, r) {
 			continue
 		}
--- a/coordination/path/path_test.go
+++ b/coordination/path/path_test.go
@@ -28,7 +28,7 @@
 	c, err := config.Make(1, []protocol.Model{{Name: "m", Version: "1", Layers: layers, Open: 1, Context: 9}},
 		protocol.Fleet{Name: "dc", Runners: runners})
 	require.NoError(t, err)
-	return fleet.Build(nil, c, "dc")
+	return fleet.Build(nil, c, fleet.Home{Name: "e1", DataCenter: "dc"})
 }
 
 func draw() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
@@ -102,6 +102,30 @@
 	require.Equal(t, "r1", found.Path().Runner(0).Name(), "the ejection that ends first")
 }
 
+// TestBeyondTheSubsetOnlyWhenItIsUnusable: an entry stays within its own runners
+// of a large group, other entries have others, and when all of its own are out
+// it takes another.
+func TestBeyondTheSubsetOnlyWhenItIsUnusable(t *testing.T) {
+	runners := make([]protocol.Runner, 100)
+	for i := range runners {
+		runners[i] = protocol.Runner{From: 0, To: 4, Speed: 9}
+	}
+	v := view(t, 4, runners)
+	own := v.Model("m").Groups()[0].Runners()
+	require.Len(t, own, fleet.Subset)
+	q := path.Query{Now: now, Positions: 1, Draw: draw()}
+	used := map[*fleet.Runner]bool{}
+	for range 200 {
+		used[path.Choose(v.Model("m"), q).(*path.Found).Path().Runner(0)] = true
+	}
+	require.Len(t, used, fleet.Subset)
+	for _, r := range own {
+		r.Failed(now)
+	}
+	other := path.Choose(v.Model("m"), q).(*path.Found).Path().Runner(0)
+	require.NotContains(t, own, other)
+}
+
 // bench returns a view of n runners, ten to each stage's span.
 func bench(b *testing.B, n int) *fleet.View {
 	const layers = 80
--- /dev/null
+++ b/state/config/config_test.go
@@ -0,0 +1,97 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package config_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/config"
+)
+
+// teams returns a manifest of that many teams with their contents.
+func teams(t require.TestingT, version uint64, shares []float64) (protocol.Manifest, map[string][]byte) {
+	m := protocol.Manifest{Version: version}
+	contents := map[string][]byte{}
+	for i, share := range shares {
+		name := fmt.Sprint("team-", i)
+		content, err := json.Marshal(protocol.Team{Name: name, KeyHashes: []string{protocol.HashKey(name)}, Share: share, Open: 10})
+		require.NoError(t, err)
+		hash := protocol.HashPart(content)
+		contents[hash] = content
+		m.Parts = append(m.Parts, protocol.PartRef{Kind: protocol.TeamPart, Name: name, Hash: hash})
+	}
+	return m, contents
+}
+
+// TestAChangeLeadsToTheSameConfiguration: whatever changes between two versions,
+// the older one with the change applied equals the newer, and a change that does
+// not fit is never taken.
+func TestAChangeLeadsToTheSameConfiguration(t *testing.T) {
+	share := rapid.SliceOfN(rapid.Float64Range(1, 9), 0, 6)
+	rapid.Check(t, func(t *rapid.T) {
+		build := func(version uint64) *config.Config {
+			c, err := config.Build(teams(t, version, share.Draw(t, "shares")))
+			require.NoError(t, err)
+			return c
+		}
+		older, newer, other := build(1), build(2), build(3)
+		got, err := older.Apply(newer.Since(older))
+		require.NoError(t, err)
+		require.ElementsMatch(t, newer.Teams(), got.Teams())
+		whole, err := (*config.Config)(nil).Apply(newer.Since(nil))
+		require.NoError(t, err)
+		require.ElementsMatch(t, newer.Teams(), whole.Teams())
+		_, err = older.Apply(other.Since(newer))
+		var misfit *config.NeedsWhole
+		require.ErrorAs(t, err, &misfit)
+	})
+}
+
+func TestAStoreNeverStepsBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s config.Store
+		highest := uint64(0)
+		for range rapid.IntRange(1, 20).Draw(t, "offers") {
+			version := rapid.Uint64Range(1, 9).Draw(t, "version")
+			c, err := config.Build(teams(t, version, nil))
+			require.NoError(t, err)
+			require.Equal(t, version > highest, s.Offer(c))
+			highest = max(highest, version)
+			require.Equal(t, highest, s.Current().Version())
+		}
+	})
+}
+
+// BenchmarkBuild measures a configuration by its teams: time to check and build
+// it, and heap held.
+func BenchmarkBuild(b *testing.B) {
+	for _, n := range []int{10, 70, 350, 700} {
+		b.Run(fmt.Sprint("teams=", n), func(b *testing.B) {
+			shares := make([]float64, n)
+			for i := range shares {
+				shares[i] = float64(i + 1)
+			}
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			m, contents := teams(b, 1, shares)
+			c, err := config.Build(m, contents)
+			require.NoError(b, err)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for b.Loop() {
+				c, err = config.Build(m, contents)
+			}
+			require.NoError(b, err)
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-B")
+			runtime.KeepAlive(c)
+		})
+	}
+}
--- a/state/fleet/view.go
+++ b/state/fleet/view.go
@@ -6,7 +6,7 @@
 // A View groups the runners of each model by the span that they hold. It is
 // rebuilt when the configuration changes and keeps what was measured:
 //
-//	view := fleet.Build(nil, cfg, "jhb-a")
+//	view := fleet.Build(nil, cfg, fleet.Home{Name: "entry-1", DataCenter: "jhb-a"})
 //	for _, g := range view.Model("fares").Groups() { ... }
 package fleet
 
@@ -14,21 +14,32 @@
 	"cmp"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/config"
 )
 
+// Subset is how many runners of a group an entry uses as long as they are
+// usable. It bounds the connections and load reports of an entry; each entry has
+// a subset of its own, so that all runners are used.
+const Subset = 12
+
 // Group is the runners that hold the same span of a model.
 type Group struct {
 	span    protocol.Span
-	runners []*Runner
+	runners []*Runner // those that this entry uses come first
 }
 
 // Span returns the layers that every runner of the group holds.
 func (g *Group) Span() protocol.Span { return g.span }
 
-// Runners returns the group's runners. The caller must not change the slice.
-func (g *Group) Runners() []*Runner { return g.runners }
+// Runners returns the runners that this entry uses. The caller must not change
+// the slice.
+func (g *Group) Runners() []*Runner { return g.runners[:min(Subset, len(g.runners))] }
+
+// All returns every runner of the group. The caller must not change the slice.
+func (g *Group) All() []*Runner { return g.runners }
 
 // Model is the runners of one model, grouped by span and ordered by first layer.
 type Model struct {
@@ -48,14 +59,17 @@
 	runners map[string]*Runner
 }
 
-// Build returns the view of a configuration for an entry whose data center is
-// home. Runners that the older view knows unchanged keep their measurements.
-func Build(older *View, c *config.Config, home string) *View {
+// Home is where an entry is, and its name, by which its subsets are drawn.
+type Home struct{ Name, DataCenter string }
+
+// Build returns the view of a configuration for an entry. Runners that the older
+// view knows unchanged keep their measurements.
+func Build(older *View, c *config.Config, home Home) *View {
 	v := &View{models: map[string]*Model{}, runners: map[string]*Runner{}}
 	for _, spec := range c.Runners() {
 		r := older.Runner(spec.Name)
 		if r == nil || r.Spec() != spec {
-			r = NewRunner(spec, home)
+			r = NewRunner(spec, home.DataCenter)
 		}
 		v.runners[spec.Name] = r
 		v.place(c, r)
@@ -64,10 +78,28 @@
 		slices.SortFunc(m.groups, func(a, b Group) int {
 			return cmp.Or(cmp.Compare(a.span.From, b.span.From), cmp.Compare(a.span.To, b.span.To))
 		})
+		for i := range m.groups {
+			drawSubset(m.groups[i].runners, home.Name)
+		}
 	}
 	return v
 }
 
+// drawSubset puts the entry's own runners first, by rendezvous hashing, so that
+// a change of one runner changes at most one place of the subset.
+func drawSubset(runners []*Runner, entry string) {
+	if len(runners) <= Subset {
+		return
+	}
+	scores := make(map[*Runner]uint64, len(runners))
+	for _, r := range runners {
+		scores[r] = xxhash.Sum64String(entry + "\x00" + r.Name())
+	}
+	slices.SortFunc(runners, func(a, b *Runner) int {
+		return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(a.Name(), b.Name()))
+	})
+}
+
 func (v *View) place(c *config.Config, r *Runner) {
 	spec := r.Spec()
 	m := v.models[spec.Model]
--- /dev/null
+++ b/state/fleet/view_test.go
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleet_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/config"
+	"pinerun.example/pinerun/state/fleet"
+)
+
+var now = time.Unix(1_800_000_000, 0)
+
+var home = fleet.Home{Name: "e1", DataCenter: "dc"}
+
+func configOf(t require.TestingT, n int) *config.Config {
+	f := protocol.Fleet{Name: "dc"}
+	for i := range n {
+		f.Runners = append(f.Runners, protocol.Runner{
+			Name: fmt.Sprint("runner-", i), VM: fmt.Sprint("vm-", i), DataCenter: "dc", Accelerator: "a",
+			Address: "127.0.0.1:1", Model: "m", From: i % 8, To: i%8 + 1, Speed: 100,
+		})
+	}
+	c, err := config.Make(1, []protocol.Model{{Name: "m", Version: "1", Layers: 8, Open: 1, Context: 9}}, f)
+	require.NoError(t, err)
+	return c
+}
+
+// TestReportsAreCheckedBeforeTheyCount: reports of others, with impossible
+// figures, from the future or too old change nothing.
+func TestReportsAreCheckedBeforeTheyCount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := fleet.Build(nil, configOf(t, 8), home).Runner("runner-3")
+		good := protocol.LoadReport{Runner: "runner-3", From: 3, To: 4, Queued: 50, UnixMS: now.UnixMilli()}
+		require.Equal(t, fleet.ReportTaken, r.Report(good, now))
+		wait := r.Wait(now)
+		require.InDelta(t, 0.5, wait, 0.001)
+		bad := good
+		want := fleet.ReportImpossible
+		switch rapid.IntRange(0, 4).Draw(t, "kind") {
+		case 0:
+			bad.Runner, want = "runner-4", fleet.ReportOfOther
+		case 1:
+			bad.Queued = -rapid.Int64Range(1, 1<<40).Draw(t, "queued")
+		case 2:
+			bad.From, bad.To = rapid.IntRange(4, 99).Draw(t, "from"), 100
+		case 3:
+			bad.UnixMS += rapid.Int64Range(2001, 1<<40).Draw(t, "ahead")
+			want = fleet.ReportFuture
+		case 4:
+			bad.UnixMS -= rapid.Int64Range(5001, 1<<40).Draw(t, "behind")
+			want = fleet.ReportOld
+		}
+		require.Equal(t, want, r.Report(bad, now))
+		require.InDelta(t, wait, r.Wait(now), 0)
+	})
+}
+
+func TestMeasurementsOutliveAnUnrelatedChange(t *testing.T) {
+	c := configOf(t, 8)
+	before := fleet.Build(nil, c, home)
+	before.Runner("runner-1").Measured(time.Second, 0.1, now)
+	after := fleet.Build(before, c, home)
+	require.Same(t, before.Runner("runner-1"), after.Runner("runner-1"))
+}
+
+func TestAnOverdueRunnerGetsLonger(t *testing.T) {
+	r := fleet.Build(nil, configOf(t, 1), home).Runner("runner-0")
+	r.Overdue(time.Second, 0.1, now)
+	mean, _ := r.Slowness(now)
+	require.InDelta(t, 20, mean, 0.01)
+	mean, _ = r.Slowness(now.Add(time.Minute))
+	require.InDelta(t, 1, mean, 0.1, "it fades")
+}
+
+// BenchmarkView measures what the view of a fleet costs, in memory for each
+// runner and in time for each rebuild.
+func BenchmarkView(b *testing.B) {
+	for _, n := range []int{40, 160, 640, 1600, 4900} {
+		b.Run(fmt.Sprint("runners=", n), func(b *testing.B) {
+			c := configOf(b, n)
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			v := fleet.Build(nil, c, home)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for b.Loop() {
+				v = fleet.Build(v, c, home)
+			}
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-B")
+			runtime.KeepAlive(v)
+		})
+	}
+}
--- /dev/null
+++ b/transport/claims/keeper_test.go
@@ -0,0 +1,155 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package claims_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/coordination/claim"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/standin"
+	"pinerun.example/pinerun/transport/claims"
+	"pinerun.example/pinerun/transport/platform"
+)
+
+func retain(issued time.Time) time.Time { return issued.Add(10 * time.Minute) }
+
+func newKeeper(tb testing.TB, p *standin.Platform) *claims.Keeper {
+	k := &claims.Keeper{
+		Platform: &platform.Client{Base: "http://" + p.Address()}, Counters: &metric.Set{}, Shards: 4, Retain: retain,
+	}
+	k.Start()
+	tb.Cleanup(k.Close)
+	return k
+}
+
+func record(key string) protocol.ClaimRecord {
+	return protocol.ClaimRecord{
+		Key: protocol.NewClaimKey("desk", key), Claimant: rand.Uint64(), IssuedMS: time.Now().UnixMilli(),
+	}
+}
+
+// TestOneOfManyGetsTheKey lets three entries without peers claim the same keys
+// at once, over a platform that is slow and loses every third answer.
+func TestOneOfManyGetsTheKey(t *testing.T) {
+	var p standin.Platform
+	require.NoError(t, p.Listen("127.0.0.1:0"))
+	t.Cleanup(p.Close)
+	p.Unlimited = true
+	p.Fail(standin.Faults{LoseAnswer: 3, Slow: time.Millisecond})
+	keepers := []*claims.Keeper{newKeeper(t, &p), newKeeper(t, &p), newKeeper(t, &p)}
+	const keys = 20
+	var granted [keys]atomic.Int32
+	var all sync.WaitGroup
+	for i := range keys {
+		for _, k := range keepers {
+			all.Go(func() {
+				result, err := k.Claim(context.Background(), record(fmt.Sprint("key-", i)))
+				if err == nil && result.Verdict() == claim.Granted {
+					granted[i].Add(1)
+				}
+			})
+		}
+	}
+	all.Wait()
+	for i := range keys {
+		require.EqualValues(t, 1, granted[i].Load(), "key %d", i)
+	}
+}
+
+// TestAClaimGivenUpNeverBlocksTheKey gives claims up while the platform is down.
+func TestAClaimGivenUpNeverBlocksTheKey(t *testing.T) {
+	var p standin.Platform
+	require.NoError(t, p.Listen("127.0.0.1:0"))
+	t.Cleanup(p.Close)
+	k := newKeeper(t, &p)
+	p.Fail(standin.Faults{Down: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := k.Claim(ctx, record("key"))
+	require.Error(t, err)
+	p.Fail(standin.Faults{})
+	result, err := k.Claim(context.Background(), record("key"))
+	require.NoError(t, err)
+	require.Equal(t, claim.Granted, result.Verdict())
+}
+
+// BenchmarkClaims compares claims gathered in batches with one write a claim, at
+// the platform's rate of 100 writes a second. One operation is one claim.
+func BenchmarkClaims(b *testing.B) {
+	for _, waiting := range []int{1, 100, 1000, 4000} {
+		b.Run(fmt.Sprint("batched/waiting=", waiting), func(b *testing.B) {
+			var p standin.Platform
+			require.NoError(b, p.Listen("127.0.0.1:0"))
+			defer p.Close()
+			k := newKeeper(b, &p)
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			measure(b, waiting, func(i int) {
+				_, err := k.Claim(context.Background(), record(fmt.Sprint("key-", i)))
+				if err != nil {
+					b.Error(err)
+				}
+			})
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(p.Calls().Writes)/b.Elapsed().Seconds(), "writes/s")
+			b.ReportMetric(float64(p.Calls().Bytes)/float64(b.N), "B/claim")
+			b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/float64(b.N), "heap-B/claim")
+		})
+	}
+	b.Run("write-each/waiting=100", func(b *testing.B) {
+		var p standin.Platform
+		require.NoError(b, p.Listen("127.0.0.1:0"))
+		defer p.Close()
+		client := &platform.Client{Base: "http://" + p.Address()}
+		measure(b, 100, func(i int) {
+			for {
+				if _, err := client.Put(context.Background(), "claim", fmt.Sprint(i), 0, []byte("x")); err == nil {
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+		b.ReportMetric(float64(p.Calls().Writes)/b.Elapsed().Seconds(), "writes/s")
+	})
+}
+
+// measure runs b.N operations with that many at once and reports their rate and
+// latency.
+func measure(b *testing.B, waiting int, do func(i int)) {
+	var next atomic.Int64
+	var all sync.WaitGroup
+	var mutex sync.Mutex
+	var took []float64
+	b.ResetTimer()
+	for range min(waiting, b.N) {
+		all.Go(func() {
+			for i := next.Add(1); i <= int64(b.N); i = next.Add(1) {
+				began := time.Now()
+				do(int(i))
+				mutex.Lock()
+				took = append(took, time.Since(began).Seconds()*1000)
+				mutex.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	b.StopTimer()
+	slices.Sort(took)
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+	b.ReportMetric(took[len(took)/2], "p50-ms")
+	b.ReportMetric(took[len(took)*95/100], "p95-ms")
+}
