claim: size the ring for the retention, and measure claims

Cause: at the planned rate 2,048 slots hold 146 s of batches, the retention of ten minutes needs 8,250; new claims would have been refused as claims_full. Change: 16,384 slots, kept as a map so that a quiet shard costs nothing. Taking over grows with the log; folding old batches together would shorten it.

--- a/coordination/claim/log.go
+++ b/coordination/claim/log.go
@@ -29,8 +29,9 @@
 )
 
 const (
-	// Slots is how many batches a shard keeps.
-	Slots = 2048
+	// Slots is how many batches a shard keeps: at 12.5 writes a second, twice
+	// what a retention of ten minutes needs.
+	Slots = 16384
 	// maxBatchRecords and maxBatchBytes bound one write.
 	maxBatchRecords = 512
 	maxBatchBytes   = 256 << 10
@@ -121,21 +122,27 @@
 // answer.
 func (r Result) Held() protocol.ClaimRecord { return r.held }
 
+// slot is what is known of one place of the ring: its version, and until when
+// its records must be kept.
+type slot struct {
+	version uint64
+	expiry  time.Time
+}
+
 // Log is one shard. The zero value must be loaded first. Retain is how long a
 // key is remembered after it was issued; set it before use.
 type Log struct {
 	Retain func(issued time.Time) time.Time
 
-	loaded   bool
-	next     uint64 // sequence of the next batch
-	versions [Slots]uint64
-	expiries [Slots]time.Time
-	index    map[protocol.ClaimKey]protocol.ClaimRecord
-	pending  []protocol.ClaimRecord
-	written  int  // how many of pending the write in flight holds
-	doubt    bool // the slot of the next batch must be read first
-	stale    bool // a read of the next slot was asked for
-	results  []Result
+	loaded  bool
+	next    uint64 // sequence of the next batch
+	slots   map[int]slot
+	index   map[protocol.ClaimKey]protocol.ClaimRecord
+	pending []protocol.ClaimRecord
+	written int  // how many of pending the write in flight holds
+	doubt   bool // the slot of the next batch must be read first
+	stale   bool // a read of the next slot was asked for
+	results []Result
 }
 
 // Add queues a record; its result comes later.
@@ -183,7 +190,7 @@
 	if len(l.pending) == 0 {
 		return Rest{}
 	}
-	if l.expiries[l.slot()].After(now) {
+	if l.slots[l.slot()].expiry.After(now) {
 		l.refuseFull()
 		return Rest{}
 	}
@@ -204,7 +211,7 @@
 		l.written++
 	}
 	return Write{
-		slot: l.slot(), known: l.versions[l.slot()],
+		slot: l.slot(), known: l.slots[l.slot()].version,
 		batch: protocol.ClaimBatch{Sequence: l.next, Records: slices.Clone(l.pending[:l.written])},
 	}
 }
@@ -289,8 +296,7 @@
 // fit together, because one was written meanwhile: load again.
 func (l *Log) Loaded(all []Stored) bool {
 	l.index = map[protocol.ClaimKey]protocol.ClaimRecord{}
-	l.versions = [Slots]uint64{}
-	l.expiries = [Slots]time.Time{}
+	l.slots = map[int]slot{}
 	l.next = 0
 	slices.SortFunc(all, func(a, b Stored) int { return int(a.Batch.Sequence) - int(b.Batch.Sequence) })
 	for i, s := range all {
@@ -331,7 +337,7 @@
 	l.doubt, l.stale = false, false
 	switch {
 	case s.Version == 0:
-		l.versions[l.slot()] = 0
+		delete(l.slots, l.slot())
 	case s.Batch.Sequence == l.next:
 		l.apply(s)
 		l.keptNow(s.Batch)
@@ -339,7 +345,7 @@
 	case s.Batch.Sequence > l.next:
 		l.loaded = false // a whole ring behind
 	default:
-		l.versions[l.slot()] = s.Version
+		l.slots[l.slot()] = slot{version: s.Version, expiry: l.slots[l.slot()].expiry}
 	}
 }
 
@@ -371,22 +377,22 @@
 
 // apply adds the next batch of the log to the index.
 func (l *Log) apply(s Stored) {
-	l.forget(s.Slot, s.Batch)
 	for _, r := range s.Batch.Records {
 		l.applyRecord(r)
 	}
-	l.versions[s.Slot] = s.Version
+	l.slots[s.Slot] = slot{version: s.Version, expiry: l.expiryOf(s.Batch)}
 	l.next = s.Batch.Sequence + 1
 }
 
-// forget notes until when a slot must be kept.
-func (l *Log) forget(slot int, b protocol.ClaimBatch) {
-	l.expiries[slot] = time.Time{}
+// expiryOf returns until when a batch must be kept.
+func (l *Log) expiryOf(b protocol.ClaimBatch) time.Time {
+	var last time.Time
 	for _, r := range b.Records {
-		if till := l.Retain(time.UnixMilli(r.IssuedMS)).Add(skewMargin); till.After(l.expiries[slot]) {
-			l.expiries[slot] = till
+		if till := l.Retain(time.UnixMilli(r.IssuedMS)).Add(skewMargin); till.After(last) {
+			last = till
 		}
 	}
+	return last
 }
 
 // applyRecord lets the first claim of a key win, and only its claimant release
--- a/coordination/claim/log_test.go
+++ b/coordination/claim/log_test.go
@@ -3,6 +3,8 @@
 package claim_test
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -377,6 +379,33 @@
 	require.IsType(t, claim.Write{}, l.Next(later))
 }
 
+// BenchmarkKeys measures the memory that a shard's writer needs for each key.
+func BenchmarkKeys(b *testing.B) {
+	for _, keys := range []int{1000, 10_000, 70_000} {
+		b.Run(fmt.Sprint("keys=", keys), func(b *testing.B) {
+			var before, after runtime.MemStats
+			var l *claim.Log
+			for b.Loop() {
+				l = nil
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				l = loadedLog()
+				for i := range keys {
+					l.Add(protocol.ClaimRecord{Key: protocol.ClaimKey{byte(i), byte(i >> 8), byte(i >> 16)}, Claimant: uint64(i + 1), IssuedMS: epoch.UnixMilli()})
+					if i%50 == 49 {
+						writeAll(l, uint64(i+1))
+						l.Results()
+					}
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+			}
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-B")
+			runtime.KeepAlive(l)
+		})
+	}
+}
+
 func loadedLog() *claim.Log {
 	l := &claim.Log{Retain: retain}
 	l.Loaded(nil)
--- a/transport/claims/keeper_test.go
+++ b/transport/claims/keeper_test.go
@@ -153,3 +153,49 @@
 	b.ReportMetric(took[len(took)/2], "p50-ms")
 	b.ReportMetric(took[len(took)*95/100], "p95-ms")
 }
+
+// BenchmarkTakeover measures how long an entry that writes a shard for the first
+// time needs until its first claim, by the batches that the shard holds. Each
+// holds 72 records, as at 12.5 writes and 460 claims with outcomes a second.
+func BenchmarkTakeover(b *testing.B) {
+	for _, batches := range []int{100, 1000, 4000, 8250} {
+		b.Run(fmt.Sprint("batches=", batches), func(b *testing.B) {
+			p := &standin.Platform{Unlimited: true}
+			require.NoError(b, p.Listen("127.0.0.1:0"))
+			defer p.Close()
+			key := shardZeroKey()
+			client := &platform.Client{Base: "http://" + p.Address()}
+			for n := range batches {
+				batch := protocol.ClaimBatch{Sequence: uint64(n), Records: make([]protocol.ClaimRecord, 72)}
+				for i := range batch.Records {
+					batch.Records[i] = record(fmt.Sprint(n, "-", i))
+				}
+				value, err := protocol.EncodeClaims(batch)
+				require.NoError(b, err)
+				_, err = client.Put(context.Background(), "claim-0", fmt.Sprint(n), 0, value)
+				require.NoError(b, err)
+			}
+			b.ResetTimer()
+			for b.Loop() {
+				k := newKeeper(b, p)
+				_, err := k.Claim(context.Background(), record(key()))
+				require.NoError(b, err)
+				k.Close()
+			}
+			b.ReportMetric(b.Elapsed().Seconds()*1000/float64(b.N), "first-claim-ms")
+		})
+	}
+}
+
+// shardZeroKey returns a source of keys that all belong to the first shard.
+func shardZeroKey() func() string {
+	i := 0
+	return func() string {
+		for {
+			i++
+			if key := fmt.Sprint("takeover-", i); protocol.NewClaimKey("desk", key).Shard(4) == 0 {
+				return key
+			}
+		}
+	}
+}
