capacity: work the planned size out from measured points

The director asks 20 engines a second, first those that may not be as wanted: 100 a second would not fit a node.

--- a/command/command.go
+++ b/command/command.go
@@ -57,7 +57,7 @@
 	o := &output{out: out, err: errs}
 	verbs := []verb{
 		&demoVerb{}, &entryVerb{}, &standinVerb{}, &loadVerb{}, &checkVerb{}, &statusVerb{},
-		&intentVerb{}, &plansVerb{}, &confirmVerb{}, &withdrawVerb{},
+		&intentVerb{}, &plansVerb{}, &confirmVerb{}, &withdrawVerb{}, &capacityVerb{},
 	}
 	parser := flaggy.NewParser("pinerun")
 	parser.Description = "A router for model pipelines split over mixed accelerators."
--- a/docs_test.go
+++ b/docs_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -62,6 +63,65 @@
 	}
 }
 
+// TestCommandsOnThePagesAreRunByScenarios looks for each pinerun command of the
+// pages in the scenarios, which run the binary: the same verb with the same flags.
+func TestCommandsOnThePagesAreRunByScenarios(t *testing.T) {
+	ran := scenarioCommands(t)
+	shown := regexp.MustCompile("(?m)(?:^ {4}|`)(?:\\./)?pinerun ([a-z]+)([^`\\n]*)")
+	for _, page := range pages(t) {
+		for _, m := range shown.FindAllStringSubmatch(read(t, page), -1) {
+			require.True(t, covered(ran, m[1], flags(m[2])), "%s: no scenario runs pinerun %s%s", page, m[1], m[2])
+		}
+	}
+}
+
+// commandLine is a verb and the names of its flags.
+type commandLine struct {
+	verb  string
+	flags []string
+}
+
+func scenarioCommands(t *testing.T) []commandLine {
+	var ran []commandLine
+	line := regexp.MustCompile(`(?m)^!? ?exec pinerun ([a-z]+)(.*)$`)
+	for _, file := range walk(t, ".txtar") {
+		for _, m := range line.FindAllStringSubmatch(read(t, file), -1) {
+			ran = append(ran, commandLine{verb: m[1], flags: flags(m[2])})
+		}
+	}
+	return ran
+}
+
+func flags(arguments string) []string {
+	return regexp.MustCompile(` -[a-z-]+`).FindAllString(arguments, -1)
+}
+
+func covered(ran []commandLine, verb string, wanted []string) bool {
+	return slices.ContainsFunc(ran, func(c commandLine) bool {
+		return c.verb == verb && !slices.ContainsFunc(wanted, func(f string) bool { return !slices.Contains(c.flags, f) })
+	})
+}
+
+// TestImportsPointOneWay checks the layers: each may import only those below.
+func TestImportsPointOneWay(t *testing.T) {
+	above := map[string][]string{
+		"protocol":     {"state", "coordination", "transport", "standin", "load", "command"},
+		"state":        {"coordination", "transport", "standin", "load", "command"},
+		"coordination": {"transport", "standin", "load", "command"},
+		"transport":    {"standin", "load", "command"},
+	}
+	imported := regexp.MustCompile(`"pinerun\.example/pinerun/([a-z]+)`)
+	for _, file := range walk(t, ".go") {
+		layer, _, _ := strings.Cut(file, string(filepath.Separator))
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		for _, m := range imported.FindAllStringSubmatch(read(t, file), -1) {
+			require.NotContains(t, above[layer], m[1], file)
+		}
+	}
+}
+
 // TestEveryFileNamesItsLicence looks for the SPDX line.
 func TestEveryFileNamesItsLicence(t *testing.T) {
 	for _, file := range walk(t, ".go") {
--- a/main_test.go
+++ b/main_test.go
@@ -38,8 +38,10 @@
 //	await URL            until it answers 200
 //	call METHOD URL [HEADER:VALUE...] [@FILE]
 //	                     print status, Pinerun-Outcome and body
+//	ask METHOD URL...    the same, setting REQUEST to the request's id
 //	begin NAME METHOD... the same in the background
 //	end NAME             wait for it and print what call prints
+//	today A              set a variable to the day
 //	now A, deadline A    set a variable to the time, or to one soon after
 //	until PATTERN URL    until an operator's call answers so
 //	planid stdout A      set a variable to the id of the plan printed last
@@ -67,6 +69,10 @@
 			"end":    endCall,
 			"until":  until,
 			"holder": holder,
+			"ask":    askFor,
+			"today": func(ts *testscript.TestScript, _ bool, args []string) {
+				ts.Setenv(args[0], time.Now().UTC().Format("20060102"))
+			},
 			"planid": planID,
 			"now":    func(ts *testscript.TestScript, _ bool, args []string) { setTime(ts, args[0], 0) },
 			"deadline": func(ts *testscript.TestScript, _ bool, args []string) {
@@ -159,6 +165,12 @@
 	ts.Check(err)
 }
 
+var idPattern = regexp.MustCompile(`r-[0-9a-f]{16}`)
+
+func askFor(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Setenv("REQUEST", idPattern.FindString(request(ts, args)()))
+}
+
 func beginCall(ts *testscript.TestScript, _ bool, args []string) {
 	done := make(chan string, 1)
 	send := request(ts, args[1:])
--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -113,3 +113,21 @@
 		}
 	})
 }
+
+// BenchmarkBeat measures one heartbeat: its bytes, and the time to write and
+// read it.
+func BenchmarkBeat(b *testing.B) {
+	beat := protocol.PeerFrame{Beat: &protocol.PeerBeat{Version: 123456, Leaving: []string{"runner-17", "runner-4711"}}}
+	size := 0
+	for b.Loop() {
+		frame, err := protocol.EncodePeer(beat)
+		if err == nil {
+			_, err = protocol.DecodePeer(frame)
+		}
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(frame)
+	}
+	b.ReportMetric(float64(size), "B")
+}
--- a/state/fleet/view_test.go
+++ b/state/fleet/view_test.go
@@ -85,8 +85,10 @@
 func BenchmarkView(b *testing.B) {
 	for _, n := range []int{40, 160, 640, 1600, 4900} {
 		b.Run(fmt.Sprint("runners=", n), func(b *testing.B) {
+			var empty, before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&empty)
 			c := configOf(b, n)
-			var before, after runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&before)
 			v := fleet.Build(nil, c, home)
@@ -96,6 +98,7 @@
 				v = fleet.Build(v, c, home)
 			}
 			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-B")
+			b.ReportMetric(float64(before.HeapAlloc)-float64(empty.HeapAlloc), "config-heap-B")
 			runtime.KeepAlive(v)
 		})
 	}
--- a/transport/entry/director.go
+++ b/transport/entry/director.go
@@ -4,13 +4,11 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"log/slog"
 	"net/http"
-	"slices"
 	"time"
 
 	"pinerun.example/pinerun/coordination/lease"
@@ -24,8 +22,8 @@
 	// directorEvery is the time between two passes.
 	directorEvery = 500 * time.Millisecond
 	// runnersPerPass bounds how many engines are asked for their state in one
-	// pass. Drained ones come first, the others in turn.
-	runnersPerPass = 50
+	// pass: first those that may not be as wanted, then others in turn.
+	runnersPerPass = 10
 	orderLimit     = time.Second
 )
 
@@ -38,11 +36,13 @@
 	lease   lease.Lease
 	holding bool
 	turn    int
+	settled map[string]bool // by runner, whether it was last seen drained as wanted
 	http    http.Client
 }
 
 func (d *director) run() {
 	d.lease.Self = d.entry.mesh.Self.Name
+	d.settled = map[string]bool{}
 	d.http.Timeout = orderLimit
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -147,23 +147,30 @@
 	}
 }
 
-// chosen returns the drained runners, then others in turn, up to the bound.
+// chosen returns the runners that are wanted otherwise than they were last seen,
+// then others in turn, up to the bound.
 func (d *director) chosen(all []protocol.Runner) []protocol.Runner {
-	drained := slices.DeleteFunc(slices.Clone(all), func(r protocol.Runner) bool { return !r.Drain })
-	drained = drained[:min(len(drained), runnersPerPass/2)]
-	chosen := drained
-	for range min(len(all), runnersPerPass-len(drained)) {
+	var chosen []protocol.Runner
+	for _, r := range all {
+		if len(chosen) < runnersPerPass && d.settled[r.Name] != r.Drain {
+			chosen = append(chosen, r)
+		}
+	}
+	for range min(len(all), runnersPerPass) - len(chosen) {
 		d.turn++
 		chosen = append(chosen, all[d.turn%len(all)])
 	}
-	slices.SortFunc(chosen, func(a, b protocol.Runner) int { return cmp.Compare(a.Name, b.Name) })
-	return slices.CompactFunc(chosen, func(a, b protocol.Runner) bool { return a.Name == b.Name })
+	return chosen
 }
 
 // settle orders one engine to leave or to stay, if it is not so already.
 func (d *director) settle(ctx context.Context, r protocol.Runner) {
 	state, err := d.state(ctx, r)
-	if err != nil || state.Leaving == r.Drain {
+	if err != nil {
+		return
+	}
+	d.settled[r.Name] = state.Leaving
+	if state.Leaving == r.Drain {
 		return
 	}
 	fence, holding := d.lease.Epoch(time.Now()) // asked again right before each order
