entry: never let the HTTP library run a service call twice

A card block without a body ran twice under one claim. It would also have followed a redirect with the call. Ruled out: GetBody = nil, which was there, does not help without a body. Change: calls that may not be repeated go out on a fresh connection each, where the library never repeats; redirects go to the caller. Other headers now travel both ways, but for pinerun's own and the key. Cost: a connection for each not-repeatable call.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -138,8 +138,10 @@
 	Models   []protocol.Model   `json:"models" validate:"required,dive"`
 	Runners  []RunnerGroup      `json:"runners" validate:"required,dive"`
 	Services []protocol.Service `json:"services" validate:"dive"`
-	Teams    []Team             `json:"teams" validate:"required,dive"`
-	Operator OperatorKey        `json:"operator"`
+	// Elsewhere are services that run already and are only configured.
+	Elsewhere []protocol.Service `json:"elsewhere" validate:"dive"`
+	Teams     []Team             `json:"teams" validate:"required,dive"`
+	Operator  OperatorKey        `json:"operator"`
 }
 
 // RunnerGroup is Count stand-in engines alike, on ports that follow each other.
--- a/standin/deployment.go
+++ b/standin/deployment.go
@@ -126,6 +126,9 @@
 		}
 		c.add(protocol.ServicePart, v.Name, v)
 	}
+	for _, v := range s.Elsewhere {
+		c.add(protocol.ServicePart, v.Name, v)
+	}
 	return nil
 }
 
--- a/transport/entry/claimed.go
+++ b/transport/entry/claimed.go
@@ -56,7 +56,7 @@
 		return protocol.ClaimRecord{}, protocol.Refuse(protocol.MalformedRequest, headerIssued+" lies in the future")
 	}
 	h := xxhash.New()
-	for _, part := range []string{s.service.Name, s.method, s.target, s.contentType} {
+	for _, part := range []string{s.service.Name, s.method, s.target, s.header.Get("Content-Type")} {
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
 	}
--- a/transport/entry/entry_test.go
+++ b/transport/entry/entry_test.go
@@ -18,6 +18,7 @@
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -123,6 +124,43 @@
 	return res.StatusCode, string(content), err
 }
 
+// TestAServiceCallIsPassedOnOnce: headers travel both ways but for pinerun's own
+// and the key, and a redirect goes to the caller in place of being followed.
+func TestAServiceCallIsPassedOnOnce(t *testing.T) {
+	var got []http.Header
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		got = append(got, q.Header)
+		w.Header().Set("X-Desk", "north")
+		http.Redirect(w, q, "/elsewhere", http.StatusTemporaryRedirect)
+	}))
+	defer service.Close()
+	d := &standin.Deployment{AnyPorts: true}
+	require.NoError(t, d.Start(settings.Standin{
+		Platform: "127.0.0.1:0",
+		Teams:    []settings.Team{{Name: "desk", Key: key, Share: 1, Open: 9}},
+		Operator: settings.OperatorKey{Name: "clerk", Key: "clerk-key-1"},
+		Elsewhere: []protocol.Service{{Name: "cards", Endpoints: []protocol.ServiceEndpoint{
+			{Name: "c1", VM: "v", DataCenter: "dc", Address: service.Listener.Addr().String()},
+		}}},
+	}))
+	defer d.Close()
+	e := start(t, d, settings.TLS{})
+	q, err := http.NewRequest(http.MethodPost, "http://"+e.CallerAddress()+"/services/cards/block", strings.NewReader("{}"))
+	require.NoError(t, err)
+	q.Header.Set("Authorization", "Bearer "+key)
+	q.Header.Set("X-Clerk", "7")
+	client := &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	res, err := client.Do(q)
+	require.NoError(t, err)
+	defer res.Body.Close()
+	require.Equal(t, http.StatusTemporaryRedirect, res.StatusCode)
+	require.Equal(t, "north", res.Header.Get("X-Desk"))
+	require.Len(t, got, 1)
+	require.Equal(t, "7", got[0].Get("X-Clerk"))
+	require.Empty(t, got[0].Get("Authorization"))
+	require.NotEmpty(t, got[0].Get("Pinerun-Request"))
+}
+
 // certificates returns a self-signed certificate as files and in memory.
 func certificates(t *testing.T) (settings.TLS, *x509.CertPool, tls.Certificate) {
 	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
--- a/transport/entry/service.go
+++ b/transport/entry/service.go
@@ -11,6 +11,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,17 +30,61 @@
 
 // serviceClient calls plain services.
 type serviceClient struct {
-	http http.Client
-	turn atomic.Uint64
+	kept  http.Client // keeps connections, for calls that may be repeated
+	fresh http.Client // a connection for each call
+	turn  atomic.Uint64
+	once  sync.Once
 }
 
-// serviceAnswer is a plain service's whole answer.
+// client returns the client for a call. The library sends a request again by
+// itself when a connection that it has kept breaks, whatever the service may
+// have done by then; on a fresh connection it never does.
+func (c *serviceClient) client(repeatable bool) *http.Client {
+	c.once.Do(func() {
+		c.kept.Transport = &http.Transport{MaxIdleConnsPerHost: idlePerEndpoint}
+		c.fresh.Transport = &http.Transport{DisableKeepAlives: true}
+		c.kept.CheckRedirect = passRedirect
+		c.fresh.CheckRedirect = passRedirect
+	})
+	if repeatable {
+		return &c.kept
+	}
+	return &c.fresh
+}
+
+// passRedirect leaves a redirect to the caller: following it would run the call
+// at a place that the operator has not named, and perhaps twice.
+func passRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// idlePerEndpoint is how many connections to an endpoint are kept unused.
+const idlePerEndpoint = 32
+
+// serviceAnswer is a plain service's whole answer. A repeat that is answered from
+// the claim log has no header but the content type.
 type serviceAnswer struct {
 	status      int
 	contentType string
+	header      http.Header
 	body        []byte
 }
 
+// ownHeaders are not passed on in either direction: they belong to one
+// connection, or to pinerun.
+var ownHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Authorization", "Host", "Content-Length", "Accept-Encoding",
+	headerEntry, headerRequest, headerOutcome, headerDeadline, headerRepeatable, headerIssued,
+}
+
+// passOn adds the headers that travel from end to end.
+func passOn(to, from http.Header) {
+	for name, values := range from {
+		if !slices.Contains(ownHeaders, name) {
+			to[name] = values
+		}
+	}
+}
+
 // serveService answers ANY /services/{service}/*.
 func (e *Entry) serveService(c echo.Context, k *call) error {
 	s, ok := k.config.Service(c.Param("service"))
@@ -47,13 +93,14 @@
 	}
 	run := &serviceRun{
 		entry: e, call: k, service: s,
-		method: c.Request().Method, target: targetOf(c), contentType: c.Request().Header.Get("Content-Type"),
+		method: c.Request().Method, target: targetOf(c), header: c.Request().Header,
 		repeatable: k.repeatable == "yes" || k.repeatable == "" && s.Repeatable,
 	}
 	answer, err := run.serve(c.Request().Context(), c.Request().Header.Get(headerIssued))
 	if err != nil {
 		return err
 	}
+	passOn(c.Response().Header(), answer.header)
 	c.Response().Header().Set(headerOutcome, protocol.Answered.String())
 	return c.Blob(answer.status, answer.contentType, answer.body)
 }
@@ -68,15 +115,15 @@
 
 // serviceRun carries one call to a plain service.
 type serviceRun struct {
-	entry       *Entry
-	call        *call
-	service     protocol.Service
-	method      string
-	target      string
-	contentType string
-	repeatable  bool
-	tries       int
-	sent        bool // a byte of the call may have reached an endpoint
+	entry      *Entry
+	call       *call
+	service    protocol.Service
+	method     string
+	target     string
+	header     http.Header
+	repeatable bool
+	tries      int
+	sent       bool // a byte of the call may have reached an endpoint
 }
 
 // serve runs the call, under a claim when it has a key and may not be repeated.
@@ -118,13 +165,9 @@
 	if err != nil {
 		return serviceAnswer{}, protocol.Refuse(protocol.MalformedRequest, "the path is not valid").Because(err)
 	}
-	req.GetBody = nil // the client must not replay a call by itself
-	req.Header.Set("Content-Type", s.contentType)
+	passOn(req.Header, s.header)
 	req.Header.Set(headerRequest, s.call.id.String())
-	if s.call.key != "" {
-		req.Header.Set(headerKey, s.call.key)
-	}
-	res, err := s.entry.services.http.Do(req)
+	res, err := s.entry.services.client(s.repeatable).Do(req)
 	if err != nil {
 		return serviceAnswer{}, s.failed(err)
 	}
@@ -134,7 +177,9 @@
 	if err != nil || len(body) > maxAnswerBytes {
 		return serviceAnswer{}, protocol.Uncertain(protocol.ServiceFailed, "the service's answer was cut off or too long").Because(err)
 	}
-	return serviceAnswer{status: res.StatusCode, contentType: res.Header.Get("Content-Type"), body: body}, nil
+	return serviceAnswer{
+		status: res.StatusCode, contentType: res.Header.Get("Content-Type"), header: res.Header, body: body,
+	}, nil
 }
 
 func (s *serviceRun) failed(err error) error {
