entry: give no new work to VMs that the platform lists as leaving

Cause: the platform's list of live and leaving VMs was not read; a VM on its way out got new work until its engines said so themselves. Change: relays read the list in turn, one a second in all, and heartbeats carry the leaving names with the list's age, so the newest list wins without comparing clocks. Runners and plain services on such VMs are avoided. Weighed: every relay each second (333 KB/s a relay at 5,280 VMs); in turn it is 18 KB/s.

--- a/capacity/sums.go
+++ b/capacity/sums.go
@@ -30,10 +30,13 @@
 	batchesKept  = shardWrites * retention
 	storiesKept  = 4096
 	// Links and periods of entries; relays are two in each data center.
-	relays         = 2 * dataCenters
-	relayLinks     = nodes/dataCenters + relays
-	reportsEach    = 10.0 // a second from each connected engine, as measured with
-	listLineBytes  = 130.0
+	relays      = 2 * dataCenters
+	relayLinks  = nodes/dataCenters + relays
+	reportsEach = 10.0 // a second from each connected engine, as measured with
+	// Lengths of a line of the platform's lists, as the stand-in serves them for
+	// names of common length.
+	listLineBytes  = 236.0
+	vmLineBytes    = 63.0
 	listAsOther    = 60.0
 	listAsRelay    = 10.0
 	watchSeconds   = 30.0
@@ -107,12 +110,14 @@
 			{"heartbeats of a relay", 2 * relayLinks * f.Of("beat_frame_bytes").Planned(), "links × both ways × B"},
 			{"changes through a relay", changes * relayLinks * f.Of("change_bytes").Planned(), "changes/s × links × B"},
 			{"list of entries", nodes * listLineBytes / listAsRelay, "entries × B a line / 10 s"},
+			{"list of VMs", (nodes + runners) * vmLineBytes / relays, "VMs × B a line / relays in turn"},
 			{"load reports at 10/s", reports * f.Of("report_bytes").Planned(), "connections × 10/s × B"},
 		}},
 		{"platform reads of all nodes", "reads/s", readBudget, []Item{
 			{"watches of the manifest", relays / watchSeconds, "relays / 30 s"},
 			{"changes", changes * f.Of("reads_per_change").Planned(), "changes/s × reads"},
 			{"lists of entries", relays/listAsRelay + (nodes-relays)/listAsOther, "relays / 10 s + others / 60 s"},
+			{"lists of VMs", 1, "relays in turn / 1 s"},
 			{"lease", relays, "relays / 1 s"},
 		}},
 		{"platform writes of all nodes", "writes/s", writeBudget, []Item{
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -130,6 +130,15 @@
 	return relays(t.Alive(now))[dataCenter]
 }
 
+// RelayCount returns the number of relays of all data centers, at least 1.
+func (t *Table) RelayCount(now time.Time) int {
+	count := 0
+	for _, local := range relays(t.Alive(now)) {
+		count += len(local)
+	}
+	return max(1, count)
+}
+
 // relays returns the relays of every data center.
 func relays(alive []protocol.Member) map[string][]protocol.Member {
 	local := map[string][]protocol.Member{}
--- a/protocol/peer.go
+++ b/protocol/peer.go
@@ -18,6 +18,8 @@
 	_       struct{} `cbor:",toarray"`
 	Version uint64   // of the configuration in force
 	Leaving []string // runners known to be leaving
+	VMs     []string // VMs that the platform lists as leaving
+	AgeMS   int64    // milliseconds since that list was read, 0 when it never was
 	Stops   bool     // the sender takes no new work any more
 }
 
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -72,6 +72,7 @@
 	mux.HandleFunc("DELETE /objects/{kind}/{name}", p.serveDelete)
 	mux.HandleFunc("GET /objects/{kind}", p.serveList)
 	mux.HandleFunc("GET /vms", p.serveVMs)
+	mux.HandleFunc("POST /vms", p.serveSetVM)
 	mux.HandleFunc("POST /faults", p.serveFaults)
 	return p.listen(address, mux)
 }
@@ -329,3 +330,9 @@
 	p.wakeWatches()
 	p.mutex.Unlock()
 }
+
+// serveSetVM lets a scenario say that a VM is leaving, or is not.
+func (p *Platform) serveSetVM(_ http.ResponseWriter, q *http.Request) {
+	v := q.URL.Query()
+	p.SetVM(protocol.VM{Name: v.Get("name"), Leaving: v.Get("leaving") == "true"})
+}
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -61,7 +61,8 @@
 	heardAt     atomic.Int64 // unix nanoseconds
 	ejectedTill atomic.Int64 // unix nanoseconds
 	failures    atomic.Int64
-	leaving     atomic.Bool
+	leaving     atomic.Bool // by the configuration, or by the engine's own word
+	vmLeaving   atomic.Bool // by the platform's list of VMs
 }
 
 // NewRunner returns a runner of which nothing has been measured yet.
@@ -100,11 +101,18 @@
 
 // Usable reports whether new work may be sent to the runner.
 func (r *Runner) Usable(now time.Time) bool {
-	return !r.leaving.Load() && now.UnixNano() >= r.ejectedTill.Load()
+	return !r.Leaving() && now.UnixNano() >= r.ejectedTill.Load()
 }
 
 // Leaving reports whether the runner is known to be leaving.
-func (r *Runner) Leaving() bool { return r.leaving.Load() }
+func (r *Runner) Leaving() bool { return r.leaving.Load() || r.vmLeaving.Load() }
+
+// SetVMLeaving notes whether the runner's VM is listed as leaving.
+func (r *Runner) SetVMLeaving(leaving bool) { r.vmLeaving.Store(leaving) }
+
+// SaysLeaving reports whether the configuration or the engine itself says that
+// the runner is leaving, whatever the list of VMs says.
+func (r *Runner) SaysLeaving() bool { return r.leaving.Load() }
 
 // MarkLeaving notes that the runner takes no new work from now on.
 func (r *Runner) MarkLeaving() bool { return !r.leaving.Swap(true) }
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -47,6 +47,7 @@
 	platform platform.Client
 	gate     gate
 	services serviceClient
+	leaving  leavingVMs
 	retries  retries
 	claims   claims.Keeper
 	mesh     peer.Mesh
@@ -80,6 +81,7 @@
 	go (&gateClock{entry: e}).run()
 	go (&registration{entry: e}).run()
 	go (&director{entry: e}).run()
+	go (&vmWatch{entry: e}).run()
 	event.EntryReady.Log(e.Logger, slog.String("entry", e.Settings.Name),
 		slog.String("callers", e.CallerAddress()), slog.String("operators", e.OperatorAddress()))
 	return nil
@@ -160,6 +162,9 @@
 // measured of unchanged runners is kept.
 func (e *Entry) inForce(c *config.Config) {
 	view := fleet.Build(e.view.Load(), c, fleet.Home{Name: e.Settings.Name, DataCenter: e.Settings.DataCenter})
+	for _, r := range view.Runners() {
+		r.SetVMLeaving(e.leaving.has(r.Spec().VM))
+	}
 	e.view.Store(view)
 	e.pool.Keep(view)
 }
--- a/transport/entry/membership.go
+++ b/transport/entry/membership.go
@@ -113,11 +113,7 @@
 func (h *peerHandler) Frame(from string, f *protocol.PeerFrame) {
 	e := h.entry
 	if f.Beat != nil {
-		for _, name := range f.Beat.Leaving {
-			if r := e.view.Load().Runner(name); r != nil {
-				r.MarkLeaving()
-			}
-		}
+		e.hearLeaving(f.Beat)
 	}
 	e.follower.Frame(from, f)
 	e.claims.Frame(from, f)
@@ -127,11 +123,7 @@
 func (h *peerHandler) Beat() protocol.PeerBeat {
 	e := h.entry
 	beat := protocol.PeerBeat{Version: e.follower.Version()}
-	for name, r := range e.view.Load().Runners() {
-		if r.Leaving() {
-			beat.Leaving = append(beat.Leaving, name)
-		}
-	}
+	e.tellLeaving(&beat)
 	return beat
 }
 
--- a/transport/entry/service.go
+++ b/transport/entry/service.go
@@ -153,10 +153,16 @@
 }
 
 // endpoint takes the service's endpoints in turn, so that a retry goes to
-// another one.
+// another one. Those on leaving VMs are taken only when there is no other.
 func (s *serviceRun) endpoint() protocol.ServiceEndpoint {
+	all := s.service.Endpoints
 	turn := s.entry.services.turn.Add(1)
-	return s.service.Endpoints[turn%uint64(len(s.service.Endpoints))]
+	for i := range uint64(len(all)) {
+		if x := all[(turn+i)%uint64(len(all))]; !s.entry.leaving.has(x.VM) {
+			return x
+		}
+	}
+	return all[turn%uint64(len(all))]
 }
 
 // send makes one try. The error says whether the call may have run.
--- a/transport/peer/mesh.go
+++ b/transport/peer/mesh.go
@@ -149,6 +149,13 @@
 	return m.table.IsRelay(m.Self, time.Now())
 }
 
+// RelayCount returns how many entries are relays.
+func (m *Mesh) RelayCount() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.table.RelayCount(time.Now())
+}
+
 // First returns the name of the entry that ranks first for a piece of work,
 // this one's if it knows nobody.
 func (m *Mesh) First(work string) string {
