entry: split grown files, and leave unreachable entries out for longer

Also, found while reading: a stopped entry's line stayed in the platform for 15 minutes, so others counted and ranked it every few seconds anew. A planned stop now removes the line, and suspicion of an entry that can't be reached doubles up to a minute (TestSuspicionGrowsUntilAWordIsHeard). A broken frame has a test.

--- a/coordination/claim/log.go
+++ b/coordination/claim/log.go
@@ -41,87 +41,6 @@
 	skewMargin = time.Minute
 )
 
-// Action is what the owner of a log does next.
-type Action interface{ action() }
-
-// Load asks for every slot of the shard.
-type Load struct{}
-
-// Write asks for one conditional write.
-type Write struct {
-	slot  int
-	known uint64
-	batch protocol.ClaimBatch
-}
-
-// Slot returns where to write.
-func (w Write) Slot() int { return w.slot }
-
-// Known returns the version that the slot must have, 0 for none.
-func (w Write) Known() uint64 { return w.known }
-
-// Batch returns what to write.
-func (w Write) Batch() protocol.ClaimBatch { return w.batch }
-
-// Read asks for one slot.
-type Read struct{ slot int }
-
-// Slot returns which.
-func (r Read) Slot() int { return r.slot }
-
-// Rest says that nothing is to be done.
-type Rest struct{}
-
-func (Load) action()  {}
-func (Write) action() {}
-func (Read) action()  {}
-func (Rest) action()  {}
-
-// Stored is a slot's content in the platform. A slot that does not exist has
-// version 0.
-type Stored struct {
-	Slot    int
-	Version uint64
-	Batch   protocol.ClaimBatch
-}
-
-// Verdict is what became of a claim.
-type Verdict uint8
-
-// The verdicts on a claim.
-const (
-	Granted  Verdict = iota // the claim is durable: run the request
-	Held                    // another claimant holds the key and has not settled
-	Settled                 // it ran; the result holds the record with its answer
-	Doubtful                // it may have run, and nobody can tell
-	Reused                  // the key stands for another request
-	Expired                 // issued too long ago to be sure that it has not run
-	Full                    // no room until older claims expire
-	Kept                    // a release or outcome is durable
-)
-
-// Result is a verdict on one record.
-type Result struct {
-	record  protocol.ClaimRecord
-	verdict Verdict
-	held    protocol.ClaimRecord
-}
-
-// Told returns the result that another entry's log gave.
-func Told(r protocol.ClaimRecord, v Verdict, held protocol.ClaimRecord) Result {
-	return Result{record: r, verdict: v, held: held}
-}
-
-// Record returns the record that was added.
-func (r Result) Record() protocol.ClaimRecord { return r.record }
-
-// Verdict returns what became of it.
-func (r Result) Verdict() Verdict { return r.verdict }
-
-// Held returns the record that stands under the key; for Settled it holds the
-// answer.
-func (r Result) Held() protocol.ClaimRecord { return r.held }
-
 // slot is what is known of one place of the ring: its version, and until when
 // its records must be kept.
 type slot struct {
@@ -184,20 +103,20 @@
 		return Load{}
 	}
 	if l.doubt || l.stale {
-		return Read{slot: l.slot()}
+		return Read{slot: l.nextSlot()}
 	}
 	l.judge(now)
 	if len(l.pending) == 0 {
 		return Rest{}
 	}
-	if l.slots[l.slot()].expiry.After(now) {
+	if l.slots[l.nextSlot()].expiry.After(now) {
 		l.refuseFull()
 		return Rest{}
 	}
 	return l.write()
 }
 
-func (l *Log) slot() int { return int(l.next % Slots) }
+func (l *Log) nextSlot() int { return int(l.next % Slots) }
 
 // write makes a batch of the first pending records.
 func (l *Log) write() Action {
@@ -211,87 +130,11 @@
 		l.written++
 	}
 	return Write{
-		slot: l.slot(), known: l.slots[l.slot()].version,
+		slot: l.nextSlot(), known: l.slots[l.nextSlot()].version,
 		batch: protocol.ClaimBatch{Sequence: l.next, Records: slices.Clone(l.pending[:l.written])},
 	}
 }
 
-// judge gives results to the pending records that need no write, and leaves at
-// most one claim of a key.
-func (l *Log) judge(now time.Time) {
-	claimed := map[protocol.ClaimKey]protocol.ClaimRecord{}
-	kept := l.pending[:0]
-	for _, r := range l.pending {
-		verdict, held := l.verdict(r, now)
-		first, taken := claimed[r.Key]
-		switch {
-		case verdict != Kept && verdict != Granted:
-			l.result(r, verdict, held)
-		case verdict == Granted && l.owns(r):
-			l.result(r, Granted, held)
-		case r.Kind == protocol.ClaimTaken && taken && first.Claimant != r.Claimant:
-			l.result(r, Held, first)
-		default:
-			if r.Kind == protocol.ClaimTaken {
-				claimed[r.Key] = r
-			}
-			kept = append(kept, r)
-		}
-	}
-	l.pending = kept
-}
-
-// verdict says what a record may become by what the log holds now.
-func (l *Log) verdict(r protocol.ClaimRecord, now time.Time) (Verdict, protocol.ClaimRecord) {
-	if r.Kind != protocol.ClaimTaken {
-		return Kept, r
-	}
-	if !l.Retain(time.UnixMilli(r.IssuedMS)).After(now) {
-		return Expired, r
-	}
-	held, found := l.index[r.Key]
-	switch {
-	case !found:
-		return Granted, r
-	case held.Kind == protocol.ClaimReleased && held.Claimant == r.Claimant:
-		return Held, held // it was given up, and a late copy must not revive it
-	case held.Kind == protocol.ClaimReleased:
-		return Granted, r
-	case held.Digest != r.Digest:
-		return Reused, held
-	case held.Kind == protocol.ClaimSettled:
-		return Settled, held
-	case held.Kind == protocol.ClaimDoubtful:
-		return Doubtful, held
-	case held.Claimant == r.Claimant:
-		return Granted, held
-	default:
-		return Held, held
-	}
-}
-
-// owns reports whether r's own claim is in the log already.
-func (l *Log) owns(r protocol.ClaimRecord) bool {
-	held, found := l.index[r.Key]
-	return found && held.Claimant == r.Claimant && held.Kind == protocol.ClaimTaken
-}
-
-func (l *Log) result(r protocol.ClaimRecord, v Verdict, held protocol.ClaimRecord) {
-	l.results = append(l.results, Result{record: r, verdict: v, held: held})
-}
-
-func (l *Log) refuseFull() {
-	kept := l.pending[:0]
-	for _, r := range l.pending {
-		if r.Kind != protocol.ClaimTaken {
-			kept = append(kept, r)
-			continue
-		}
-		l.result(r, Full, r)
-	}
-	l.pending = kept
-}
-
 // Loaded takes every slot of the shard. It reports false when the slots do not
 // fit together, because one was written meanwhile: load again.
 func (l *Log) Loaded(all []Stored) bool {
@@ -321,7 +164,7 @@
 	}
 	l.pending = slices.Delete(l.pending, 0, l.written)
 	l.written = 0
-	l.apply(Stored{Slot: l.slot(), Version: version, Batch: batch})
+	l.apply(Stored{Slot: l.nextSlot(), Version: version, Batch: batch})
 }
 
 // Unwritten notes that the write in flight had no effect.
@@ -337,7 +180,7 @@
 	l.doubt, l.stale = false, false
 	switch {
 	case s.Version == 0:
-		delete(l.slots, l.slot())
+		delete(l.slots, l.nextSlot())
 	case s.Batch.Sequence == l.next:
 		l.apply(s)
 		l.keptNow(s.Batch)
@@ -345,7 +188,7 @@
 	case s.Batch.Sequence > l.next:
 		l.loaded = false // a whole ring behind
 	default:
-		l.slots[l.slot()] = slot{version: s.Version, expiry: l.slots[l.slot()].expiry}
+		l.slots[l.nextSlot()] = slot{version: s.Version, expiry: l.slots[l.nextSlot()].expiry}
 	}
 }
 
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -29,8 +29,10 @@
 	RelaysPerDataCenter = 2
 	// meshUpTo is the number of entries up to which each talks to all others.
 	meshUpTo = 12
-	// suspectFor is how long an entry that could not be reached is left out.
-	suspectFor = 5 * time.Second
+	// suspectFor is how long an entry that could not be reached is left out; it
+	// doubles with each failure in a row, up to suspectMost.
+	suspectFor  = 5 * time.Second
+	suspectMost = time.Minute
 	// forgetAfter is how long an entry that is listed no longer is remembered.
 	forgetAfter = 30 * time.Second
 )
@@ -44,6 +46,7 @@
 	learnedAt   time.Time
 	heardAt     time.Time
 	suspectTill time.Time
+	failures    int // in a row
 }
 
 // Learn takes a list of members, as the platform or a peer gives it. Entries
@@ -71,13 +74,15 @@
 	if k := t.members[name]; k != nil {
 		k.heardAt = now
 		k.suspectTill = time.Time{}
+		k.failures = 0
 	}
 }
 
 // Suspect leaves an entry out for a while because it could not be reached.
 func (t *Table) Suspect(name string, now time.Time) {
 	if k := t.members[name]; k != nil {
-		k.suspectTill = now.Add(suspectFor)
+		k.suspectTill = now.Add(min(suspectFor<<min(k.failures, 10), suspectMost))
+		k.failures++
 	}
 }
 
--- a/coordination/member/member_test.go
+++ b/coordination/member/member_test.go
@@ -101,6 +101,21 @@
 	require.Len(t, table.Known(), 1)
 }
 
+func TestSuspicionGrowsUntilAWordIsHeard(t *testing.T) {
+	var table member.Table
+	table.Learn(entries(1, 1), now)
+	at := now
+	for _, wait := range []time.Duration{5, 10, 20, 40, 60, 60} {
+		table.Suspect("entry-0", at)
+		require.Empty(t, table.Alive(at.Add(wait*time.Second-1)))
+		at = at.Add(wait * time.Second)
+		require.Len(t, table.Alive(at), 1)
+	}
+	table.Heard("entry-0", at)
+	table.Suspect("entry-0", at)
+	require.Len(t, table.Alive(at.Add(5*time.Second)), 1)
+}
+
 func TestSweepJudgesAgeByItsOwnEyes(t *testing.T) {
 	var s member.Sweep
 	lines := []protocol.Object{{Name: "a", Version: 1}, {Name: "b", Version: 2}}
--- a/transport/engine/report_test.go
+++ b/transport/engine/client_test.go
@@ -3,13 +3,20 @@
 package engine
 
 import (
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/stretchr/testify/require"
 
+	"pinerun.example/pinerun/coordination/path"
+	"pinerun.example/pinerun/coordination/stream"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/config"
 	"pinerun.example/pinerun/state/fleet"
 )
 
@@ -38,6 +45,45 @@
 	require.False(t, (<-queued.Arrivals()).(Lost).Sent())
 }
 
+// TestABrokenFrameLosesTheConnectionAndIsCounted: an engine that sends bytes that
+// are no frame is hung up on, and whoever waits is told.
+func TestABrokenFrameLosesTheConnectionAndIsCounted(t *testing.T) {
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		socket, err := websocket.Accept(w, q, nil)
+		if err != nil {
+			return
+		}
+		defer socket.CloseNow()
+		if _, _, err := socket.Read(q.Context()); err == nil {
+			_ = socket.Write(q.Context(), websocket.MessageBinary, []byte("no frame"))
+			_, _, _ = socket.Read(q.Context()) // until it is hung up
+		}
+	}))
+	defer engine.Close()
+	spec := protocol.Runner{Name: "a", Speed: 1e9, To: 1, Model: "m", Address: engine.Listener.Addr().String(), DataCenter: "dc"}
+	c, err := config.Make(1, []protocol.Model{{Name: "m", Version: "1", Layers: 1, Open: 1, Context: 9}}, protocol.Fleet{
+		Name: "dc", Runners: []protocol.Runner{{
+			Name: spec.Name, VM: "v", DataCenter: "dc", Accelerator: "x", Address: spec.Address, Model: "m", To: 1, Speed: spec.Speed,
+		}},
+	})
+	require.NoError(t, err)
+	view := fleet.Build(nil, c, fleet.Home{Name: "e1", DataCenter: "dc"})
+	found, ok := path.Choose(view.Model("m"), path.Query{Now: time.Now(), Positions: 1, Draw: rand.New(rand.NewPCG(1, 1))}).(*path.Found)
+	require.True(t, ok)
+	pool := Pool{Counters: &metric.Set{}}
+	defer pool.Close()
+	var m stream.Machine
+	m.Open(7, 1, []int32{1}, 1, 0)
+	send := m.Begin(found.Path())
+	box := NewMailbox()
+	pool.Client(send.Runner()).Send(&send, 1, box)
+	lost, ok := (<-box.Arrivals()).(Lost)
+	require.True(t, ok)
+	require.True(t, lost.Sent(), "the engine may have run it")
+	require.EqualValues(t, 1, pool.Counters.Value(string(metric.FramesBroken)))
+	require.False(t, send.Runner().Usable(time.Now()), "it is left out for a while")
+}
+
 // BenchmarkReport measures one load report: its bytes on the wire and the time
 // to read and take it.
 func BenchmarkReport(b *testing.B) {
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -195,6 +195,7 @@
 	}
 	event.EntryStopping.Log(e.Logger, slog.Int64("open", e.open.Load()))
 	e.mesh.Goodbye()
+	e.removeLine(ctx)
 	waited := &waitForOpen{entry: e}
 	go waited.run()
 	select {
--- a/transport/entry/membership.go
+++ b/transport/entry/membership.go
@@ -60,7 +60,7 @@
 }
 
 func (r *registration) step(ctx context.Context, now time.Time) {
-	if !now.Before(r.refreshAt) && r.write(ctx) == nil {
+	if !r.entry.stopping.Load() && !now.Before(r.refreshAt) && r.write(ctx) == nil {
 		r.refreshAt = now.Add(refreshEvery)
 	}
 	objects, err := r.entry.platform.List(ctx, protocol.ObjectEntry)
@@ -106,6 +106,15 @@
 	return err
 }
 
+// removeLine takes this entry's line out of the platform at a planned stop. If
+// that fails the sweep does it later.
+func (e *Entry) removeLine(ctx context.Context) {
+	o, err := e.platform.Get(ctx, protocol.ObjectEntry, e.Settings.Name)
+	if err == nil {
+		_ = e.platform.Delete(ctx, protocol.ObjectEntry, e.Settings.Name, o.Version)
+	}
+}
+
 // peerHandler takes what peers say.
 type peerHandler struct{ entry *Entry }
 
--- a/transport/entry/model_run.go
+++ b/transport/entry/model_run.go
@@ -6,13 +6,10 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"time"
 
-	"pinerun.example/pinerun/coordination/detect"
 	"pinerun.example/pinerun/coordination/path"
-	"pinerun.example/pinerun/coordination/retry"
 	"pinerun.example/pinerun/coordination/stream"
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/metric"
@@ -51,13 +48,6 @@
 	tokenAt time.Time // when the last token came
 }
 
-// flight is a step in flight at a runner.
-type flight struct {
-	runner *fleet.Runner
-	step   detect.Step
-	look   time.Time // when to judge it next
-}
-
 // serve runs the request. The error, if any, is a Refusal with a true outcome.
 func (m *modelRun) serve(ctx context.Context, prompt []int32, limit int, priority uint8) error {
 	m.machine.Open(m.id, m.model.Layers, prompt, limit, priority)
@@ -97,28 +87,6 @@
 	return nil
 }
 
-// pledge notes at each runner what the rest of the request will need there.
-func (m *modelRun) pledge(p *path.Path) {
-	m.pledges = make([]int64, p.Len())
-	positions := m.machine.Known() + m.machine.Left()
-	for i := range m.pledges {
-		m.pledges[i] = int64(positions * p.Runner(i).Span().Layers())
-		p.Runner(i).Pledge(m.pledges[i])
-	}
-}
-
-// redeem takes the passes of a step that was answered out of the pledge.
-func (m *modelRun) redeem(r *fleet.Runner, count int) {
-	p := m.machine.Path()
-	for i := range m.pledges {
-		if p.Runner(i) == r {
-			done := min(m.pledges[i], int64(count*r.Span().Layers()))
-			m.pledges[i] -= done
-			r.Pledge(-done)
-		}
-	}
-}
-
 func (m *modelRun) policy() path.Policy {
 	switch m.entry.Settings.PathPolicy {
 	case "report":
@@ -151,43 +119,6 @@
 	return strings.Join(names, " ")
 }
 
-func (m *modelRun) send(s stream.Send) {
-	now := time.Now()
-	r := s.Runner()
-	f := flight{runner: r, step: detect.Step{SentAt: now, Expected: r.Expected(now, s.Step().Count)}}
-	f.look = detect.Bound(r, f.step)
-	m.flights = append(m.flights, f)
-	m.setSilence()
-	m.entry.pool.Client(r).Send(&s, f.step.Expected, m.mailbox)
-}
-
-// landed removes a runner's step from those in flight and returns it.
-func (m *modelRun) landed(r *fleet.Runner) (flight, bool) {
-	for i, f := range m.flights {
-		if f.runner == r {
-			m.flights = slices.Delete(m.flights, i, i+1)
-			m.setSilence()
-			return f, true
-		}
-	}
-	return flight{}, false
-}
-
-// setSilence wakes the run when the next step in flight is to be judged.
-func (m *modelRun) setSilence() {
-	if len(m.flights) == 0 {
-		m.silence.Stop()
-		return
-	}
-	next := m.flights[0].look
-	for _, f := range m.flights[1:] {
-		if f.look.Before(next) {
-			next = f.look
-		}
-	}
-	m.silence.Reset(time.Until(next))
-}
-
 // wait takes the next arrival and acts on it.
 func (m *modelRun) wait(ctx context.Context) (finished bool, err error) {
 	select {
@@ -287,128 +218,3 @@
 	}
 	return m.again(ctx, b.Reason(), b.Runner())
 }
-
-// silent judges the steps that should have been answered by now.
-func (m *modelRun) silent(ctx context.Context) error {
-	now := time.Now()
-	for i := range m.flights {
-		f := &m.flights[i]
-		if now.Before(f.look) {
-			continue
-		}
-		switch v := detect.Judge(f.runner, f.step, now).(type) {
-		case detect.Busy:
-			f.look = v.Till()
-		case detect.Lost:
-			return m.unanswered(ctx, *f, v)
-		}
-	}
-	m.setSilence()
-	return nil
-}
-
-// unanswered gives a step up.
-func (m *modelRun) unanswered(ctx context.Context, f flight, v detect.Lost) error {
-	took := time.Since(f.step.SentAt)
-	m.entry.detected.Record(took)
-	cause := "too slow"
-	f.runner.Overdue(took, f.step.Expected, time.Now())
-	if v.Dead() {
-		cause = "silence"
-		f.runner.Failed(time.Now())
-		m.entry.counters.Add(metric.RunnersEjected, 1)
-	}
-	event.RunnerEjected.Log(m.entry.Logger, slog.String("runner", f.runner.Name()), slog.String("cause", cause))
-	return m.again(ctx, metric.Silence, f.runner)
-}
-
-// givenUp ends a request whose deadline passed or whose caller left.
-func (m *modelRun) givenUp(ctx context.Context) error {
-	m.forgetPath()
-	kind, message := protocol.CallerGone, "the caller closed the connection"
-	if !time.Now().Before(m.deadline) {
-		kind, message = protocol.DeadlinePassed, "the deadline passed"
-	}
-	if m.ran {
-		return protocol.Uncertain(kind, message).Because(ctx.Err())
-	}
-	return protocol.Refuse(kind, message).Because(ctx.Err())
-}
-
-// again tries on another path, where the outcome permits it.
-func (m *modelRun) again(ctx context.Context, reason metric.Reason, failed *fleet.Runner) error {
-	if m.lostAt.IsZero() && (reason == metric.StreamError || reason == metric.Silence) {
-		m.lostAt = time.Now()
-	}
-	m.forgetPath()
-	if m.ran && !m.repeatable {
-		return protocol.Uncertain(protocol.StageFailed, "a stage failed ("+string(reason)+") and the request may not run twice")
-	}
-	if failed != nil {
-		m.avoid = append(m.avoid, failed)
-	}
-	now := time.Now()
-	d := m.entry.retries.again(retry.Query{
-		Now: now, Deadline: m.deadline, Tries: m.tries,
-		Resuming: len(m.machine.Emitted()) > 0, Draw: m.draw,
-	})
-	wait, ok := d.(retry.Wait)
-	if !ok {
-		return m.stopped(d.(retry.Stop), reason)
-	}
-	m.entry.counters.Retried(reason)
-	m.story.Note(now, story.Retried, string(reason)+" at "+nameOf(failed))
-	event.RequestRetried.Log(m.entry.Logger, slog.String("request", m.id.String()),
-		slog.String("reason", string(reason)), slog.String("runner", nameOf(failed)))
-	if !m.rest(ctx, wait.Till()) {
-		return m.givenUp(ctx)
-	}
-	return m.begin()
-}
-
-func (m *modelRun) stopped(s retry.Stop, reason metric.Reason) error {
-	message := "a stage failed (" + string(reason) + ") and no further try is allowed"
-	if m.ran {
-		return protocol.Uncertain(s.Kind(), message)
-	}
-	return protocol.Refuse(s.Kind(), message).Again(time.Now().Add(time.Second))
-}
-
-func (m *modelRun) rest(ctx context.Context, till time.Time) bool {
-	d := time.Until(till)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// forgetPath tells the engines of the current path to drop the request. A step
-// in flight may have run unless it was still queued here.
-func (m *modelRun) forgetPath() {
-	p := m.machine.Path()
-	for i := range p.Len() {
-		r := p.Runner(i)
-		unsent := m.entry.pool.Client(r).Forget(m.id, m.machine.Attempt())
-		if _, inFlight := m.landed(r); inFlight && !unsent {
-			m.ran = true
-		}
-	}
-	for i, left := range m.pledges {
-		p.Runner(i).Pledge(-left)
-	}
-	m.pledges = nil
-}
-
-func nameOf(r *fleet.Runner) string {
-	if r == nil {
-		return "-"
-	}
-	return r.Name()
-}
--- a/transport/peer/mesh.go
+++ b/transport/peer/mesh.go
@@ -14,17 +14,12 @@
 
 import (
 	"cmp"
-	"context"
-	"crypto/subtle"
 	"crypto/tls"
 	"log/slog"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/coder/websocket"
-
 	"pinerun.example/pinerun/coordination/member"
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/metric"
@@ -273,49 +268,6 @@
 	}
 }
 
-// ServeHTTP accepts a peer's connection.
-func (m *Mesh) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	want := keyPrefix + m.Key
-	if subtle.ConstantTimeCompare([]byte(q.Header.Get(keyHeader)), []byte(want)) != 1 {
-		http.Error(w, "not a peer of this entry; set the same peer_key at all entries", http.StatusUnauthorized)
-		return
-	}
-	socket, err := websocket.Accept(w, q, nil)
-	if err != nil {
-		return
-	}
-	l := newLink(m, "")
-	l.serve(socket)
-}
-
-// dialer opens one link.
-type dialer struct {
-	link    *link
-	address string
-}
-
-func (d *dialer) run() {
-	ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
-	scheme, client := "ws://", http.DefaultClient
-	m := d.link.mesh
-	if m.TLS != nil {
-		scheme = "wss://"
-		client = &http.Client{Transport: &http.Transport{TLSClientConfig: m.TLS}}
-	}
-	socket, res, err := websocket.Dial(ctx, scheme+d.address+Path, &websocket.DialOptions{
-		HTTPClient: client, HTTPHeader: http.Header{keyHeader: {keyPrefix + m.Key}},
-	})
-	cancel()
-	if res != nil && res.Body != nil {
-		_ = res.Body.Close()
-	}
-	if err != nil {
-		m.lost(d.link, err)
-		return
-	}
-	d.link.serve(socket)
-}
-
 // opened registers a link under its peer's name.
 func (m *Mesh) opened(l *link) {
 	m.mutex.Lock()
