--- a/transport/entry/caller.go
+++ b/transport/entry/caller.go
@@ -98,7 +98,6 @@
 		k := &call{id: id, story: e.stories.Open(id)}
 		err := e.check(c, k, int(open))
 		if err == nil {
-			var cancel context.CancelFunc
 			ctx, cancel := context.WithDeadline(c.Request().Context(), k.deadline)
 			defer cancel()
 			c.SetRequest(c.Request().WithContext(ctx))
