stream: take back running resumed positions first

Cause looked for: 200 to 250 ms from a stage's death to the next token, of which a resumed prompt might wait behind others in the engines. Tried: steps over positions that an earlier attempt had run go out with the most urgent priority. Conclusion: nothing gained; it is the work of running the prompt again that takes the time, not the wait.

--- a/coordination/stream/stream.go
+++ b/coordination/stream/stream.go
@@ -35,7 +35,6 @@
 	chunkSeconds = 0.010
 	minChunk     = 2
 	maxChunk     = 256
-	mostUrgent   = 0
 	// EndToken is the token by which a model says that its answer is complete.
 	EndToken = 0
 )
@@ -144,7 +143,6 @@
 	stages   []stage
 	chunk    int
 	fed      int // positions given to the first stage
-	resumed  int // positions that this attempt runs again for another's sake
 	number   uint32
 	finished bool
 }
@@ -163,10 +161,6 @@
 	m.attempt++
 	m.path = *p
 	m.stages = make([]stage, p.Len())
-	m.resumed = 0
-	if m.attempt > 1 {
-		m.resumed = len(m.tokens)
-	}
 	m.chunk = chunkFor(p)
 	m.fed = 0
 	return m.feed()
@@ -225,21 +219,12 @@
 		Count:    p.count,
 		Span:     r.Span(),
 		Epoch:    r.Spec().Epoch,
-		Priority: m.urgency(p.position),
+		Priority: m.priority,
 		Tokens:   tokens,
 		Hidden:   p.hidden,
 	}}
 }
 
-// urgency returns the priority of a step. What a failed attempt had run already
-// goes first, since its caller is waiting in the middle of an answer.
-func (m *Machine) urgency(position int) uint8 {
-	if position < m.resumed {
-		return mostUrgent
-	}
-	return m.priority
-}
-
 // Take decides on a reply that came from a runner.
 func (m *Machine) Take(from *fleet.Runner, r protocol.Reply) Decision {
 	at := m.stageOf(from, &r)
