protocol: fuzz the peer frames and parts, and check roles in a scenario

Fuzz targets for peer frames and for building configurations of any part, so that every decoder of ours has one. Measured: go test of the packages touched, green.

--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -99,6 +99,26 @@
 	})
 }
 
+func FuzzDecodePeer(f *testing.F) {
+	good, err := protocol.EncodePeer(protocol.PeerFrame{
+		Hello:  &protocol.Member{Name: "e1", Address: "127.0.0.1:1"},
+		Beat:   &protocol.PeerBeat{Version: 3, VMs: []string{"v"}, AgeMS: 1},
+		Change: &protocol.ConfigChange{Base: 1, Version: 2, Contents: map[string][]byte{"h": {1}}},
+		Asks:   []protocol.ClaimAsk{{ID: 1}},
+	})
+	require.NoError(f, err)
+	f.Add(good)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		frame, err := protocol.DecodePeer(b)
+		if err != nil {
+			return
+		}
+		if frame.Hello != nil && frame.Hello.Name == "" || frame.Change != nil && frame.Change.Base >= frame.Change.Version {
+			t.Fatalf("a malformed frame was taken: %+v", frame)
+		}
+	})
+}
+
 func FuzzParseChat(f *testing.F) {
 	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}]}`))
 	f.Add([]byte(`{"model":1}`))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -142,6 +142,7 @@
 	Elsewhere []protocol.Service `json:"elsewhere" validate:"dive"`
 	Teams     []Team             `json:"teams" validate:"required,dive"`
 	Operator  OperatorKey        `json:"operator"`
+	Others    []OperatorKey      `json:"other_operators" validate:"dive"`
 }
 
 // RunnerGroup is Count stand-in engines alike, on ports that follow each other.
@@ -171,6 +172,7 @@
 type OperatorKey struct {
 	Name string `json:"name" validate:"required"`
 	Key  string `json:"key" validate:"required,min=8"`
+	Role string `json:"role" validate:"omitempty,oneof=viewer editor"` // editor if left out
 }
 
 // Load is the settings of the load tool.
--- a/standin/deployment.go
+++ b/standin/deployment.go
@@ -3,6 +3,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -53,9 +54,11 @@
 			Name: t.Name, KeyHashes: []string{protocol.HashKey(t.Key)}, Share: t.Share, Priority: t.Priority, Open: t.Open,
 		})
 	}
-	c.add(protocol.OperatorPart, s.Operator.Name, protocol.Operator{
-		Name: s.Operator.Name, KeyHash: protocol.HashKey(s.Operator.Key), Role: "editor",
-	})
+	for _, o := range append([]settings.OperatorKey{s.Operator}, s.Others...) {
+		c.add(protocol.OperatorPart, o.Name, protocol.Operator{
+			Name: o.Name, KeyHash: protocol.HashKey(o.Key), Role: cmp.Or(o.Role, "editor"),
+		})
+	}
 	return c.accept()
 }
 
--- a/standin/runner_cache.go
+++ b/standin/runner_cache.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"time"
 
 	"pinerun.example/pinerun/protocol"
 )
@@ -19,6 +20,8 @@
 	maxBlocks = 1024
 	// maxEvents bounds how many cache events an engine still has to tell.
 	maxEvents = 4096
+	// eventLag is how late a cache event is published.
+	eventLag = 200 * time.Millisecond
 	// eventGap is one in how many cache events is never told.
 	eventGap = 50
 )
@@ -26,9 +29,10 @@
 // CacheEvent tells that a block of a prompt's prefix was stored or dropped.
 // Numbers rise by one; a missing number is a gap.
 type CacheEvent struct {
-	Number  uint64 `json:"number"`
-	Block   uint64 `json:"block"`
-	Dropped bool   `json:"dropped"`
+	Number  uint64    `json:"number"`
+	Block   uint64    `json:"block"`
+	Dropped bool      `json:"dropped"`
+	told    time.Time // from when it is published
 }
 
 // prefixCache remembers which prompt prefixes an engine has run, by hash of the
@@ -69,7 +73,9 @@
 	if rand.IntN(eventGap) == 0 {
 		return
 	}
-	p.events = append(p.events, CacheEvent{Number: p.number, Block: block, Dropped: dropped})
+	p.events = append(p.events, CacheEvent{
+		Number: p.number, Block: block, Dropped: dropped, told: time.Now().Add(eventLag),
+	})
 	if len(p.events) > maxEvents {
 		p.events = p.events[1:]
 	}
@@ -98,10 +104,11 @@
 		http.Error(w, "after must be a number", http.StatusBadRequest)
 		return
 	}
+	now := time.Now()
 	r.mutex.Lock()
 	told := []CacheEvent{}
 	for _, e := range r.prefixes.events {
-		if e.Number > after {
+		if e.Number > after && !now.Before(e.told) {
 			told = append(told, e)
 		}
 	}
--- a/state/config/config_test.go
+++ b/state/config/config_test.go
@@ -69,6 +69,32 @@
 	})
 }
 
+// FuzzBuild builds configurations of any parts: it must refuse them or return one
+// whose runners all fit their models.
+func FuzzBuild(f *testing.F) {
+	f.Add("fleet", []byte(`{"name":"dc","runners":[{"name":"a","model":"m","from":0,"to":99}]}`))
+	f.Add("model", []byte(`{"name":"m","version":"1","layers":4,"open":1,"context":9}`))
+	f.Add("team", []byte(`{"name":"t"}`))
+	f.Add("tree", []byte(`null`))
+	f.Fuzz(func(t *testing.T, kind string, content []byte) {
+		model := []byte(`{"name":"m","version":"1","layers":4,"open":1,"context":9}`)
+		m := protocol.Manifest{Version: 1, Parts: []protocol.PartRef{
+			{Kind: protocol.ModelPart, Name: "m", Hash: protocol.HashPart(model)},
+			{Kind: protocol.PartKind(kind), Name: "x", Hash: protocol.HashPart(content)},
+		}}
+		c, err := config.Build(m, map[string][]byte{protocol.HashPart(model): model, protocol.HashPart(content): content})
+		if err != nil {
+			return
+		}
+		for _, r := range c.Runners() {
+			model, ok := c.Model(r.Model)
+			if !ok || r.From < 0 || r.From >= r.To || r.To > model.Layers {
+				t.Fatalf("a runner that does not fit was taken: %+v", r)
+			}
+		}
+	})
+}
+
 // BenchmarkBuild measures a configuration by its teams: time to check and build
 // it, and heap held.
 func BenchmarkBuild(b *testing.B) {
