--- a/command/demo.go
+++ b/command/demo.go
@@ -157,7 +157,9 @@
 	for _, e := range d.entries {
 		run.Entries = append(run.Entries, "http://"+e.CallerAddress())
 	}
-	faults := &demoFaults{demo: d, lasts: time.Duration(float64(d.verb.requests) / rate * float64(time.Second))}
+	now := time.Now()
+	lasts := time.Duration(float64(d.verb.requests) / rate * float64(time.Second))
+	faults := &demoFaults{demo: d, began: now, ends: now.Add(lasts)}
 	if d.verb.faults {
 		go faults.run()
 	} else {
--- a/command/demo_setup.go
+++ b/command/demo_setup.go
@@ -75,7 +75,8 @@
 // slower; the platform goes down, comes back slow and loses answers.
 type demoFaults struct {
 	demo  *demo
-	lasts time.Duration
+	began time.Time
+	ends  time.Time // of the load, if it is offered as planned
 	done  part.Done
 }
 
@@ -106,7 +107,7 @@
 
 // after waits for a part of the run.
 func (f *demoFaults) after(portion float64) {
-	time.Sleep(time.Duration(portion * float64(f.lasts)))
+	time.Sleep(time.Duration(portion * float64(f.ends.Sub(f.began))))
 }
 
 func (f *demoFaults) kill(runners ...int) {
