command, member, plan: take out what stood twice or ran too often

Read over the whole change; behaviour stays as it is but for one word in a story. - confirm and withdraw were one verb written twice; endVerb serves both. - each chat request ordered all living entries twice only to count them; they are counted without ordering (Table.CountAlive, with the check it shares with Alive). - a plan's effects summed all shares anew for each team, twice: 700 teams made a million additions; shares is computed once for each configuration. - the word for a verdict sat beside its only caller and indexed a fixed array by a number that a peer sends; it is Verdict.String now, 'unknown' beyond the known ones, with a test. - Mesh.Peers had no caller; writerOf was half of remote.

--- a/command/command.go
+++ b/command/command.go
@@ -57,7 +57,9 @@
 	o := &output{out: out, err: errs}
 	verbs := []verb{
 		&demoVerb{}, &entryVerb{}, &standinVerb{}, &loadVerb{}, &checkVerb{}, &statusVerb{},
-		&intentVerb{}, &plansVerb{}, &confirmVerb{}, &withdrawVerb{}, &capacityVerb{},
+		&intentVerb{}, &plansVerb{}, &capacityVerb{},
+		&endVerb{name: "confirm", description: "Accept a plan; it may be repeated"},
+		&endVerb{name: "withdraw", description: "Take an open plan back"},
 	}
 	parser := flaggy.NewParser("pinerun")
 	parser.Description = "A router for model pipelines split over mixed accelerators."
--- a/command/plan.go
+++ b/command/plan.go
@@ -162,47 +162,27 @@
 	return exitGood
 }
 
-// confirmVerb accepts a plan.
-type confirmVerb struct {
-	call operatorCall
-	plan string
+// endVerb ends a plan, by confirming or withdrawing it.
+type endVerb struct {
+	call        operatorCall
+	name        string // also the last part of the call's path
+	description string
+	plan        string
 }
 
-func (v *confirmVerb) define() *flaggy.Subcommand {
-	s := flaggy.NewSubcommand("confirm")
-	s.Description = "Accept a plan; it may be repeated: pinerun confirm -plan p-0a1b2c3d4e5f"
+func (v *endVerb) define() *flaggy.Subcommand {
+	s := flaggy.NewSubcommand(v.name)
+	s.Description = v.description + ": pinerun " + v.name + " -plan p-0a1b2c3d4e5f"
 	v.call.attach(s)
 	s.String(&v.plan, "p", "plan", "the plan's id")
 	return s
 }
 
-func (v *confirmVerb) run(ctx context.Context, o *output) int {
-	return endPlan(ctx, o, &v.call, v.plan, "confirm")
-}
-
-// withdrawVerb takes a plan back.
-type withdrawVerb struct {
-	call operatorCall
-	plan string
-}
-
-func (v *withdrawVerb) define() *flaggy.Subcommand {
-	s := flaggy.NewSubcommand("withdraw")
-	s.Description = "Take an open plan back: pinerun withdraw -plan p-0a1b2c3d4e5f"
-	v.call.attach(s)
-	s.String(&v.plan, "p", "plan", "the plan's id")
-	return s
-}
-
-func (v *withdrawVerb) run(ctx context.Context, o *output) int {
-	return endPlan(ctx, o, &v.call, v.plan, "withdraw")
-}
-
-func endPlan(ctx context.Context, o *output, c *operatorCall, id, what string) int {
-	if id == "" {
+func (v *endVerb) run(ctx context.Context, o *output) int {
+	if v.plan == "" {
 		return o.fail(exitUsage, errors.New("no plan; give -plan with its id, see 'pinerun plans'"))
 	}
-	answer, err := c.do(ctx, http.MethodPost, "/admin/v1/plans/"+id+"/"+what, nil)
+	answer, err := v.call.do(ctx, http.MethodPost, "/admin/v1/plans/"+v.plan+"/"+v.name, nil)
 	if err != nil {
 		return o.fail(exitFailed, err)
 	}
--- a/coordination/claim/action.go
+++ b/coordination/claim/action.go
@@ -63,6 +63,16 @@
 	Kept                    // a release or outcome is durable
 )
 
+// String returns the verdict in a word. One that another entry gave and this one
+// does not know is "unknown".
+func (v Verdict) String() string {
+	words := [...]string{"granted", "held", "settled", "doubtful", "reused", "expired", "full", "kept"}
+	if int(v) >= len(words) {
+		return "unknown"
+	}
+	return words[v]
+}
+
 // Result is a verdict on one record.
 type Result struct {
 	record  protocol.ClaimRecord
--- a/coordination/claim/log_test.go
+++ b/coordination/claim/log_test.go
@@ -349,6 +349,11 @@
 	require.Equal(t, claim.Expired, claimAt(1, old).Verdict())
 }
 
+func TestAVerdictOfANewerEntryHasAWord(t *testing.T) {
+	require.Equal(t, "kept", claim.Kept.String())
+	require.Equal(t, "unknown", (claim.Kept + 1).String())
+}
+
 func TestReleaseLetsARepeatRun(t *testing.T) {
 	l := loadedLog()
 	r := protocol.ClaimRecord{Key: protocol.ClaimKey{1}, Claimant: 1, IssuedMS: epoch.UnixMilli()}
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -90,7 +90,7 @@
 func (t *Table) Alive(now time.Time) []protocol.Member {
 	var alive []protocol.Member
 	for _, k := range t.members {
-		if !now.Before(k.suspectTill) && !isSeed(k.member) {
+		if k.alive(now) {
 			alive = append(alive, k.member)
 		}
 	}
@@ -98,6 +98,19 @@
 	return alive
 }
 
+// CountAlive returns how many entries Alive would, without ordering them.
+func (t *Table) CountAlive(now time.Time) int {
+	count := 0
+	for _, k := range t.members {
+		if k.alive(now) {
+			count++
+		}
+	}
+	return count
+}
+
+func (k *known) alive(now time.Time) bool { return !now.Before(k.suspectTill) && !isSeed(k.member) }
+
 // Known returns every entry, suspected or not.
 func (t *Table) Known() []protocol.Member {
 	var all []protocol.Member
--- a/coordination/plan/plan.go
+++ b/coordination/plan/plan.go
@@ -155,10 +155,9 @@
 			p.Flows = append(p.Flows, FlowEffect{Model: m.Name, Before: was, After: is})
 		}
 	}
-	old := shares(before)
+	old, now := shares(before), shares(after)
 	for _, t := range after.Teams() {
-		is := t.Share / total(after)
-		if was := old[t.Name]; was != is {
+		if was, is := old[t.Name], now[t.Name]; was != is {
 			p.Shares = append(p.Shares, ShareEffect{Team: t.Name, Before: was, After: is})
 		}
 	}
@@ -175,18 +174,15 @@
 	return bound.Of(m.Layers, serving).Flow()
 }
 
-func total(c *config.Config) float64 {
-	sum := 0.0
+// shares returns the part of all shares that each team holds.
+func shares(c *config.Config) map[string]float64 {
+	total := 0.0
 	for _, t := range c.Teams() {
-		sum += t.Share
+		total += t.Share
 	}
-	return sum
-}
-
-func shares(c *config.Config) map[string]float64 {
-	part := map[string]float64{}
+	part := make(map[string]float64, len(c.Teams()))
 	for _, t := range c.Teams() {
-		part[t.Name] = t.Share / total(c)
+		part[t.Name] = t.Share / total
 	}
 	return part
 }
--- a/transport/claims/ask.go
+++ b/transport/claims/ask.go
@@ -32,18 +32,13 @@
 	emptied chan struct{} // closed when kept falls to zero
 }
 
-// writerOf returns the entry that ranks first for a shard.
-func (k *Keeper) writerOf(s *shard) string {
+// remote reports whether another entry ranks first for a shard, and which.
+func (k *Keeper) remote(s *shard) (string, bool) {
 	if k.Mesh == nil {
-		return ""
+		return "", false
 	}
-	return k.Mesh.First(s.kind())
-}
-
-// remote reports whether another entry writes the shard, and which.
-func (k *Keeper) remote(s *shard) (string, bool) {
-	writer := k.writerOf(s)
-	return writer, writer != "" && writer != k.Mesh.Self.Name
+	writer := k.Mesh.First(s.kind())
+	return writer, writer != k.Mesh.Self.Name
 }
 
 // ask puts one record to another entry and waits for the verdict.
--- a/transport/entry/claimed.go
+++ b/transport/entry/claimed.go
@@ -38,7 +38,7 @@
 		return serviceAnswer{}, protocol.Refuse(protocol.ClaimUnavailable,
 			"the claim could not be made durable in time").Because(err).Again(time.Now().Add(time.Second))
 	}
-	s.call.story.Note(time.Now(), story.Claimed, verdictName(result.Verdict()))
+	s.call.story.Note(time.Now(), story.Claimed, result.Verdict().String())
 	if result.Verdict() != claim.Granted {
 		return s.replay(result)
 	}
@@ -121,8 +121,3 @@
 		return serviceAnswer{}, protocol.Refuse(protocol.ClaimsFull, "no claim can be kept until older ones expire").Again(again)
 	}
 }
-
-func verdictName(v claim.Verdict) string {
-	names := [...]string{"granted", "held", "settled", "doubtful", "reused", "expired", "full", "kept"}
-	return names[v]
-}
--- a/transport/entry/membership.go
+++ b/transport/entry/membership.go
@@ -137,4 +137,4 @@
 }
 
 // liveEntries returns how many entries share the callers, at least 1.
-func (e *Entry) liveEntries() int { return max(1, len(e.mesh.Alive())) }
+func (e *Entry) liveEntries() int { return max(1, e.mesh.CountAlive()) }
--- a/transport/peer/mesh.go
+++ b/transport/peer/mesh.go
@@ -130,11 +130,11 @@
 	return m.table.Known()
 }
 
-// Alive returns the entries that are not suspected, in order of name.
-func (m *Mesh) Alive() []protocol.Member {
+// CountAlive returns how many entries are not suspected.
+func (m *Mesh) CountAlive() int {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.table.Alive(time.Now())
+	return m.table.CountAlive(time.Now())
 }
 
 // IsRelay reports whether this entry watches the platform for its data center.
@@ -163,17 +163,6 @@
 	return first.Name
 }
 
-// Peers returns the names of the linked peers.
-func (m *Mesh) Peers() []string {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	names := make([]string, 0, len(m.links))
-	for name := range m.links {
-		names = append(names, name)
-	}
-	return names
-}
-
 // Told is the configuration version that a linked peer last told.
 type Told struct {
 	Name    string
