--- /dev/null
+++ b/command/front.go
@@ -0,0 +1,136 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/logs"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/platform"
+	"pinerun.example/pinerun/settings"
+	"pinerun.example/pinerun/transport/front"
+)
+
+const (
+	// logsBy is how long the last lines may take to be written.
+	logsBy = 200 * time.Millisecond
+	// heapShare is the part of the memory limit at which the collector works
+	// harder; the rest is for stacks and for bytes that wait in sockets.
+	heapShare = 0.6
+	// settingsEvery is how often the settings file is looked at: it may change
+	// without a signal.
+	settingsEvery = 2 * time.Second
+)
+
+// frontVerb runs one entry of a deployed system until it is told to stop.
+type frontVerb struct{ file string }
+
+func (v *frontVerb) define() *flaggy.Subcommand {
+	s := flaggy.NewSubcommand("front")
+	s.Description = "Run one entry before endpoints that answer HTTP themselves: pinerun front -settings FILE"
+	s.String(&v.file, "s", "settings", "the settings file")
+	return s
+}
+
+func (v *frontVerb) run(ctx context.Context, o *output) int {
+	file, ok := readSettings(v.file, o)
+	if !ok {
+		return exitUsage
+	}
+	if file.Front == nil {
+		return o.fail(exitUsage, errors.New(`the settings have no section "front"; add it`))
+	}
+	s := *file.Front
+	debug.SetMemoryLimit(int64(s.MemoryMB * heapShare * (1 << 20)))
+	writer := &logs.Writer{Out: o.out}
+	writer.Start()
+	defer func() { writer.Close(time.Now().Add(logsBy)) }()
+	logger := slog.New(logs.NewHandler(writer, logLevel(s.LogLevel)))
+	counters := &metric.Set{}
+	f := &front.Front{Settings: s, Outside: platform.Outside(s.Store, counters), Counters: counters, Logger: logger}
+	if err := f.Start(); err != nil {
+		return o.fail(exitFailed, fmt.Errorf("the entry can't start: %w; check the addresses in its settings", err))
+	}
+	w := &settingsWatch{file: v.file, logger: logger, done: ctx.Done()}
+	go w.run()
+	<-ctx.Done()
+	f.Stop(time.Now())
+	return exitGood
+}
+
+func logLevel(text string) slog.Level {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(text)); err != nil {
+		return slog.LevelInfo
+	}
+	return l
+}
+
+// settingsWatch reads the settings file again when a signal says that it has
+// changed, and when its time of change says so.
+type settingsWatch struct {
+	file   string
+	logger *slog.Logger
+	done   <-chan struct{}
+	seen   time.Time
+}
+
+func (w *settingsWatch) run() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	w.changed()
+	t := time.NewTicker(settingsEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-signals:
+			w.changed()
+			w.read("signal")
+		case <-t.C:
+			if w.changed() {
+				w.read("file changed")
+			}
+		case <-w.done:
+			return
+		}
+	}
+}
+
+// changed reports whether the file's time of change is another than last seen.
+func (w *settingsWatch) changed() bool {
+	info, err := os.Stat(w.file)
+	if err != nil || info.ModTime().Equal(w.seen) {
+		return false
+	}
+	w.seen = info.ModTime()
+	return true
+}
+
+// read checks the changed settings. Addresses and limits stay those of the start:
+// what changes while the process runs is told, and in force from its next start.
+func (w *settingsWatch) read(why string) {
+	content, err := os.ReadFile(w.file)
+	if err != nil {
+		event.SettingsIgnored.Log(w.logger, slog.String("cause", err.Error()))
+		return
+	}
+	_, mistakes := settings.Read(content)
+	if len(mistakes) > 0 {
+		event.SettingsIgnored.Log(w.logger, slog.String("cause", mistakes[0].Error()), slog.Int("mistakes", len(mistakes)))
+		return
+	}
+	event.SettingsRead.Log(w.logger, slog.String("why", why))
+}
--- /dev/null
+++ b/coordination/retry/resend.go
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package retry
+
+import "time"
+
+// Result is how a send to an endpoint ended without a good answer.
+type Result uint8
+
+// NeverSent: no byte can have reached the endpoint. NotRun: the endpoint says
+// that it did not run the request. Failed: it ran it and answered with a failure
+// of its own. Broken: the answer was cut, spoilt or never came.
+const (
+	NeverSent Result = iota
+	NotRun
+	Failed
+	Broken
+)
+
+// Forwarded is what the decision on a forwarded request depends on. Sends counts
+// the endpoints that it was sent to, Unsent those that could not be reached.
+type Forwarded struct {
+	Result    Result
+	MayRepeat bool
+	MayHave   bool // an earlier send of the request may have run
+	Sends     int
+	MaxSends  int
+	Unsent    int
+	Now       time.Time
+	Deadline  time.Time
+}
+
+// maxUnsent is how many endpoints are tried that can't be reached. Each may cost
+// a connect timeout.
+const maxUnsent = 3
+
+// Next is what to do with a forwarded request: one of the constants below.
+type Next uint8
+
+// Again: send it to another endpoint. Deliver: pass the endpoint's own failure
+// on. Refuse: tell the caller that it has not run and never will. Fail: tell the
+// caller that it may have run. Expire: its time is over.
+const (
+	Again Next = iota
+	Deliver
+	Refuse
+	Fail
+	Expire
+)
+
+// Resend decides on a forwarded request after a send without a good answer. A
+// request that may not be repeated is sent again only if it is certain that it
+// has not run. Each further endpoint that it is sent to is taken from the budget.
+func (b *Budget) Resend(f Forwarded) Next {
+	if !f.Now.Before(f.Deadline) {
+		return Expire
+	}
+	mayRun := f.MayHave || f.Result == Failed || f.Result == Broken
+	if f.Result == NeverSent && f.Unsent <= maxUnsent {
+		return Again
+	}
+	if (f.MayRepeat || !mayRun) && f.Result != NeverSent && f.Sends < f.MaxSends && b.Take() {
+		return Again
+	}
+	switch {
+	case f.Result == Failed:
+		return Deliver
+	case mayRun:
+		return Fail
+	default:
+		return Refuse
+	}
+}
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -33,15 +33,43 @@
 	backoffMost = 200 * time.Millisecond
 )
 
-// Budget counts what first tries have paid for. The zero value is a fresh one.
-// It is not safe for use by several goroutines at once.
-type Budget struct{ spent float64 }
+// Budget counts what first tries have paid for. The zero value is a fresh one
+// with the usual share and credit. Where the platform bounds further tries of
+// all entries together, Share is what a first try pays for and Most the credit,
+// full at the start, that is this entry's part of the common slack. It is not
+// safe for use by several goroutines at once.
+type Budget struct {
+	Share float64
+	Most  float64
+
+	spent float64
+}
 
 // First notes a first try.
-func (b *Budget) First() { b.spent = max(initial-most, b.spent-share) }
+func (b *Budget) First() {
+	if b.Most > 0 {
+		b.spent = max(0, b.spent-b.Share)
+		return
+	}
+	b.spent = max(initial-most, b.spent-share)
+}
 
 // Left returns the credit for further tries.
-func (b *Budget) Left() float64 { return initial - b.spent }
+func (b *Budget) Left() float64 {
+	if b.Most > 0 {
+		return b.Most - b.spent
+	}
+	return initial - b.spent
+}
+
+// Take takes one further try from the budget, and reports whether there was one.
+func (b *Budget) Take() bool {
+	if b.Left() < 1 {
+		return false
+	}
+	b.spent++
+	return true
+}
 
 // Query is what the decision depends on. Tries counts those already made.
 // Resuming is a stream with tokens already given: to drop it would waste what
@@ -84,10 +112,9 @@
 	if q.Resuming {
 		return Wait{till: till}
 	}
-	if b.Left() < 1 {
+	if !b.Take() {
 		return Stop{kind: protocol.RetriesSpent}
 	}
-	b.spent++
 	return Wait{till: till}
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -25,11 +25,23 @@
 	EntryStopped       = Event{1003, "entry stopped", slog.LevelInfo}
 	RequestRefused     = Event{2001, "request refused", slog.LevelInfo}
 	RequestRetried     = Event{2002, "request retried", slog.LevelWarn}
+	RequestSent        = Event{2003, "request sent", slog.LevelInfo}
+	RequestAnswered    = Event{2004, "request answered", slog.LevelInfo}
+	SilenceSuspected   = Event{2005, "silence suspected", slog.LevelWarn}
+	AttemptBroken      = Event{2006, "attempt broken", slog.LevelWarn}
+	StreamCut          = Event{2007, "stream cut", slog.LevelWarn}
+	CallerLeft         = Event{2008, "caller left", slog.LevelInfo}
+	CallerUnbounded    = Event{2009, "caller unbounded", slog.LevelWarn}
 	RunnerConnected    = Event{3001, "runner connected", slog.LevelInfo}
 	RunnerLost         = Event{3002, "runner lost", slog.LevelWarn}
 	RunnerEjected      = Event{3003, "runner ejected", slog.LevelWarn}
 	FrameBroken        = Event{3004, "frame broken", slog.LevelWarn}
 	ReportIgnored      = Event{3005, "load report ignored", slog.LevelWarn}
+	EndpointJoined     = Event{3006, "endpoint joined", slog.LevelInfo}
+	EndpointLeaving    = Event{3007, "endpoint leaving", slog.LevelInfo}
+	EndpointGone       = Event{3008, "endpoint gone", slog.LevelInfo}
+	EndpointIgnored    = Event{3009, "endpoint ignored", slog.LevelWarn}
+	LayersChanged      = Event{3010, "layers changed", slog.LevelInfo}
 	ConfigInForce      = Event{4001, "configuration in force", slog.LevelInfo}
 	ConfigIgnored      = Event{4002, "configuration ignored", slog.LevelWarn}
 	PlatformUnreached  = Event{5001, "platform unreached", slog.LevelWarn}
@@ -43,21 +55,27 @@
 	LeaseTaken         = Event{8001, "lease taken", slog.LevelInfo}
 	LeaseLost          = Event{8002, "lease lost", slog.LevelWarn}
 	OrderGiven         = Event{8003, "order given", slog.LevelInfo}
+	OrderFailed        = Event{8004, "order failed", slog.LevelWarn}
+	LinesDropped       = Event{9101, "lines dropped", slog.LevelWarn}
+	SettingsRead       = Event{1004, "settings read", slog.LevelInfo}
+	SettingsIgnored    = Event{1005, "settings ignored", slog.LevelWarn}
 	PlanConfirmed      = Event{9001, "plan confirmed", slog.LevelInfo}
 )
 
 // All returns the whole catalogue in order of number.
 func All() []Event {
 	return []Event{
-		EntryReady, EntryStopping, EntryStopped,
-		RequestRefused, RequestRetried,
+		EntryReady, EntryStopping, EntryStopped, SettingsRead, SettingsIgnored,
+		RequestRefused, RequestRetried, RequestSent, RequestAnswered, SilenceSuspected, AttemptBroken,
+		StreamCut, CallerLeft, CallerUnbounded,
 		RunnerConnected, RunnerLost, RunnerEjected, FrameBroken, ReportIgnored,
+		EndpointJoined, EndpointLeaving, EndpointGone, EndpointIgnored, LayersChanged,
 		ConfigInForce, ConfigIgnored,
 		PlatformUnreached, PlatformBack,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
 		PeerConnected, PeerLost,
-		LeaseTaken, LeaseLost, OrderGiven,
-		PlanConfirmed,
+		LeaseTaken, LeaseLost, OrderGiven, OrderFailed,
+		PlanConfirmed, LinesDropped,
 	}
 }
 
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package logs writes structured log lines without ever holding a request up.
+//
+// Lines go into a bounded buffer that a goroutine writes out. When a reader
+// stands still and the buffer is full, or one event comes more often than its
+// budget, lines are dropped, counted, and the count is told in a line of its
+// own:
+//
+//	w := &logs.Writer{Out: os.Stdout}
+//	w.Start()
+//	logger := slog.New(logs.NewHandler(w, slog.LevelInfo))
+package logs
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/part"
+)
+
+const (
+	// bufferMost bounds the lines that wait to be written: a second at the
+	// budget of all events.
+	bufferMost = 1 << 20
+	// writeEvery gathers lines, so that a line does not cost a system call.
+	writeEvery = 50 * time.Millisecond
+	// ordinaryBudget and gravestBudget are how many lines a second one event may
+	// write: ordinary decisions give way first.
+	ordinaryBudget = 150
+	gravestBudget  = 600
+)
+
+// Writer is an io.Writer that never blocks. Set Out before Start.
+type Writer struct {
+	Out io.Writer
+
+	done    part.Done
+	ended   part.Done
+	mutex   sync.Mutex
+	waiting bytes.Buffer
+	dropped atomic.Int64
+}
+
+// Start begins to write out.
+func (w *Writer) Start() { go w.run() }
+
+// Close writes out what waits and ends, but not later than the deadline.
+func (w *Writer) Close(deadline time.Time) {
+	w.done.Close()
+	t := time.NewTimer(time.Until(deadline))
+	defer t.Stop()
+	select {
+	case <-w.ended.Done():
+	case <-t.C:
+	}
+}
+
+// Write takes one line, or drops it.
+func (w *Writer) Write(line []byte) (int, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.waiting.Len()+len(line) > bufferMost {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
+	return w.waiting.Write(line)
+}
+
+// Dropped returns how many lines were dropped so far.
+func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+
+func (w *Writer) run() {
+	defer w.ended.Close()
+	t := time.NewTicker(writeEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			w.flush()
+		case <-w.done.Done():
+			w.flush()
+			return
+		}
+	}
+}
+
+func (w *Writer) flush() {
+	w.mutex.Lock()
+	lines := bytes.Clone(w.waiting.Bytes())
+	w.waiting.Reset()
+	w.mutex.Unlock()
+	if len(lines) == 0 {
+		return
+	}
+	if _, err := w.Out.Write(lines); err != nil {
+		// There is nowhere left to tell it but the count.
+		w.dropped.Add(int64(bytes.Count(lines, []byte("\n"))))
+	}
+}
+
+// Handler is a slog.Handler with a budget for each event.
+type Handler struct {
+	slog.Handler
+
+	writer *Writer
+	shared *budgets
+}
+
+// budgets counts the lines of each event in the current second.
+type budgets struct {
+	mutex  sync.Mutex
+	second int64
+	count  map[string]int
+	told   int64
+}
+
+// NewHandler returns a handler that writes JSON lines.
+func NewHandler(w *Writer, level slog.Level) *Handler {
+	return &Handler{
+		Handler: slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}),
+		writer:  w,
+		shared:  &budgets{count: make(map[string]int)},
+	}
+}
+
+// Handle writes a line if its event has budget left.
+func (h *Handler) Handle(ctx context.Context, r slog.Record) error {
+	told, allowed := h.shared.take(r, h.writer)
+	if told > 0 {
+		line := slog.NewRecord(r.Time, event.LinesDropped.Level(), event.LinesDropped.Name(), 0)
+		line.AddAttrs(slog.Int("event", event.LinesDropped.Number()), slog.Int64("lines", told))
+		if err := h.Handler.Handle(ctx, line); err != nil {
+			return err
+		}
+	}
+	if !allowed {
+		h.writer.dropped.Add(1)
+		return nil
+	}
+	return h.Handler.Handle(ctx, r)
+}
+
+// take counts a line against its budget. It also returns how many dropped lines
+// are to be told of, once a second.
+func (b *budgets) take(r slog.Record, w *Writer) (int64, bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	var told int64
+	if second := r.Time.Unix(); second != b.second {
+		b.second = second
+		clear(b.count)
+		total := w.Dropped()
+		told, b.told = total-b.told, total
+	}
+	most := ordinaryBudget
+	if r.Level >= slog.LevelWarn {
+		most = gravestBudget
+	}
+	b.count[r.Message]++
+	return told, b.count[r.Message] <= most
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -66,6 +66,11 @@
 	PeerConnections Name = "peer_connections"
 	PeerFrames      Name = "peer_frames_sent"
 	PeerBytes       Name = "peer_bytes_sent"
+
+	EndpointConnections Name = "endpoint_connections"
+	ReportsAsked        Name = "reports_asked"
+	OrdersGiven         Name = "orders_given"
+	LinesDropped        Name = "lines_dropped"
 )
 
 // Names returns every counter that is neither a refusal nor a retry.
@@ -75,6 +80,7 @@
 		RepliesDropped, FramesBroken, ReportsIgnored, PlatformCalls, PlatformFaults,
 		ClaimsGranted, ClaimsReplayed, ClaimWrites, ConfigAccepted, ConfigIgnored,
 		RunnersEjected, PeerConnections, PeerFrames, PeerBytes,
+		EndpointConnections, ReportsAsked, OrdersGiven, LinesDropped,
 	}
 }
 
--- /dev/null
+++ b/protocol/forward.go
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package protocol
+
+import "time"
+
+// CallerTerms is what a caller asks for beside the request itself. Deadline is
+// zero when there is none. AnswerTokens is the caller's guess, or the most.
+type CallerTerms struct {
+	RequestID    string
+	Deadline     time.Time
+	Key          string
+	LastEvent    string
+	PromptTokens int
+	AnswerTokens int
+}
+
+// SendTerms is what an endpoint is told beside the request itself. Path is empty
+// for a plain service.
+type SendTerms struct {
+	EndpointID string
+	Team       string
+	Deadline   time.Time
+	LastEvent  string
+	Path       []PathStage
+	Urgent     bool // whether Urgency is told
+	Urgency    int  // 0 is the most urgent, 9 the least
+}
+
+// PathStage is one engine of a path and the layers that it runs.
+type PathStage struct {
+	Address string
+	Layers  Span
+}
+
+// AnswerTerms is what an endpoint says of a request in the head of its answer.
+type AnswerTerms struct {
+	RequestID string
+	Signed    bool   // the answer is the endpoint's own
+	NotRun    bool   // the request did not run there and never will
+	AtFault   string // address of the engine of the path that could not run it
+	Load      EndpointLoad
+	LoadKnown bool
+}
+
+// EndpointLoad is how many requests an endpoint runs, lets wait, and can run.
+type EndpointLoad struct{ Running, Waiting, Slots int }
+
+// PlaceOrder tells an engine to hold a span of layers. Orders is how many orders
+// the engine is expected to have taken before.
+type PlaceOrder struct {
+	EndpointID string
+	Address    string
+	Layers     Span
+	Epoch      uint64
+	Orders     int
+}
+
+// OrderAnswer is what became of an order.
+type OrderAnswer uint8
+
+// An order that was not answered may be carried out later, or never.
+const (
+	OrderUnanswered OrderAnswer = iota
+	OrderBegun
+	OrderHolds
+	OrderRefused
+)
--- a/protocol/object.go
+++ b/protocol/object.go
@@ -32,3 +32,22 @@
 	// ManifestName is the name of the one manifest.
 	ManifestName = "current"
 )
+
+// Listing is every object of a kind and the revision from which to watch it.
+type Listing struct {
+	Objects []Object
+	At      uint64
+}
+
+// Changes are the changes of a kind in order, and the revision from which to
+// watch on.
+type Changes struct {
+	Changes []Change
+	At      uint64
+}
+
+// Change is an object as it now is, or was when it went.
+type Change struct {
+	Object Object
+	Gone   bool
+}
--- /dev/null
+++ b/settings/front.go
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package settings
+
+import "time"
+
+// Front is the settings of one entry that forwards to endpoints which answer
+// HTTP themselves. All addresses are IP:port; times are milliseconds.
+type Front struct {
+	Name       string      `json:"name" validate:"required"`
+	DataCenter string      `json:"data_center" validate:"required"`
+	Listen     FrontListen `json:"listen"`
+	Store      string      `json:"store" validate:"required,hostname_port"`
+	LogLevel   string      `json:"log_level" validate:"omitempty,oneof=debug info warn error"`
+	// StopWithinMS is how long after SIGTERM the process is killed.
+	StopWithinMS float64 `json:"stop_within_ms" validate:"gt=0"`
+	// KeyWithdrawnMS is how long after its withdrawal a key may still be used.
+	KeyWithdrawnMS float64 `json:"key_withdrawn_ms" validate:"gt=0"`
+	// RetryShare and RetrySlack bound what all entries together may send to
+	// further endpoints: a share of the requests, and a number beside.
+	RetryShare float64 `json:"retry_share" validate:"gte=0,lte=1"`
+	RetrySlack float64 `json:"retry_slack" validate:"gte=0"`
+	// MemoryMB is what the process may use.
+	MemoryMB float64 `json:"memory_mb" validate:"gte=0"`
+}
+
+// FrontListen is where a front serves callers, the balancer's questions whether
+// it is ready, and metrics.
+type FrontListen struct {
+	Callers   string `json:"callers" validate:"required,hostname_port"`
+	Readiness string `json:"readiness" validate:"required,hostname_port"`
+	Metrics   string `json:"metrics" validate:"required,hostname_port"`
+}
+
+// StopBy returns when an entry told to stop now is killed.
+func (f *Front) StopBy(now time.Time) time.Time { return now.Add(fractions(f.StopWithinMS)) }
+
+// KeyTrust returns until when a key that was known to be good then may be used,
+// the share of the bound left for a request's own way to its endpoint taken off.
+func (f *Front) KeyTrust(confirmed time.Time) time.Time {
+	return confirmed.Add(fractions(f.KeyWithdrawnMS * keyTrustShare))
+}
+
+// keyTrustShare is the part of the bound on withdrawn keys that an entry uses:
+// the rest covers the time in which a request is read and sent on.
+const keyTrustShare = 0.9
+
+func fractions(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,6 +19,7 @@
 	Entry   *Entry   `json:"entry"`
 	Standin *Standin `json:"standin"`
 	Load    *Load    `json:"load"`
+	Front   *Front   `json:"front"`
 }
 
 // Entry is the settings of one entry process. All addresses are IP:port.
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -227,6 +227,21 @@
 	ReportOld
 )
 
+// LeaveOut leaves the runner out until a time without counting a failure, while
+// it is not clear whether it is the one at fault.
+func (r *Runner) LeaveOut(till time.Time) {
+	if n := till.UnixNano(); n > r.ejectedTill.Load() {
+		r.ejectedTill.Store(n)
+	}
+}
+
+// Readmit takes the runner in again and forgets its failures, because it was
+// seen to work.
+func (r *Runner) Readmit() {
+	r.ejectedTill.Store(0)
+	r.failures.Store(0)
+}
+
 // maxReportSkew is how far ahead a report's clock may run.
 const maxReportSkew = 2 * time.Second
 
--- a/state/fleet/view.go
+++ b/state/fleet/view.go
@@ -65,14 +65,23 @@
 // Build returns the view of a configuration for an entry. Runners that the older
 // view knows unchanged keep their measurements.
 func Build(older *View, c *config.Config, home Home) *View {
-	v := &View{models: map[string]*Model{}, runners: map[string]*Runner{}}
-	for _, spec := range c.Runners() {
+	return Gather(older, c.ModelList(), c.Runners(), home)
+}
+
+// Gather returns the view of runners that are known one by one, each under the
+// name of one of the models.
+func Gather(older *View, models []protocol.Model, runners []protocol.Runner, home Home) *View {
+	v := &View{models: make(map[string]*Model, len(models)), runners: make(map[string]*Runner, len(runners))}
+	for _, m := range models {
+		v.models[m.Name] = &Model{layers: m.Layers}
+	}
+	for _, spec := range runners {
 		r := older.Runner(spec.Name)
 		if r == nil || r.Spec() != spec {
 			r = NewRunner(spec, home.DataCenter)
 		}
 		v.runners[spec.Name] = r
-		v.place(c, r)
+		v.place(r)
 	}
 	for _, m := range v.models {
 		slices.SortFunc(m.groups, func(a, b Group) int {
@@ -100,13 +109,11 @@
 	})
 }
 
-func (v *View) place(c *config.Config, r *Runner) {
-	spec := r.Spec()
-	m := v.models[spec.Model]
+func (v *View) place(r *Runner) {
+	m := v.models[r.Spec().Model]
 	if m == nil {
-		configured, _ := c.Model(spec.Model)
-		m = &Model{layers: configured.Layers}
-		v.models[spec.Model] = m
+		m = &Model{}
+		v.models[r.Spec().Model] = m
 	}
 	for i := range m.groups {
 		if m.groups[i].span == r.Span() {
--- /dev/null
+++ b/state/roster/roster.go
@@ -0,0 +1,264 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package roster is what an entry believes of the live endpoints of all
+// services, as each recorded itself in the platform.
+//
+// A Roster takes whole lists and single changes, and derives from them a
+// fleet.View in which paths are chosen. An engine stands in the model of its
+// service and data center; an endpoint of a plain service is a runner of a model
+// with one layer:
+//
+//	r.Replace(endpoints, routed, now)
+//	m := r.View().Model(roster.ModelName("fares-llm", "jhb-a"))
+package roster
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/fleet"
+)
+
+// settle is how long endpoints that vanish right after an outage of the platform
+// are still believed in. Their records lapse while they can't renew them, and a
+// live endpoint is back in the list within two seconds of the platform's return;
+// the rest is for the way of the news.
+const settle = 1500 * time.Millisecond
+
+// plainSpeed is the speed of an endpoint of a plain service, in requests a second
+// of one slot. Only its ratio to the expected times of links matters: 10 ms each.
+const plainSpeed = 100.0
+
+// everywhere is the data center in the name of a model whose runners may be
+// chosen from every data center.
+const everywhere = ""
+
+// ModelName returns the name under which the view holds the runners of a service
+// in a data center. Plain services have one model for all data centers, "".
+func ModelName(service, dataCenter string) string { return service + "@" + dataCenter }
+
+// Roster holds the live endpoints. Set Home before use.
+type Roster struct {
+	Home fleet.Home
+
+	mutex     sync.Mutex
+	endpoints map[string]protocol.Endpoint
+	vanished  map[string]time.Time // gone from the list, until when still believed in
+	outage    time.Time            // when the platform was last known not to answer
+	services  []protocol.RoutedService
+	known     atomic.Bool
+	view      atomic.Pointer[fleet.View]
+	list      atomic.Pointer[[]protocol.Endpoint]
+	centers   atomic.Pointer[map[string][]string] // by service
+}
+
+// View returns the runners of all models, or nil before the first list.
+func (r *Roster) View() *fleet.View { return r.view.Load() }
+
+// Known reports whether a list was ever taken.
+func (r *Roster) Known() bool { return r.known.Load() }
+
+// Centers returns the data centers in which engines of a service hold layers, in
+// order of name. The caller must not change the slice.
+func (r *Roster) Centers(service string) []string {
+	if c := r.centers.Load(); c != nil {
+		return (*c)[service]
+	}
+	return nil
+}
+
+// Endpoints returns every endpoint in order of ID. The caller must not change
+// the slice.
+func (r *Roster) Endpoints() []protocol.Endpoint {
+	if l := r.list.Load(); l != nil {
+		return *l
+	}
+	return nil
+}
+
+// Services takes the services that routes name.
+func (r *Roster) Services(services []protocol.RoutedService) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.services = services
+	r.rebuild()
+}
+
+// Outage notes that the platform did not answer at that time.
+func (r *Roster) Outage(now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.outage = now
+}
+
+// Replace takes a whole list. It returns the endpoints that are gone.
+func (r *Roster) Replace(list []protocol.Endpoint, now time.Time) []protocol.Endpoint {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	before := r.endpoints
+	r.endpoints = make(map[string]protocol.Endpoint, len(list))
+	for _, e := range list {
+		r.endpoints[e.ID] = e
+		delete(r.vanished, e.ID)
+	}
+	var gone []protocol.Endpoint
+	for id, e := range before {
+		if _, there := r.endpoints[id]; there || r.keep(e, now) {
+			continue
+		}
+		gone = append(gone, e)
+	}
+	r.known.Store(true)
+	r.rebuild()
+	return gone
+}
+
+// Put takes one new or changed endpoint, and reports whether it was unknown.
+func (r *Roster) Put(e protocol.Endpoint) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.endpoints == nil {
+		r.endpoints = make(map[string]protocol.Endpoint)
+	}
+	_, there := r.endpoints[e.ID]
+	r.endpoints[e.ID] = e
+	delete(r.vanished, e.ID)
+	r.rebuild()
+	return !there
+}
+
+// Remove takes the news that an endpoint's record is gone. It reports whether
+// the endpoint is now taken as gone.
+func (r *Roster) Remove(id string, now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	e, there := r.endpoints[id]
+	if !there || r.keep(e, now) {
+		return false
+	}
+	delete(r.endpoints, id)
+	r.rebuild()
+	return true
+}
+
+// Sweep drops endpoints that vanished in an outage and did not come back in
+// time, and returns them.
+func (r *Roster) Sweep(now time.Time) []protocol.Endpoint {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var gone []protocol.Endpoint
+	for id, till := range r.vanished {
+		if now.Before(till) {
+			continue
+		}
+		gone = append(gone, r.endpoints[id])
+		delete(r.vanished, id)
+		delete(r.endpoints, id)
+	}
+	if len(gone) > 0 {
+		r.rebuild()
+	}
+	return gone
+}
+
+// keep decides whether a vanished endpoint is still believed in, and holds on to
+// it. One that said that it is leaving is not.
+func (r *Roster) keep(e protocol.Endpoint, now time.Time) bool {
+	if e.Leaving || r.outage.IsZero() || now.Sub(r.outage) > settle {
+		return false
+	}
+	if r.vanished == nil {
+		r.vanished = make(map[string]time.Time)
+	}
+	if _, there := r.vanished[e.ID]; !there {
+		r.vanished[e.ID] = now.Add(settle)
+	}
+	r.endpoints[e.ID] = e
+	return true
+}
+
+// rebuild derives the view and the list anew. Measurements of runners that did
+// not change are kept.
+func (r *Roster) rebuild() {
+	list := make([]protocol.Endpoint, 0, len(r.endpoints))
+	for _, e := range r.endpoints {
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, b protocol.Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	r.list.Store(&list)
+	centers := make(map[string][]string)
+	var models []protocol.Model
+	var runners []protocol.Runner
+	for i := range r.services {
+		s := &r.services[i]
+		for _, e := range list {
+			spec, ok := runnerOf(s, e, r.Home.DataCenter)
+			if !ok {
+				continue
+			}
+			runners = append(runners, spec)
+			if !hasModel(models, spec.Model) {
+				models = append(models, protocol.Model{Name: spec.Model, Layers: layersOf(s)})
+				centers[s.Name] = append(centers[s.Name], e.DataCenter)
+			}
+		}
+	}
+	for _, c := range centers {
+		slices.Sort(c)
+	}
+	r.centers.Store(&centers)
+	r.view.Store(fleet.Gather(r.view.Load(), models, runners, r.Home))
+}
+
+func hasModel(models []protocol.Model, name string) bool {
+	return slices.ContainsFunc(models, func(m protocol.Model) bool { return m.Name == name })
+}
+
+func layersOf(s *protocol.RoutedService) int {
+	if s.Engine == nil {
+		return 1
+	}
+	return s.Engine.Layers
+}
+
+// runnerOf describes an endpoint to the fleet, if it can serve the service. A
+// plain service's endpoints in other data centers count as far, so that those
+// nearby are taken while they are free.
+func runnerOf(s *protocol.RoutedService, e protocol.Endpoint, home string) (protocol.Runner, bool) {
+	if e.Service != s.Name {
+		return protocol.Runner{}, false
+	}
+	spec := protocol.Runner{
+		Name: e.ID, VM: e.ID, DataCenter: e.DataCenter, Accelerator: e.Accelerator, Address: e.Address, Drain: e.Leaving,
+	}
+	if s.Engine == nil {
+		spec.Model = ModelName(s.Name, everywhere)
+		spec.To = 1
+		spec.Speed = plainSpeed
+		if e.DataCenter != home {
+			spec.Link = "far"
+		}
+		return spec, true
+	}
+	if e.Layers.Layers() <= 0 {
+		return protocol.Runner{}, false
+	}
+	spec.Model = ModelName(s.Name, e.DataCenter)
+	spec.From = e.Layers.From
+	spec.To = e.Layers.To
+	spec.Speed = engineSpeed(s.Engine, e.Accelerator)
+	return spec, true
+}
+
+// engineSpeed returns the layer passes a second that an engine reads a prompt at.
+func engineSpeed(f *protocol.EngineFacts, accelerator string) float64 {
+	factor := 1.0
+	if a, ok := f.Accelerator(accelerator); ok && a.ReadFactor > 0 {
+		factor = a.ReadFactor
+	}
+	return max(1, f.ReadPerSecond*float64(f.Layers)/factor)
+}
--- /dev/null
+++ b/state/routing/store.go
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package routing
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Store holds the table in force. The zero value holds none.
+type Store struct {
+	mutex     sync.Mutex
+	current   atomic.Pointer[Table]
+	confirmed atomic.Pointer[time.Time]
+}
+
+// Current returns the table in force, or nil before the first.
+func (s *Store) Current() *Table { return s.current.Load() }
+
+// Offer puts a table in force if its version is higher than that of the one
+// before, and reports whether it did.
+func (s *Store) Offer(t *Table) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if c := s.current.Load(); c != nil && t.Version() <= c.Version() {
+		return false
+	}
+	s.current.Store(t)
+	return true
+}
+
+// Confirm notes that at that time no higher version had been accepted than the
+// one in force. Earlier times than the last are ignored.
+func (s *Store) Confirm(at time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if c := s.confirmed.Load(); c == nil || at.After(*c) {
+		s.confirmed.Store(&at)
+	}
+}
+
+// ConfirmedAt returns the last time at which the table is known to have been the
+// highest, the zero time when it never was.
+func (s *Store) ConfirmedAt() time.Time {
+	if c := s.confirmed.Load(); c != nil {
+		return *c
+	}
+	return time.Time{}
+}
--- /dev/null
+++ b/transport/forward/attempt.go
@@ -0,0 +1,251 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"pinerun.example/pinerun/coordination/path"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/fleet"
+)
+
+// maxWholeBytes bounds an answer that is not a stream.
+const maxWholeBytes = 16 << 20
+
+// message is what an attempt tells its exchange: headCame, eventCame, wholeCame
+// or attemptEnded.
+type message interface{ message() }
+
+// headCame is the head of a stream.
+type headCame struct {
+	attempt *attempt
+	head    *http.Response
+}
+
+// eventCame is one event of a stream.
+type eventCame struct {
+	attempt *attempt
+	event   streamEvent
+}
+
+// wholeCame is a whole answer that is not a stream.
+type wholeCame struct {
+	attempt *attempt
+	head    *http.Response
+	body    []byte
+	terms   protocol.AnswerTerms
+}
+
+// attemptEnded is the end of an attempt. The cause is nil when a stream came to
+// its proper end. Unsent says that no byte left; stale that a connection which
+// had rested turned out to be closed.
+type attemptEnded struct {
+	attempt *attempt
+	cause   error
+	unsent  bool
+	stale   bool
+}
+
+func (headCame) message()     {}
+func (eventCame) message()    {}
+func (wholeCame) message()    {}
+func (attemptEnded) message() {}
+
+// errWrongAnswer says that bytes on a connection are not the answer to the
+// request sent there.
+var errWrongAnswer = errors.New("the endpoint sent something that is not the answer to this request")
+
+// attempt is one send of a request to an endpoint. Its goroutine reads and
+// writes; the exchange decides.
+type attempt struct {
+	number   int
+	path     path.Path
+	passes   int64 // work pledged at each layer of the path
+	endpoint *fleet.Runner
+	request  []byte
+	method   string
+	id       string // of the request, to recognise its answer
+	fresh    bool
+	headers  Headers
+	pool     *pool
+	out      chan<- message
+	sentAt   time.Time
+	answer   *http.Response // head of the stream, once it came; the exchange's
+
+	cancelled context.Context
+	cancel    context.CancelFunc
+	mutex     sync.Mutex
+	conn      *conn
+}
+
+func (a *attempt) run() {
+	defer a.stop()
+	c, err := a.pool.get(a.cancelled, a.endpoint.Name(), a.endpoint.Spec().Address, a.fresh)
+	if err != nil {
+		a.post(attemptEnded{attempt: a, cause: err, unsent: true})
+		return
+	}
+	if !a.hold(c) {
+		return
+	}
+	if n, err := c.Write(a.request); err != nil {
+		a.drop()
+		a.post(attemptEnded{attempt: a, cause: err, unsent: n == 0, stale: c.reused})
+		return
+	}
+	a.read(c)
+}
+
+// stop ends the attempt: a connection that is still held is closed, so that the
+// endpoint drops the request.
+func (a *attempt) stop() {
+	a.cancel()
+	a.drop()
+}
+
+func (a *attempt) hold(c *conn) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.cancelled.Err() != nil {
+		_ = c.Close()
+		return false
+	}
+	a.conn = c
+	return true
+}
+
+func (a *attempt) drop() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.conn != nil {
+		_ = a.conn.Close()
+		a.conn = nil
+	}
+}
+
+// release lets the connection rest after a whole answer.
+func (a *attempt) release(head *http.Response) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.conn == nil {
+		return
+	}
+	if head.Close {
+		_ = a.conn.Close()
+	} else {
+		a.pool.put(a.conn, head.Header, time.Now())
+	}
+	a.conn = nil
+}
+
+func (a *attempt) post(m message) {
+	select {
+	case a.out <- m:
+	case <-a.cancelled.Done():
+	}
+}
+
+func (a *attempt) read(c *conn) {
+	head, err := a.readHead(c)
+	if err != nil {
+		a.drop()
+		a.post(attemptEnded{attempt: a, cause: err, stale: c.reused && head == nil && c.reader.Buffered() == 0})
+		return
+	}
+	terms := a.headers.Answer(head.StatusCode, head.Header)
+	if terms.RequestID != "" && terms.RequestID != a.id {
+		a.drop()
+		a.post(attemptEnded{attempt: a, cause: errWrongAnswer, stale: c.reused})
+		return
+	}
+	if head.StatusCode == http.StatusOK && isStream(head.Header) {
+		a.readStream(head, terms)
+		return
+	}
+	a.readWhole(head, terms)
+}
+
+// readHead returns the head of the final answer.
+func (a *attempt) readHead(c *conn) (*http.Response, error) {
+	req := &http.Request{Method: a.method}
+	for {
+		if _, err := c.reader.Peek(1); err != nil {
+			return nil, err
+		}
+		head, err := http.ReadResponse(c.reader, req)
+		if err != nil {
+			return &http.Response{}, err
+		}
+		if head.StatusCode >= http.StatusOK {
+			return head, nil
+		}
+	}
+}
+
+func isStream(h http.Header) bool {
+	return strings.HasPrefix(strings.TrimSpace(h.Get("Content-Type")), "text/event-stream")
+}
+
+func (a *attempt) readStream(head *http.Response, terms protocol.AnswerTerms) {
+	if err := unfit(head, terms); err != nil {
+		a.drop()
+		a.post(attemptEnded{attempt: a, cause: err})
+		return
+	}
+	a.post(headCame{attempt: a, head: head})
+	r := bufio.NewReaderSize(head.Body, readBuffer)
+	for {
+		e, err := readEvent(r)
+		if errors.Is(err, io.EOF) {
+			a.release(head)
+			a.post(attemptEnded{attempt: a})
+			return
+		}
+		if err != nil {
+			a.drop()
+			a.post(attemptEnded{attempt: a, cause: err})
+			return
+		}
+		a.post(eventCame{attempt: a, event: e})
+	}
+}
+
+func (a *attempt) readWhole(head *http.Response, terms protocol.AnswerTerms) {
+	body, err := io.ReadAll(io.LimitReader(head.Body, maxWholeBytes+1))
+	if err == nil && len(body) > maxWholeBytes {
+		err = errors.New("the endpoint's answer is too long")
+	}
+	if err == nil {
+		err = unfit(head, terms)
+	}
+	if err != nil {
+		a.drop()
+		a.post(attemptEnded{attempt: a, cause: err})
+		return
+	}
+	a.release(head)
+	a.post(wholeCame{attempt: a, head: head, body: body, terms: terms})
+}
+
+// unfit returns why a success is not the endpoint's own answer, or nil.
+func unfit(head *http.Response, terms protocol.AnswerTerms) error {
+	if head.StatusCode >= http.StatusMultipleChoices {
+		return nil
+	}
+	if !terms.Signed || terms.RequestID == "" {
+		return fmt.Errorf("%w: a success without signature or request ID", errWrongAnswer)
+	}
+	if head.Header.Get("Content-Encoding") != "" {
+		return fmt.Errorf("%w: a body that was encoded on the way", errWrongAnswer)
+	}
+	return nil
+}
--- /dev/null
+++ b/transport/forward/encode.go
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// mostUrgency is the least urgent rank an engine knows.
+const mostUrgency = 9
+
+// teamRanks is how many ranks of routes lie between two ranks of teams.
+const teamRanks = 3
+
+// encode returns the request as an attempt sends it: method, path and body as
+// the caller sent them, and the headers less those of the caller's connection.
+func (x *exchange) encode(a *attempt) []byte {
+	h := x.request.Header.Clone()
+	stripHops(h)
+	h.Del("Content-Length")
+	x.forwarder.Headers.Mark(h, x.sendTerms(a), a.sentAt)
+	var b bytes.Buffer
+	b.Grow(1024 + len(x.body))
+	b.WriteString(x.request.Method)
+	b.WriteByte(' ')
+	b.WriteString(x.request.RequestURI)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(x.request.Host)
+	b.WriteString("\r\n")
+	_ = h.Write(&b) // a buffer takes every write
+	if len(x.body) > 0 || x.request.ContentLength != 0 || x.request.Method == http.MethodPost {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(x.body)))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(x.body)
+	return b.Bytes()
+}
+
+func (x *exchange) sendTerms(a *attempt) *protocol.SendTerms {
+	s := &protocol.SendTerms{EndpointID: a.endpoint.Name(), Deadline: x.deadline, LastEvent: x.lastEvent}
+	if x.team != nil {
+		s.Team = x.team.Name
+	}
+	if x.service.Engine == nil {
+		return s
+	}
+	s.Urgent = true
+	s.Urgency = x.urgency()
+	s.Path = make([]protocol.PathStage, a.path.Len())
+	for i := range s.Path {
+		r := a.path.Runner(i)
+		s.Path[i] = protocol.PathStage{Address: r.Spec().Address, Layers: r.Span()}
+	}
+	return s
+}
+
+// urgency ranks by team first, then by route.
+func (x *exchange) urgency() int {
+	rank := min(x.route.Priority, teamRanks-1)
+	if x.team != nil {
+		rank += teamRanks * x.team.Priority
+	}
+	return max(0, min(mostUrgency, rank))
+}
+
+// stripHops takes out the headers that concern one connection only.
+func stripHops(h http.Header) {
+	for _, list := range h["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			if name = strings.TrimSpace(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/transport/forward/reply.go
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+)
+
+// writeSlack is how much longer than its deadline a request's answer may take to
+// be written to a caller that reads slowly.
+const writeSlack = 400 * time.Millisecond
+
+// copyHead puts an endpoint's head into the caller's answer.
+func (x *exchange) copyHead(head *http.Response) {
+	h := x.writer.Header()
+	for name, values := range head.Header {
+		h[name] = values
+	}
+	stripHops(h)
+	if h.Get("Content-Type") == "" {
+		h["Content-Type"] = nil // the library must not guess one
+	}
+}
+
+// deliver passes a whole answer on.
+func (x *exchange) deliver(m *wholeCame) {
+	x.finished = true
+	x.copyHead(m.head)
+	if m.head.StatusCode != http.StatusNoContent && m.head.StatusCode != http.StatusNotModified && x.request.Method != http.MethodHead {
+		x.writer.Header().Set("Content-Length", strconv.Itoa(len(m.body)))
+	}
+	x.limitWrite()
+	x.writer.WriteHeader(m.head.StatusCode)
+	if _, err := x.writer.Write(m.body); err != nil {
+		x.callerLeft()
+		return
+	}
+	x.answered(m.head.StatusCode)
+}
+
+// writeStreamHead passes the head of a stream on.
+func (x *exchange) writeStreamHead(head *http.Response) {
+	x.headSent = true
+	x.copyHead(head)
+	x.writer.Header().Del("Content-Length")
+	x.limitWrite()
+	x.writer.WriteHeader(head.StatusCode)
+}
+
+func (x *exchange) limitWrite() {
+	err := http.NewResponseController(x.writer).SetWriteDeadline(x.deadline.Add(writeSlack))
+	if err != nil {
+		x.forwarder.log(event.CallerUnbounded, x.id(), slog.String("cause", err.Error()))
+	}
+}
+
+func (x *exchange) flush() {
+	if err := http.NewResponseController(x.writer).Flush(); err != nil {
+		x.callerLeft()
+		x.finished = true
+	}
+}
+
+// endStream ends a stream that came to its proper end.
+func (x *exchange) endStream() {
+	x.finished = true
+	if !x.headSent {
+		x.finish(protocol.Uncertain(protocol.StageFailed, "the stream had no event"))
+		return
+	}
+	x.answered(http.StatusOK)
+}
+
+func (x *exchange) answered(status int) {
+	f := x.forwarder
+	took := time.Since(x.begun)
+	f.Latency.Whole.Record(took)
+	f.Counters.Add(metric.AnsweredInTime, 1)
+	f.log(event.RequestAnswered, x.id(), slog.Int("status", status), slog.Int("events", x.events),
+		slog.Int64("took_ms", took.Milliseconds()), slog.Int("sends", x.sends))
+}
+
+// finish ends the request without a whole answer. A stream that has begun is
+// broken off, so that it can't look complete.
+func (x *exchange) finish(r *protocol.Refusal) {
+	x.finished = true
+	if x.headSent {
+		x.stopAll()
+		x.forwarder.Counters.Refused(r.Kind())
+		x.forwarder.log(event.StreamCut, x.id(), slog.String("kind", string(r.Kind())), slog.Int("events", x.events),
+			slog.Int64("took_ms", time.Since(x.begun).Milliseconds()), slog.Int("sends", x.sends))
+		panic(http.ErrAbortHandler)
+	}
+	x.refuse(r)
+}
+
+// refuse answers with a refusal.
+func (x *exchange) refuse(r *protocol.Refusal) {
+	f := x.forwarder
+	f.Counters.Refused(r.Kind())
+	h := x.writer.Header()
+	h.Set("Content-Type", "application/json")
+	if !r.RetryAt().IsZero() {
+		wait := max(0, time.Until(r.RetryAt()).Seconds())
+		h.Set("Retry-After", strconv.FormatFloat(wait, 'f', 3, 64))
+	}
+	if r.Kind() == protocol.Stopping || r.Kind() == protocol.NoConfiguration || r.Kind() == protocol.PlatformDown {
+		h.Set("Connection", "close") // the next request shall reach another entry
+	}
+	body, err := json.Marshal(struct {
+		Kind    protocol.Kind    `json:"kind"`
+		Outcome protocol.Outcome `json:"outcome"`
+		Message string           `json:"message"`
+		Remedy  string           `json:"remedy"`
+	}{r.Kind(), r.Outcome(), r.Message(), r.Remedy()})
+	if err != nil {
+		body = []byte("{}") // can't happen: the fields are strings
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	x.writer.WriteHeader(r.Status())
+	if _, err := x.writer.Write(body); err != nil {
+		x.callerLeft()
+	}
+	details := []slog.Attr{
+		x.id(), slog.String("kind", string(r.Kind())), slog.Int("status", r.Status()), slog.String("outcome", string(r.Outcome())),
+		slog.String("message", r.Message()), slog.Int("sends", x.sends), slog.Int64("took_ms", time.Since(x.begun).Milliseconds()),
+		slog.Int64("confirmed_ms", time.Since(f.Routing.ConfirmedAt()).Milliseconds()),
+	}
+	if x.table != nil {
+		details = append(details, slog.Uint64("routing", x.table.Version()))
+	}
+	f.log(event.RequestRefused, details...)
+}
--- /dev/null
+++ b/transport/forward/suspects.go
@@ -0,0 +1,140 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"pinerun.example/pinerun/coordination/path"
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/fleet"
+)
+
+const (
+	// suspectFor is how long runners of a silent path get no new work while it is
+	// not clear which of them is at fault.
+	suspectFor = 400 * time.Millisecond
+	// askEvery is the least time between two questions to one engine.
+	askEvery = 250 * time.Millisecond
+	// askLimit bounds the wait for an engine's report.
+	askLimit = 300 * time.Millisecond
+)
+
+// suspects finds out which runner of a silent path is at fault: runners that
+// other streams have heard since are cleared, the rest get no new work for a
+// moment, and the first engine is asked what its requests wait for.
+type suspects struct {
+	forwarder *Forwarder
+	mutex     sync.Mutex
+	asked     map[string]time.Time // by endpoint ID
+}
+
+// silent notes that nothing has come on an attempt since a time.
+func (s *suspects) silent(a *attempt, since, now time.Time) {
+	for i := range a.path.Len() {
+		if r := a.path.Runner(i); !r.HeardAt().After(since) {
+			r.LeaveOut(now.Add(suspectFor))
+		}
+	}
+	if a.path.Len() < 2 || !s.mayAsk(a.endpoint.Name(), now) {
+		return
+	}
+	go (&question{suspects: s, path: a.path, since: since}).run()
+}
+
+func (s *suspects) mayAsk(endpoint string, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.asked == nil {
+		s.asked = make(map[string]time.Time)
+	}
+	if now.Before(s.asked[endpoint].Add(askEvery)) {
+		return false
+	}
+	s.asked[endpoint] = now
+	return true
+}
+
+// question asks the first engine of a path which engine its requests wait for.
+type question struct {
+	suspects *suspects
+	path     path.Path
+	since    time.Time
+}
+
+func (q *question) run() {
+	f := q.suspects.forwarder
+	first := q.path.Runner(0)
+	ctx, cancel := context.WithTimeout(context.Background(), askLimit)
+	defer cancel()
+	f.Counters.Add(metric.ReportsAsked, 1)
+	report, err := f.Reporter.Report(ctx, first.Spec().Address)
+	now := time.Now()
+	if err != nil {
+		q.eject(first, "does not report: "+err.Error(), now)
+		return
+	}
+	found := false
+	for i := range q.path.Len() {
+		if r := q.path.Runner(i); stalledAt(r, report.Stalled) {
+			found = true
+			q.eject(r, "requests wait for it", now)
+		}
+	}
+	if !found {
+		return
+	}
+	for i := range q.path.Len() {
+		if r := q.path.Runner(i); !stalledAt(r, report.Stalled) {
+			r.Readmit()
+		}
+	}
+}
+
+func (q *question) eject(r *fleet.Runner, why string, now time.Time) {
+	f := q.suspects.forwarder
+	till := r.Failed(now)
+	f.Counters.Add(metric.RunnersEjected, 1)
+	f.log(event.RunnerEjected, slog.String("runner", r.Name()), slog.String("reason", why),
+		slog.Int64("till_ms", till.Sub(now).Milliseconds()), slog.Int64("silent_ms", now.Sub(q.since).Milliseconds()))
+}
+
+func stalledAt(r *fleet.Runner, stalled []protocol.StalledRequest) bool {
+	return slices.ContainsFunc(stalled, func(s protocol.StalledRequest) bool { return s.Address == r.Spec().Address })
+}
+
+// heard notes that every runner of the attempt's path works.
+func (a *attempt) heard(now time.Time) {
+	for i := range a.path.Len() {
+		a.path.Runner(i).Heard(now)
+	}
+}
+
+// blame leaves out the runner at an address, or the first of the path when it
+// is "" and the answer broke before anything came.
+func (x *exchange) blame(a *attempt, address string, now time.Time) {
+	if address == "" {
+		if a.path.Len() > 1 {
+			x.forwarder.suspects.silent(a, x.rhythm.last, now)
+			return
+		}
+		address = a.endpoint.Spec().Address
+	}
+	for i := range a.path.Len() {
+		r := a.path.Runner(i)
+		if r.Spec().Address != address {
+			continue
+		}
+		till := r.Failed(now)
+		x.avoid = append(x.avoid, r)
+		x.forwarder.Counters.Add(metric.RunnersEjected, 1)
+		x.forwarder.log(event.RunnerEjected, slog.String("runner", r.Name()), x.id(),
+			slog.Int64("till_ms", till.Sub(now).Milliseconds()))
+	}
+}
--- /dev/null
+++ b/transport/front/front.go
@@ -0,0 +1,195 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package front
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"pinerun.example/pinerun/coordination/retry"
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/internal/part"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/settings"
+	"pinerun.example/pinerun/state/fleet"
+	"pinerun.example/pinerun/state/roster"
+	"pinerun.example/pinerun/state/routing"
+	"pinerun.example/pinerun/transport/director"
+	"pinerun.example/pinerun/transport/forward"
+	"pinerun.example/pinerun/transport/watch"
+)
+
+// Objects is the platform's object store.
+type Objects interface {
+	watch.Source
+	director.Objects
+}
+
+// Engines is the way to model engines.
+type Engines interface {
+	forward.Reporter
+	director.Engines
+}
+
+// Decoder decodes the objects of the platform.
+type Decoder interface {
+	Routing(o protocol.Object) (protocol.Routing, error)
+	Endpoint(o protocol.Object) (protocol.Endpoint, error)
+}
+
+// Outside is everything that a front meets, behind one platform's names.
+type Outside struct {
+	Objects      Objects
+	Engines      Engines
+	Headers      forward.Headers
+	Decoder      Decoder
+	RoutingKind  string
+	RoutingName  string
+	EndpointKind string
+}
+
+const (
+	// sharers is how many entries the common slack of retries is split over. An
+	// entry does not know how many there are; today there are 7 or 8.
+	sharers = 10
+	// shareKept is the part of the retry share that an entry uses itself, since
+	// the platform counts requests where they were sent, not where they came in.
+	shareKept = 0.75
+	// leaseKind is the kind of the product's own objects in the platform.
+	leaseKind = "pinerun-leases"
+	// sweepEvery is how often records that vanished are looked through.
+	sweepEvery = 250 * time.Millisecond
+)
+
+// Front is one entry. Set the exported fields before Start.
+type Front struct {
+	Settings settings.Front
+	Outside  Outside
+	Counters *metric.Set
+	Logger   *slog.Logger
+
+	done      part.Done
+	routing   routing.Store
+	roster    roster.Roster
+	latency   forward.Latency
+	forwarder forward.Forwarder
+	director  director.Director
+	watchers  []*watch.Watcher
+	callers   callers
+	ready     listener
+	metrics   listener
+	stopping  atomic.Bool
+	reached   atomic.Bool
+}
+
+// Start begins to serve.
+func (f *Front) Start() error {
+	s := &f.Settings
+	home := fleet.Home{Name: s.Name, DataCenter: s.DataCenter}
+	f.roster.Home = home
+	f.forwarder = forward.Forwarder{
+		Home: home, Routing: &f.routing, Roster: &f.roster, Headers: f.Outside.Headers, Reporter: f.Outside.Engines,
+		Counters: f.Counters, Latency: &f.latency, Logger: f.Logger,
+		Budget:    retry.Budget{Share: s.RetryShare * shareKept, Most: max(1, s.RetrySlack/sharers)},
+		TrustKeys: s.KeyTrust,
+	}
+	f.director = director.Director{
+		Self: s.Name, LeaseKind: leaseKind, Routing: &f.routing, Roster: &f.roster, Engines: f.Outside.Engines,
+		Objects: f.Outside.Objects, Counters: f.Counters, Logger: f.Logger,
+	}
+	if err := f.listen(); err != nil {
+		return err
+	}
+	f.forwarder.Start()
+	f.director.Start()
+	f.watchers = []*watch.Watcher{
+		{Source: f.Outside.Objects, Kind: f.Outside.RoutingKind, Sink: &routingSink{front: f}},
+		{Source: f.Outside.Objects, Kind: f.Outside.EndpointKind, Sink: &endpointSink{front: f}},
+	}
+	for _, w := range f.watchers {
+		w.Start()
+	}
+	go f.run()
+	event.EntryReady.Log(f.Logger, slog.String("entry", s.Name), slog.String("data_center", s.DataCenter),
+		slog.String("callers", s.Listen.Callers), slog.String("store", s.Store))
+	return nil
+}
+
+func (f *Front) listen() error {
+	l := &f.Settings.Listen
+	f.callers.limits = f.callerLimits
+	if err := f.callers.open(l.Callers, &f.forwarder); err != nil {
+		return err
+	}
+	if err := f.ready.open(l.Readiness, f.readinessHandler()); err != nil {
+		return err
+	}
+	return f.metrics.open(l.Metrics, f.metricsHandler())
+}
+
+// callerLimits returns the limits in force, zero before the first table.
+func (f *Front) callerLimits() protocol.CallerLimits {
+	if t := f.routing.Current(); t != nil {
+		return *t.Callers()
+	}
+	return protocol.CallerLimits{}
+}
+
+func (f *Front) run() {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			for _, e := range f.roster.Sweep(now) {
+				event.EndpointGone.Log(f.Logger, slog.String("endpoint", e.ID), slog.String("reason", "did not come back after the platform did"))
+			}
+			f.callers.sweep(now)
+		case <-f.done.Done():
+			return
+		}
+	}
+}
+
+// isReady reports whether new callers should come here: everything is known, the
+// entry does not stop, and keys can still be confirmed.
+func (f *Front) isReady(now time.Time) bool {
+	return !f.stopping.Load() && f.routing.Current() != nil && f.roster.Known() &&
+		now.Before(f.Settings.KeyTrust(f.routing.ConfirmedAt()))
+}
+
+// listener is one HTTP server beside that of the callers.
+type listener struct {
+	server http.Server
+	socket net.Listener
+}
+
+func (l *listener) open(address string, h http.Handler) error {
+	socket, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	l.socket = socket
+	l.server = http.Server{Handler: h, ReadHeaderTimeout: sideLimit, IdleTimeout: sideIdle}
+	go l.run()
+	return nil
+}
+
+const (
+	// sideLimit and sideIdle bound how slow a question may come and how long its
+	// connection rests; the balancer asks every second.
+	sideLimit = 5 * time.Second
+	sideIdle  = 30 * time.Second
+)
+
+func (l *listener) run() { _ = l.server.Serve(l.socket) }
+
+func (l *listener) close() {
+	if l.socket != nil {
+		_ = l.server.Close()
+	}
+}
--- /dev/null
+++ b/transport/front/side.go
@@ -0,0 +1,45 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package front
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"pinerun.example/pinerun/internal/metric"
+)
+
+// readinessHandler answers the balancer.
+func (f *Front) readinessHandler() http.Handler {
+	e := echo.New()
+	e.GET("/ready", func(c echo.Context) error {
+		if !f.isReady(time.Now()) {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	return e
+}
+
+// metricsHandler serves the counters and latencies as text.
+func (f *Front) metricsHandler() http.Handler {
+	e := echo.New()
+	e.GET("/metrics", func(c echo.Context) error {
+		c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
+		c.Response().WriteHeader(http.StatusOK)
+		return f.writeMetrics(c.Response())
+	})
+	return e
+}
+
+func (f *Front) writeMetrics(w http.ResponseWriter) error {
+	if err := f.Counters.WriteText(w); err != nil {
+		return err
+	}
+	if err := metric.WriteTimes(w, "first_event", &f.latency.First); err != nil {
+		return err
+	}
+	return metric.WriteTimes(w, "whole_answer", &f.latency.Whole)
+}
--- /dev/null
+++ b/transport/front/stop.go
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package front
+
+import (
+	"log/slog"
+	"time"
+
+	"pinerun.example/pinerun/internal/event"
+)
+
+const (
+	// lastTaken is how long after it was told to stop an entry still takes new
+	// requests: the balancer asks every second and needs two answers, and
+	// connections that callers keep are closed as they come to rest.
+	lastTaken = 2500 * time.Millisecond
+	// stopMargin is how much sooner than its end an entry breaks off what is
+	// still open, so that callers get an end of the connection and not silence.
+	stopMargin = 250 * time.Millisecond
+	// stopLook is how often it is looked whether anything is still open.
+	stopLook = 20 * time.Millisecond
+)
+
+// Stop ends the entry: it calls itself not ready, finishes what is open, and
+// breaks off what is left shortly before it would be killed.
+func (f *Front) Stop(now time.Time) {
+	f.stopping.Store(true)
+	event.EntryStopping.Log(f.Logger, slog.Int64("open", f.forwarder.Open()))
+	f.callers.server.SetKeepAlivesEnabled(false)
+	last := now.Add(lastTaken)
+	end := f.Settings.StopBy(now).Add(-stopMargin)
+	for now.Before(end) {
+		if now.After(last) {
+			f.forwarder.RefuseNew()
+			if f.forwarder.Open() == 0 {
+				break
+			}
+		}
+		time.Sleep(stopLook)
+		now = time.Now()
+	}
+	event.EntryStopped.Log(f.Logger, slog.Int64("cut_off", f.forwarder.Open()))
+	f.close()
+}
+
+func (f *Front) close() {
+	f.done.Close()
+	for _, w := range f.watchers {
+		w.Close()
+	}
+	f.director.Close()
+	f.forwarder.Close()
+	f.callers.close()
+	f.ready.close()
+	f.metrics.close()
+}
--- /dev/null
+++ b/transport/watch/watch.go
@@ -0,0 +1,158 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package watch follows the objects of one kind in the platform.
+//
+// A Watcher lists them, then waits for changes from there on. When the platform
+// has forgotten the changes since, or did not answer for a while, it lists anew.
+// What it learns goes to a Sink, in order, from one goroutine:
+//
+//	w := &watch.Watcher{Source: store, Kind: "config", Sink: s}
+//	w.Start()
+package watch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"pinerun.example/pinerun/internal/part"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/transport/platform"
+)
+
+const (
+	// Wait is how long one call waits for a change. It is bounded by how soon a
+	// dead connection has to be noticed, and each call has its price.
+	Wait = 1500 * time.Millisecond
+	// hush is how long before its end a watch may have missed a change: the
+	// platform's watches hear nothing for up to a second before it forgets.
+	hush = time.Second
+	// pauseFirst and pauseMost bound the rest after a failed call.
+	pauseFirst = 100 * time.Millisecond
+	pauseMost  = 800 * time.Millisecond
+)
+
+// Source is the platform.
+type Source interface {
+	List(ctx context.Context, kind string) (protocol.Listing, error)
+	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (protocol.Changes, error)
+}
+
+// Sink takes what is learned. Confirmed is a time at which what was told up to
+// now was known to be all there is.
+type Sink interface {
+	Listed(objects []protocol.Object, now time.Time)
+	Changed(c protocol.Change, now time.Time)
+	Confirmed(at time.Time)
+	Failed(err error, now time.Time)
+}
+
+// Watcher follows one kind. Set the exported fields before Start.
+type Watcher struct {
+	Source Source
+	Kind   string
+	Sink   Sink
+
+	done     part.Done
+	from     uint64 // revision to watch from, 0 before a list
+	failures int
+}
+
+// Start begins to follow.
+func (w *Watcher) Start() { go w.run() }
+
+// Close ends it.
+func (w *Watcher) Close() { w.done.Close() }
+
+func (w *Watcher) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go (&canceller{done: w.done.Done(), cancel: cancel}).run()
+	for !w.done.Closed() {
+		if err := w.step(ctx); err != nil {
+			w.failed(err)
+		}
+	}
+}
+
+// canceller cancels a context when a part ends.
+type canceller struct {
+	done   <-chan struct{}
+	cancel context.CancelFunc
+}
+
+func (c *canceller) run() {
+	<-c.done
+	c.cancel()
+}
+
+func (w *Watcher) step(ctx context.Context) error {
+	if w.from == 0 {
+		return w.list(ctx)
+	}
+	return w.watch(ctx)
+}
+
+func (w *Watcher) list(ctx context.Context) error {
+	asked := time.Now()
+	l, err := w.Source.List(ctx, w.Kind)
+	if err != nil {
+		return err
+	}
+	w.from = max(1, l.At)
+	w.failures = 0
+	w.Sink.Listed(l.Objects, time.Now())
+	w.Sink.Confirmed(asked)
+	return nil
+}
+
+func (w *Watcher) watch(ctx context.Context) error {
+	asked := time.Now()
+	c, err := w.Source.Watch(ctx, w.Kind, w.from, Wait)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	w.failures = 0
+	for _, change := range c.Changes {
+		w.Sink.Changed(change, now)
+	}
+	if len(c.Changes) > 0 {
+		// Only news moves the place to go on from: a watch that heard nothing
+		// may have missed something, and its old place then is found forgotten.
+		w.from = max(w.from, c.At)
+		w.Sink.Confirmed(asked)
+		return nil
+	}
+	w.Sink.Confirmed(later(asked, asked.Add(Wait-hush)))
+	return nil
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// failed lists anew after a call without an answer: what happened meanwhile may
+// be more than the platform remembers.
+func (w *Watcher) failed(err error) {
+	if w.done.Closed() {
+		return
+	}
+	var forgotten *platform.Forgotten
+	w.from = 0
+	if errors.As(err, &forgotten) {
+		return
+	}
+	w.Sink.Failed(err, time.Now())
+	rest := min(pauseMost, pauseFirst<<min(w.failures, 10))
+	w.failures++
+	t := time.NewTimer(rest)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-w.done.Done():
+	}
+}
