--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -26,10 +26,13 @@
 )
 
 const (
-	// wantedRequests is how many requests of usual size an engine should have
-	// room for beside its weights: 25 requests a second in a data center that
-	// last two seconds each.
-	wantedRequests = 48
+	// wantedCopies is how much of the model the engines of a data center should
+	// hold together. What memory is left beside these layers is room for requests:
+	// the more of it, the more requests run at once; the fewer layers are held
+	// twice, the more often a loss leaves a hole.
+	wantedCopies = 1.3
+	// mostRequests bounds the room for requests of usual size that is worth having.
+	mostRequests = 400
 	// leastRequests is the room below which a data center rather does without a
 	// copy of its own.
 	leastRequests = 4
@@ -122,7 +125,6 @@
 type member struct {
 	id       string
 	capacity int
-	most     int // with the least room for requests
 	span     protocol.Span
 	moved    bool
 }
@@ -160,7 +162,8 @@
 // newPool returns the pool of some engines, or nil when they can't hold a copy.
 func newPool(f *protocol.EngineFacts, engines []Engine) *pool {
 	usual := float64(f.UsualPrompt + f.UsualAnswer)
-	for requests := wantedRequests; requests >= leastRequests; requests-- {
+	var largest *pool
+	for requests := mostRequests; requests >= leastRequests; requests-- {
 		p := &pool{layers: f.Layers, cover: make([]int, f.Layers)}
 		sum := 0
 		for _, e := range engines {
@@ -171,19 +174,22 @@
 			m := member{
 				id:       e.ID,
 				capacity: Capacity(f, a.MemoryMB, usual*float64(requests)),
-				most:     Capacity(f, a.MemoryMB, usual*leastRequests),
 				span:     e.Held,
 			}
 			sum += m.capacity
 			p.engines = append(p.engines, m)
 		}
-		if sum < f.Layers {
-			continue
+		if sum >= f.Layers {
+			largest = p
+		}
+		if float64(sum) >= wantedCopies*float64(f.Layers) {
+			break
 		}
-		p.order()
-		return p
 	}
-	return nil
+	if largest != nil {
+		largest.order()
+	}
+	return largest
 }
 
 // order puts the largest engines first, so that a copy has few stages.
@@ -227,22 +233,12 @@
 		if m == nil {
 			return moves
 		}
-		span := protocol.Span{From: hole.From, To: min(hole.To, hole.From+p.room(m, hole.Layers()))}
+		span := protocol.Span{From: hole.From, To: min(hole.To, hole.From+m.capacity)}
 		p.set(m, span)
 		moves = append(moves, Move{engine: m.id, span: span, reason: reason})
 	}
 }
 
-// room returns how many layers of a hole an engine takes: beyond its capacity
-// when that closes a hole, because a whole copy with little room for requests
-// is worth more than none.
-func (p *pool) room(m *member, hole int) int {
-	if hole <= m.most {
-		return max(m.capacity, hole)
-	}
-	return m.capacity
-}
-
 // hole returns the first run of layers with that many holders, empty if none.
 func (p *pool) hole(holders int) protocol.Span {
 	for l := range p.cover {
--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -34,9 +34,11 @@
 const (
 	// lookEvery is how often it is worked out whether there is work.
 	lookEvery = 100 * time.Millisecond
-	// settleFirst is how long after the first engine is known the first orders
-	// wait, so that a copy is laid out over all engines.
-	settleFirst = 700 * time.Millisecond
+	// settleQuiet is how long no engine has joined before the first layers are
+	// ordered in an empty fleet, so that a copy is laid out over all of it; engines
+	// start within a heartbeat or so of each other. settleMost bounds the wait.
+	settleQuiet = 900 * time.Millisecond
+	settleMost  = 4 * time.Second
 	// doubt is how long an order without effect is taken to be on its way: the
 	// longest load takes a few seconds, the engine's record a second more.
 	doubt = 6 * time.Second
@@ -79,7 +81,7 @@
 	done    part.Done
 	lease   lease.Lease
 	held    bool
-	firstAt time.Time // when engines were first known
+	starts  map[string]*start // of services whose engines hold nothing yet
 	waitTo  time.Time // when this entry tries to take the lease for work that it sees
 	mutex   sync.Mutex
 	ordered map[string]order     // by endpoint ID, still in doubt
@@ -95,6 +97,7 @@
 // Start begins to look.
 func (d *Director) Start() {
 	d.lease.Self = d.Self
+	d.starts = make(map[string]*start)
 	d.ordered = make(map[string]order)
 	d.resting = make(map[string]time.Time)
 	go d.run()
@@ -175,10 +178,7 @@
 	if len(q.Engines) == 0 {
 		return nil
 	}
-	if d.firstAt.IsZero() {
-		d.firstAt = now
-	}
-	if now.Sub(d.firstAt) < settleFirst {
+	if d.starting(s.Name, q.Engines, now) {
 		return nil
 	}
 	var moves []move
@@ -191,6 +191,35 @@
 	return moves
 }
 
+// start is when the engines of an empty fleet were first seen, and when their
+// number last rose.
+type start struct {
+	first   time.Time
+	joined  time.Time
+	engines int
+}
+
+// starting reports whether the engines of a service hold nothing yet and more of
+// them are still coming.
+func (d *Director) starting(service string, engines []place.Engine, now time.Time) bool {
+	for _, e := range engines {
+		if e.Held.Layers() > 0 {
+			delete(d.starts, service)
+			return false
+		}
+	}
+	s := d.starts[service]
+	if s == nil {
+		s = &start{first: now}
+		d.starts[service] = s
+	}
+	if len(engines) > s.engines {
+		s.joined = now
+		s.engines = len(engines)
+	}
+	return now.Sub(s.joined) < settleQuiet && now.Sub(s.first) < settleMost
+}
+
 // heldBy returns what an engine holds, or what it was lately ordered to hold.
 func (d *Director) heldBy(e protocol.Endpoint) protocol.Span {
 	d.mutex.Lock()
