--- /dev/null
+++ b/coordination/path/parts.go
@@ -0,0 +1,156 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package path
+
+import (
+	"math"
+
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/fleet"
+)
+
+// Parts fills p with the cheapest path on which a runner may run a part of the
+// layers that it holds, and returns -1, or the first layer that can't be reached.
+// It is for engines that take the layers of each stage with the request. A stage
+// begins and ends only where some runner's span does, so that the work is bounded
+// by the number of runners. It does not allocate.
+//
+// Runners that are left out or to be avoided are taken only when no path does
+// without them, those that are leaving never.
+func Parts(m *fleet.Model, q *Query, p *Path) int {
+	if m == nil || m.Layers() <= 0 || m.Layers() > MaxLayers {
+		return 0
+	}
+	var s search
+	s.prepare(m)
+	if s.run(m, q, false) && s.collect(m.Layers(), p) {
+		return -1
+	}
+	reached := s.furthest(m.Layers())
+	if s.run(m, q, true) && s.collect(m.Layers(), p) {
+		return -1
+	}
+	return max(reached, s.furthest(m.Layers()))
+}
+
+// search is the state of one search over the layers.
+type search struct {
+	bounds [MaxLayers + 1]int // where spans begin or end, in order
+	count  int
+	best   [MaxLayers + 1]float64
+	via    [MaxLayers + 1]*fleet.Runner
+	from   [MaxLayers + 1]int
+	stages [MaxLayers + 1]int
+}
+
+// prepare lists the layers at which a stage may begin or end.
+func (s *search) prepare(m *fleet.Model) {
+	var marks [MaxLayers + 1]bool
+	marks[0], marks[m.Layers()] = true, true
+	groups := m.Groups()
+	for i := range groups {
+		if span := groups[i].Span(); span.Valid(m.Layers()) {
+			marks[span.From], marks[span.To] = true, true
+		}
+	}
+	s.count = 0
+	for l := 0; l <= m.Layers(); l++ {
+		if marks[l] {
+			s.bounds[s.count] = l
+			s.count++
+		}
+	}
+}
+
+// run finds the cheapest way to each bound, and reports whether the last layer
+// is reached. Desperate lets runners in that should be left out.
+func (s *search) run(m *fleet.Model, q *Query, desperate bool) bool {
+	for i := range s.count {
+		s.best[s.bounds[i]] = math.Inf(1)
+	}
+	s.best[0], s.stages[0] = 0, 0
+	groups := m.Groups()
+	for i := range s.count {
+		at := s.bounds[i]
+		if math.IsInf(s.best[at], 1) || s.stages[at] >= MaxStages {
+			continue
+		}
+		for g := range groups {
+			if span := groups[g].Span(); span.From <= at && at < span.To && span.Valid(m.Layers()) {
+				s.extend(&groups[g], i, q, desperate)
+			}
+		}
+	}
+	return !math.IsInf(s.best[m.Layers()], 1)
+}
+
+// extend tries the runners of a group for the stages that begin at a bound.
+func (s *search) extend(g *fleet.Group, begin int, q *Query, desperate bool) {
+	at := s.bounds[begin]
+	for _, r := range g.Runners() {
+		penalty, ok := penaltyOf(r, q, desperate)
+		if !ok {
+			continue
+		}
+		fixed, layer := r.Parts(q.Now, q.Positions)
+		fixed += penalty + q.Draw.Float64()*tieSeconds
+		for i := begin + 1; i < s.count && s.bounds[i] <= g.Span().To; i++ {
+			to := s.bounds[i]
+			if cost := s.best[at] + fixed + layer*float64(to-at); cost < s.best[to] {
+				s.best[to], s.via[to], s.from[to], s.stages[to] = cost, r, at, s.stages[at]+1
+			}
+		}
+	}
+}
+
+const (
+	// tieSeconds spreads equal runners: entries that believe the same must not all
+	// take the same path.
+	tieSeconds = 0.0005
+	// desperateSeconds is what a runner costs that should be left out.
+	desperateSeconds = 10
+)
+
+// penaltyOf returns what it costs to take a runner beside its work, and whether
+// it may be taken at all.
+func penaltyOf(r *fleet.Runner, q *Query, desperate bool) (float64, bool) {
+	if r.Leaving() {
+		return 0, false
+	}
+	if r.Usable(q.Now) && !avoided(q.Avoid, r) {
+		return 0, true
+	}
+	return desperateSeconds, desperate
+}
+
+func (s *search) furthest(layers int) int {
+	for i := s.count - 1; i > 0; i-- {
+		if at := s.bounds[i]; at < layers && !math.IsInf(s.best[at], 1) {
+			return at
+		}
+	}
+	return 0
+}
+
+// collect writes the path down. A runner that would stand in it twice, which
+// engines refuse, makes it void.
+func (s *search) collect(layers int, p *Path) bool {
+	n := s.stages[layers]
+	if n > MaxStages {
+		return false
+	}
+	p.length, p.cost = n, s.best[layers]
+	for at := layers; at > 0; at = s.from[at] {
+		n--
+		p.runners[n] = s.via[at]
+		p.spans[n] = protocol.Span{From: s.from[at], To: at}
+	}
+	for i := 1; i < p.length; i++ {
+		for j := range i {
+			if p.runners[i] == p.runners[j] {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/coordination/path/path.go
+++ b/coordination/path/path.go
@@ -18,6 +18,7 @@
 	"math/rand/v2"
 	"time"
 
+	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/fleet"
 )
 
@@ -36,6 +37,7 @@
 type Path struct {
 	length  int
 	runners [MaxStages]*fleet.Runner
+	spans   [MaxStages]protocol.Span
 	cost    float64
 }
 
@@ -45,6 +47,10 @@
 // Runner returns the runner of a stage.
 func (p *Path) Runner(stage int) *fleet.Runner { return p.runners[stage] }
 
+// Span returns the layers that a stage runs: all that its runner holds, or a part
+// of them.
+func (p *Path) Span(stage int) protocol.Span { return p.spans[stage] }
+
 // Cost returns the expected seconds for one pass through all stages.
 func (p *Path) Cost() float64 { return p.cost }
 
@@ -167,6 +173,7 @@
 	for at := layers; at > 0; at = via[at].Span().From {
 		n--
 		p.runners[n] = via[at]
+		p.spans[n] = via[at].Span()
 	}
 	return -1
 }
--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -33,6 +33,9 @@
 	wantedCopies = 1.3
 	// mostRequests bounds the room for requests of usual size that is worth having.
 	mostRequests = 400
+	// scarceRequests is the room that an engine keeps when a hole can't be filled
+	// otherwise.
+	scarceRequests = 24
 	// leastRequests is the room below which a data center rather does without a
 	// copy of its own.
 	leastRequests = 4
@@ -78,12 +81,14 @@
 // Reason says why a move is wanted.
 type Reason string
 
-// The reasons of moves: a layer without a holder, a further copy, and a hole
-// that is filled by an engine whose layers others hold too.
+// The reasons of moves: a layer without a holder, a further copy, a hole that is
+// filled by an engine whose layers others hold too, and one that is filled by an
+// engine that holds the layers beside it and keeps them.
 const (
 	Hole  Reason = "hole"
 	Copy  Reason = "copy"
 	Shift Reason = "shift"
+	Grow  Reason = "grow"
 )
 
 // Plan returns the moves that are wanted now, holes first.
@@ -125,6 +130,7 @@
 type member struct {
 	id       string
 	capacity int
+	most     int // with the least room for requests
 	span     protocol.Span
 	moved    bool
 }
@@ -174,6 +180,7 @@
 			m := member{
 				id:       e.ID,
 				capacity: Capacity(f, a.MemoryMB, usual*float64(requests)),
+				most:     Capacity(f, a.MemoryMB, usual*scarceRequests),
 				span:     e.Held,
 			}
 			sum += m.capacity
@@ -215,8 +222,10 @@
 	p.count(s, 1)
 }
 
-// fillHoles gives every layer without a holder to an empty engine, or to one
-// whose layers are all held by others too.
+// fillHoles gives every layer without a holder to an empty engine, to the engines
+// beside it while they have room, or to one whose layers are all held by others
+// too; and as the last resort to the engines beside it, at the cost of their room
+// for requests.
 func (p *pool) fillHoles() []Move {
 	var moves []Move
 	for {
@@ -224,19 +233,65 @@
 		if hole.Layers() == 0 {
 			return moves
 		}
-		reason := Hole
-		m := p.idleFor(hole.Layers())
-		if m == nil {
-			m = p.spareFor(hole.Layers())
-			reason = Shift
-		}
-		if m == nil {
+		move, ok := p.fill(hole)
+		if !ok {
 			return moves
 		}
-		span := protocol.Span{From: hole.From, To: min(hole.To, hole.From+m.capacity)}
-		p.set(m, span)
-		moves = append(moves, Move{engine: m.id, span: span, reason: reason})
+		moves = append(moves, move)
+	}
+}
+
+func (p *pool) fill(hole protocol.Span) (Move, bool) {
+	if m := p.idleFor(hole.Layers()); m != nil {
+		return p.give(m, hole, Hole), true
+	}
+	if m, span, ok := p.beside(hole, ownCapacity); ok {
+		return p.extend(m, span), true
+	}
+	if m := p.spareFor(hole.Layers()); m != nil {
+		return p.give(m, hole, Shift), true
+	}
+	if m, span, ok := p.beside(hole, scarceCapacity); ok {
+		return p.extend(m, span), true
+	}
+	return Move{}, false
+}
+
+// give orders an engine to hold the beginning of a hole, as far as it can.
+func (p *pool) give(m *member, hole protocol.Span, why Reason) Move {
+	span := protocol.Span{From: hole.From, To: min(hole.To, hole.From+m.capacity)}
+	p.set(m, span)
+	return Move{engine: m.id, span: span, reason: why}
+}
+
+func (p *pool) extend(m *member, span protocol.Span) Move {
+	p.set(m, span)
+	return Move{engine: m.id, span: span, reason: Grow}
+}
+
+func ownCapacity(m *member) int    { return m.capacity }
+func scarceCapacity(m *member) int { return m.most }
+
+// beside returns the engine next to a hole that can take most of it beside what
+// it holds, and the span that it would hold then.
+func (p *pool) beside(hole protocol.Span, capacity func(*member) int) (*member, protocol.Span, bool) {
+	var chosen *member
+	var chosenSpan protocol.Span
+	most := 0
+	for i := range p.engines {
+		m := &p.engines[i]
+		room := min(hole.Layers(), capacity(m)-m.span.Layers())
+		if m.moved || m.span.Layers() == 0 || room <= most {
+			continue
+		}
+		switch {
+		case m.span.To == hole.From:
+			chosen, chosenSpan, most = m, protocol.Span{From: m.span.From, To: m.span.To + room}, room
+		case m.span.From == hole.To:
+			chosen, chosenSpan, most = m, protocol.Span{From: m.span.From - room, To: m.span.To}, room
+		}
 	}
+	return chosen, chosenSpan, chosen != nil
 }
 
 // hole returns the first run of layers with that many holders, empty if none.
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -143,6 +143,14 @@
 	return r.Expected(now, positions) * slowness
 }
 
+// Parts returns what Cost is made of for a step of that many positions: the
+// seconds whatever the number of layers, and the seconds for each layer.
+func (r *Runner) Parts(now time.Time, positions int) (fixed, layer float64) {
+	slowness, _ := r.Slowness(now)
+	fixed = slowness * (r.Wait(now) + batchSeconds + linkSeconds[r.link])
+	return fixed, slowness * float64(positions) / r.spec.Speed
+}
+
 // Pledge notes that this entry's streams will need that many more layer passes
 // here, or fewer when it is negative.
 func (r *Runner) Pledge(passes int64) { r.pledged.Add(passes) }
--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -82,7 +82,7 @@
 	lease   lease.Lease
 	held    bool
 	starts  map[string]*start // of services whose engines hold nothing yet
-	waitTo  time.Time // when this entry tries to take the lease for work that it sees
+	waitTo  time.Time         // when this entry tries to take the lease for work that it sees
 	mutex   sync.Mutex
 	ordered map[string]order     // by endpoint ID, still in doubt
 	resting map[string]time.Time // by endpoint ID, until when it gets no order
--- a/transport/forward/encode.go
+++ b/transport/forward/encode.go
@@ -61,8 +61,7 @@
 	s.Urgency = x.urgency()
 	s.Path = make([]protocol.PathStage, a.path.Len())
 	for i := range s.Path {
-		r := a.path.Runner(i)
-		s.Path[i] = protocol.PathStage{Address: r.Spec().Address, Layers: r.Span()}
+		s.Path[i] = protocol.PathStage{Address: a.path.Runner(i).Spec().Address, Layers: a.path.Span(i)}
 	}
 	return s
 }
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -113,8 +113,7 @@
 func (x *exchange) settle(a *attempt) {
 	a.stop()
 	for i := range a.path.Len() {
-		r := a.path.Runner(i)
-		r.Settled(a.passes * int64(r.Span().Layers()))
+		a.path.Runner(i).Settled(a.passes * int64(a.path.Span(i).Layers()))
 	}
 }
 
@@ -142,8 +141,7 @@
 	a.cancelled, a.cancel = context.WithCancel(context.Background())
 	a.request = x.encode(a)
 	for i := range a.path.Len() {
-		r := a.path.Runner(i)
-		r.Sent(a.passes * int64(r.Span().Layers()))
+		a.path.Runner(i).Sent(a.passes * int64(a.path.Span(i).Layers()))
 	}
 	x.sends++
 	x.live = append(x.live, a)
@@ -411,12 +409,12 @@
 		if i > 0 {
 			b = append(b, ' ')
 		}
-		r := p.Runner(i)
-		b = append(b, r.Name()...)
+		span := p.Span(i)
+		b = append(b, p.Runner(i).Name()...)
 		b = append(b, '=')
-		b = strconv.AppendInt(b, int64(r.Span().From), 10)
+		b = strconv.AppendInt(b, int64(span.From), 10)
 		b = append(b, '-')
-		b = strconv.AppendInt(b, int64(r.Span().To), 10)
+		b = strconv.AppendInt(b, int64(span.To), 10)
 	}
 	return string(b)
 }
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -188,14 +188,14 @@
 	if s.Engine == nil {
 		return path.Into(view.Model(roster.ModelName(s.Name, "")), q, into) < 0
 	}
-	found := path.Into(view.Model(roster.ModelName(s.Name, f.Home.DataCenter)), q, into) < 0
+	found := path.Parts(view.Model(roster.ModelName(s.Name, f.Home.DataCenter)), q, into) < 0
 	if found && sound(into, q) {
 		return true
 	}
 	var other path.Path
 	foundSound := false
 	for _, center := range f.Roster.Centers(s.Name) {
-		if center == f.Home.DataCenter || path.Into(view.Model(roster.ModelName(s.Name, center)), q, &other) >= 0 {
+		if center == f.Home.DataCenter || path.Parts(view.Model(roster.ModelName(s.Name, center)), q, &other) >= 0 {
 			continue
 		}
 		isSound := sound(&other, q)
--- a/transport/forward/reply.go
+++ b/transport/forward/reply.go
@@ -116,11 +116,11 @@
 		h.Set("Connection", "close") // the next request shall reach another entry
 	}
 	body, err := json.Marshal(struct {
-		Kind    protocol.Kind    `json:"kind"`
-		Outcome protocol.Outcome `json:"outcome"`
-		Message string           `json:"message"`
-		Remedy  string           `json:"remedy"`
-	}{r.Kind(), r.Outcome(), r.Message(), r.Remedy()})
+		Kind    protocol.Kind `json:"kind"`
+		Outcome string        `json:"outcome"`
+		Message string        `json:"message"`
+		Remedy  string        `json:"remedy"`
+	}{r.Kind(), r.Outcome().String(), r.Message(), r.Remedy()})
 	if err != nil {
 		body = []byte("{}") // can't happen: the fields are strings
 	}
@@ -130,7 +130,7 @@
 		x.callerLeft()
 	}
 	details := []slog.Attr{
-		x.id(), slog.String("kind", string(r.Kind())), slog.Int("status", r.Status()), slog.String("outcome", string(r.Outcome())),
+		x.id(), slog.String("kind", string(r.Kind())), slog.Int("status", r.Status()), slog.String("outcome", r.Outcome().String()),
 		slog.String("message", r.Message()), slog.Int("sends", x.sends), slog.Int64("took_ms", time.Since(x.begun).Milliseconds()),
 		slog.Int64("confirmed_ms", time.Since(f.Routing.ConfirmedAt()).Milliseconds()),
 	}
