forward, fleet: choose data centers by the room that answers tell of

Change: an engine's word of its requests counts against the room beside its layers; a path is suspected only for runners that no stream has heard for 70 ms; a runner that refused rests 150 ms instead of doubling up to 30 s. Ruled out: dead runners (the engines ran and told 80 waiting).

--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -59,6 +59,10 @@
 	deviation   atomic.Uint64
 	measuredAt  atomic.Int64 // unix nanoseconds
 	heardAt     atomic.Int64 // unix nanoseconds
+	begun       atomic.Int64 // requests of this entry that begin here and are open
+	told        atomic.Int64 // requests of all entries here, as last told
+	toldAt      atomic.Int64 // unix nanoseconds
+	begunSince  atomic.Int64 // requests of this entry begun since then
 	ejectedTill atomic.Int64 // unix nanoseconds
 	failures    atomic.Int64
 	leaving     atomic.Bool // by the configuration, or by the engine's own word
@@ -205,6 +209,36 @@
 	return 1 + (mean-1)*kept, deviation
 }
 
+// toldTrust is how long what a runner told of its requests is believed.
+const toldTrust = 1500 * time.Millisecond
+
+// Begin notes that a request of this entry begins at the runner.
+func (r *Runner) Begin() {
+	r.begun.Add(1)
+	r.begunSince.Add(1)
+}
+
+// End notes that a request that began at the runner is over.
+func (r *Runner) End() { r.begun.Add(-1) }
+
+// Told takes how many requests of all entries the runner runs and lets wait, as
+// it says in an answer.
+func (r *Runner) Told(requests int64, now time.Time) {
+	r.told.Store(requests)
+	r.begunSince.Store(0)
+	r.toldAt.Store(now.UnixNano())
+}
+
+// Requests returns how many requests of all entries have begun at the runner, as
+// far as this entry knows.
+func (r *Runner) Requests(now time.Time) int64 {
+	own := r.begun.Load()
+	if now.UnixNano()-r.toldAt.Load() > int64(toldTrust) {
+		return own
+	}
+	return max(own, r.told.Load()+r.begunSince.Load())
+}
+
 // Heard notes that the runner sent something.
 func (r *Runner) Heard(now time.Time) { r.heardAt.Store(now.UnixNano()) }
 
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -251,6 +251,7 @@
 	spec.From = e.Layers.From
 	spec.To = e.Layers.To
 	spec.Speed = engineSpeed(s.Engine, e.Accelerator)
+	spec.Room = engineRoom(s.Engine, e)
 	return spec, true
 }
 
@@ -262,3 +263,14 @@
 	}
 	return max(1, f.ReadPerSecond*float64(f.Layers)/factor)
 }
+
+// engineRoom returns how many tokens of requests fit into an engine beside the
+// layers that it holds.
+func engineRoom(f *protocol.EngineFacts, e protocol.Endpoint) float64 {
+	a, ok := f.Accelerator(e.Accelerator)
+	layers := float64(e.Layers.Layers())
+	if !ok || f.TokenLayerMB <= 0 {
+		return 0
+	}
+	return max(0, (a.MemoryMB-layers*f.LayerMB)/(layers*f.TokenLayerMB))
+}
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -29,6 +29,7 @@
 type headCame struct {
 	attempt *attempt
 	head    *http.Response
+	terms   protocol.AnswerTerms
 }
 
 // eventCame is one event of a stream.
@@ -201,7 +202,7 @@
 		a.post(attemptEnded{attempt: a, cause: err})
 		return
 	}
-	a.post(headCame{attempt: a, head: head})
+	a.post(headCame{attempt: a, head: head, terms: terms})
 	r := bufio.NewReaderSize(head.Body, readBuffer)
 	for {
 		e, err := readEvent(r)
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -115,6 +115,7 @@
 	for i := range a.path.Len() {
 		a.path.Runner(i).Settled(a.passes * int64(a.path.Span(i).Layers()))
 	}
+	a.endpoint.End()
 }
 
 // send starts an attempt on the best path, and reports whether there is one.
@@ -143,6 +144,7 @@
 	for i := range a.path.Len() {
 		a.path.Runner(i).Sent(a.passes * int64(a.path.Span(i).Layers()))
 	}
+	a.endpoint.Begin()
 	x.sends++
 	x.live = append(x.live, a)
 	x.forwarder.log(event.RequestSent, x.id(), slog.Int("attempt", a.number), slog.String("path", describe(&a.path)),
@@ -191,6 +193,7 @@
 	// The head waits for the first event: until then the request may still go
 	// elsewhere.
 	m.attempt.answer = m.head
+	m.attempt.told(m.terms, time.Now())
 }
 
 // takeEvent passes an event on. The attempt that speaks first stays; another one
@@ -233,10 +236,11 @@
 	}
 	now := time.Now()
 	a := m.attempt
+	a.told(m.terms, now)
 	x.drop(a)
 	switch {
 	case m.terms.NotRun:
-		x.blame(a, m.terms.AtFault, now)
+		x.refused(a, m.terms.AtFault, now)
 		x.decide(a, retry.NotRun, &m)
 	case m.head.StatusCode >= http.StatusInternalServerError:
 		x.decide(a, retry.Failed, &m)
@@ -303,7 +307,9 @@
 		Sends: x.sends, MaxSends: x.route.MaxTries, Unsent: x.unsent, Now: now, Deadline: x.deadline,
 	})
 	if next == retry.Again {
-		x.avoid = append(x.avoid, a.endpoint)
+		if a.path.Len() == 1 {
+			x.avoid = append(x.avoid, a.endpoint)
+		}
 		x.forwarder.Counters.Retried(reasonOf(r))
 		if x.send() {
 			x.rhythm.restart(now)
@@ -361,22 +367,19 @@
 	silent := x.live[0]
 	x.forwarder.log(event.SilenceSuspected, x.id(), slog.Int("attempt", silent.number),
 		slog.String("endpoint", silent.endpoint.Name()), slog.Int64("silent_ms", now.Sub(x.rhythm.last).Milliseconds()))
-	x.forwarder.suspects.silent(silent, x.rhythm.last, now)
-	x.hedge(now)
+	if quiet := x.forwarder.suspects.silent(silent, x.rhythm.last, now); len(quiet) > 0 {
+		x.hedge(quiet, now)
+	}
 }
 
-// hedge asks for the answer elsewhere while the silent attempt stays open.
-func (x *exchange) hedge(now time.Time) {
+// hedge asks for the answer elsewhere, without the runners that have fallen
+// silent, while the silent attempt stays open.
+func (x *exchange) hedge(quiet []*fleet.Runner, now time.Time) {
 	if len(x.live) >= liveMost || !x.route.MayRepeat() || x.sends >= x.route.MaxTries {
 		return
 	}
-	silent := x.live[0]
 	before := x.avoid
-	for i := range silent.path.Len() {
-		if r := silent.path.Runner(i); !r.HeardAt().After(x.rhythm.last) {
-			x.avoid = append(x.avoid, r)
-		}
-	}
+	x.avoid = append(x.avoid, quiet...)
 	var p path.Path
 	q := path.Query{Now: now, Positions: 1, Draw: x.draw, Avoid: x.avoid}
 	if !x.forwarder.choose(x.service, &q, &p) || !sound(&p, &q) || !x.forwarder.takeSend() {
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -180,32 +180,67 @@
 	return nil
 }
 
-// choose finds a path for a service. Engines of the entry's own data center come
-// first, as long as none of them has to be avoided; then the cheapest whole path
-// in another data center; then whatever there is.
+const (
+	// homeFull is the part of the room for requests up to which an entry's own data
+	// center is used whatever stands free elsewhere: bytes between data centers
+	// have a price, and below it the engines' steps are hardly longer.
+	homeFull = 0.6
+	// awayGain is how much emptier another data center has to be.
+	awayGain = 0.2
+)
+
+// candidate is a path in one data center.
+type candidate struct {
+	path      path.Path
+	sound     bool
+	occupancy float64
+}
+
+// choose finds a path for a service. The entry's own data center comes first, as
+// long as it has a sound path and room; then the emptiest other one with a sound
+// path; then whatever there is.
 func (f *Forwarder) choose(s *protocol.RoutedService, q *path.Query, into *path.Path) bool {
 	view := f.Roster.View()
 	if s.Engine == nil {
 		return path.Into(view.Model(roster.ModelName(s.Name, "")), q, into) < 0
 	}
-	found := path.Parts(view.Model(roster.ModelName(s.Name, f.Home.DataCenter)), q, into) < 0
-	if found && sound(into, q) {
+	usual := float64(s.Engine.UsualPrompt) + float64(s.Engine.UsualAnswer)/2
+	best, found := f.candidate(view, s.Name, f.Home.DataCenter, q, usual)
+	if found && best.sound && best.occupancy < homeFull {
+		*into = best.path
 		return true
 	}
-	var other path.Path
-	foundSound := false
 	for _, center := range f.Roster.Centers(s.Name) {
-		if center == f.Home.DataCenter || path.Parts(view.Model(roster.ModelName(s.Name, center)), q, &other) >= 0 {
+		if center == f.Home.DataCenter {
 			continue
 		}
-		isSound := sound(&other, q)
-		if !found || isSound && (!foundSound || other.Cost() < into.Cost()) {
-			*into, found, foundSound = other, true, isSound
+		other, ok := f.candidate(view, s.Name, center, q, usual)
+		if ok && (!found || other.better(&best)) {
+			best, found = other, true
 		}
 	}
+	*into = best.path
 	return found
 }
 
+func (f *Forwarder) candidate(view *fleet.View, service, center string, q *path.Query, usual float64) (candidate, bool) {
+	var c candidate
+	m := view.Model(roster.ModelName(service, center))
+	if path.Parts(m, q, &c.path) >= 0 {
+		return c, false
+	}
+	c.sound = sound(&c.path, q)
+	c.occupancy = m.Occupancy(q.Now, usual)
+	return c, true
+}
+
+func (c *candidate) better(than *candidate) bool {
+	if c.sound != than.sound {
+		return c.sound
+	}
+	return c.occupancy+awayGain < than.occupancy
+}
+
 // sound reports whether every runner of a path may take work now and need not be
 // avoided.
 func sound(p *path.Path, q *path.Query) bool {
--- a/transport/forward/suspects.go
+++ b/transport/forward/suspects.go
@@ -20,6 +20,13 @@
 	// suspectFor is how long runners of a silent path get no new work while it is
 	// not clear which of them is at fault.
 	suspectFor = 400 * time.Millisecond
+	// quietAfter is how long a runner must not have been heard on any stream to be
+	// suspected. A runner with a few streams is heard every ten ms or so; reading
+	// the prompts of others holds all of them up for some tens of ms.
+	quietAfter = 70 * time.Millisecond
+	// refusedFor is how long a runner gets no new work that has just not run a
+	// request, because it is full or gives layers up.
+	refusedFor = 150 * time.Millisecond
 	// askEvery is the least time between two questions to one engine.
 	askEvery = 250 * time.Millisecond
 	// askLimit bounds the wait for an engine's report.
@@ -35,17 +42,24 @@
 	asked     map[string]time.Time // by endpoint ID
 }
 
-// silent notes that nothing has come on an attempt since a time.
-func (s *suspects) silent(a *attempt, since, now time.Time) {
+// silent takes it that nothing has come on an attempt since a time. It returns the
+// runners of the path from which nothing came on any other stream either, which
+// get no new work for a moment. A path whose runners were all heard lately is
+// busy, not dead.
+func (s *suspects) silent(a *attempt, since, now time.Time) []*fleet.Runner {
+	var quiet []*fleet.Runner
 	for i := range a.path.Len() {
-		if r := a.path.Runner(i); !r.HeardAt().After(since) {
-			r.LeaveOut(now.Add(suspectFor))
+		r := a.path.Runner(i)
+		if heard := r.HeardAt(); heard.After(now.Add(-quietAfter)) || heard.After(a.sentAt) && heard.After(since.Add(quietAfter)) {
+			continue
 		}
+		quiet = append(quiet, r)
+		r.LeaveOut(now.Add(suspectFor))
 	}
-	if a.path.Len() < 2 || !s.mayAsk(a.endpoint.Name(), now) {
-		return
+	if len(quiet) > 0 && a.path.Len() > 1 && s.mayAsk(a.endpoint.Name(), now) {
+		go (&question{suspects: s, path: a.path, since: since}).run()
 	}
-	go (&question{suspects: s, path: a.path, since: since}).run()
+	return quiet
 }
 
 func (s *suspects) mayAsk(endpoint string, now time.Time) bool {
@@ -116,8 +130,26 @@
 	}
 }
 
-// blame leaves out the runner at an address, or the first of the path when it
-// is "" and the answer broke before anything came.
+// told takes how busy the first engine of the path says that it is.
+func (a *attempt) told(t protocol.AnswerTerms, now time.Time) {
+	if t.LoadKnown {
+		a.endpoint.Told(int64(t.Load.Running+t.Load.Waiting), now)
+	}
+}
+
+// refused leaves out for a moment the runner that did not run a request, which is
+// the first of the path when it names no other.
+func (x *exchange) refused(a *attempt, address string, now time.Time) {
+	for i := range a.path.Len() {
+		if r := a.path.Runner(i); r.Spec().Address == address || address == "" && i == 0 {
+			r.LeaveOut(now.Add(refusedFor))
+			x.avoid = append(x.avoid, r)
+		}
+	}
+}
+
+// blame leaves out the runner at an address, or looks for the one at fault when
+// it is "" and the answer came over several.
 func (x *exchange) blame(a *attempt, address string, now time.Time) {
 	if address == "" {
 		if a.path.Len() > 1 {
