--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -24,14 +24,14 @@
 
 const (
 	// Length is how long a lease lasts without renewal.
-	Length = 6 * time.Second
+	Length = 3 * time.Second
 	// renewEvery is when the holder renews, counted from its last renewal.
-	renewEvery = 2 * time.Second
+	renewEvery = time.Second
 	// Margin is how much earlier the holder stops than others may take over. It
 	// covers an order that was sent right before the end.
-	Margin = 2 * time.Second
+	Margin = time.Second
 	// lookEvery is how often others read the lease.
-	lookEvery = time.Second
+	lookEvery = 500 * time.Millisecond
 )
 
 // Record is a lease's content in the platform.
--- /dev/null
+++ b/coordination/path/parts_test.go
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package path_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pinerun.example/pinerun/coordination/path"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/fleet"
+)
+
+const partsModel = "m"
+
+func gather(layers int, spans []protocol.Span) *fleet.View {
+	runners := make([]protocol.Runner, len(spans))
+	for i, s := range spans {
+		runners[i] = protocol.Runner{Name: fmt.Sprint("r", i), Model: partsModel, From: s.From, To: s.To, Speed: 1e6}
+	}
+	return fleet.Gather(nil, []protocol.Model{{Name: partsModel, Layers: layers}}, runners, fleet.Home{Name: "e1"})
+}
+
+// TestPartsRunEveryLayerOnceInOrder draws holders and checks that a path is found
+// exactly when every layer has a holder that may be taken, and that its stages
+// meet without gap or overlap inside what each runner holds.
+func TestPartsRunEveryLayerOnceInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		layers := rapid.IntRange(1, 24).Draw(t, "layers")
+		var spans []protocol.Span
+		for range rapid.IntRange(0, 14).Draw(t, "runners") {
+			from := rapid.IntRange(0, layers-1).Draw(t, "from")
+			spans = append(spans, protocol.Span{From: from, To: rapid.IntRange(from+1, layers).Draw(t, "to")})
+		}
+		view := gather(layers, spans)
+		now := time.Unix(100, 0)
+		covered := make([]bool, layers)
+		for i, s := range spans {
+			r := view.Runner(fmt.Sprint("r", i))
+			switch rapid.IntRange(0, 5).Draw(t, "state") {
+			case 0:
+				r.MarkLeaving()
+				continue
+			case 1:
+				r.Failed(now)
+			}
+			for l := s.From; l < s.To; l++ {
+				covered[l] = true
+			}
+		}
+		whole := true
+		for _, c := range covered {
+			whole = whole && c
+		}
+		var p path.Path
+		q := path.Query{Now: now, Positions: 10, Draw: rand.New(rand.NewPCG(1, 2))}
+		missing := path.Parts(view.Model(partsModel), &q, &p)
+		require.Equal(t, whole, missing < 0)
+		if !whole {
+			require.False(t, covered[missing], "layer %d is said to be missing", missing)
+			return
+		}
+		at := 0
+		for i := range p.Len() {
+			s, held := p.Span(i), p.Runner(i).Span()
+			require.Equal(t, at, s.From)
+			require.True(t, held.From <= s.From && s.To <= held.To && s.Layers() > 0)
+			require.False(t, p.Runner(i).Leaving())
+			at = s.To
+		}
+		require.Equal(t, layers, at)
+	})
+}
+
+func TestPartsGoAroundARunnerThatIsLeftOut(t *testing.T) {
+	view := gather(10, []protocol.Span{{From: 0, To: 10}, {From: 0, To: 6}, {From: 4, To: 10}})
+	now := time.Unix(100, 0)
+	q := path.Query{Now: now, Positions: 1000, Draw: rand.New(rand.NewPCG(1, 2))}
+	var p path.Path
+	require.Negative(t, path.Parts(view.Model(partsModel), &q, &p))
+	require.Equal(t, 1, p.Len(), "one runner that holds all is cheapest")
+	view.Runner("r0").Suspect(now.Add(time.Second))
+	require.Negative(t, path.Parts(view.Model(partsModel), &q, &p))
+	require.Equal(t, 2, p.Len())
+	view.Runner("r1").LeaveOut(now.Add(time.Second))
+	require.Negative(t, path.Parts(view.Model(partsModel), &q, &p), "the last resort is taken rather than none")
+	view.Runner("r0").Works()
+	require.Negative(t, path.Parts(view.Model(partsModel), &q, &p))
+	require.Equal(t, "r0", p.Runner(0).Name())
+}
+
+func TestPartsDontAllocate(t *testing.T) {
+	view, q := partsFleet(14)
+	var p path.Path
+	require.Zero(t, testing.AllocsPerRun(100, func() { path.Parts(view.Model(partsModel), &q, &p) }))
+}
+
+// partsFleet is a data center with that many runners for 80 layers.
+func partsFleet(runners int) (*fleet.View, path.Query) {
+	spans := make([]protocol.Span, runners)
+	for i := range spans {
+		from := (i * 7) % 75
+		spans[i] = protocol.Span{From: from, To: min(80, from+10)}
+	}
+	spans[0] = protocol.Span{From: 0, To: 10}
+	return gather(80, spans), path.Query{Now: time.Unix(100, 0), Positions: 800, Draw: rand.New(rand.NewPCG(1, 2))}
+}
+
+func BenchmarkParts(b *testing.B) {
+	for _, n := range []int{14, 40, 400, 4900} {
+		view, q := partsFleet(n)
+		b.Run(fmt.Sprintf("runners=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			var p path.Path
+			for b.Loop() {
+				path.Parts(view.Model(partsModel), &q, &p)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/coordination/place/place_test.go
@@ -0,0 +1,196 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package place_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pinerun.example/pinerun/coordination/place"
+	"pinerun.example/pinerun/protocol"
+)
+
+// facts are those of today's deployments: 80 layers of 1,750 MB on four kinds of
+// accelerators.
+func facts() *protocol.EngineFacts {
+	return &protocol.EngineFacts{
+		Layers: 80, LayerMB: 1750, TokenLayerMB: 0.007375, UsualPrompt: 772, UsualAnswer: 172,
+		Accelerators: []protocol.AcceleratorFacts{
+			{Name: "h100", MemoryMB: 72000, StepFactor: 1.4, ReadFactor: 1},
+			{Name: "a100s", MemoryMB: 36000, StepFactor: 3.1, ReadFactor: 3.2},
+			{Name: "l4", MemoryMB: 21600, StepFactor: 16, ReadFactor: 8.2},
+			{Name: "t4", MemoryMB: 14400, StepFactor: 15, ReadFactor: 15},
+		},
+	}
+}
+
+func fleet(counts map[string][4]int) []place.Engine {
+	kinds := [4]string{"h100", "a100s", "l4", "t4"}
+	var all []place.Engine
+	for center, c := range counts {
+		for k, n := range c {
+			for i := range n {
+				all = append(all, place.Engine{ID: fmt.Sprintf("%s-%s-%d", center, kinds[k], i), DataCenter: center, Accelerator: kinds[k]})
+			}
+		}
+	}
+	return all
+}
+
+func today() []place.Engine {
+	return fleet(map[string][4]int{"a": {0, 2, 4, 7}, "b": {1, 1, 5, 7}, "c": {0, 1, 8, 3}})
+}
+
+// apply carries the moves out.
+func apply(engines []place.Engine, moves []place.Move) {
+	for _, m := range moves {
+		for i := range engines {
+			if engines[i].ID == m.Engine() {
+				engines[i].Held = m.Span()
+			}
+		}
+	}
+}
+
+// holders returns how many engines of a data center hold each layer.
+func holders(f *protocol.EngineFacts, engines []place.Engine, center string) []int {
+	cover := make([]int, f.Layers)
+	for _, e := range engines {
+		if e.DataCenter != center || e.Leaving {
+			continue
+		}
+		for l := e.Held.From; l < e.Held.To; l++ {
+			cover[l]++
+		}
+	}
+	return cover
+}
+
+func requireFits(t require.TestingT, f *protocol.EngineFacts, engines []place.Engine) {
+	for _, e := range engines {
+		a, ok := f.Accelerator(e.Accelerator)
+		require.True(t, ok)
+		require.LessOrEqual(t, float64(e.Held.Layers())*f.LayerMB, a.MemoryMB, "%s holds %s", e.ID, e.Held)
+		require.True(t, e.Held.Layers() == 0 || e.Held.Valid(f.Layers))
+	}
+}
+
+func TestEveryDataCenterOfTodayGetsAWholeCopy(t *testing.T) {
+	f, engines := facts(), today()
+	apply(engines, place.Plan(place.Query{Facts: f, Engines: engines}))
+	requireFits(t, f, engines)
+	for _, c := range []string{"a", "b", "c"} {
+		twice := 0
+		for l, n := range holders(f, engines, c) {
+			require.Positive(t, n, "%s has no holder of layer %d", c, l)
+			if n > 1 {
+				twice++
+			}
+		}
+		require.GreaterOrEqual(t, twice, 20, "a good part of %s should be held twice", c)
+	}
+	require.Empty(t, place.Plan(place.Query{Facts: f, Engines: engines}), "nothing is left to do")
+}
+
+func TestALossIsMendedWithFewMovesAndWithoutMovingWhatIsNeeded(t *testing.T) {
+	f := facts()
+	for lost := range today() {
+		engines := today()
+		apply(engines, place.Plan(place.Query{Facts: f, Engines: engines}))
+		center := engines[lost].DataCenter
+		engines = append(engines[:lost:lost], engines[lost+1:]...)
+		before := holders(f, engines, center)
+		moves := place.Plan(place.Query{Facts: f, Engines: engines})
+		require.LessOrEqual(t, len(moves), 6)
+		for _, m := range moves {
+			for _, e := range engines {
+				if e.ID != m.Engine() {
+					continue
+				}
+				for l := e.Held.From; l < e.Held.To; l++ {
+					kept := l >= m.Span().From && l < m.Span().To
+					require.True(t, kept || before[l] > 1, "layer %d loses its last holder", l)
+				}
+			}
+		}
+		apply(engines, moves)
+		requireFits(t, f, engines)
+		for l, n := range holders(f, engines, center) {
+			require.Positive(t, n, "layer %d after the loss of engine %d", l, lost)
+		}
+	}
+}
+
+func TestARestartedEngineIsGivenLayersAgain(t *testing.T) {
+	f, engines := facts(), today()
+	apply(engines, place.Plan(place.Query{Facts: f, Engines: engines}))
+	engines[3].Held = protocol.Span{}
+	moves := place.Plan(place.Query{Facts: f, Engines: engines})
+	require.NotEmpty(t, moves)
+	apply(engines, moves)
+	require.Positive(t, engines[3].Held.Layers())
+}
+
+func TestSmallDataCentersHoldACopyTogether(t *testing.T) {
+	f := facts()
+	engines := fleet(map[string][4]int{"a": {0, 0, 4, 0}, "b": {0, 0, 5, 0}})
+	apply(engines, place.Plan(place.Query{Facts: f, Engines: engines}))
+	a, b := holders(f, engines, "a"), holders(f, engines, "b")
+	for l := range a {
+		require.Positive(t, a[l]+b[l])
+	}
+}
+
+// TestPlanOnAnyFleet draws fleets with any part already held: no engine is ever
+// ordered beyond its memory, no last holder gives a layer up, and plans end.
+func TestPlanOnAnyFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := facts()
+		f.Layers = rapid.IntRange(1, 120).Draw(t, "layers")
+		engines := fleet(map[string][4]int{
+			"a": {rapid.IntRange(0, 2).Draw(t, "h"), rapid.IntRange(0, 3).Draw(t, "a"), rapid.IntRange(0, 9).Draw(t, "l"), rapid.IntRange(0, 9).Draw(t, "t")},
+			"b": {0, 1, rapid.IntRange(0, 9).Draw(t, "l2"), rapid.IntRange(0, 9).Draw(t, "t2")},
+		})
+		for i := range engines {
+			if rapid.IntRange(0, 3).Draw(t, "held") == 0 {
+				from := rapid.IntRange(0, f.Layers-1).Draw(t, "from")
+				engines[i].Held = protocol.Span{From: from, To: min(f.Layers, from+rapid.IntRange(1, 8).Draw(t, "n"))}
+			}
+			engines[i].Leaving = rapid.IntRange(0, 9).Draw(t, "leaving") == 0
+		}
+		for range 12 {
+			all := append(holders(f, engines, "a"), holders(f, engines, "b")...)
+			moves := place.Plan(place.Query{Facts: f, Engines: engines})
+			if len(moves) == 0 {
+				return
+			}
+			apply(engines, moves)
+			requireFits(t, f, engines)
+			for l, n := range append(holders(f, engines, "a"), holders(f, engines, "b")...) {
+				require.False(t, all[l] > 0 && n == 0, "layer %d of %d lost its last holder", l%f.Layers, f.Layers)
+			}
+		}
+		t.Fatalf("plans never end: %v", place.Plan(place.Query{Facts: f, Engines: engines}))
+	})
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{1, 10, 120} {
+		counts := map[string][4]int{}
+		for i := range n {
+			counts[fmt.Sprintf("a%d", i)] = [4]int{0, 2, 4, 7}
+			counts[fmt.Sprintf("b%d", i)] = [4]int{1, 1, 5, 7}
+			counts[fmt.Sprintf("c%d", i)] = [4]int{0, 1, 8, 3}
+		}
+		engines := fleet(counts)
+		b.Run(fmt.Sprintf("engines=%d", len(engines)), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				place.Plan(place.Query{Facts: facts(), Engines: engines})
+			}
+		})
+	}
+}
--- a/coordination/retry/resend.go
+++ b/coordination/retry/resend.go
@@ -56,11 +56,13 @@
 		return Expire
 	}
 	mayRun := f.MayHave || f.Result == Failed || f.Result == Broken
-	if f.Result == NeverSent && f.Unsent <= maxUnsent {
-		return Again
-	}
-	if (f.MayRepeat || !mayRun) && f.Result != NeverSent && f.Sends < f.MaxSends && b.Take() {
-		return Again
+	if f.MayRepeat || !mayRun {
+		if f.Result == NeverSent && f.Unsent <= maxUnsent {
+			return Again
+		}
+		if f.Result != NeverSent && f.Sends < f.MaxSends && b.Take() {
+			return Again
+		}
 	}
 	switch {
 	case f.Result == Failed:
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package logs_test
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/logs"
+)
+
+// stuck is a reader that stands still.
+type stuck struct{ gate chan struct{} }
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.gate
+	return len(b), nil
+}
+
+func TestAReaderThatStandsStillHoldsNothingUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &stuck{gate: make(chan struct{})}
+		w := &logs.Writer{Out: out}
+		w.Start()
+		began := time.Now()
+		line := []byte(strings.Repeat("x", 1023) + "\n")
+		for range 3000 {
+			_, err := w.Write(line)
+			require.NoError(t, err)
+		}
+		require.Zero(t, time.Since(began))
+		require.Positive(t, w.Dropped())
+		w.Close(time.Now().Add(time.Second))
+		require.Equal(t, time.Second, time.Since(began), "the end waits no longer than told")
+		close(out.gate)
+		synctest.Wait()
+	})
+}
+
+func TestEachEventHasABudgetAndWhatWasDroppedIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		w := &logs.Writer{Out: &out}
+		w.Start()
+		logger := slog.New(logs.NewHandler(w, slog.LevelInfo))
+		for range 1000 {
+			event.RequestSent.Log(logger, slog.String("request", "r"))
+		}
+		event.StreamCut.Log(logger, slog.String("request", "the one that failed"))
+		time.Sleep(2 * time.Second)
+		event.RequestSent.Log(logger, slog.String("request", "later"))
+		w.Close(time.Now().Add(time.Second))
+		text := out.String()
+		require.Contains(t, text, "the one that failed", "ordinary lines don't take the place of grave ones")
+		require.Contains(t, text, "later")
+		require.Contains(t, text, event.LinesDropped.Name())
+		require.Less(t, strings.Count(text, event.RequestSent.Name()), 500)
+	})
+}
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -64,6 +64,7 @@
 	toldAt      atomic.Int64 // unix nanoseconds
 	begunSince  atomic.Int64 // requests of this entry begun since then
 	ejectedTill atomic.Int64 // unix nanoseconds
+	suspectTill atomic.Int64 // unix nanoseconds
 	failures    atomic.Int64
 	leaving     atomic.Bool // by the configuration, or by the engine's own word
 	vmLeaving   atomic.Bool // by the platform's list of VMs
@@ -105,7 +106,7 @@
 
 // Usable reports whether new work may be sent to the runner.
 func (r *Runner) Usable(now time.Time) bool {
-	return !r.Leaving() && now.UnixNano() >= r.ejectedTill.Load()
+	return !r.Leaving() && now.UnixNano() >= max(r.ejectedTill.Load(), r.suspectTill.Load())
 }
 
 // Leaving reports whether the runner is known to be leaving.
@@ -269,21 +270,38 @@
 	ReportOld
 )
 
-// LeaveOut leaves the runner out until a time without counting a failure, while
-// it is not clear whether it is the one at fault.
+// LeaveOut leaves the runner out until a time without counting a failure, because
+// it has no room now.
 func (r *Runner) LeaveOut(till time.Time) {
 	if n := till.UnixNano(); n > r.ejectedTill.Load() {
 		r.ejectedTill.Store(n)
 	}
 }
 
-// Readmit takes the runner in again and forgets its failures, because it was
-// seen to work.
-func (r *Runner) Readmit() {
-	r.ejectedTill.Store(0)
-	r.failures.Store(0)
+// Suspect leaves the runner out until a time, while it is not clear whether it is
+// the one at fault.
+func (r *Runner) Suspect(till time.Time) { r.suspectTill.Store(till.UnixNano()) }
+
+// Works notes that the runner was seen to work: it is no suspect, and what failed
+// before counts no longer.
+func (r *Runner) Works() {
+	if r.suspectTill.Load() != 0 {
+		r.suspectTill.Store(0)
+	}
+	if r.failures.Load() != 0 {
+		r.failures.Store(0)
+		r.ejectedTill.Store(0)
+	}
 }
 
+// lostAfter is how many failures in a row, without a sign that the runner works,
+// make it likely that it won't come back.
+const lostAfter = 2
+
+// Lost reports whether the runner is likely to be dead, although it is still
+// listed: a record goes only after several missed heartbeats.
+func (r *Runner) Lost() bool { return r.failures.Load() >= lostAfter }
+
 // maxReportSkew is how far ahead a report's clock may run.
 const maxReportSkew = 2 * time.Second
 
--- /dev/null
+++ b/state/routing/routing_test.go
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package routing_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/routing"
+)
+
+func table(t require.TestingT, version uint64, prefixes ...string) *routing.Table {
+	r := protocol.Routing{Version: version, Services: []protocol.RoutedService{{Name: "s"}}}
+	for _, p := range prefixes {
+		r.Routes = append(r.Routes, protocol.Route{Name: p, Host: "h", Prefix: p, Targets: []protocol.Target{{Service: "s", Weight: 1}}})
+	}
+	built, err := routing.Build(r)
+	require.NoError(t, err)
+	return built
+}
+
+func TestTheLongestPrefixOfTheHostMatches(t *testing.T) {
+	tb := table(t, 1, "/a/", "/a/b/", "/c/")
+	require.Equal(t, "/a/b/", tb.Match("h", "/a/b/x").Prefix)
+	require.Equal(t, "/a/", tb.Match("h", "/a/bx").Prefix)
+	require.Nil(t, tb.Match("h", "/a"))
+	require.Nil(t, tb.Match("other", "/a/b/"))
+}
+
+func TestATableWithoutItsServicesIsRefused(t *testing.T) {
+	for _, r := range []protocol.Route{{Name: "none"}, {Name: "unknown", Targets: []protocol.Target{{Service: "x"}}}} {
+		_, err := routing.Build(protocol.Routing{Version: 3, Routes: []protocol.Route{r}})
+		require.ErrorAs(t, err, new(*routing.Invalid))
+		require.Contains(t, err.Error(), "accept a higher version")
+	}
+}
+
+func TestTheVersionInForceNeverStepsBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s routing.Store
+		highest := uint64(0)
+		for _, v := range rapid.SliceOfN(rapid.Uint64Range(1, 9), 1, 20).Draw(t, "versions") {
+			require.Equal(t, v > highest, s.Offer(table(t, v)))
+			highest = max(highest, v)
+			require.Equal(t, highest, s.Current().Version())
+		}
+	})
+}
+
+func TestConfirmationNeverStepsBack(t *testing.T) {
+	var s routing.Store
+	require.True(t, s.ConfirmedAt().IsZero())
+	s.Confirm(time.Unix(5, 0))
+	s.Confirm(time.Unix(3, 0))
+	require.Equal(t, time.Unix(5, 0), s.ConfirmedAt())
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	r := &protocol.Route{Targets: []protocol.Target{{Service: "a", Weight: 0}, {Service: "b", Weight: 1}, {Service: "c", Weight: 3}}}
+	var got strings.Builder
+	for i := range 8 {
+		got.WriteString(routing.Pick(r, float64(i)/8))
+	}
+	require.Equal(t, "bbcccccc", got.String(), "a service without weight gets nothing")
+	require.Equal(t, "c", routing.Pick(r, 0.999999))
+}
--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -166,13 +166,15 @@
 func (d *Director) movesOf(s *protocol.RoutedService, endpoints []protocol.Endpoint, now time.Time) []move {
 	q := place.Query{Facts: s.Engine}
 	addresses := make(map[string]string)
+	view := d.Roster.View()
 	for _, e := range endpoints {
 		if e.Service != s.Name {
 			continue
 		}
 		addresses[e.ID] = e.Address
 		q.Engines = append(q.Engines, place.Engine{
-			ID: e.ID, DataCenter: e.DataCenter, Accelerator: e.Accelerator, Held: d.heldBy(e), Leaving: e.Leaving,
+			ID: e.ID, DataCenter: e.DataCenter, Accelerator: e.Accelerator, Held: d.heldBy(e),
+			Leaving: e.Leaving || view.Runner(e.ID) != nil && view.Runner(e.ID).Lost(),
 		})
 	}
 	if len(q.Engines) == 0 {
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -42,7 +42,7 @@
 	// unsureAfter is the age of the routing table's confirmation from which an
 	// unknown route or key is answered "come back" instead of "unknown": the
 	// table may have changed. It is a little more than a watch takes.
-	unsureAfter = 3500 * time.Millisecond
+	unsureAfter = 4 * time.Second
 )
 
 // Forwarder forwards requests. Set the exported fields before Start.
--- a/transport/forward/reply.go
+++ b/transport/forward/reply.go
@@ -94,6 +94,7 @@
 	x.finished = true
 	if x.headSent {
 		x.stopAll()
+		x.flush() // the events that came are the caller's
 		x.forwarder.Counters.Refused(r.Kind())
 		x.forwarder.log(event.StreamCut, x.id(), slog.String("kind", string(r.Kind())), slog.Int("events", x.events),
 			slog.Int64("took_ms", time.Since(x.begun).Milliseconds()), slog.Int("sends", x.sends))
--- a/transport/forward/suspects.go
+++ b/transport/forward/suspects.go
@@ -54,7 +54,7 @@
 			continue
 		}
 		quiet = append(quiet, r)
-		r.LeaveOut(now.Add(suspectFor))
+		r.Suspect(now.Add(suspectFor))
 	}
 	if len(quiet) > 0 && a.path.Len() > 1 && s.mayAsk(a.endpoint.Name(), now) {
 		go (&question{suspects: s, path: a.path, since: since}).run()
@@ -106,7 +106,7 @@
 	}
 	for i := range q.path.Len() {
 		if r := q.path.Runner(i); !stalledAt(r, report.Stalled) {
-			r.Readmit()
+			r.Works()
 		}
 	}
 }
@@ -126,7 +126,9 @@
 // heard notes that every runner of the attempt's path works.
 func (a *attempt) heard(now time.Time) {
 	for i := range a.path.Len() {
-		a.path.Runner(i).Heard(now)
+		r := a.path.Runner(i)
+		r.Heard(now)
+		r.Works()
 	}
 }
 
--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -23,10 +23,13 @@
 const (
 	// Wait is how long one call waits for a change. It is bounded by how soon a
 	// dead connection has to be noticed, and each call has its price.
-	Wait = 1500 * time.Millisecond
+	Wait = 2 * time.Second
 	// hush is how long before its end a watch may have missed a change: the
 	// platform's watches hear nothing for up to a second before it forgets.
 	hush = time.Second
+	// gather is how long a watch rests after news. Endpoints come and change many
+	// at a time, and each of them would end a call.
+	gather = 80 * time.Millisecond
 	// pauseFirst and pauseMost bound the rest after a failed call.
 	pauseFirst = 100 * time.Millisecond
 	pauseMost  = 800 * time.Millisecond
@@ -122,6 +125,7 @@
 		// may have missed something, and its old place then is found forgotten.
 		w.from = max(w.from, c.At)
 		w.Sink.Confirmed(asked)
+		w.rest(gather)
 		return nil
 	}
 	w.Sink.Confirmed(later(asked, asked.Add(Wait-hush)))
@@ -149,7 +153,11 @@
 	w.Sink.Failed(err, time.Now())
 	rest := min(pauseMost, pauseFirst<<min(w.failures, 10))
 	w.failures++
-	t := time.NewTimer(rest)
+	w.rest(rest)
+}
+
+func (w *Watcher) rest(d time.Duration) {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- /dev/null
+++ b/transport/watch/watch_test.go
@@ -0,0 +1,139 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package watch_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/transport/platform"
+	"pinerun.example/pinerun/transport/watch"
+)
+
+// source answers by script: each call takes the next step; after the last one
+// watches hear nothing.
+type source struct {
+	mutex sync.Mutex
+	steps []step
+	asked []uint64 // the revisions watched from, 0 for a list
+}
+
+type step struct {
+	list    *protocol.Listing
+	changes *protocol.Changes
+	err     error
+	after   time.Duration
+}
+
+func (s *source) next(from uint64) step {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.asked = append(s.asked, from)
+	if len(s.steps) == 0 {
+		return step{after: watch.Wait, changes: &protocol.Changes{At: 999}, list: &protocol.Listing{At: 7}}
+	}
+	next := s.steps[0]
+	s.steps = s.steps[1:]
+	return next
+}
+
+func (s *source) List(_ context.Context, _ string) (protocol.Listing, error) {
+	n := s.next(0)
+	time.Sleep(n.after)
+	if n.err != nil {
+		return protocol.Listing{}, n.err
+	}
+	return *n.list, nil
+}
+
+func (s *source) Watch(ctx context.Context, _ string, from uint64, _ time.Duration) (protocol.Changes, error) {
+	n := s.next(from)
+	select {
+	case <-time.After(n.after):
+	case <-ctx.Done():
+		return protocol.Changes{}, ctx.Err()
+	}
+	if n.err != nil {
+		return protocol.Changes{}, n.err
+	}
+	return *n.changes, nil
+}
+
+// sink keeps what it is told.
+type sink struct {
+	mutex     sync.Mutex
+	listed    int
+	changed   []string
+	confirmed time.Time
+	failed    int
+}
+
+func (s *sink) Listed([]protocol.Object, time.Time) { s.locked(func() { s.listed++ }) }
+
+func (s *sink) Changed(c protocol.Change, _ time.Time) {
+	s.locked(func() { s.changed = append(s.changed, c.Object.Name) })
+}
+func (s *sink) Confirmed(at time.Time)  { s.locked(func() { s.confirmed = at }) }
+func (s *sink) Failed(error, time.Time) { s.locked(func() { s.failed++ }) }
+func (s *sink) locked(f func())         { s.mutex.Lock(); defer s.mutex.Unlock(); f() }
+func news(at uint64, name string) step {
+	return step{changes: &protocol.Changes{At: at, Changes: []protocol.Change{{Object: protocol.Object{Name: name}}}}}
+}
+
+// play runs a watcher over a script for a time and returns what came of it.
+func play(t *testing.T, limit time.Duration, steps ...step) (*source, *sink) {
+	src, snk := &source{steps: steps}, &sink{}
+	synctest.Test(t, func(*testing.T) {
+		w := &watch.Watcher{Source: src, Kind: "k", Sink: snk}
+		w.Start()
+		time.Sleep(limit)
+		w.Close()
+		synctest.Wait()
+	})
+	return src, snk
+}
+
+func list(at uint64) step { return step{list: &protocol.Listing{At: at}} }
+
+func TestAWatchGoesOnFromItsNewsOnly(t *testing.T) {
+	src, snk := play(t, 5*time.Second, list(7), news(9, "a"))
+	require.Equal(t, []string{"a"}, snk.changed)
+	require.Equal(t, []uint64{0, 7, 9}, src.asked[:3])
+	require.Equal(t, uint64(9), src.asked[3], "a watch that heard nothing must not move on: it may have missed something")
+}
+
+func TestAForgottenHistoryIsListedAtOnce(t *testing.T) {
+	src, snk := play(t, time.Second, list(7), step{err: &platform.Forgotten{}}, list(20))
+	require.Equal(t, []uint64{0, 7, 0, 20}, src.asked[:4])
+	require.Equal(t, 2, snk.listed)
+	require.Zero(t, snk.failed, "the platform answered")
+}
+
+func TestALostCallIsToldAndListedAnew(t *testing.T) {
+	src, snk := play(t, 3*time.Second, list(7), step{err: errors.New("reset")}, step{err: errors.New("down")}, list(8))
+	require.Equal(t, []uint64{0, 7, 0, 0, 8}, src.asked[:5])
+	require.Equal(t, 2, snk.failed)
+}
+
+func TestQuietWatchesConfirmNoMoreThanTheyCanKnow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		src, snk := &source{steps: []step{list(7)}}, &sink{}
+		w := &watch.Watcher{Source: src, Kind: "k", Sink: snk}
+		w.Start()
+		time.Sleep(watch.Wait + time.Millisecond)
+		synctest.Wait()
+		snk.locked(func() {
+			require.Equal(t, began.Add(watch.Wait-time.Second), snk.confirmed, "its last second may have been deaf")
+		})
+		w.Close()
+		synctest.Wait()
+	})
+}
