--- a/command/front.go
+++ b/command/front.go
@@ -57,7 +57,7 @@
 	writer := &logs.Writer{Out: o.out}
 	writer.Start()
 	defer func() { writer.Close(time.Now().Add(logsBy)) }()
-	logger := slog.New(logs.NewHandler(writer, logLevel(s.LogLevel)))
+	logger := slog.New(logs.NewHandler(writer, logLevel(s.LogLevel))).With(slog.String("entry", s.Name))
 	counters := &metric.Set{}
 	f := &front.Front{Settings: s, Outside: platform.Outside(s.Store, counters), Counters: counters, Logger: logger}
 	if err := f.Start(); err != nil {
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -54,6 +54,13 @@
 	b.spent = max(initial-most, b.spent-share)
 }
 
+// SetMost changes the credit of a budget whose Most is set. What was spent stays
+// spent, so that changes back and forth give nothing twice.
+func (b *Budget) SetMost(most float64) {
+	b.Most = most
+	b.spent = min(b.spent, most)
+}
+
 // Left returns the credit for further tries.
 func (b *Budget) Left() float64 {
 	if b.Most > 0 {
--- /dev/null
+++ b/deployed_test.go
@@ -0,0 +1,300 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/platform/platformtest"
+)
+
+// deployedSoon bounds how long a test waits for what has to come.
+const deployedSoon = 20 * time.Second
+
+// machine is one process of the deployed form with its settings and log.
+type machine struct {
+	t       *testing.T
+	binary  string
+	file    string
+	log     string
+	address string
+	ready   string
+	process *exec.Cmd
+}
+
+// buildDeployed builds what deploy/system.toml builds, into a folder of the test.
+func buildDeployed(t *testing.T) string {
+	t.Helper()
+	m := regexp.MustCompile(`(?m)^build = "(.*)"$`).FindStringSubmatch(read(t, "deploy/system.toml"))
+	require.NotNil(t, m, "deploy/system.toml names a build")
+	dir := t.TempDir()
+	line := strings.Replace(m[1], "-o target/", "-o "+dir+"/", 1)
+	words := strings.Fields(line)
+	out, err := exec.Command(words[0], words[1:]...).CombinedOutput()
+	require.NoError(t, err, string(out))
+	return filepath.Join(dir, "pinerun")
+}
+
+// render fills the settings template in as the platform does, as far as this
+// template uses its language.
+func render(t *testing.T, values map[string]any) string {
+	t.Helper()
+	gap := regexp.MustCompile(`\{\{([a-z_.]+)(\|json)?\}\}`)
+	return gap.ReplaceAllStringFunc(read(t, "deploy/front.jsonc"), func(g string) string {
+		m := gap.FindStringSubmatch(g)
+		v, ok := values[m[1]]
+		require.True(t, ok, "the template asks for %s", m[1])
+		if m[2] == "" {
+			return fmt.Sprint(v)
+		}
+		b, err := json.Marshal(v)
+		require.NoError(t, err)
+		return string(b)
+	})
+}
+
+func takeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newMachine(t *testing.T, binary, name, store string) *machine {
+	t.Helper()
+	m := &machine{t: t, binary: binary, address: takeAddress(t), ready: takeAddress(t)}
+	text := render(t, map[string]any{
+		"node_name": name, "zone": "a", "ip": "127.0.0.1", "listen.front": m.address, "listen.readiness": m.ready,
+		"platform.address": store, "bounds.grace_s": 8, "bounds.revoke_ms": 5000, "bounds.retry_budget_ratio": 0.2,
+		"bounds.retry_budget_slack": 200, "limits.memory_mb": 284,
+	})
+	text = strings.Replace(text, "127.0.0.1:9464", takeAddress(t), 1) // both stand on this machine
+	m.file = filepath.Join(t.TempDir(), name+".jsonc")
+	m.log = filepath.Join(t.TempDir(), name+".log")
+	require.NoError(t, os.WriteFile(m.file, []byte(text), 0o600))
+	return m
+}
+
+func (m *machine) start() {
+	m.t.Helper()
+	out, err := os.OpenFile(m.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(m.t, err)
+	m.process = exec.Command(m.binary, "front", "-settings", m.file)
+	m.process.Stdout, m.process.Stderr = out, os.Stderr
+	require.NoError(m.t, m.process.Start())
+	_ = out.Close()
+	process := m.process
+	m.t.Cleanup(func() { _ = process.Process.Kill(); _ = process.Wait() })
+	m.until(func() bool { return m.isReady() }, "the entry is ready")
+}
+
+func (m *machine) until(met func() bool, what string) {
+	m.t.Helper()
+	require.Eventually(m.t, met, deployedSoon, 10*time.Millisecond, what)
+}
+
+func (m *machine) isReady() bool {
+	res, err := http.Get("http://" + m.ready + "/ready")
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+func (m *machine) logged(text string) bool {
+	content, err := os.ReadFile(m.log)
+	return err == nil && bytes.Contains(content, []byte(text))
+}
+
+// ask sends a request on a connection of its own and returns status and body; the
+// error is why the answer did not come whole.
+func (m *machine) ask(method, path, id, key string) (int, string, error) {
+	req, err := http.NewRequest(method, "http://"+m.address+path, strings.NewReader("body"))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Pinerun-Request-Id", id)
+	req.Header.Set("X-Pinerun-Deadline-Ms", "8000")
+	req.Header.Set("Authorization", "Token "+key)
+	res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(body), err
+}
+
+func deployedTable(version int, keys ...string) map[string]any {
+	route := func(path, kind, service string) map[string]any {
+		return map[string]any{
+			"name": path, "host": "h.example", "path_prefix": "/" + path + "/", "route_type": kind, "timeout_ms": 8000,
+			"target_latency_ms": 500, "service": service, "max_attempts": 2, "resumable": true, "gap_aim_ms": 200,
+		}
+	}
+	return map[string]any{
+		"version": version,
+		"routes":  []any{route("once", "unsafe", "plain"), route("again", "safe", "plain"), route("stream", "streaming", "llm")},
+		"services": []any{map[string]any{"name": "plain"}, map[string]any{"name": "llm", "engine": map[string]any{
+			"layers": 10, "layer_mb": 100, "kv_bytes": 1e6, "read_per_s": 1e6, "usual": map[string]any{"prompt": 10, "answer": 10},
+			"kinds": []any{map[string]any{"name": "t4", "mb": 1000, "pace": 1, "read_x": 1}},
+		}}},
+		"limits":  map[string]any{"max_body_bytes": 1000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "team", "api_keys": keys}},
+	}
+}
+
+// TestADayOfTheDeployedForm runs two entries as processes before a stand-in
+// platform: layers are placed, a table changes, an endpoint leaves, one entry is
+// killed and comes back, and one is stopped while a stream is open.
+func TestADayOfTheDeployedForm(t *testing.T) {
+	store := platformtest.NewStore(t)
+	store.Put("config", "main", deployedTable(1, "key", "old"))
+	record := func(e *platformtest.Endpoint, service, state string, from, to int) {
+		store.Put("servers", e.ID, map[string]any{
+			"service": service, "address": e.Address(), "zone": "a", "slots": 8, "state": state, "route_type": "t4",
+			"layers": map[string]int{"from": from, "target_version": to},
+		})
+	}
+	var services, engines []*platformtest.Endpoint
+	for i := range 2 {
+		services = append(services, platformtest.NewService(t, fmt.Sprint("s-", i)))
+		record(services[i], "plain", "ready", 0, 0)
+	}
+	for i := range 3 {
+		e := platformtest.NewEngine(t, fmt.Sprint("e-", i))
+		engines = append(engines, e)
+		e.OnSpan(func(from, to int) { record(e, "llm", "ready", from, to) })
+		record(e, "llm", "ready", 0, 0)
+	}
+	binary := buildDeployed(t)
+	one, two := newMachine(t, binary, "front-1", store.Address()), newMachine(t, binary, "front-2", store.Address())
+	one.start()
+	two.start()
+	whole := ""
+	for n := range platformtest.StreamEvents {
+		whole += platformtest.Event(n + 1)
+	}
+	for _, m := range []*machine{one, two} {
+		m.until(func() bool {
+			_, body, err := m.ask(http.MethodPost, "/stream/x", "warm", "key")
+			return err == nil && body == whole
+		}, "layers are placed")
+	}
+
+	t.Log("a table takes a key away")
+	store.Put("config", "main", deployedTable(2, "key"))
+	for _, m := range []*machine{one, two} {
+		m.until(func() bool {
+			status, _, _ := m.ask(http.MethodGet, "/again/x", "old-key", "old")
+			return status == http.StatusUnauthorized
+		}, "the key is gone")
+	}
+
+	t.Log("an endpoint leaves")
+	record(services[0], "plain", "draining", 0, 0)
+	for _, m := range []*machine{one, two} {
+		m.until(func() bool { return m.logged("endpoint leaving") }, "the news is in")
+	}
+	before := len(services[0].Ran())
+	for i := range 10 {
+		status, body, err := one.ask(http.MethodPost, "/once/x", fmt.Sprint("once-", i), "key")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, "answer of s-1", body)
+	}
+	require.Len(t, services[0].Ran(), before)
+
+	t.Log("an entry is killed, the other serves, it comes back")
+	require.NoError(t, one.process.Process.Kill())
+	_ = one.process.Wait()
+	status, body, err := two.ask(http.MethodPost, "/stream/x", "alone", "key")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, whole, body)
+	one.start()
+
+	t.Log("an entry is stopped while a stream is open")
+	for _, e := range engines {
+		e.Fail(platformtest.Pauses, 3)
+	}
+	runs := func() (n int) {
+		for _, e := range engines {
+			n += len(e.Ran())
+		}
+		return n
+	}
+	begun := runs()
+	var wait sync.WaitGroup
+	wait.Add(1)
+	var open string
+	var broken error
+	go func() { defer wait.Done(); _, open, broken = two.ask(http.MethodPost, "/stream/x", "open", "key") }()
+	two.until(func() bool { return runs() > begun }, "the stream has begun")
+	require.NoError(t, two.process.Process.Signal(syscall.SIGTERM))
+	two.until(func() bool { return !two.isReady() }, "not ready at once")
+	for _, e := range engines {
+		e.Fail(platformtest.None, 0)
+	}
+	wait.Wait()
+	require.NoError(t, broken)
+	require.Equal(t, whole, open)
+	require.NoError(t, two.process.Wait(), "a planned stop ends well")
+
+	requireRanOnce(t, services, "once-")
+	requireEveryLineIsAnEvent(t, one.log, two.log)
+}
+
+// requireRanOnce checks that no request that must not run twice did.
+func requireRanOnce(t *testing.T, endpoints []*platformtest.Endpoint, prefix string) {
+	t.Helper()
+	ran := map[string]int{}
+	for _, e := range endpoints {
+		for _, r := range e.Ran() {
+			if strings.HasPrefix(r.ID, prefix) {
+				ran[r.ID]++
+			}
+		}
+	}
+	for id, n := range ran {
+		require.Equal(t, 1, n, id)
+	}
+}
+
+// requireEveryLineIsAnEvent checks that logs are JSON lines with an event's
+// number and the entry's name.
+func requireEveryLineIsAnEvent(t *testing.T, files ...string) {
+	t.Helper()
+	for _, f := range files {
+		s := bufio.NewScanner(strings.NewReader(read(t, f)))
+		for s.Scan() {
+			var line struct {
+				Event int    `json:"event"`
+				Entry string `json:"entry"`
+			}
+			require.NoError(t, json.Unmarshal(s.Bytes(), &line), s.Text())
+			require.NotZero(t, line.Event, s.Text())
+			require.NotEmpty(t, line.Entry, s.Text())
+		}
+	}
+}
--- /dev/null
+++ b/explain/line.go
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package explain tells from collected logs what became of a request and why.
+//
+// It reads the lines of any number of entries, in any order, and picks out the
+// request's own lines and, for the entry that served it, what that entry believed
+// at the time: the routing table, the platform, the endpoints of the paths that
+// were tried.
+//
+//	lines, err := explain.Read(file)
+//	fmt.Println(explain.Explain(lines, "9c41d07be2a35f68"))
+package explain
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// Line is one log line with the fields that explaining needs.
+type Line struct {
+	Time        time.Time `json:"time"`
+	Event       int       `json:"event"`
+	Name        string    `json:"msg"`
+	Entry       string    `json:"entry"`
+	Request     string    `json:"request"`
+	Kind        string    `json:"kind"`
+	Message     string    `json:"message"`
+	Outcome     string    `json:"outcome"`
+	Cause       string    `json:"cause"`
+	Reason      string    `json:"reason"`
+	Path        string    `json:"path"`
+	Endpoint    string    `json:"endpoint"`
+	Runner      string    `json:"runner"`
+	Address     string    `json:"address"`
+	AtFault     string    `json:"at_fault"`
+	Layers      string    `json:"layers"`
+	Status      int       `json:"status"`
+	Attempt     int       `json:"attempt"`
+	Events      int       `json:"events"`
+	Sends       int       `json:"sends"`
+	TookMS      int64     `json:"took_ms"`
+	FirstMS     int64     `json:"first_ms"`
+	PauseMS     int64     `json:"pause_ms"`
+	SilentMS    int64     `json:"silent_ms"`
+	ConfirmedMS int64     `json:"confirmed_ms"`
+	Version     uint64    `json:"version"`
+	Routing     uint64    `json:"routing"`
+	Lines       int64     `json:"lines"`
+
+	text string
+}
+
+// String returns the line as it was read.
+func (l *Line) String() string { return l.text }
+
+// maxLineBytes bounds one line.
+const maxLineBytes = 1 << 20
+
+// Read returns the log lines of a reader. Whatever stands before the JSON of a
+// line, such as a collector's own mark, and lines without JSON are passed over.
+func Read(r io.Reader) ([]Line, error) {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLineBytes)
+	var lines []Line
+	for s.Scan() {
+		_, rest, found := strings.Cut(s.Text(), "{")
+		if !found {
+			continue
+		}
+		l := Line{text: "{" + rest}
+		if err := json.Unmarshal([]byte(l.text), &l); err != nil || l.Event == 0 {
+			continue
+		}
+		lines = append(lines, l)
+	}
+	if errors.Is(s.Err(), bufio.ErrTooLong) {
+		return lines, fmt.Errorf("a line is longer than %d bytes; is this a log of pinerun?", maxLineBytes)
+	}
+	return lines, s.Err()
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -31,6 +31,7 @@
 	AttemptBroken      = Event{2006, "attempt broken", slog.LevelWarn}
 	StreamCut          = Event{2007, "stream cut", slog.LevelWarn}
 	CallerLeft         = Event{2008, "caller left", slog.LevelInfo}
+	AttemptNotRun      = Event{2010, "attempt not run", slog.LevelInfo}
 	CallerUnbounded    = Event{2009, "caller unbounded", slog.LevelWarn}
 	RunnerConnected    = Event{3001, "runner connected", slog.LevelInfo}
 	RunnerLost         = Event{3002, "runner lost", slog.LevelWarn}
@@ -55,6 +56,7 @@
 	LeaseTaken         = Event{8001, "lease taken", slog.LevelInfo}
 	LeaseLost          = Event{8002, "lease lost", slog.LevelWarn}
 	OrderGiven         = Event{8003, "order given", slog.LevelInfo}
+	EntriesCounted     = Event{7003, "entries counted", slog.LevelInfo}
 	OrderFailed        = Event{8004, "order failed", slog.LevelWarn}
 	LinesDropped       = Event{9101, "lines dropped", slog.LevelWarn}
 	SettingsRead       = Event{1004, "settings read", slog.LevelInfo}
@@ -67,13 +69,14 @@
 	return []Event{
 		EntryReady, EntryStopping, EntryStopped, SettingsRead, SettingsIgnored,
 		RequestRefused, RequestRetried, RequestSent, RequestAnswered, SilenceSuspected, AttemptBroken,
-		StreamCut, CallerLeft, CallerUnbounded,
+		StreamCut, CallerLeft, CallerUnbounded, AttemptNotRun,
 		RunnerConnected, RunnerLost, RunnerEjected, FrameBroken, ReportIgnored,
 		EndpointJoined, EndpointLeaving, EndpointGone, EndpointIgnored, LayersChanged,
 		ConfigInForce, ConfigIgnored,
 		PlatformUnreached, PlatformBack,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
 		PeerConnected, PeerLost,
+		EntriesCounted,
 		LeaseTaken, LeaseLost, OrderGiven, OrderFailed,
 		PlanConfirmed, LinesDropped,
 	}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -166,3 +166,15 @@
 	b.count[r.Message]++
 	return told, b.count[r.Message] <= most
 }
+
+// WithAttrs returns a handler that adds details to each line, with the same
+// budgets.
+func (h *Handler) WithAttrs(details []slog.Attr) slog.Handler {
+	return &Handler{Handler: h.Handler.WithAttrs(details), writer: h.writer, shared: h.shared}
+}
+
+// WithGroup returns a handler that puts later details into a group, with the
+// same budgets.
+func (h *Handler) WithGroup(name string) slog.Handler {
+	return &Handler{Handler: h.Handler.WithGroup(name), writer: h.writer, shared: h.shared}
+}
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -258,6 +258,14 @@
 	return true
 }
 
+// SetRetrySlack sets this entry's part of the further sends that are not paid for
+// by requests.
+func (f *Forwarder) SetRetrySlack(slack float64) {
+	f.spending.Lock()
+	defer f.spending.Unlock()
+	f.Budget.SetMost(max(1, slack))
+}
+
 // resend asks the retry budget about a request.
 func (f *Forwarder) resend(q retry.Forwarded) retry.Next {
 	f.spending.Lock()
--- a/transport/forward/reply.go
+++ b/transport/forward/reply.go
@@ -85,7 +85,8 @@
 	f.Latency.Whole.Record(took)
 	f.Counters.Add(metric.AnsweredInTime, 1)
 	f.log(event.RequestAnswered, x.id(), slog.Int("status", status), slog.Int("events", x.events),
-		slog.Int64("took_ms", took.Milliseconds()), slog.Int("sends", x.sends))
+		slog.Int64("took_ms", took.Milliseconds()), slog.Int("sends", x.sends),
+		slog.Int64("first_ms", x.rhythm.firstAfter(x.begun).Milliseconds()), slog.Int64("pause_ms", x.rhythm.longest.Milliseconds()))
 }
 
 // finish ends the request without a whole answer. A stream that has begun is
--- a/transport/forward/rhythm.go
+++ b/transport/forward/rhythm.go
@@ -29,6 +29,8 @@
 	overdue  time.Time
 	mean     time.Duration
 	first    bool // the first event has come
+	firstAt  time.Time
+	longest  time.Duration // pause between two events
 	firstBy  time.Duration
 	pauseAim time.Duration
 }
@@ -50,13 +52,25 @@
 		if r.mean == 0 {
 			r.mean = pause
 		}
+		r.longest = max(r.longest, pause)
 		r.mean += time.Duration(smoothing * float64(pause-r.mean))
 	}
+	if !r.first {
+		r.firstAt = now
+	}
 	r.first = true
 	r.last = now
 	r.overdue = now.Add(r.bound())
 }
 
+// firstAfter returns how long after a time the first event came, 0 if none did.
+func (r *rhythm) firstAfter(begun time.Time) time.Duration {
+	if !r.first {
+		return 0
+	}
+	return r.firstAt.Sub(begun)
+}
+
 // bound is the silence inside a stream from which it is suspicious.
 func (r *rhythm) bound() time.Duration {
 	b := max(pauseLeast, pauseFactor*r.mean)
--- a/transport/forward/suspects.go
+++ b/transport/forward/suspects.go
@@ -142,6 +142,8 @@
 // refused leaves out for a moment the runner that did not run a request, which is
 // the first of the path when it names no other.
 func (x *exchange) refused(a *attempt, address string, now time.Time) {
+	x.forwarder.log(event.AttemptNotRun, x.id(), slog.Int("attempt", a.number), slog.String("endpoint", a.endpoint.Name()),
+		slog.String("at_fault", address))
 	for i := range a.path.Len() {
 		if r := a.path.Runner(i); r.Spec().Address == address || address == "" && i == 0 {
 			r.LeaveOut(now.Add(refusedFor))
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -3,12 +3,14 @@
 package front
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"pinerun.example/pinerun/coordination/census"
 	"pinerun.example/pinerun/coordination/retry"
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/metric"
@@ -27,6 +29,7 @@
 type Objects interface {
 	watch.Source
 	director.Objects
+	Delete(ctx context.Context, kind, name string, known uint64) error
 }
 
 // Engines is the way to model engines.
@@ -53,9 +56,6 @@
 }
 
 const (
-	// sharers is how many entries the common slack of retries is split over. An
-	// entry does not know how many there are; today there are 7 or 8.
-	sharers = 10
 	// shareKept is the part of the retry share that an entry uses itself, since
 	// the platform counts requests where they were sent, not where they came in.
 	shareKept = 0.75
@@ -79,6 +79,7 @@
 	forwarder forward.Forwarder
 	director  director.Director
 	watchers  []*watch.Watcher
+	register  register
 	callers   callers
 	ready     listener
 	metrics   listener
@@ -94,7 +95,7 @@
 	f.forwarder = forward.Forwarder{
 		Home: home, Routing: &f.routing, Roster: &f.roster, Headers: f.Outside.Headers, Reporter: f.Outside.Engines,
 		Counters: f.Counters, Latency: &f.latency, Logger: f.Logger,
-		Budget:    retry.Budget{Share: s.RetryShare * shareKept, Most: max(1, s.RetrySlack/sharers)},
+		Budget:    retry.Budget{Share: s.RetryShare * shareKept, Most: s.RetrySlack / census.Least},
 		TrustKeys: s.KeyTrust,
 	}
 	f.director = director.Director{
@@ -113,8 +114,10 @@
 	for _, w := range f.watchers {
 		w.Start()
 	}
+	f.register.front = f
+	go f.register.run()
 	go f.run()
-	event.EntryReady.Log(f.Logger, slog.String("entry", s.Name), slog.String("data_center", s.DataCenter),
+	event.EntryReady.Log(f.Logger, slog.String("data_center", s.DataCenter),
 		slog.String("callers", s.Listen.Callers), slog.String("store", s.Store))
 	return nil
 }
