--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -21,6 +21,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"sort"
 
 	"pinerun.example/pinerun/protocol"
 )
@@ -167,36 +168,61 @@
 
 // newPool returns the pool of some engines, or nil when they can't hold a copy.
 func newPool(f *protocol.EngineFacts, engines []Engine) *pool {
+	kinds := kindsOf(f, engines)
+	room := roomFor(f, kinds, wantedCopies)
+	if room < leastRequests {
+		room = roomFor(f, kinds, 1)
+	}
+	if room < leastRequests {
+		return nil
+	}
+	p := &pool{layers: f.Layers, cover: make([]int, f.Layers), engines: make([]member, 0, len(engines))}
 	usual := float64(f.UsualPrompt + f.UsualAnswer)
-	var largest *pool
-	for requests := mostRequests; requests >= leastRequests; requests-- {
-		p := &pool{layers: f.Layers, cover: make([]int, f.Layers)}
-		sum := 0
-		for _, e := range engines {
-			a, ok := f.Accelerator(e.Accelerator)
-			if !ok {
-				continue
-			}
-			m := member{
+	for _, e := range engines {
+		if a, ok := f.Accelerator(e.Accelerator); ok {
+			p.engines = append(p.engines, member{
 				id:       e.ID,
-				capacity: Capacity(f, a.MemoryMB, usual*float64(requests)),
+				capacity: Capacity(f, a.MemoryMB, usual*float64(room)),
 				most:     Capacity(f, a.MemoryMB, usual*scarceRequests),
 				span:     e.Held,
-			}
-			sum += m.capacity
-			p.engines = append(p.engines, m)
-		}
-		if sum >= f.Layers {
-			largest = p
-		}
-		if float64(sum) >= wantedCopies*float64(f.Layers) {
-			break
+			})
 		}
 	}
-	if largest != nil {
-		largest.order()
+	p.order()
+	return p
+}
+
+// kind is how many engines of an accelerator there are.
+type kind struct {
+	memoryMB float64
+	count    int
+}
+
+func kindsOf(f *protocol.EngineFacts, engines []Engine) []kind {
+	kinds := make([]kind, len(f.Accelerators))
+	for _, e := range engines {
+		for i, a := range f.Accelerators {
+			if a.Name == e.Accelerator {
+				kinds[i].memoryMB = a.MemoryMB
+				kinds[i].count++
+			}
+		}
 	}
-	return largest
+	return kinds
+}
+
+// roomFor returns for how many requests of usual size every engine can keep room
+// while all together hold so many copies, or less than leastRequests if for none.
+func roomFor(f *protocol.EngineFacts, kinds []kind, copies float64) int {
+	usual := float64(f.UsualPrompt + f.UsualAnswer)
+	tooMany := sort.Search(mostRequests-leastRequests+1, func(i int) bool {
+		sum := 0
+		for _, k := range kinds {
+			sum += k.count * Capacity(f, k.memoryMB, usual*float64(leastRequests+i))
+		}
+		return float64(sum) < copies*float64(f.Layers)
+	})
+	return leastRequests + tooMany - 1
 }
 
 // order puts the largest engines first, so that a copy has few stages.
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -30,7 +30,7 @@
 	// budget of all events.
 	bufferMost = 1 << 20
 	// writeEvery gathers lines, so that a line does not cost a system call.
-	writeEvery = 50 * time.Millisecond
+	writeEvery = 100 * time.Millisecond
 	// ordinaryBudget and gravestBudget are how many lines a second one event may
 	// write: ordinary decisions give way first.
 	ordinaryBudget = 150
@@ -46,10 +46,14 @@
 	mutex   sync.Mutex
 	waiting bytes.Buffer
 	dropped atomic.Int64
+	news    chan struct{} // holds something while lines wait
 }
 
 // Start begins to write out.
-func (w *Writer) Start() { go w.run() }
+func (w *Writer) Start() {
+	w.news = make(chan struct{}, 1)
+	go w.run()
+}
 
 // Close writes out what waits and ends, but not later than the deadline.
 func (w *Writer) Close(deadline time.Time) {
@@ -70,6 +74,12 @@
 		w.dropped.Add(1)
 		return len(line), nil
 	}
+	if w.waiting.Len() == 0 {
+		select {
+		case w.news <- struct{}{}:
+		default:
+		}
+	}
 	return w.waiting.Write(line)
 }
 
@@ -78,16 +88,20 @@
 
 func (w *Writer) run() {
 	defer w.ended.Close()
-	t := time.NewTicker(writeEvery)
-	defer t.Stop()
 	for {
 		select {
-		case <-t.C:
-			w.flush()
+		case <-w.news:
 		case <-w.done.Done():
 			w.flush()
 			return
 		}
+		t := time.NewTimer(writeEvery)
+		select {
+		case <-t.C:
+		case <-w.done.Done():
+		}
+		t.Stop()
+		w.flush()
 	}
 }
 
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -51,6 +51,7 @@
 	outage    time.Time            // when the platform was last known not to answer
 	services  []protocol.RoutedService
 	known     atomic.Bool
+	changes   atomic.Uint64
 	view      atomic.Pointer[fleet.View]
 	list      atomic.Pointer[[]protocol.Endpoint]
 	centers   atomic.Pointer[map[string][]string] // by service
@@ -59,6 +60,9 @@
 // View returns the runners of all models, or nil before the first list.
 func (r *Roster) View() *fleet.View { return r.view.Load() }
 
+// Changes returns a number that rises with each change of the endpoints.
+func (r *Roster) Changes() uint64 { return r.changes.Load() }
+
 // Known reports whether a list was ever taken.
 func (r *Roster) Known() bool { return r.known.Load() }
 
@@ -190,6 +194,7 @@
 	}
 	slices.SortFunc(list, func(a, b protocol.Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	r.list.Store(&list)
+	r.changes.Add(1)
 	centers := make(map[string][]string)
 	var models []protocol.Model
 	var runners []protocol.Runner
--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -32,8 +32,10 @@
 )
 
 const (
-	// lookEvery is how often it is worked out whether there is work.
-	lookEvery = 100 * time.Millisecond
+	// lookEvery is how often it is looked whether something has changed, and
+	// lookAnyway how often the moves are worked out although nothing has.
+	lookEvery  = 100 * time.Millisecond
+	lookAnyway = 500 * time.Millisecond
 	// settleQuiet is how long no engine has joined before the first layers are
 	// ordered in an empty fleet, so that a copy is laid out over all of it; engines
 	// start within a heartbeat or so of each other. settleMost bounds the wait.
@@ -82,7 +84,9 @@
 	lease   lease.Lease
 	held    bool
 	starts  map[string]*start // of services whose engines hold nothing yet
-	waitTo  time.Time         // when this entry tries to take the lease for work that it sees
+	basis   basis
+	again   time.Time // when the moves are worked out although nothing has changed
+	waitTo  time.Time // when this entry tries to take the lease for work that it sees
 	mutex   sync.Mutex
 	ordered map[string]order     // by endpoint ID, still in doubt
 	resting map[string]time.Time // by endpoint ID, until when it gets no order
@@ -121,11 +125,18 @@
 
 // look works out the wanted moves and, holding the lease, orders them.
 func (d *Director) look(now time.Time) {
+	b := basis{table: d.Routing.Current(), endpoints: d.Roster.Changes()}
+	if b == d.basis && now.Before(d.again) {
+		return
+	}
+	d.basis = b
 	moves := d.moves(now)
 	if len(moves) == 0 {
 		d.waitTo = time.Time{}
+		d.again = now.Add(lookAnyway)
 		return
 	}
+	d.again = now // there is work: look again at once
 	if d.waitTo.IsZero() {
 		d.waitTo = now.Add(rand.N(staggerMost))
 	}
@@ -139,6 +150,12 @@
 	d.give(moves, epoch)
 }
 
+// basis is what moves are worked out from.
+type basis struct {
+	table     *routing.Table
+	endpoints uint64
+}
+
 // move is a wanted move with the engine's address.
 type move struct {
 	place.Move
