watch, fleet: confirm keys by a steady read, rest refusing runners longer

A read each 1.4 s confirms exactly, and the watches can wait 5 s for the same number of calls. A table that can't be read confirms nothing. Draining engines that the store can't tell of refused each 150 ms anew; they now rest up to 2.4 s.

--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -66,6 +66,7 @@
 	ejectedTill atomic.Int64 // unix nanoseconds
 	suspectTill atomic.Int64 // unix nanoseconds
 	failures    atomic.Int64
+	refusals    atomic.Int64
 	leaving     atomic.Bool // by the configuration, or by the engine's own word
 	vmLeaving   atomic.Bool // by the platform's list of VMs
 }
@@ -294,6 +295,29 @@
 	}
 }
 
+// refusedFirst and refusedMost bound how long a runner that did not run a request
+// gets no new work: for want of memory it is over in tens of ms, when it leaves or
+// gives layers up not at all.
+const (
+	refusedFirst = 150 * time.Millisecond
+	refusedRuns  = 4
+)
+
+// Refused notes that the runner did not run a request. It gets no new work for a
+// time that doubles with each refusal in a row.
+func (r *Runner) Refused(now time.Time) {
+	runs := min(r.refusals.Add(1)-1, refusedRuns)
+	r.LeaveOut(now.Add(refusedFirst << runs))
+}
+
+// Accepted notes that the runner runs a request that was sent after it last
+// refused one.
+func (r *Runner) Accepted() {
+	if r.refusals.Load() != 0 {
+		r.refusals.Store(0)
+	}
+}
+
 // lostAfter is how many failures in a row, without a sign that the runner works,
 // make it likely that it won't come back.
 const lostAfter = 2
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -80,6 +80,7 @@
 	pool     *pool
 	out      chan<- message
 	sentAt   time.Time
+	spoke    bool           // an event came; the exchange's
 	answer   *http.Response // head of the stream, once it came; the exchange's
 
 	cancelled context.Context
@@ -106,6 +107,13 @@
 	a.read(c)
 }
 
+// first reports whether this is the first event of the attempt.
+func (a *attempt) first() bool {
+	before := a.spoke
+	a.spoke = true
+	return !before
+}
+
 // stop ends the attempt: a connection that is still held is closed, so that the
 // endpoint drops the request.
 func (a *attempt) stop() {
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -23,7 +23,7 @@
 	// againUnsure is when to come back to an entry that can't reach the platform.
 	againUnsure = 300 * time.Millisecond
 	// againFull is when to come back after an endpoint refused for want of room.
-	againFull = 100 * time.Millisecond
+	againFull = 200 * time.Millisecond
 	// againNoPath is when to come back when layers have no holder: loading them
 	// takes one to two seconds.
 	againNoPath = time.Second
@@ -212,6 +212,9 @@
 	now := time.Now()
 	m.attempt.heard(now)
 	x.rhythm.event(now)
+	if m.attempt.first() {
+		m.attempt.accepted()
+	}
 	if !x.headSent {
 		x.writeStreamHead(m.attempt.answer)
 		x.forwarder.Latency.First.Record(now.Sub(x.begun))
--- a/transport/forward/suspects.go
+++ b/transport/forward/suspects.go
@@ -24,9 +24,6 @@
 	// suspected. A runner with a few streams is heard every ten ms or so; reading
 	// the prompts of others holds all of them up for some tens of ms.
 	quietAfter = 70 * time.Millisecond
-	// refusedFor is how long a runner gets no new work that has just not run a
-	// request, because it is full or gives layers up.
-	refusedFor = 150 * time.Millisecond
 	// askEvery is the least time between two questions to one engine.
 	askEvery = 250 * time.Millisecond
 	// askLimit bounds the wait for an engine's report.
@@ -132,6 +129,13 @@
 	}
 }
 
+// accepted notes that every runner of the path runs the request.
+func (a *attempt) accepted() {
+	for i := range a.path.Len() {
+		a.path.Runner(i).Accepted()
+	}
+}
+
 // told takes how busy the first engine of the path says that it is.
 func (a *attempt) told(t protocol.AnswerTerms, now time.Time) {
 	if t.LoadKnown {
@@ -146,7 +150,7 @@
 		slog.String("at_fault", address))
 	for i := range a.path.Len() {
 		if r := a.path.Runner(i); r.Spec().Address == address || address == "" && i == 0 {
-			r.LeaveOut(now.Add(refusedFor))
+			r.Refused(now)
 			x.avoid = append(x.avoid, r)
 		}
 	}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -79,6 +79,7 @@
 	forwarder forward.Forwarder
 	director  director.Director
 	watchers  []*watch.Watcher
+	confirmer watch.Confirmer
 	register  register
 	callers   callers
 	ready     listener
@@ -107,13 +108,19 @@
 	}
 	f.forwarder.Start()
 	f.director.Start()
+	tables := &routingSink{front: f}
 	f.watchers = []*watch.Watcher{
-		{Source: f.Outside.Objects, Kind: f.Outside.RoutingKind, Sink: &routingSink{front: f}},
+		{Source: f.Outside.Objects, Kind: f.Outside.RoutingKind, Sink: tables},
 		{Source: f.Outside.Objects, Kind: f.Outside.EndpointKind, Sink: &endpointSink{front: f}},
 	}
+	f.confirmer = watch.Confirmer{
+		Source: f.Outside.Objects, Kind: f.Outside.RoutingKind, Name: f.Outside.RoutingName,
+		Sink: tables, Watchers: f.watchers,
+	}
 	for _, w := range f.watchers {
 		w.Start()
 	}
+	f.confirmer.Start()
 	f.register.front = f
 	go f.register.run()
 	go f.run()
--- a/transport/front/stop.go
+++ b/transport/front/stop.go
@@ -48,6 +48,7 @@
 	for _, w := range f.watchers {
 		w.Close()
 	}
+	f.confirmer.Close()
 	f.register.done.Close()
 	f.director.Close()
 	f.forwarder.Close()
--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"pinerun.example/pinerun/internal/part"
@@ -21,9 +22,9 @@
 )
 
 const (
-	// Wait is how long one call waits for a change. It is bounded by how soon a
-	// dead connection has to be noticed, and each call has its price.
-	Wait = 2 * time.Second
+	// Wait is how long one call waits for a change. Each call has its price; that a
+	// connection is dead is noticed sooner, by a Confirmer.
+	Wait = 5 * time.Second
 	// hush is how long before its end a watch may have missed a change: the
 	// platform's watches hear nothing for up to a second before it forgets.
 	hush = time.Second
@@ -59,6 +60,8 @@
 	done     part.Done
 	from     uint64 // revision to watch from, 0 before a list
 	failures int
+	mutex    sync.Mutex
+	cut      context.CancelFunc // ends the call that waits
 }
 
 // Start begins to follow.
@@ -89,7 +92,21 @@
 	c.cancel()
 }
 
+// Restart makes the watcher give up a call that waits and list anew.
+func (w *Watcher) Restart() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.cut != nil {
+		w.cut()
+	}
+}
+
 func (w *Watcher) step(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w.mutex.Lock()
+	w.cut = cancel
+	w.mutex.Unlock()
 	if w.from == 0 {
 		return w.list(ctx)
 	}
@@ -147,8 +164,8 @@
 	}
 	var forgotten *platform.Forgotten
 	w.from = 0
-	if errors.As(err, &forgotten) {
-		return
+	if errors.As(err, &forgotten) || errors.Is(err, context.Canceled) {
+		return // the platform answered, or the call was given up here
 	}
 	w.Sink.Failed(err, time.Now())
 	rest := min(pauseMost, pauseFirst<<min(w.failures, 10))
--- a/transport/watch/watch_test.go
+++ b/transport/watch/watch_test.go
@@ -37,7 +37,10 @@
 	defer s.mutex.Unlock()
 	s.asked = append(s.asked, from)
 	if len(s.steps) == 0 {
-		return step{after: watch.Wait, changes: &protocol.Changes{At: 999}, list: &protocol.Listing{At: 7}}
+		if from == 0 {
+			return list(7)
+		}
+		return step{after: watch.Wait, changes: &protocol.Changes{At: 999}}
 	}
 	next := s.steps[0]
 	s.steps = s.steps[1:]
@@ -103,7 +106,7 @@
 func list(at uint64) step { return step{list: &protocol.Listing{At: at}} }
 
 func TestAWatchGoesOnFromItsNewsOnly(t *testing.T) {
-	src, snk := play(t, 5*time.Second, list(7), news(9, "a"))
+	src, snk := play(t, 3*watch.Wait, list(7), news(9, "a"))
 	require.Equal(t, []string{"a"}, snk.changed)
 	require.Equal(t, []uint64{0, 7, 9}, src.asked[:3])
 	require.Equal(t, uint64(9), src.asked[3], "a watch that heard nothing must not move on: it may have missed something")
@@ -137,3 +140,59 @@
 		synctest.Wait()
 	})
 }
+
+// getter answers reads by script; after the last one reads succeed.
+type getter struct {
+	mutex sync.Mutex
+	errs  []error
+	reads int
+}
+
+func (g *getter) Get(context.Context, string, string) (protocol.Object, error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.reads++
+	if len(g.errs) == 0 {
+		return protocol.Object{Name: "o"}, nil
+	}
+	err := g.errs[0]
+	g.errs = g.errs[1:]
+	return protocol.Object{Name: "o"}, err
+}
+
+func TestAFailedReadMakesTheWatchersBeginAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src, snk := &source{steps: []step{list(7), {after: time.Hour}}}, &sink{}
+		w := &watch.Watcher{Source: src, Kind: "k", Sink: snk}
+		g := &getter{errs: []error{nil, errors.New("silent"), errors.New("silent")}}
+		c := &watch.Confirmer{Source: g, Kind: "k", Name: "o", Sink: snk, Watchers: []*watch.Watcher{w}}
+		w.Start()
+		c.Start()
+		time.Sleep(4 * time.Second)
+		synctest.Wait()
+		snk.locked(func() {
+			require.GreaterOrEqual(t, snk.listed, 2, "the call that hung was given up")
+			require.Equal(t, 2, snk.failed)
+			require.Less(t, time.Since(snk.confirmed), 1500*time.Millisecond)
+		})
+		c.Close()
+		w.Close()
+		synctest.Wait()
+	})
+}
+
+func TestAnObjectThatNobodyWroteIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		snk := &sink{}
+		c := &watch.Confirmer{Source: &getter{errs: []error{platform.Missing("k", "o")}}, Sink: snk}
+		c.Start()
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		snk.locked(func() {
+			require.Zero(t, snk.failed)
+			require.True(t, snk.confirmed.IsZero())
+		})
+		c.Close()
+		synctest.Wait()
+	})
+}
