path: choose by the time to write as well as to read, dearer where crowded

Cause: paths were chosen by reading speed alone, though a token written takes 36 times longer per layer than one read.

--- a/coordination/path/parts.go
+++ b/coordination/path/parts.go
@@ -92,7 +92,7 @@
 		if !ok {
 			continue
 		}
-		fixed, layer := r.Parts(q.Now, q.Positions)
+		fixed, layer := r.Parts(q.Now, q.Positions, q.Write, q.Sharers)
 		fixed += penalty + q.Draw.Float64()*tieSeconds
 		for i := begin + 1; i < s.count && s.bounds[i] <= g.Span().To; i++ {
 			to := s.bounds[i]
--- a/coordination/path/path.go
+++ b/coordination/path/path.go
@@ -85,9 +85,13 @@
 type Query struct {
 	Now       time.Time
 	Positions int
-	Draw      *rand.Rand
-	Avoid     []*fleet.Runner
-	Policy    Policy
+	// Write is how many tokens the request will write, and Sharers how many entries
+	// send to the same runners; Parts alone uses them.
+	Write   int
+	Sharers float64
+	Draw    *rand.Rand
+	Avoid   []*fleet.Runner
+	Policy  Policy
 }
 
 // Decision is either Found or Missing.
--- a/protocol/config.go
+++ b/protocol/config.go
@@ -110,6 +110,8 @@
 	Speed       float64 `json:"speed" validate:"gt=0"`
 	Link        string  `json:"link" validate:"omitempty,oneof=near far slow"`
 	Drain       bool    `json:"drain,omitempty"` // takes no new work
+	// Step is the seconds that a written token takes in one layer; 0 is unknown.
+	Step float64 `json:"step,omitempty" validate:"gte=0"`
 	// Room is how many tokens of requests fit beside the layers; 0 is unknown.
 	Room float64 `json:"room,omitempty" validate:"gte=0"`
 }
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -149,12 +149,22 @@
 	return r.Expected(now, positions) * slowness
 }
 
-// Parts returns what Cost is made of for a step of that many positions: the
-// seconds whatever the number of layers, and the seconds for each layer.
-func (r *Runner) Parts(now time.Time, positions int) (fixed, layer float64) {
+// crowding is how many times longer a layer is taken to need at a runner whose
+// room is full of this entry's requests and of as many of each entry beside it.
+const crowding = 6.0
+
+// Parts returns the expected seconds of a whole request that reads and writes so
+// many tokens: those whatever the number of layers, and those for each layer.
+// Sharers is how many entries send to the runner; each is taken to send alike.
+func (r *Runner) Parts(now time.Time, read, write int, sharers float64) (fixed, layer float64) {
 	slowness, _ := r.Slowness(now)
 	fixed = slowness * (r.Wait(now) + batchSeconds + linkSeconds[r.link])
-	return fixed, slowness * float64(positions) / r.spec.Speed
+	layer = slowness * (float64(read)/r.spec.Speed + float64(write)*r.spec.Step)
+	if r.spec.Room > 0 {
+		full := sharers * float64(r.outstanding.Load()) / float64(r.Span().Layers()) / r.spec.Room
+		layer *= 1 + crowding*full*full
+	}
+	return fixed, layer
 }
 
 // Pledge notes that this entry's streams will need that many more layer passes
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -257,6 +257,7 @@
 	spec.To = e.Layers.To
 	spec.Speed = engineSpeed(s.Engine, e.Accelerator)
 	spec.Room = engineRoom(s.Engine, e)
+	spec.Step = engineStep(s.Engine, e.Accelerator)
 	return spec, true
 }
 
@@ -269,6 +270,15 @@
 	return max(1, f.ReadPerSecond*float64(f.Layers)/factor)
 }
 
+// engineStep returns the seconds that a written token takes in one layer.
+func engineStep(f *protocol.EngineFacts, accelerator string) float64 {
+	a, ok := f.Accelerator(accelerator)
+	if !ok || f.Layers <= 0 {
+		return 0
+	}
+	return f.StepMS / 1000 * a.StepFactor / float64(f.Layers)
+}
+
 // engineRoom returns how many tokens of requests fit into an engine beside the
 // layers that it holds.
 func engineRoom(f *protocol.EngineFacts, e protocol.Endpoint) float64 {
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -130,7 +130,7 @@
 		out:     x.messages,
 		sentAt:  time.Now(),
 	}
-	q := path.Query{Now: a.sentAt, Positions: max(1, x.terms.PromptTokens), Draw: x.draw, Avoid: x.avoid}
+	q := x.query(a.sentAt)
 	if !x.forwarder.choose(x.service, &q, &a.path) {
 		return false
 	}
@@ -153,6 +153,14 @@
 	return true
 }
 
+// query is what the choice of a path depends on.
+func (x *exchange) query(now time.Time) path.Query {
+	return path.Query{
+		Now: now, Positions: max(1, x.terms.PromptTokens), Write: x.terms.AnswerTokens, Sharers: x.forwarder.sharers(x.service.Name),
+		Draw: x.draw, Avoid: x.avoid,
+	}
+}
+
 // take acts on what an attempt tells.
 func (x *exchange) take(m message) {
 	switch m := m.(type) {
@@ -384,7 +392,7 @@
 	before := x.avoid
 	x.avoid = append(x.avoid, quiet...)
 	var p path.Path
-	q := path.Query{Now: now, Positions: 1, Draw: x.draw, Avoid: x.avoid}
+	q := x.query(now)
 	if !x.forwarder.choose(x.service, &q, &p) || !sound(&p, &q) || !x.forwarder.takeSend() {
 		x.avoid = before
 		return
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -66,6 +66,7 @@
 	pool     pool
 	suspects suspects
 	open     atomic.Int64
+	entries  atomic.Int64
 	refusing atomic.Bool
 }
 
@@ -258,12 +259,19 @@
 	return true
 }
 
-// SetRetrySlack sets this entry's part of the further sends that are not paid for
-// by requests.
-func (f *Forwarder) SetRetrySlack(slack float64) {
+// SetEntries tells how many entries there are. Each has its part of the further
+// sends that are not paid for by requests.
+func (f *Forwarder) SetEntries(n int, slack float64) {
+	f.entries.Store(int64(n))
 	f.spending.Lock()
 	defer f.spending.Unlock()
-	f.Budget.SetMost(max(1, slack))
+	f.Budget.SetMost(max(1, slack/float64(n)))
+}
+
+// sharers returns how many entries send to the engines of one data center: about
+// as many in each.
+func (f *Forwarder) sharers(service string) float64 {
+	return max(1, float64(f.entries.Load())/float64(max(1, len(f.Roster.Centers(service)))))
 }
 
 // resend asks the retry budget about a request.
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -96,9 +96,10 @@
 	f.forwarder = forward.Forwarder{
 		Home: home, Routing: &f.routing, Roster: &f.roster, Headers: f.Outside.Headers, Reporter: f.Outside.Engines,
 		Counters: f.Counters, Latency: &f.latency, Logger: f.Logger,
-		Budget:    retry.Budget{Share: s.RetryShare * shareKept, Most: s.RetrySlack / census.Least},
+		Budget:    retry.Budget{Share: s.RetryShare * shareKept},
 		TrustKeys: s.KeyTrust,
 	}
+	f.forwarder.SetEntries(census.Least, s.RetrySlack)
 	f.director = director.Director{
 		Self: s.Name, LeaseKind: leaseKind, Routing: &f.routing, Roster: &f.roster, Engines: f.Outside.Engines,
 		Objects: f.Outside.Objects, Counters: f.Counters, Logger: f.Logger,
--- a/transport/front/register.go
+++ b/transport/front/register.go
@@ -73,7 +73,7 @@
 	}
 	if n := r.census.Count(now); n != r.counted {
 		r.counted = n
-		r.front.forwarder.SetRetrySlack(r.front.Settings.RetrySlack / float64(n))
+		r.front.forwarder.SetEntries(n, r.front.Settings.RetrySlack)
 		event.EntriesCounted.Log(r.front.Logger, slog.Int("entries", n), slog.Uint64("revision", list.At))
 	}
 	return now.Add(census.Look)
