--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -62,6 +62,7 @@
 	lastEvent string
 	events    int
 	rhythm    rhythm
+	silence   silenceAction // the last that was done
 }
 
 // run sends the request and serves its answer to the end.
@@ -376,29 +377,58 @@
 		return
 	}
 	silent := x.live[0]
-	x.forwarder.log(event.SilenceSuspected, x.id(), slog.Int("attempt", silent.number),
-		slog.String("endpoint", silent.endpoint.Name()), slog.Int64("silent_ms", now.Sub(x.rhythm.last).Milliseconds()))
-	if quiet := x.forwarder.suspects.silent(silent, x.rhythm.last, now); len(quiet) > 0 {
-		x.hedge(quiet, now)
-	}
+	quiet := x.forwarder.suspects.silent(silent, x.rhythm.last, now)
+	action := x.hedge(quiet, now)
+	if action == x.silence {
+		return // one line for each turn of a silence, not for each look at it
+	}
+	x.silence = action
+	x.forwarder.log(event.SilenceSuspected, x.id(), slog.Int("attempt", silent.number), slog.String("endpoint", silent.endpoint.Name()),
+		slog.Int64("silent_ms", now.Sub(x.rhythm.last).Milliseconds()), slog.Int("quiet", len(quiet)), slog.String("action", string(action)))
 }
 
+// silenceAction is what is done about a silence.
+type silenceAction string
+
+// The actions on a silence.
+const (
+	silenceBusy      silenceAction = "other streams hear its runners: wait"
+	silenceOnce      silenceAction = "may not run twice: wait"
+	silenceAsked     silenceAction = "asked elsewhere already: wait"
+	silenceSends     silenceAction = "no further send is allowed: wait"
+	silenceNoPath    silenceAction = "no sound path elsewhere: wait"
+	silenceNoBudget  silenceAction = "retry budget spent: wait"
+	silenceElsewhere silenceAction = "ask elsewhere"
+)
+
 // hedge asks for the answer elsewhere, without the runners that have fallen
-// silent, while the silent attempt stays open.
-func (x *exchange) hedge(quiet []*fleet.Runner, now time.Time) {
-	if len(x.live) >= liveMost || !x.route.MayRepeat() || x.sends >= x.route.MaxTries {
-		return
+// silent, while the silent attempt stays open. It returns what was done.
+func (x *exchange) hedge(quiet []*fleet.Runner, now time.Time) silenceAction {
+	switch {
+	case len(x.live) >= liveMost:
+		return silenceAsked
+	case len(quiet) == 0:
+		return silenceBusy
+	case !x.route.MayRepeat():
+		return silenceOnce
+	case x.sends >= x.route.MaxTries:
+		return silenceSends
 	}
 	before := x.avoid
 	x.avoid = append(x.avoid, quiet...)
 	var p path.Path
 	q := x.query(now)
-	if !x.forwarder.choose(x.service, &q, &p) || !sound(&p, &q) || !x.forwarder.takeSend() {
+	if !x.forwarder.choose(x.service, &q, &p) || !sound(&p, &q) {
 		x.avoid = before
-		return
+		return silenceNoPath
+	}
+	if !x.forwarder.takeSend() {
+		x.avoid = before
+		return silenceNoBudget
 	}
 	x.forwarder.Counters.Retried(metric.Silence)
 	x.send()
+	return silenceElsewhere
 }
 
 func (x *exchange) expired() *protocol.Refusal {
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -58,7 +58,7 @@
 const (
 	// shareKept is the part of the retry share that an entry uses itself, since
 	// the platform counts requests where they were sent, not where they came in.
-	shareKept = 0.75
+	shareKept = 0.95
 	// leaseKind is the kind of the product's own objects in the platform.
 	leaseKind = "pinerun-leases"
 	// sweepEvery is how often records that vanished are looked through.
