--- a/coordination/retry/resend.go
+++ b/coordination/retry/resend.go
@@ -17,14 +17,14 @@
 	Broken
 )
 
-// Forwarded is what the decision on a forwarded request depends on. Sends counts
-// the endpoints that it was sent to, Unsent those that could not be reached.
+// Forwarded is what the decision on a forwarded request depends on. Allowed says
+// whether there is an endpoint that its route lets it be sent to next; Unsent
+// counts those that could not be reached.
 type Forwarded struct {
 	Result    Result
 	MayRepeat bool
 	MayHave   bool // an earlier send of the request may have run
-	Sends     int
-	MaxSends  int
+	Allowed   bool
 	Unsent    int
 	Now       time.Time
 	Deadline  time.Time
@@ -56,11 +56,11 @@
 		return Expire
 	}
 	mayRun := f.MayHave || f.Result == Failed || f.Result == Broken
-	if f.MayRepeat || !mayRun {
+	if f.Allowed && (f.MayRepeat || !mayRun) {
 		if f.Result == NeverSent && f.Unsent <= maxUnsent {
 			return Again
 		}
-		if f.Result != NeverSent && f.Sends < f.MaxSends && b.Take() {
+		if f.Result != NeverSent && b.Take() {
 			return Again
 		}
 	}
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -68,20 +68,21 @@
 // attempt is one send of a request to an endpoint. Its goroutine reads and
 // writes; the exchange decides.
 type attempt struct {
-	number   int
-	path     path.Path
-	passes   int64 // work pledged at each layer of the path
-	endpoint *fleet.Runner
-	request  []byte
-	method   string
-	id       string // of the request, to recognise its answer
-	fresh    bool
-	headers  Headers
-	pool     *pool
-	out      chan<- message
-	sentAt   time.Time
-	spoke    bool           // an event came; the exchange's
-	answer   *http.Response // head of the stream, once it came; the exchange's
+	number      int
+	path        path.Path
+	passes      int64 // work pledged at each layer of the path
+	endpoint    *fleet.Runner
+	request     []byte
+	method      string
+	id          string // of the request, to recognise its answer
+	fresh       bool
+	headers     Headers
+	pool        *pool
+	out         chan<- message
+	sentAt      time.Time
+	newEndpoint bool           // the request had not been sent there before; the exchange's
+	spoke       bool           // an event came; the exchange's
+	answer      *http.Response // head of the stream, once it came; the exchange's
 
 	cancelled context.Context
 	cancel    context.CancelFunc
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -30,6 +31,9 @@
 	// messageRoom is how many messages wait for the exchange before an attempt
 	// stops reading, so that a caller who does not read holds up only itself.
 	messageRoom = 16
+	// sendsMost is how often one request is sent, whatever its route allows: each
+	// further send reads the prompt anew.
+	sendsMost = 4
 	// liveMost is how many attempts of one request are open at once.
 	liveMost = 2
 )
@@ -53,9 +57,10 @@
 	live     []*attempt
 	avoid    []*fleet.Runner
 	draw     *rand.Rand
-	sends    int
-	unsent   int
-	mayHave  bool // an earlier send may have run
+	reached  []*fleet.Runner // endpoints that it was sent to
+	tries    int             // attempts so far
+	unsent   int             // attempts of which no byte left
+	mayHave  bool            // an earlier send may have run
 	finished bool
 
 	headSent  bool
@@ -73,10 +78,12 @@
 	x.draw = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	x.lastEvent = x.terms.LastEvent
 	defer x.stopAll()
-	if !x.send() {
+	first, ok := x.pick(time.Now())
+	if !ok {
 		x.refuse(x.noPath())
 		return
 	}
+	x.send(&first)
 	x.rhythm.begin(x.route, x.service, x.begun)
 	timer := time.NewTimer(time.Until(x.wakeAt()))
 	defer timer.Stop()
@@ -119,24 +126,39 @@
 	a.endpoint.End()
 }
 
-// send starts an attempt on the best path, and reports whether there is one.
-func (x *exchange) send() bool {
-	a := &attempt{
-		number:  x.sends + x.unsent + 1,
-		method:  x.request.Method,
-		id:      x.terms.RequestID,
-		fresh:   !x.route.MayRepeat(),
-		headers: x.forwarder.Headers,
-		pool:    &x.forwarder.pool,
-		out:     x.messages,
-		sentAt:  time.Now(),
-	}
-	q := x.query(a.sentAt)
-	if !x.forwarder.choose(x.service, &q, &a.path) {
+// pick chooses a path for the next attempt.
+func (x *exchange) pick(now time.Time) (path.Path, bool) {
+	var p path.Path
+	q := x.query(now)
+	return p, x.forwarder.choose(x.service, &q, &p)
+}
+
+// mayReach reports whether the route allows a send over a path: to no more
+// endpoints than it names, where one that the request was sent to before counts
+// once.
+func (x *exchange) mayReach(p *path.Path) bool {
+	if x.tries-x.unsent >= sendsMost {
 		return false
 	}
-	a.endpoint = a.path.Runner(0)
-	a.passes = int64(max(1, x.terms.PromptTokens+x.terms.AnswerTokens))
+	return len(x.reached) < x.route.MaxTries || slices.Contains(x.reached, p.Runner(0))
+}
+
+// send starts an attempt over a path.
+func (x *exchange) send(p *path.Path) {
+	x.tries++
+	a := &attempt{
+		number:   x.tries,
+		path:     *p,
+		endpoint: p.Runner(0),
+		passes:   int64(max(1, x.terms.PromptTokens+x.terms.AnswerTokens)),
+		method:   x.request.Method,
+		id:       x.terms.RequestID,
+		fresh:    !x.route.MayRepeat(),
+		headers:  x.forwarder.Headers,
+		pool:     &x.forwarder.pool,
+		out:      x.messages,
+		sentAt:   time.Now(),
+	}
 	if x.service.Engine == nil {
 		a.passes = 1
 	}
@@ -146,12 +168,22 @@
 		a.path.Runner(i).Sent(a.passes * int64(a.path.Span(i).Layers()))
 	}
 	a.endpoint.Begin()
-	x.sends++
+	a.newEndpoint = !slices.Contains(x.reached, a.endpoint)
+	if a.newEndpoint {
+		x.reached = append(x.reached, a.endpoint)
+	}
 	x.live = append(x.live, a)
 	x.forwarder.log(event.RequestSent, x.id(), slog.Int("attempt", a.number), slog.String("path", describe(&a.path)),
 		slog.Uint64("routing", x.table.Version()), slog.String("after", x.lastEvent))
 	go a.run()
-	return true
+}
+
+// notReached takes back that an attempt reached its endpoint.
+func (x *exchange) notReached(a *attempt) {
+	x.unsent++
+	if i := slices.Index(x.reached, a.endpoint); i >= 0 && a.newEndpoint {
+		x.reached = slices.Delete(x.reached, i, i+1)
+	}
 }
 
 // query is what the choice of a path depends on.
@@ -283,13 +315,11 @@
 		a.heard(now)
 		x.endStream()
 	case m.unsent:
-		x.sends--
-		x.unsent++
+		x.notReached(a)
 		x.blame(a, a.endpoint.Spec().Address, now)
 		x.ended(a, retry.NeverSent, m.cause)
 	case m.stale && x.route.MayRepeat():
-		x.sends-- // the same endpoint is asked again on a new connection
-		x.unsent++
+		x.notReached(a) // the same endpoint is asked again on a new connection
 		x.ended(a, retry.NeverSent, m.cause)
 	default:
 		x.blame(a, "", now)
@@ -314,20 +344,19 @@
 	if len(x.live) > 0 {
 		return
 	}
+	if a.path.Len() == 1 {
+		x.avoid = append(x.avoid, a.endpoint)
+	}
+	p, found := x.pick(now)
 	next := x.forwarder.resend(retry.Forwarded{
 		Result: r, MayRepeat: x.route.MayRepeat(), MayHave: x.mayHave,
-		Sends: x.sends, MaxSends: x.route.MaxTries, Unsent: x.unsent, Now: now, Deadline: x.deadline,
+		Allowed: found && x.mayReach(&p), Unsent: x.unsent, Now: now, Deadline: x.deadline,
 	})
 	if next == retry.Again {
-		if a.path.Len() == 1 {
-			x.avoid = append(x.avoid, a.endpoint)
-		}
 		x.forwarder.Counters.Retried(reasonOf(r))
-		if x.send() {
-			x.rhythm.restart(now)
-			return
-		}
-		next = x.withoutPath(r)
+		x.send(&p)
+		x.rhythm.restart(now)
+		return
 	}
 	switch next {
 	case retry.Deliver:
@@ -341,17 +370,6 @@
 	}
 }
 
-// withoutPath is what remains when a request may be sent again and can't be.
-func (x *exchange) withoutPath(r retry.Result) retry.Next {
-	if r == retry.Failed {
-		return retry.Deliver
-	}
-	if x.mayHave {
-		return retry.Fail
-	}
-	return retry.Refuse
-}
-
 func reasonOf(r retry.Result) metric.Reason {
 	switch r {
 	case retry.NeverSent:
@@ -411,24 +429,26 @@
 		return silenceBusy
 	case !x.route.MayRepeat():
 		return silenceOnce
-	case x.sends >= x.route.MaxTries:
-		return silenceSends
 	}
 	before := x.avoid
 	x.avoid = append(x.avoid, quiet...)
-	var p path.Path
-	q := x.query(now)
-	if !x.forwarder.choose(x.service, &q, &p) || !sound(&p, &q) {
-		x.avoid = before
-		return silenceNoPath
-	}
-	if !x.forwarder.takeSend() {
+	p, found := x.pick(now)
+	action := silenceElsewhere
+	switch {
+	case !found || !sound(&p, now, x.avoid):
+		action = silenceNoPath
+	case !x.mayReach(&p):
+		action = silenceSends
+	case !x.forwarder.takeSend():
+		action = silenceNoBudget
+	}
+	if action != silenceElsewhere {
 		x.avoid = before
-		return silenceNoBudget
+		return action
 	}
 	x.forwarder.Counters.Retried(metric.Silence)
-	x.send()
-	return silenceElsewhere
+	x.send(&p)
+	return action
 }
 
 func (x *exchange) expired() *protocol.Refusal {
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -230,7 +231,7 @@
 	if path.Parts(m, q, &c.path) >= 0 {
 		return c, false
 	}
-	c.sound = sound(&c.path, q)
+	c.sound = sound(&c.path, q.Now, q.Avoid)
 	c.occupancy = m.Occupancy(q.Now, usual)
 	return c, true
 }
@@ -244,17 +245,11 @@
 
 // sound reports whether every runner of a path may take work now and need not be
 // avoided.
-func sound(p *path.Path, q *path.Query) bool {
+func sound(p *path.Path, now time.Time, avoid []*fleet.Runner) bool {
 	for i := range p.Len() {
-		r := p.Runner(i)
-		if !r.Usable(q.Now) {
+		if r := p.Runner(i); !r.Usable(now) || slices.Contains(avoid, r) {
 			return false
 		}
-		for _, a := range q.Avoid {
-			if a == r {
-				return false
-			}
-		}
 	}
 	return true
 }
--- a/transport/forward/reply.go
+++ b/transport/forward/reply.go
@@ -85,7 +85,7 @@
 	f.Latency.Whole.Record(took)
 	f.Counters.Add(metric.AnsweredInTime, 1)
 	f.log(event.RequestAnswered, x.id(), slog.Int("status", status), slog.Int("events", x.events),
-		slog.Int64("took_ms", took.Milliseconds()), slog.Int("sends", x.sends),
+		slog.Int64("took_ms", took.Milliseconds()), slog.Int("sends", x.tries),
 		slog.Int64("first_ms", x.rhythm.firstAfter(x.begun).Milliseconds()), slog.Int64("pause_ms", x.rhythm.longest.Milliseconds()))
 }
 
@@ -98,7 +98,7 @@
 		x.flush() // the events that came are the caller's
 		x.forwarder.Counters.Refused(r.Kind())
 		x.forwarder.log(event.StreamCut, x.id(), slog.String("kind", string(r.Kind())), slog.Int("events", x.events),
-			slog.Int64("took_ms", time.Since(x.begun).Milliseconds()), slog.Int("sends", x.sends))
+			slog.Int64("took_ms", time.Since(x.begun).Milliseconds()), slog.Int("sends", x.tries))
 		panic(http.ErrAbortHandler)
 	}
 	x.refuse(r)
@@ -133,7 +133,7 @@
 	}
 	details := []slog.Attr{
 		x.id(), slog.String("kind", string(r.Kind())), slog.Int("status", r.Status()), slog.String("outcome", r.Outcome().String()),
-		slog.String("message", r.Message()), slog.Int("sends", x.sends), slog.Int64("took_ms", time.Since(x.begun).Milliseconds()),
+		slog.String("message", r.Message()), slog.Int("sends", x.tries), slog.Int64("took_ms", time.Since(x.begun).Milliseconds()),
 		slog.Int64("confirmed_ms", time.Since(f.Routing.ConfirmedAt()).Milliseconds()),
 	}
 	if x.table != nil {
