--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -318,9 +318,10 @@
 		x.notReached(a)
 		x.blame(a, a.endpoint.Spec().Address, now)
 		x.ended(a, retry.NeverSent, m.cause)
-	case m.stale && x.route.MayRepeat():
-		x.notReached(a) // the same endpoint is asked again on a new connection
-		x.ended(a, retry.NeverSent, m.cause)
+	case m.stale:
+		// A connection that had rested ended before the answer. The endpoint may
+		// have run the request all the same, but is hardly at fault.
+		x.ended(a, retry.Broken, m.cause)
 	default:
 		x.blame(a, "", now)
 		x.ended(a, retry.Broken, m.cause)
