--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -31,6 +31,9 @@
 	bufferMost = 1 << 20
 	// writeEvery gathers lines, so that a line does not cost a system call.
 	writeEvery = 100 * time.Millisecond
+	// writeMost is how much is written at a time: a pipe takes so much whole, so
+	// that a collector meets no half lines.
+	writeMost = 4 << 10
 	// ordinaryBudget and gravestBudget are how many lines a second one event may
 	// write: ordinary decisions give way first.
 	ordinaryBudget = 150
@@ -110,13 +113,31 @@
 	lines := bytes.Clone(w.waiting.Bytes())
 	w.waiting.Reset()
 	w.mutex.Unlock()
-	if len(lines) == 0 {
-		return
+	for len(lines) > 0 {
+		piece := lines[:pieceEnd(lines)]
+		lines = lines[len(piece):]
+		if _, err := w.Out.Write(piece); err != nil {
+			// There is nowhere left to tell it but the count.
+			w.dropped.Add(int64(bytes.Count(piece, newline)))
+		}
+	}
+}
+
+var newline = []byte("\n")
+
+// pieceEnd returns the end of the last whole line that fits into one write, or of
+// the first line if that is longer.
+func pieceEnd(lines []byte) int {
+	if len(lines) <= writeMost {
+		return len(lines)
+	}
+	if i := bytes.LastIndexByte(lines[:writeMost], '\n'); i >= 0 {
+		return i + 1
 	}
-	if _, err := w.Out.Write(lines); err != nil {
-		// There is nowhere left to tell it but the count.
-		w.dropped.Add(int64(bytes.Count(lines, []byte("\n"))))
+	if i := bytes.IndexByte(lines, '\n'); i >= 0 {
+		return i + 1
 	}
+	return len(lines)
 }
 
 // Handler is a slog.Handler with a budget for each event.
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -64,3 +64,32 @@
 		require.Less(t, strings.Count(text, event.RequestSent.Name()), 500)
 	})
 }
+
+// pieces keeps each write by itself.
+type pieces struct{ writes [][]byte }
+
+func (p *pieces) Write(b []byte) (int, error) {
+	p.writes = append(p.writes, bytes.Clone(b))
+	return len(b), nil
+}
+
+func TestEveryWriteHoldsWholeLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &pieces{}
+		w := &logs.Writer{Out: out}
+		w.Start()
+		for i := range 300 {
+			_, err := w.Write([]byte(strings.Repeat("x", 7*i) + "\n"))
+			require.NoError(t, err)
+		}
+		w.Close(time.Now().Add(time.Second))
+		require.Greater(t, len(out.writes), 10)
+		total := 0
+		for _, b := range out.writes {
+			require.True(t, bytes.HasSuffix(b, []byte("\n")))
+			require.LessOrEqual(t, len(b), 4096)
+			total += bytes.Count(b, []byte("\n"))
+		}
+		require.Equal(t, 300, total)
+	})
+}
