--- a/command/explain.go
+++ b/command/explain.go
@@ -52,6 +52,6 @@
 	if err != nil {
 		return nil, err
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }()
 	return explain.Read(f)
 }
--- a/deployed_test.go
+++ b/deployed_test.go
@@ -74,7 +74,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	return l.Addr().String()
 }
 
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -210,7 +210,7 @@
 		return fmt.Sprintf("the endpoint itself answered %d after %d sends", end.Status, end.Sends)
 	}
 	why := fmt.Sprintf("answered %d after %d ms", end.Status, end.TookMS)
-	if end.FirstMS > 0 {
+	if end.Events > 0 {
 		why += fmt.Sprintf(", first event after %d ms, longest pause %d ms", end.FirstMS, end.PauseMS)
 	}
 	if trouble := r.judgeAttempts(end); !strings.HasPrefix(trouble, "no answer") {
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -171,6 +171,7 @@
 		a.post(attemptEnded{attempt: a, cause: err, stale: c.reused && head == nil && c.reader.Buffered() == 0})
 		return
 	}
+	defer head.Body.Close()
 	terms := a.headers.Answer(head.StatusCode, head.Header)
 	if terms.RequestID != "" && terms.RequestID != a.id {
 		a.drop()
