--- a/deployed_test.go
+++ b/deployed_test.go
@@ -84,7 +84,7 @@
 	text := render(t, map[string]any{
 		"node_name": name, "zone": "a", "ip": "127.0.0.1", "listen.front": m.address, "listen.readiness": m.ready,
 		"platform.address": store, "bounds.grace_s": 8, "bounds.revoke_ms": 5000, "bounds.retry_budget_ratio": 0.2,
-		"bounds.retry_budget_slack": 200, "limits.memory_mb": 284,
+		"bounds.retry_budget_slack": 200, "bounds.budget_window_s": 10, "limits.memory_mb": 284,
 	})
 	text = strings.Replace(text, "127.0.0.1:9464", takeAddress(t), 1) // both stand on this machine
 	m.file = filepath.Join(t.TempDir(), name+".jsonc")
--- a/settings/front.go
+++ b/settings/front.go
@@ -20,6 +20,8 @@
 	// further endpoints: a share of the requests, and a number beside.
 	RetryShare float64 `json:"retry_share" validate:"gte=0,lte=1"`
 	RetrySlack float64 `json:"retry_slack" validate:"gte=0"`
+	// RetryWindowMS is the time over which the bound counts.
+	RetryWindowMS float64 `json:"retry_window_ms" validate:"gte=0"`
 	// MemoryMB is what the process may use.
 	MemoryMB float64 `json:"memory_mb" validate:"gte=0"`
 }
@@ -35,6 +37,11 @@
 // StopBy returns when an entry told to stop now is killed.
 func (f *Front) StopBy(now time.Time) time.Time { return now.Add(fractions(f.StopWithinMS)) }
 
+// RetryWindow returns when what was sent again before then counts no longer.
+func (f *Front) RetryWindow(before time.Time) time.Time {
+	return before.Add(fractions(f.RetryWindowMS))
+}
+
 // KeyTrust returns until when a key that was known to be good then may be used,
 // the share of the bound left for a request's own way to its endpoint taken off.
 func (f *Front) KeyTrust(confirmed time.Time) time.Time {
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -63,7 +63,9 @@
 	TrustKeys func(confirmed time.Time) time.Time
 
 	done     part.Done
-	spending sync.Mutex // guards Budget
+	spending sync.Mutex // guards Budget and the next two
+	fillAt   time.Time  // when the budget is filled, zero once it was
+	spent    float64    // further sends so far
 	pool     pool
 	suspects suspects
 	open     atomic.Int64
@@ -95,12 +97,24 @@
 		select {
 		case now := <-t.C:
 			f.pool.sweep(now)
+			f.fillBudget(now)
 		case <-f.done.Done():
 			return
 		}
 	}
 }
 
+// fillBudget gives the whole credit once the process before counts no longer.
+func (f *Forwarder) fillBudget(now time.Time) {
+	f.spending.Lock()
+	defer f.spending.Unlock()
+	if f.fillAt.IsZero() || now.Before(f.fillAt) {
+		return
+	}
+	f.fillAt = time.Time{}
+	f.Budget.Fill(f.spent)
+}
+
 // ServeHTTP serves one request of a caller.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.open.Add(1)
@@ -254,13 +268,32 @@
 	return true
 }
 
-// SetEntries tells how many entries there are. Each has its part of the further
-// sends that are not paid for by requests.
-func (f *Forwarder) SetEntries(n int, slack float64) {
-	f.entries.Store(int64(n))
+const (
+	// mostPart and firstPart are the parts of an entry's share of the slack that it
+	// holds at most and begins with. An entry that is restarted, even twice in a
+	// window, then spends no more than its share.
+	mostPart  = 0.7
+	firstPart = 0.15
+)
+
+// OpenBudget begins the budget of further sends with this entry's part of a slack
+// among that many entries. From fillAt on, what the process before it may have spent
+// counts no longer.
+func (f *Forwarder) OpenBudget(entries int, slack float64, fillAt time.Time) {
+	f.entries.Store(int64(entries))
+	f.spending.Lock()
+	defer f.spending.Unlock()
+	f.fillAt = fillAt
+	each := slack / float64(entries)
+	f.Budget.Open(max(1, mostPart*each), max(1, firstPart*each))
+}
+
+// SetEntries tells how many entries there are now.
+func (f *Forwarder) SetEntries(entries int, slack float64) {
+	f.entries.Store(int64(entries))
 	f.spending.Lock()
 	defer f.spending.Unlock()
-	f.Budget.SetMost(max(1, slack/float64(n)))
+	f.Budget.SetMost(max(1, mostPart*slack/float64(entries)))
 }
 
 // sharers returns how many entries send to the engines of one data center: about
@@ -273,14 +306,21 @@
 func (f *Forwarder) resend(q retry.Forwarded) retry.Next {
 	f.spending.Lock()
 	defer f.spending.Unlock()
-	return f.Budget.Resend(q)
+	before := f.Budget.Left()
+	next := f.Budget.Resend(q)
+	f.spent += before - f.Budget.Left()
+	return next
 }
 
 // takeSend takes one further send from the budget.
 func (f *Forwarder) takeSend() bool {
 	f.spending.Lock()
 	defer f.spending.Unlock()
-	return f.Budget.Take()
+	taken := f.Budget.Take()
+	if taken {
+		f.spent++
+	}
+	return taken
 }
 
 func (f *Forwarder) noteFirst() {
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -99,7 +99,7 @@
 		Budget:    retry.Budget{Share: s.RetryShare * shareKept},
 		TrustKeys: s.KeyTrust,
 	}
-	f.forwarder.SetEntries(census.Least, s.RetrySlack)
+	f.forwarder.OpenBudget(census.Least, s.RetrySlack, s.RetryWindow(time.Now()))
 	f.director = director.Director{
 		Self: s.Name, LeaseKind: leaseKind, Routing: &f.routing, Roster: &f.roster, Engines: f.Outside.Engines,
 		Objects: f.Outside.Objects, Counters: f.Counters, Logger: f.Logger,
