place: room for 100 requests at most, then more copies

Cause: on the grown deployments the room was the largest that left 1.3 copies, so 33 engines of a data center made one chain of some 27 stages.

--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -32,8 +32,10 @@
 	// the more of it, the more requests run at once; the fewer layers are held
 	// twice, the more often a loss leaves a hole.
 	wantedCopies = 1.3
-	// mostRequests bounds the room for requests of usual size that is worth having.
-	mostRequests = 400
+	// mostRequests bounds the room for requests of usual size that is worth having:
+	// some 25 requests a second in a data center last three to four seconds each.
+	// Beyond it, layers held more often and paths with fewer stages are worth more.
+	mostRequests = 100
 	// scarceRequests is the room that an engine keeps when a hole can't be filled
 	// otherwise.
 	scarceRequests = 24
