director, watch, place: fewer calls with many entries, room for 160 requests

An entry that finds the lease held leaves it until it may lapse; watches gather news 10 ms for each entry.

--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -33,9 +33,10 @@
 	// twice, the more often a loss leaves a hole.
 	wantedCopies = 1.3
 	// mostRequests bounds the room for requests of usual size that is worth having:
-	// some 25 requests a second in a data center last three to four seconds each.
+	// twice what a data center of today has open when all goes well, since losses
+	// and outages come when it is full.
 	// Beyond it, layers held more often and paths with fewer stages are worth more.
-	mostRequests = 100
+	mostRequests = 160
 	// scarceRequests is the room that an engine keeps when a hole can't be filled
 	// otherwise.
 	scarceRequests = 24
--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -46,9 +46,14 @@
 	doubt = 6 * time.Second
 	// refusedRest is how long an engine that did not answer is left alone.
 	refusedRest = time.Second
-	// staggerMost spreads the entries' attempts to take the lease, so that one
-	// write is made where all see the same work.
-	staggerMost = 500 * time.Millisecond
+	// stagger spreads the entries' attempts to take the lease, for each entry, so
+	// that one write is made where all see the same work.
+	stagger = 60 * time.Millisecond
+	// heldRest is how long an entry that finds the lease held leaves it alone: it
+	// can't be taken sooner.
+	heldRest = lease.Length
+	// failedRest is when to try again after the platform did not answer.
+	failedRest = 250 * time.Millisecond
 	// askLimit bounds one round of orders to one engine.
 	askLimit = time.Second
 	// ordersAtOnce bounds the engines that are spoken to side by side.
@@ -77,6 +82,7 @@
 	Roster    *roster.Roster
 	Engines   Engines
 	Objects   Objects
+	Entries   func() int // how many entries there may be
 	Counters  *metric.Set
 	Logger    *slog.Logger
 
@@ -138,7 +144,7 @@
 	}
 	d.again = now // there is work: look again at once
 	if d.waitTo.IsZero() {
-		d.waitTo = now.Add(rand.N(staggerMost))
+		d.waitTo = now.Add(d.spread())
 	}
 	if !d.held && now.Before(d.waitTo) {
 		return
@@ -150,6 +156,11 @@
 	d.give(moves, epoch)
 }
 
+// spread returns a part of the time over which the entries' attempts are spread.
+func (d *Director) spread() time.Duration {
+	return rand.N(stagger * time.Duration(max(1, d.Entries())))
+}
+
 // basis is what moves are worked out from.
 type basis struct {
 	table     *routing.Table
@@ -270,7 +281,7 @@
 }
 
 // hold takes or keeps the lease as far as it can now, and reports whether this
-// entry may give orders.
+// entry may give orders. If not, it sets when to try again.
 func (d *Director) hold(now time.Time) (uint64, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), askLimit)
 	defer cancel()
@@ -278,6 +289,7 @@
 		switch a := d.lease.Next(now).(type) {
 		case lease.Read:
 			if !d.readLease(ctx) {
+				d.waitTo = time.Now().Add(failedRest)
 				return 0, false
 			}
 		case lease.Write:
@@ -292,6 +304,9 @@
 
 func (d *Director) epoch() (uint64, bool) {
 	epoch, ok := d.lease.Epoch(time.Now())
+	if !ok {
+		d.waitTo = time.Now().Add(heldRest + d.spread())
+	}
 	if ok != d.held {
 		d.held = ok
 		if ok {
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -288,6 +288,9 @@
 	f.Budget.Open(max(1, mostPart*each), max(1, firstPart*each))
 }
 
+// Entries returns how many entries there may be.
+func (f *Forwarder) Entries() int { return int(f.entries.Load()) }
+
 // SetEntries tells how many entries there are now.
 func (f *Forwarder) SetEntries(entries int, slack float64) {
 	f.entries.Store(int64(entries))
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -102,7 +102,7 @@
 	f.forwarder.OpenBudget(census.Least, s.RetrySlack, s.RetryWindow(time.Now()))
 	f.director = director.Director{
 		Self: s.Name, LeaseKind: leaseKind, Routing: &f.routing, Roster: &f.roster, Engines: f.Outside.Engines,
-		Objects: f.Outside.Objects, Counters: f.Counters, Logger: f.Logger,
+		Objects: f.Outside.Objects, Entries: f.forwarder.Entries, Counters: f.Counters, Logger: f.Logger,
 	}
 	if err := f.listen(); err != nil {
 		return err
@@ -111,8 +111,8 @@
 	f.director.Start()
 	tables := &routingSink{front: f}
 	f.watchers = []*watch.Watcher{
-		{Source: f.Outside.Objects, Kind: f.Outside.RoutingKind, Sink: tables},
-		{Source: f.Outside.Objects, Kind: f.Outside.EndpointKind, Sink: &endpointSink{front: f}},
+		{Source: f.Outside.Objects, Kind: f.Outside.RoutingKind, Sink: tables, Entries: f.forwarder.Entries},
+		{Source: f.Outside.Objects, Kind: f.Outside.EndpointKind, Sink: &endpointSink{front: f}, Entries: f.forwarder.Entries},
 	}
 	f.confirmer = watch.Confirmer{
 		Source: f.Outside.Objects, Kind: f.Outside.RoutingKind, Name: f.Outside.RoutingName,
--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -28,9 +28,11 @@
 	// hush is how long before its end a watch may have missed a change: the
 	// platform's watches hear nothing for up to a second before it forgets.
 	hush = time.Second
-	// gather is how long a watch rests after news. Endpoints come and change many
-	// at a time, and each of them would end a call.
-	gather = 80 * time.Millisecond
+	// gatherEach is how long a watch rests after news, for each entry, and gatherMost
+	// the longest rest. Endpoints come and change many at a time, each of them would
+	// end a call of every entry, and the platform's rate does not grow with entries.
+	gatherEach = 10 * time.Millisecond
+	gatherMost = 500 * time.Millisecond
 	// pauseFirst and pauseMost bound the rest after a failed call.
 	pauseFirst = 100 * time.Millisecond
 	pauseMost  = 800 * time.Millisecond
@@ -56,6 +58,8 @@
 	Source Source
 	Kind   string
 	Sink   Sink
+	// Entries returns how many entries watch alike; nil counts as one.
+	Entries func() int
 
 	done     part.Done
 	from     uint64 // revision to watch from, 0 before a list
@@ -142,13 +146,20 @@
 		// may have missed something, and its old place then is found forgotten.
 		w.from = max(w.from, c.At)
 		w.Sink.Confirmed(asked)
-		w.rest(gather)
+		w.rest(w.gather())
 		return nil
 	}
 	w.Sink.Confirmed(later(asked, asked.Add(Wait-hush)))
 	return nil
 }
 
+func (w *Watcher) gather() time.Duration {
+	if w.Entries == nil {
+		return gatherEach
+	}
+	return min(gatherMost, gatherEach*time.Duration(w.Entries()))
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
