--- /dev/null
+++ b/state/fleet/room_test.go
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/fleet"
+)
+
+// roomy is a model of ten layers: two runners hold the first half, one the rest.
+func roomy() *fleet.View {
+	return fleet.Gather(nil, []protocol.Model{{Name: "m", Layers: 10}}, []protocol.Runner{
+		{Name: "a", Model: "m", From: 0, To: 5, Speed: 1000, Step: 0.001, Room: 1000},
+		{Name: "b", Model: "m", From: 0, To: 5, Speed: 1000, Step: 0.001, Room: 1000},
+		{Name: "c", Model: "m", From: 5, To: 10, Speed: 1000, Step: 0.001, Room: 1500},
+	}, fleet.Home{Name: "e1"})
+}
+
+func TestOccupancyIsThatOfTheLayerWithTheLeastRoom(t *testing.T) {
+	v, now := roomy(), time.Unix(100, 0)
+	m := v.Model("m")
+	require.Zero(t, m.Occupancy(now, 100))
+	v.Runner("a").Told(3, now)
+	v.Runner("b").Begin()
+	require.InDelta(t, 4*100.0/1500, m.Occupancy(now, 100), 1e-9, "three told of and one of our own")
+	v.Runner("a").Begin()
+	require.InDelta(t, 5*100.0/1500, m.Occupancy(now, 100), 1e-9, "begun since it told")
+	later := now.Add(2 * time.Second)
+	require.InDelta(t, 2*100.0/1500, m.Occupancy(later, 100), 1e-9, "what was told is too old")
+	v.Runner("a").End()
+	v.Runner("b").End()
+	require.Zero(t, m.Occupancy(later, 100))
+	require.Zero(t, fleet.Gather(nil, nil, []protocol.Runner{{Name: "x", Model: "m", To: 1}}, fleet.Home{}).Model("m").Occupancy(now, 100),
+		"unknown room is never full")
+}
+
+func TestACrowdedRunnerCostsMore(t *testing.T) {
+	v, now := roomy(), time.Unix(100, 0)
+	r := v.Runner("a")
+	_, empty := r.Parts(now, 10, 100, 4)
+	require.InDelta(t, 10.0/1000+100*0.001, empty, 1e-9)
+	r.Sent(250 * 5) // 250 tokens through five layers, a quarter of the room for each of four
+	_, full := r.Parts(now, 10, 100, 4)
+	require.InDelta(t, 7*empty, full, 1e-9)
+	r.Settled(250 * 5)
+	_, again := r.Parts(now, 10, 100, 4)
+	require.InDelta(t, empty, again, 1e-9)
+}
+
+func TestRefusalsRestLongerEachTime(t *testing.T) {
+	r, now := roomy().Runner("a"), time.Unix(100, 0)
+	rest := func() time.Duration { return r.EjectedTill().Sub(now) }
+	for _, want := range []time.Duration{150, 300, 600, 1200, 2400, 2400} {
+		r.Refused(now)
+		require.Equal(t, want*time.Millisecond, rest())
+		now = r.EjectedTill()
+		require.True(t, r.Usable(now))
+	}
+	r.Accepted()
+	r.Refused(now)
+	require.Equal(t, 150*time.Millisecond, rest())
+}
+
+func TestASuspectIsClearedByASignOfWork(t *testing.T) {
+	r, now := roomy().Runner("a"), time.Unix(100, 0)
+	r.Suspect(now.Add(time.Second))
+	require.False(t, r.Usable(now))
+	r.Works()
+	require.True(t, r.Usable(now))
+	require.False(t, r.Lost())
+	r.Failed(now)
+	require.False(t, r.Lost(), "one failure may be anything")
+	r.Failed(now)
+	require.True(t, r.Lost())
+	r.Works()
+	require.False(t, r.Lost())
+	require.True(t, r.Usable(now))
+}
--- /dev/null
+++ b/transport/director/director_test.go
@@ -0,0 +1,189 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package director_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/fleet"
+	"pinerun.example/pinerun/state/roster"
+	"pinerun.example/pinerun/state/routing"
+	"pinerun.example/pinerun/transport/director"
+	"pinerun.example/pinerun/transport/platform"
+)
+
+// world is the platform and the engines that directors meet.
+type world struct {
+	mutex   sync.Mutex
+	object  protocol.Object
+	calls   int
+	down    bool
+	lose    bool // writes take effect and the answer is lost
+	engines map[string]*engine
+	rosters []*roster.Roster
+}
+
+type engine struct {
+	orders  []protocol.PlaceOrder
+	reports int
+	silent  bool
+}
+
+func (w *world) Get(context.Context, string, string) (protocol.Object, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.calls++
+	switch {
+	case w.down:
+		return protocol.Object{}, platform.Unreached(errors.New("down"))
+	case w.object.Version == 0:
+		return protocol.Object{}, platform.Missing("k", "n")
+	}
+	return w.object, nil
+}
+
+func (w *world) Put(_ context.Context, _, _ string, known uint64, value []byte) (uint64, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.calls++
+	switch {
+	case w.down:
+		return 0, platform.Unreached(errors.New("down"))
+	case known != w.object.Version:
+		return 0, platform.Raced(w.object.Version)
+	}
+	w.object = protocol.Object{Version: known + 1, Value: value}
+	if w.lose {
+		return 0, platform.InDoubt(errors.New("lost"))
+	}
+	return known + 1, nil
+}
+
+func (w *world) Report(_ context.Context, address string) (protocol.EngineReport, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	e := w.engines[address]
+	e.reports++
+	if e.silent {
+		return protocol.EngineReport{}, errors.New("silent")
+	}
+	return protocol.EngineReport{Orders: len(e.orders)}, nil
+}
+
+func (w *world) Place(_ context.Context, o protocol.PlaceOrder) (protocol.OrderAnswer, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	e := w.engines[o.Address]
+	if o.Orders != len(e.orders) {
+		return protocol.OrderRefused, errors.New("another order came first")
+	}
+	e.orders = append(e.orders, o)
+	for _, r := range w.rosters {
+		r.Put(record(o.EndpointID, o.Layers))
+	}
+	return protocol.OrderBegun, nil
+}
+
+func (w *world) orders() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	n := 0
+	for _, e := range w.engines {
+		n += len(e.orders)
+	}
+	return n
+}
+
+func record(id string, layers protocol.Span) protocol.Endpoint {
+	return protocol.Endpoint{ID: id, Service: "llm", Address: id, DataCenter: "a", Accelerator: "t4", Layers: layers}
+}
+
+// newWorld has that many engines of six layers' memory for a model of ten.
+func newWorld(engines int) *world {
+	w := &world{engines: map[string]*engine{}}
+	for i := range engines {
+		w.engines[fmt.Sprint("e", i)] = &engine{}
+	}
+	return w
+}
+
+func (w *world) director(t *testing.T, name string) *director.Director {
+	facts := &protocol.EngineFacts{Layers: 10, LayerMB: 100, TokenLayerMB: 0.01, UsualPrompt: 5, UsualAnswer: 5,
+		Accelerators: []protocol.AcceleratorFacts{{Name: "t4", MemoryMB: 700, StepFactor: 1, ReadFactor: 1}}}
+	table, err := routing.Build(protocol.Routing{Version: 1, Services: []protocol.RoutedService{{Name: "llm", Engine: facts}}})
+	require.NoError(t, err)
+	d := &director.Director{
+		Self: name, LeaseKind: "k", Routing: &routing.Store{}, Roster: &roster.Roster{Home: fleet.Home{Name: name, DataCenter: "a"}},
+		Engines: w, Objects: w, Entries: func() int { return 3 }, Counters: &metric.Set{},
+	}
+	d.Routing.Offer(table)
+	d.Roster.Services(table.Services())
+	var list []protocol.Endpoint
+	for id := range w.engines {
+		list = append(list, record(id, protocol.Span{}))
+	}
+	d.Roster.Replace(list, time.Now())
+	w.rosters = append(w.rosters, d.Roster)
+	return d
+}
+
+// play runs that many directors for a time.
+func play(t *testing.T, w *world, directors int, limit time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		var all []*director.Director
+		for i := range directors {
+			all = append(all, w.director(t, fmt.Sprint("d", i)))
+		}
+		for _, d := range all {
+			d.Start()
+		}
+		time.Sleep(limit)
+		for _, d := range all {
+			d.Close()
+		}
+		synctest.Wait()
+	})
+}
+
+func TestOneOfManyGivesEachEngineOneOrder(t *testing.T) {
+	w := newWorld(4)
+	play(t, w, 5, 10*time.Second)
+	for id, e := range w.engines {
+		require.Len(t, e.orders, 1, id)
+		require.Equal(t, w.engines["e0"].orders[0].Epoch, e.orders[0].Epoch, "all under one lease")
+	}
+	require.Less(t, w.calls, 30, "a fleet with nothing to do costs the platform nothing")
+}
+
+func TestALostAnswerToTheLeasesWriteIsSettledByReading(t *testing.T) {
+	w := newWorld(2)
+	w.lose = true
+	play(t, w, 1, 10*time.Second)
+	require.Equal(t, 2, w.orders())
+}
+
+func TestNobodyGivesOrdersWhileThePlatformIsDown(t *testing.T) {
+	w := newWorld(2)
+	w.down = true
+	play(t, w, 3, 10*time.Second)
+	require.Zero(t, w.orders())
+	require.NotZero(t, w.calls)
+}
+
+func TestAnEngineThatDoesNotAnswerHoldsNobodyUp(t *testing.T) {
+	w := newWorld(4)
+	w.engines["e1"].silent = true
+	play(t, w, 1, 6*time.Second)
+	require.Equal(t, 3, w.orders())
+	require.LessOrEqual(t, w.engines["e1"].reports, 6, "it is asked once a second")
+}
--- /dev/null
+++ b/transport/forward/rhythm_test.go
@@ -0,0 +1,95 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+func TestSilenceIsMeasuredAgainstTheStreamsOwnPauses(t *testing.T) {
+	route := &protocol.Route{AimMS: 500, PauseAimMS: 200}
+	service := &protocol.RoutedService{Engine: &protocol.EngineFacts{}}
+	now := time.Unix(100, 0)
+	var r rhythm
+	r.begin(route, service, now)
+	require.Equal(t, now.Add(250*time.Millisecond), r.overdueAt(), "half the aim for the first event")
+	now = now.Add(60 * time.Millisecond)
+	r.event(now)
+	require.Equal(t, 60*time.Millisecond, r.firstAfter(time.Unix(100, 0)))
+	require.Equal(t, now.Add(pauseLeast), r.overdueAt())
+	for range 40 {
+		now = now.Add(80 * time.Millisecond)
+		r.event(now)
+	}
+	require.Equal(t, now.Add(100*time.Millisecond), r.overdueAt(), "never more than half the pause aimed at")
+	require.Equal(t, 80*time.Millisecond, r.longest)
+}
+
+func TestAPlainAnswerIsOverdueAtHalfItsAim(t *testing.T) {
+	var r rhythm
+	now := time.Unix(100, 0)
+	r.begin(&protocol.Route{AimMS: 300}, &protocol.RoutedService{}, now)
+	require.Equal(t, now.Add(150*time.Millisecond), r.overdueAt())
+	r.askAgain(now)
+	require.Equal(t, now.Add(lookEvery), r.overdueAt())
+}
+
+// TestEventsComeWholeHoweverTheyAreCut reads streams in pieces of any size and
+// checks that the events are the stream, and that a part of one is never passed.
+func TestEventsComeWholeHoweverTheyAreCut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		events := rapid.SliceOf(rapid.StringMatching(`(id: [0-9]{1,3}\r?\n)?data: [a-z ]{0,40}\r?\n\r?\n`)).Draw(t, "events")
+		whole := strings.Join(events, "")
+		cut := rapid.IntRange(0, len(whole)).Draw(t, "cut")
+		r := bufio.NewReaderSize(iotest.OneByteReader(strings.NewReader(whole[:cut])), 16)
+		got := ""
+		for {
+			e, err := readEvent(r)
+			if err != nil {
+				require.True(t, errors.Is(err, io.EOF) || errors.Is(err, errCutEvent))
+				require.Equal(t, errors.Is(err, errCutEvent), len(got) < cut, "an end inside an event is told apart")
+				break
+			}
+			got += string(e.content)
+		}
+		require.True(t, strings.HasPrefix(whole[:cut], got))
+		for i, sum := 0, 0; i < len(events); i++ {
+			if sum += len(events[i]); sum <= cut {
+				require.GreaterOrEqual(t, len(got), sum, "a whole event that came was held back")
+			}
+		}
+	})
+}
+
+func TestTheLastIDOfAnEventCounts(t *testing.T) {
+	e, err := readEvent(bufio.NewReader(strings.NewReader("versions:3\nid:  41 \ndata: x\n\n")))
+	require.NoError(t, err)
+	require.Equal(t, "41", e.id)
+}
+
+func FuzzReadEvent(f *testing.F) {
+	f.Add("id: 1\ndata: x\n\nid: 2\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := bufio.NewReaderSize(strings.NewReader(text), 16)
+		got := ""
+		for {
+			e, err := readEvent(r)
+			if err != nil {
+				break
+			}
+			got += string(e.content)
+		}
+		require.True(t, strings.HasPrefix(text, got))
+	})
+}
