claims: tell a repeat at once that may have run when its holder is gone

Cause: a claim named no holder, so a repeat waited for an outcome that nobody would write, up to its deadline. Records now name the holder's entry and incarnation. Ruled out: the log itself (no key ran twice).

--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -98,6 +98,13 @@
 	return alive
 }
 
+// Gone reports whether a life of an entry is over, can't be reached, or is not
+// known. A table that has just begun knows too little to ask.
+func (t *Table) Gone(name string, incarnation uint64, now time.Time) bool {
+	k := t.members[name]
+	return k == nil || k.member.Incarnation != incarnation || !k.alive(now)
+}
+
 // CountAlive returns how many entries Alive would, without ordering them.
 func (t *Table) CountAlive(now time.Time) int {
 	count := 0
--- a/protocol/claim.go
+++ b/protocol/claim.go
@@ -46,6 +46,8 @@
 	Status   int
 	Type     string
 	Answer   []byte
+	Holder   string // the entry that took the claim
+	Life     uint64 // the holder's incarnation, so that its next life is told apart
 }
 
 // ClaimBatch is the value of one log slot: the records that were made durable
--- a/transport/claims/keeper.go
+++ b/transport/claims/keeper.go
@@ -42,7 +42,10 @@
 	Counters *metric.Set
 	Logger   *slog.Logger
 	Mesh     *peer.Mesh // nil when this entry writes every shard itself
-	Shards   int
+	// Gone reports whether an entry's life is over or can't be reached; nil never
+	// says so.
+	Gone   func(entry string, life uint64) bool
+	Shards int
 	Retain   func(issued time.Time) time.Time
 
 	shards []*shard
@@ -92,7 +95,8 @@
 }
 
 // Await claims again and again while another claimant holds the key, until it
-// has settled, has released the key to us, or ctx ends.
+// has settled, has released the key to us, or ctx ends. A claimant whose entry is
+// gone won't tell any more: its request may have run, and that is said at once.
 func (k *Keeper) Await(ctx context.Context, r protocol.ClaimRecord) (claim.Result, error) {
 	pause := lookFirst
 	for {
@@ -100,6 +104,9 @@
 		if err != nil || result.Verdict() != claim.Held {
 			return result, err
 		}
+		if held := result.Held(); k.Gone != nil && held.Holder != "" && k.Gone(held.Holder, held.Life) {
+			return claim.Told(r, claim.Doubtful, held), nil
+		}
 		t := time.NewTimer(pause)
 		select {
 		case <-t.C:
--- a/transport/claims/keeper_test.go
+++ b/transport/claims/keeper_test.go
@@ -199,3 +199,29 @@
 		}
 	}
 }
+
+// TestARepeatWhoseHolderIsGoneIsToldAtOnce claims a key at an entry that then says
+// nothing more. While its entry is there, a repeat waits; once it is gone, the
+// repeat is told that the request may have run.
+func TestARepeatWhoseHolderIsGoneIsToldAtOnce(t *testing.T) {
+	var p standin.Platform
+	require.NoError(t, p.Listen("127.0.0.1:0"))
+	t.Cleanup(p.Close)
+	p.Unlimited = true
+	first, second := newKeeper(t, &p), newKeeper(t, &p)
+	taken := record("key")
+	taken.Holder, taken.Life = "e1", 7
+	result, err := first.Claim(context.Background(), taken)
+	require.NoError(t, err)
+	require.Equal(t, claim.Granted, result.Verdict())
+	var looked atomic.Int32
+	second.Gone = func(entry string, life uint64) bool {
+		require.Equal(t, "e1", entry)
+		require.Equal(t, uint64(7), life)
+		return looked.Add(1) > 2
+	}
+	result, err = second.Await(context.Background(), record("key"))
+	require.NoError(t, err)
+	require.Equal(t, claim.Doubtful, result.Verdict())
+	require.Equal(t, int32(3), looked.Load())
+}
--- a/transport/entry/claimed.go
+++ b/transport/entry/claimed.go
@@ -64,6 +64,7 @@
 	return protocol.ClaimRecord{
 		Kind: protocol.ClaimTaken, Key: protocol.NewClaimKey(s.call.team.Name, s.call.key),
 		Digest: h.Sum64(), Claimant: rand.Uint64(), IssuedMS: at.UnixMilli(),
+		Holder: s.entry.mesh.Self.Name, Life: s.entry.mesh.Self.Incarnation,
 	}, nil
 }
 
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -153,6 +153,7 @@
 	e.claims.Counters = &e.counters
 	e.claims.Logger = e.Logger
 	e.claims.Mesh = &e.mesh
+	e.claims.Gone = e.mesh.Gone
 	e.claims.Shards = e.Settings.ClaimShards
 	e.claims.Retain = e.Settings.Limits.KeyExpiry
 	e.claims.Start()
--- a/transport/peer/mesh.go
+++ b/transport/peer/mesh.go
@@ -35,6 +35,9 @@
 	// wantedFor is how long a link that was asked for stays without being used.
 	wantedFor = time.Minute
 	dialLimit = time.Second
+	// learnWithin is how long after its start an entry has heard of all others: the
+	// platform's list and two heartbeats.
+	learnWithin = 3 * time.Second
 	// Path is where a Mesh is served.
 	Path      = "/peer"
 	keyHeader = "Authorization"
@@ -60,18 +63,20 @@
 	// Lose, if set, is asked for each frame whether to lose it; for tests.
 	Lose func() bool
 
-	done   part.Done
-	mutex  sync.Mutex
-	table  member.Table
-	links  map[string]*link
-	wanted map[string]time.Time // until when a link is kept that was asked for
-	stops  bool
+	done      part.Done
+	mutex     sync.Mutex
+	table     member.Table
+	knowsFrom time.Time // from when entries that are not in the table are gone
+	links     map[string]*link
+	wanted    map[string]time.Time // until when a link is kept that was asked for
+	stops     bool
 }
 
 // Start begins to connect and to send heartbeats.
 func (m *Mesh) Start() {
 	m.mutex.Lock()
 	m.init()
+	m.knowsFrom = time.Now().Add(learnWithin)
 	m.mutex.Unlock()
 	go m.run()
 }
@@ -130,6 +135,18 @@
 	return m.table.Known()
 }
 
+// Gone reports whether an entry's life is over: it has another life by now, or
+// can't be reached.
+func (m *Mesh) Gone(name string, incarnation uint64) bool {
+	if name == m.Self.Name {
+		return incarnation != m.Self.Incarnation
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	now := time.Now()
+	return now.After(m.knowsFrom) && m.table.Gone(name, incarnation, now)
+}
+
 // CountAlive returns how many entries are not suspected.
 func (m *Mesh) CountAlive() int {
 	m.mutex.Lock()
