--- a/capacity/sums.go
+++ b/capacity/sums.go
@@ -41,7 +41,7 @@
 	listAsRelay    = 10.0
 	watchSeconds   = 30.0
 	refreshSeconds = 300.0
-	leaseRenewals  = 0.5
+	leaseRenewals  = 1
 	writesPerPlan  = 5.0 // the plan, a part, the manifest, the audit line, the end
 )
 
@@ -124,7 +124,7 @@
 			{"claims at 5 % of 9,200 requests/s", min(f.Of("claim_writes").Planned(), claimShards*shardWrites), "fit, at most shards × 12.5/s"},
 			{"plans", changes * writesPerPlan, "changes/s × writes"},
 			{"lines of entries", nodes / refreshSeconds, "entries / 300 s"},
-			{"lease", leaseRenewals, "1 / 2 s"},
+			{"lease", leaseRenewals, "1 / 1 s"},
 		}},
 	}
 }
