place: move an engine only when others are known to hold its layers

Cause: an engine counted as spare once another had been ordered to hold its layers, though that one may load for seconds.

--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -51,12 +51,14 @@
 )
 
 // Engine is one engine as far as placement needs to know it. Held is what it
-// holds, or what it was ordered to hold when that is still in doubt.
+// holds, or what it was ordered to hold when that is still in doubt; Serving is
+// what it is known to hold now.
 type Engine struct {
 	ID          string
 	DataCenter  string
 	Accelerator string
 	Held        protocol.Span
+	Serving     protocol.Span
 	Leaving     bool
 }
 
@@ -128,6 +130,7 @@
 	layers  int
 	engines []member
 	cover   []int // holders of each layer
+	served  []int // those of them that are known to hold it now
 }
 
 // member is an engine with the layers that it may hold and does hold.
@@ -136,6 +139,7 @@
 	capacity int
 	most     int // with the least room for requests
 	span     protocol.Span
+	serving  protocol.Span
 	moved    bool
 }
 
@@ -179,7 +183,10 @@
 	if room < leastRequests {
 		return nil
 	}
-	p := &pool{layers: f.Layers, cover: make([]int, f.Layers), engines: make([]member, 0, len(engines))}
+	p := &pool{
+		layers: f.Layers, cover: make([]int, f.Layers), served: make([]int, f.Layers),
+		engines: make([]member, 0, len(engines)),
+	}
 	usual := float64(f.UsualPrompt + f.UsualAnswer)
 	for _, e := range engines {
 		if a, ok := f.Accelerator(e.Accelerator); ok {
@@ -188,6 +195,7 @@
 				capacity: Capacity(f, a.MemoryMB, usual*float64(room)),
 				most:     Capacity(f, a.MemoryMB, usual*scarceRequests),
 				span:     e.Held,
+				serving:  e.Serving,
 			})
 		}
 	}
@@ -234,21 +242,22 @@
 		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(a.id, b.id))
 	})
 	for i := range p.engines {
-		p.count(p.engines[i].span, 1)
+		p.count(p.cover, p.engines[i].span, 1)
+		p.count(p.served, p.engines[i].serving, 1)
 	}
 }
 
-func (p *pool) count(s protocol.Span, by int) {
+func (p *pool) count(holders []int, s protocol.Span, by int) {
 	for l := max(0, s.From); l < min(s.To, p.layers); l++ {
-		p.cover[l] += by
+		holders[l] += by
 	}
 }
 
 func (p *pool) set(m *member, s protocol.Span) {
-	p.count(m.span, -1)
+	p.count(p.cover, m.span, -1)
 	m.span = s
 	m.moved = true
-	p.count(s, 1)
+	p.count(p.cover, s, 1)
 }
 
 // fillHoles gives every layer without a holder to an empty engine, to the engines
@@ -363,12 +372,15 @@
 	return chosen
 }
 
+// spare reports whether others are known to hold every layer of an engine, which
+// itself waits for no order. One that was only ordered to hold a layer may be
+// seconds from it.
 func (p *pool) spare(m *member) bool {
-	if m.span.Layers() == 0 {
+	if m.span.Layers() == 0 || m.span != m.serving {
 		return false
 	}
 	for l := m.span.From; l < min(m.span.To, p.layers); l++ {
-		if p.cover[l] < 2 {
+		if p.cover[l] < 2 || p.served[l] < 2 {
 			return false
 		}
 	}
--- a/transport/claims/keeper.go
+++ b/transport/claims/keeper.go
@@ -46,7 +46,7 @@
 	// says so.
 	Gone   func(entry string, life uint64) bool
 	Shards int
-	Retain   func(issued time.Time) time.Time
+	Retain func(issued time.Time) time.Time
 
 	shards []*shard
 	asks   asks
--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -201,7 +201,7 @@
 		}
 		addresses[e.ID] = e.Address
 		q.Engines = append(q.Engines, place.Engine{
-			ID: e.ID, DataCenter: e.DataCenter, Accelerator: e.Accelerator, Held: d.heldBy(e),
+			ID: e.ID, DataCenter: e.DataCenter, Accelerator: e.Accelerator, Held: d.heldBy(e), Serving: e.Layers,
 			Leaving: e.Leaving || view.Runner(e.ID) != nil && view.Runner(e.ID).Lost(),
 		})
 	}
