--- a/deployed_test.go
+++ b/deployed_test.go
@@ -225,6 +225,16 @@
 	}
 	require.Len(t, services[0].Ran(), before)
 
+	t.Log("the settings file changes, once with a mistake")
+	good := read(t, one.file)
+	require.NoError(t, os.WriteFile(one.file, []byte(`{"front": {}}`), 0o600))
+	require.NoError(t, one.process.Process.Signal(syscall.SIGHUP))
+	one.until(func() bool { return one.logged("settings ignored") }, "the mistake is told")
+	require.NoError(t, os.WriteFile(one.file, []byte(good), 0o600))
+	require.NoError(t, one.process.Process.Signal(syscall.SIGHUP))
+	one.until(func() bool { return one.logged("settings read") }, "the good file is read")
+	require.True(t, one.isReady(), "what was in force stays in force")
+
 	t.Log("an entry is killed, the other serves, it comes back")
 	require.NoError(t, one.process.Process.Kill())
 	_ = one.process.Wait()
--- a/transport/director/director_test.go
+++ b/transport/director/director_test.go
@@ -37,6 +37,8 @@
 	orders  []protocol.PlaceOrder
 	reports int
 	silent  bool
+	loses   int           // that many next orders are lost
+	late    time.Duration // orders are not answered and are carried out so much later
 }
 
 func (w *world) Get(context.Context, string, string) (protocol.Object, error) {
@@ -84,14 +86,34 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	e := w.engines[o.Address]
+	switch {
+	case e.loses > 0:
+		e.loses--
+		return protocol.OrderUnanswered, errors.New("lost")
+	case e.late > 0:
+		time.AfterFunc(e.late, func() {
+			w.mutex.Lock()
+			defer w.mutex.Unlock()
+			_ = w.carryOut(e, o)
+		})
+		return protocol.OrderUnanswered, errors.New("no answer")
+	}
+	if err := w.carryOut(e, o); err != nil {
+		return protocol.OrderRefused, err
+	}
+	return protocol.OrderBegun, nil
+}
+
+// carryOut does what an order says if no other came first.
+func (w *world) carryOut(e *engine, o protocol.PlaceOrder) error {
 	if o.Orders != len(e.orders) {
-		return protocol.OrderRefused, errors.New("another order came first")
+		return errors.New("another order came first")
 	}
 	e.orders = append(e.orders, o)
 	for _, r := range w.rosters {
 		r.Put(record(o.EndpointID, o.Layers))
 	}
-	return protocol.OrderBegun, nil
+	return nil
 }
 
 func (w *world) orders() int {
@@ -187,3 +209,31 @@
 	require.Equal(t, 3, w.orders())
 	require.LessOrEqual(t, w.engines["e1"].reports, 6, "it is asked once a second")
 }
+
+func TestAnOrderThatLandsLateIsGivenOnce(t *testing.T) {
+	w := newWorld(2)
+	w.engines["e0"].late = 4 * time.Second
+	play(t, w, 2, 20*time.Second)
+	require.Len(t, w.engines["e0"].orders, 1)
+	require.Len(t, w.engines["e1"].orders, 1)
+}
+
+func TestALostOrderIsGivenAgain(t *testing.T) {
+	w := newWorld(2)
+	w.engines["e0"].loses = 2
+	play(t, w, 2, 30*time.Second)
+	require.Len(t, w.engines["e0"].orders, 1)
+	require.Zero(t, w.engines["e0"].loses)
+}
+
+// TestAnOrderAfterOthersIsRefusedByItsNumber meets an engine that has taken orders of
+// somebody else.
+func TestAnOrderAfterOthersIsRefusedByItsNumber(t *testing.T) {
+	w := newWorld(2)
+	w.engines["e0"].orders = make([]protocol.PlaceOrder, 3)
+	_, err := w.Place(context.Background(), protocol.PlaceOrder{Address: "e0", Orders: 2})
+	require.Error(t, err)
+	play(t, w, 1, 5*time.Second)
+	require.Len(t, w.engines["e0"].orders, 4)
+	require.Equal(t, 3, w.engines["e0"].orders[3].Orders, "the director asks the engine before it orders")
+}
