--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -33,6 +33,10 @@
 	// end a call of every entry, and the platform's rate does not grow with entries.
 	gatherEach = 10 * time.Millisecond
 	gatherMost = 500 * time.Millisecond
+	// streakMost is how often the rest doubles while news follow news, as when a whole
+	// fleet starts; streakEnds is the quiet after which they no longer do.
+	streakMost = 2
+	streakEnds = time.Second
 	// pauseFirst and pauseMost bound the rest after a failed call.
 	pauseFirst = 100 * time.Millisecond
 	pauseMost  = 800 * time.Millisecond
@@ -64,6 +68,7 @@
 	done     part.Done
 	from     uint64 // revision to watch from, 0 before a list
 	failures int
+	streak   int // news that followed news without a quiet between
 	mutex    sync.Mutex
 	cut      context.CancelFunc // ends the call that waits
 }
@@ -146,7 +151,11 @@
 		// may have missed something, and its old place then is found forgotten.
 		w.from = max(w.from, c.At)
 		w.Sink.Confirmed(asked)
-		w.rest(w.gather())
+		if now.Sub(asked) > streakEnds {
+			w.streak = 0
+		}
+		w.rest(min(gatherMost, w.gather()<<min(w.streak, streakMost)))
+		w.streak++
 		return nil
 	}
 	w.Sink.Confirmed(later(asked, asked.Add(Wait-hush)))
