--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -33,10 +33,10 @@
 	// end a call of every entry, and the platform's rate does not grow with entries.
 	gatherEach = 10 * time.Millisecond
 	gatherMost = 500 * time.Millisecond
-	// streakMost is how often the rest doubles while news follow news, as when a whole
-	// fleet starts; streakEnds is the quiet after which they no longer do.
-	streakMost = 2
-	streakEnds = time.Second
+	// startingFor is how long after its start a watcher rests startingRests times as
+	// long after news: a whole fleet may be starting with it.
+	startingFor   = 8 * time.Second
+	startingRests = 4
 	// pauseFirst and pauseMost bound the rest after a failed call.
 	pauseFirst = 100 * time.Millisecond
 	pauseMost  = 800 * time.Millisecond
@@ -65,16 +65,19 @@
 	// Entries returns how many entries watch alike; nil counts as one.
 	Entries func() int
 
-	done     part.Done
-	from     uint64 // revision to watch from, 0 before a list
-	failures int
-	streak   int // news that followed news without a quiet between
-	mutex    sync.Mutex
-	cut      context.CancelFunc // ends the call that waits
+	done      part.Done
+	from      uint64 // revision to watch from, 0 before a list
+	failures  int
+	startedBy time.Time // until when a fleet may be starting
+	mutex     sync.Mutex
+	cut       context.CancelFunc // ends the call that waits
 }
 
 // Start begins to follow.
-func (w *Watcher) Start() { go w.run() }
+func (w *Watcher) Start() {
+	w.startedBy = time.Now().Add(startingFor)
+	go w.run()
+}
 
 // Close ends it.
 func (w *Watcher) Close() { w.done.Close() }
@@ -151,22 +154,23 @@
 		// may have missed something, and its old place then is found forgotten.
 		w.from = max(w.from, c.At)
 		w.Sink.Confirmed(asked)
-		if now.Sub(asked) > streakEnds {
-			w.streak = 0
-		}
-		w.rest(min(gatherMost, w.gather()<<min(w.streak, streakMost)))
-		w.streak++
+		w.rest(w.gather(now))
 		return nil
 	}
 	w.Sink.Confirmed(later(asked, asked.Add(Wait-hush)))
 	return nil
 }
 
-func (w *Watcher) gather() time.Duration {
-	if w.Entries == nil {
-		return gatherEach
+// gather returns how long to rest after news.
+func (w *Watcher) gather(now time.Time) time.Duration {
+	rest := gatherEach
+	if w.Entries != nil {
+		rest *= time.Duration(w.Entries())
+	}
+	if now.Before(w.startedBy) {
+		rest *= startingRests
 	}
-	return min(gatherMost, gatherEach*time.Duration(w.Entries()))
+	return min(gatherMost, rest)
 }
 
 func later(a, b time.Time) time.Time {
