--- a/explain/explain.go
+++ b/explain/explain.go
@@ -145,6 +145,9 @@
 	if restarted(lines, end) {
 		return "the entry " + end.Entry + " ended while the request was open, and started anew"
 	}
+	if fellSilent(lines, end) {
+		return "the entry " + end.Entry + " has no line after this, while others have: it ended for good, or its log was cut off"
+	}
 	return ""
 }
 
@@ -154,6 +157,24 @@
 	})
 }
 
+// silentFor is how much longer others must have written for an entry to be taken as
+// gone: one that serves requests writes several lines a second.
+const silentFor = 5 * time.Second
+
+func fellSilent(lines []Line, end *Line) bool {
+	var own, all time.Time
+	for i := range lines {
+		l := &lines[i]
+		if l.Time.After(all) {
+			all = l.Time
+		}
+		if l.Entry == end.Entry && l.Time.After(own) {
+			own = l.Time
+		}
+	}
+	return all.Sub(own) > silentFor
+}
+
 func (r *Report) judgeRefusal(end *Line) string {
 	switch end.Kind {
 	case "platform_down":
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -35,6 +35,12 @@
 	require.Contains(t, r.String(), "cause: unknown")
 }
 
+func TestARequestOpenWhenItsEntryEndedForGood(t *testing.T) {
+	first, _, _ := strings.Cut(killed, "noise")
+	other := `{"time":"2026-01-01T00:00:30Z","msg":"request sent","entry":"front-2","event":2003,"request":"z"}`
+	require.Contains(t, explained(t, first+other, "a").Cause(), "the entry front-1 has no line after this")
+}
+
 func TestARequestThatNoEntryRead(t *testing.T) {
 	require.Contains(t, explained(t, killed, "b").Cause(), "no entry of these logs read it")
 	dropped := killed + `{"time":"2026-01-01T00:00:09Z","msg":"lines dropped","entry":"front-1","event":9101,"lines":7}`
