--- a/transport/director/director_test.go
+++ b/transport/director/director_test.go
@@ -118,8 +118,10 @@
 }
 
 func (w *world) director(t *testing.T, name string) *director.Director {
-	facts := &protocol.EngineFacts{Layers: 10, LayerMB: 100, TokenLayerMB: 0.01, UsualPrompt: 5, UsualAnswer: 5,
-		Accelerators: []protocol.AcceleratorFacts{{Name: "t4", MemoryMB: 700, StepFactor: 1, ReadFactor: 1}}}
+	facts := &protocol.EngineFacts{
+		Layers: 10, LayerMB: 100, TokenLayerMB: 0.01, UsualPrompt: 5, UsualAnswer: 5,
+		Accelerators: []protocol.AcceleratorFacts{{Name: "t4", MemoryMB: 700, StepFactor: 1, ReadFactor: 1}},
+	}
 	table, err := routing.Build(protocol.Routing{Version: 1, Services: []protocol.RoutedService{{Name: "llm", Engine: facts}}})
 	require.NoError(t, err)
 	d := &director.Director{
