forward: split the exchange and the forwarder by topic

Messages name their sender, so that one check that it is still open serves all four, and readHead says whether a byte came instead of returning an empty head for an error.

--- /dev/null
+++ b/transport/forward/admit.go
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"io"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/routing"
+)
+
+const (
+	// againUnsure is when to come back to an entry that can't reach the platform.
+	againUnsure = 300 * time.Millisecond
+	// unsureAfter is the age of the routing table's confirmation from which an
+	// unknown route or key is answered "come back" instead of "unknown": the
+	// table may have changed. It is a little more than a watch takes.
+	unsureAfter = 4 * time.Second
+)
+
+// admit finds the route, the team and the deadline, and reads the body.
+func (x *exchange) admit() *protocol.Refusal {
+	f := x.forwarder
+	x.terms = f.Headers.Terms(x.request.Header, x.begun)
+	if f.refusing.Load() {
+		return protocol.Refuse(protocol.Stopping, "this entry is stopping").Again(x.begun)
+	}
+	table := f.Routing.Current()
+	if table == nil || !f.Roster.Known() {
+		return protocol.Refuse(protocol.NoConfiguration, "no routing table was read yet").Again(x.begun.Add(againUnsure))
+	}
+	x.table = table
+	unsure := x.begun.Sub(f.Routing.ConfirmedAt()) > unsureAfter
+	target, _, _ := strings.Cut(x.request.RequestURI, "?")
+	x.route = table.Match(x.request.Host, target)
+	if x.route == nil {
+		if unsure {
+			return protocol.Refuse(protocol.PlatformDown, "the route is unknown, but the table may be old").Again(x.begun.Add(againUnsure))
+		}
+		return protocol.Refuse(protocol.UnknownService, "no route matches the host and path")
+	}
+	if refusal := x.admitTeam(unsure); refusal != nil {
+		return refusal
+	}
+	x.deadline = x.route.Timeout(x.begun)
+	if !x.terms.Deadline.IsZero() && x.terms.Deadline.Before(x.deadline) {
+		x.deadline = x.terms.Deadline
+	}
+	x.service = table.Service(routing.Pick(x.route, rand.Float64()))
+	return x.readBody(table.Callers().BodyBytes)
+}
+
+// admitTeam finds the team of the caller's key. A key is taken only while the
+// platform has lately confirmed that it was not withdrawn.
+func (x *exchange) admitTeam(unsure bool) *protocol.Refusal {
+	if !x.table.Keyed() || x.route.Public {
+		return nil
+	}
+	f := x.forwarder
+	if x.begun.After(f.TrustKeys(f.Routing.ConfirmedAt())) {
+		return protocol.Refuse(protocol.PlatformDown, "keys can't be confirmed").Again(x.begun.Add(againUnsure))
+	}
+	team := x.table.Team(x.terms.Key)
+	if team == nil {
+		if unsure {
+			return protocol.Refuse(protocol.PlatformDown, "the key is unknown, but the table may be old").Again(x.begun.Add(againUnsure))
+		}
+		return protocol.Refuse(protocol.WrongKey, "the key is not known")
+	}
+	x.team = team
+	return nil
+}
+
+func (x *exchange) readBody(most int64) *protocol.Refusal {
+	if most <= 0 {
+		most = maxWholeBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(x.request.Body, most+1))
+	if err != nil {
+		return protocol.Refuse(protocol.MalformedRequest, "the body did not come whole").Because(err)
+	}
+	if int64(len(body)) > most {
+		return protocol.Refuse(protocol.BodyTooLarge, "the body is longer than the limit")
+	}
+	x.body = body
+	return nil
+}
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -18,49 +18,10 @@
 	"pinerun.example/pinerun/state/fleet"
 )
 
-// maxWholeBytes bounds an answer that is not a stream.
+// maxWholeBytes bounds an answer that is not a stream, and a request where the
+// routing table sets no limit.
 const maxWholeBytes = 16 << 20
 
-// message is what an attempt tells its exchange: headCame, eventCame, wholeCame
-// or attemptEnded.
-type message interface{ message() }
-
-// headCame is the head of a stream.
-type headCame struct {
-	attempt *attempt
-	head    *http.Response
-	terms   protocol.AnswerTerms
-}
-
-// eventCame is one event of a stream.
-type eventCame struct {
-	attempt *attempt
-	event   streamEvent
-}
-
-// wholeCame is a whole answer that is not a stream.
-type wholeCame struct {
-	attempt *attempt
-	head    *http.Response
-	body    []byte
-	terms   protocol.AnswerTerms
-}
-
-// attemptEnded is the end of an attempt. The cause is nil when a stream came to
-// its proper end. Unsent says that no byte left; stale that a connection which
-// had rested turned out to be closed.
-type attemptEnded struct {
-	attempt *attempt
-	cause   error
-	unsent  bool
-	stale   bool
-}
-
-func (headCame) message()     {}
-func (eventCame) message()    {}
-func (wholeCame) message()    {}
-func (attemptEnded) message() {}
-
 // errWrongAnswer says that bytes on a connection are not the answer to the
 // request sent there.
 var errWrongAnswer = errors.New("the endpoint sent something that is not the answer to this request")
@@ -75,7 +36,7 @@
 	request     []byte
 	method      string
 	id          string // of the request, to recognise its answer
-	fresh       bool
+	fresh       bool   // whether it needs a connection of its own
 	headers     Headers
 	pool        *pool
 	out         chan<- message
@@ -122,6 +83,7 @@
 	a.drop()
 }
 
+// hold keeps the connection where stop finds it, unless the attempt was stopped.
 func (a *attempt) hold(c *conn) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -133,6 +95,7 @@
 	return true
 }
 
+// drop closes the connection that the attempt holds, if any.
 func (a *attempt) drop() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -157,6 +120,7 @@
 	a.conn = nil
 }
 
+// post tells the exchange, unless the attempt was stopped.
 func (a *attempt) post(m message) {
 	select {
 	case a.out <- m:
@@ -164,11 +128,12 @@
 	}
 }
 
+// read reads the answer and tells the exchange.
 func (a *attempt) read(c *conn) {
-	head, err := a.readHead(c)
+	head, begun, err := a.readHead(c)
 	if err != nil {
 		a.drop()
-		a.post(attemptEnded{attempt: a, cause: err, stale: c.reused && head == nil && c.reader.Buffered() == 0})
+		a.post(attemptEnded{attempt: a, cause: err, stale: c.reused && !begun})
 		return
 	}
 	defer head.Body.Close()
@@ -185,19 +150,19 @@
 	a.readWhole(head, terms)
 }
 
-// readHead returns the head of the final answer.
-func (a *attempt) readHead(c *conn) (*http.Response, error) {
+// readHead returns the head of the final answer, and whether any byte of it came.
+func (a *attempt) readHead(c *conn) (head *http.Response, begun bool, err error) {
 	req := &http.Request{Method: a.method}
 	for {
 		if _, err := c.reader.Peek(1); err != nil {
-			return nil, err
+			return nil, false, err
 		}
 		head, err := http.ReadResponse(c.reader, req)
 		if err != nil {
-			return &http.Response{}, err
+			return nil, true, err
 		}
 		if head.StatusCode >= http.StatusOK {
-			return head, nil
+			return head, true, nil
 		}
 	}
 }
@@ -260,3 +225,26 @@
 	}
 	return nil
 }
+
+// heard notes that every runner of the attempt's path works.
+func (a *attempt) heard(now time.Time) {
+	for i := range a.path.Len() {
+		r := a.path.Runner(i)
+		r.Heard(now)
+		r.Works()
+	}
+}
+
+// accepted notes that every runner of the path runs the request.
+func (a *attempt) accepted() {
+	for i := range a.path.Len() {
+		a.path.Runner(i).Accepted()
+	}
+}
+
+// told takes how busy the first engine of the path says that it is.
+func (a *attempt) told(t protocol.AnswerTerms, now time.Time) {
+	if t.LoadKnown {
+		a.endpoint.Told(int64(t.Load.Running+t.Load.Waiting), now)
+	}
+}
--- /dev/null
+++ b/transport/forward/blame.go
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"log/slog"
+	"time"
+
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
+)
+
+// blame leaves out the runner at an address, or looks for the one at fault when
+// it is "" and the answer came over several.
+func (x *exchange) blame(a *attempt, address string, now time.Time) {
+	if address == "" {
+		if a.path.Len() > 1 {
+			x.forwarder.suspects.silent(a, x.rhythm.last, now)
+			return
+		}
+		address = a.endpoint.Spec().Address
+	}
+	for i := range a.path.Len() {
+		r := a.path.Runner(i)
+		if r.Spec().Address != address {
+			continue
+		}
+		till := r.Failed(now)
+		x.avoid = append(x.avoid, r)
+		x.forwarder.Counters.Add(metric.RunnersEjected, 1)
+		x.forwarder.log(event.RunnerEjected, slog.String("runner", r.Name()), x.id(),
+			slog.Int64("till_ms", till.Sub(now).Milliseconds()))
+	}
+}
+
+// refused leaves out for a moment the runner that did not run a request, which is
+// the first of the path when it names no other.
+func (x *exchange) refused(a *attempt, address string, now time.Time) {
+	x.forwarder.log(event.AttemptNotRun, x.id(), slog.Int("attempt", a.number), slog.String("endpoint", a.endpoint.Name()),
+		slog.String("at_fault", address))
+	for i := range a.path.Len() {
+		if r := a.path.Runner(i); r.Spec().Address == address || address == "" && i == 0 {
+			r.Refused(now)
+			x.avoid = append(x.avoid, r)
+		}
+	}
+}
--- /dev/null
+++ b/transport/forward/decide.go
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"log/slog"
+	"time"
+
+	"pinerun.example/pinerun/coordination/retry"
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+)
+
+const (
+	// againFull is when to come back after an endpoint refused for want of room.
+	againFull = 200 * time.Millisecond
+	// againNoPath is when to come back when layers have no holder: loading them
+	// takes one to two seconds.
+	againNoPath = time.Second
+)
+
+// decide does what the retry policy says after a send without a good answer.
+func (x *exchange) decide(a *attempt, r retry.Result, whole *wholeCame) {
+	now := time.Now()
+	if r == retry.Failed || r == retry.Broken {
+		x.mayHave = true
+	}
+	if len(x.live) > 0 {
+		return
+	}
+	if a.path.Len() == 1 {
+		x.avoid = append(x.avoid, a.endpoint)
+	}
+	p, found := x.pick(now)
+	next := x.forwarder.resend(retry.Forwarded{
+		Result: r, MayRepeat: x.route.MayRepeat(), MayHave: x.mayHave,
+		Allowed: found && x.mayReach(&p), Unsent: x.unsent, Now: now, Deadline: x.deadline,
+	})
+	if next == retry.Again {
+		x.forwarder.Counters.Retried(reasonOf(r))
+		x.send(&p)
+		x.rhythm.restart(now)
+		return
+	}
+	switch next {
+	case retry.Deliver:
+		x.deliver(whole)
+	case retry.Refuse:
+		x.finish(protocol.Refuse(protocol.RetriesSpent, "no endpoint could take the request").Again(now.Add(againFull)))
+	case retry.Expire:
+		x.finish(expired())
+	default:
+		x.finish(protocol.Uncertain(protocol.StageFailed, "the endpoint broke the answer off"))
+	}
+}
+
+// ended logs the end of an attempt and decides what comes next, unless another
+// attempt is still open.
+func (x *exchange) ended(a *attempt, r retry.Result, cause error) {
+	x.forwarder.log(event.AttemptBroken, x.id(), slog.Int("attempt", a.number), slog.String("endpoint", a.endpoint.Name()),
+		slog.Int("events", x.events), slog.String("cause", cause.Error()))
+	x.decide(a, r, nil)
+}
+
+func reasonOf(r retry.Result) metric.Reason {
+	switch r {
+	case retry.NeverSent:
+		return metric.NotSent
+	case retry.NotRun:
+		return metric.Overloaded
+	default:
+		return metric.StreamError
+	}
+}
+
+// expired is the refusal of a request whose time is over: it may have run.
+func expired() *protocol.Refusal {
+	return protocol.Uncertain(protocol.DeadlinePassed, "the time of the request is over")
+}
+
+// noPath is the refusal of a request that no path leads to.
+func noPath() *protocol.Refusal {
+	return protocol.Refuse(protocol.NoPath, "no path holds every layer").Again(time.Now().Add(againNoPath))
+}
--- a/transport/forward/doc.go
+++ b/transport/forward/doc.go
@@ -4,10 +4,10 @@
 // themselves: engines that pass a request on among themselves along a path, and
 // plain services.
 //
-// A Forwarder is an http.Handler. For each request it finds the route and the
-// team, chooses a path, and starts an exchange, which is one goroutine that
-// decides; each send to an endpoint is an attempt, a goroutine that only reads
-// and writes its connection and tells the exchange what comes. A stream that
+// A Forwarder is an http.Handler. Each request is an exchange, which runs in the
+// goroutine of its connection: it finds the route and the team, chooses a path,
+// and alone decides. Each send to an endpoint is an attempt, a goroutine that only
+// reads and writes its connection and tells the exchange what comes. A stream that
 // falls silent is asked for elsewhere, after its last whole event, while the
 // silent attempt stays open; the first to speak goes on.
 //
--- /dev/null
+++ b/transport/forward/message.go
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"net/http"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+// message is what an attempt tells its exchange: headCame, eventCame, wholeCame
+// or attemptEnded.
+type message interface{ from() *attempt }
+
+// headCame is the head of a stream.
+type headCame struct {
+	attempt *attempt
+	head    *http.Response
+	terms   protocol.AnswerTerms
+}
+
+// eventCame is one event of a stream.
+type eventCame struct {
+	attempt *attempt
+	event   streamEvent
+}
+
+// wholeCame is a whole answer that is not a stream.
+type wholeCame struct {
+	attempt *attempt
+	head    *http.Response
+	body    []byte
+	terms   protocol.AnswerTerms
+}
+
+// attemptEnded is the end of an attempt. The cause is nil when a stream came to
+// its proper end. Unsent says that no byte left; stale that a connection which
+// had rested turned out to be closed.
+type attemptEnded struct {
+	attempt *attempt
+	cause   error
+	unsent  bool
+	stale   bool
+}
+
+func (m headCame) from() *attempt     { return m.attempt }
+func (m eventCame) from() *attempt    { return m.attempt }
+func (m wholeCame) from() *attempt    { return m.attempt }
+func (m attemptEnded) from() *attempt { return m.attempt }
--- a/transport/forward/rhythm.go
+++ b/transport/forward/rhythm.go
@@ -54,11 +54,10 @@
 		}
 		r.longest = max(r.longest, pause)
 		r.mean += time.Duration(smoothing * float64(pause-r.mean))
-	}
-	if !r.first {
+	} else {
+		r.first = true
 		r.firstAt = now
 	}
-	r.first = true
 	r.last = now
 	r.overdue = now.Add(r.bound())
 }
--- /dev/null
+++ b/transport/forward/take.go
@@ -0,0 +1,117 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"pinerun.example/pinerun/coordination/retry"
+)
+
+// take acts on what an attempt tells, as long as the attempt is open.
+func (x *exchange) take(m message) {
+	if !slices.Contains(x.live, m.from()) {
+		return
+	}
+	switch m := m.(type) {
+	case headCame:
+		x.takeHead(m)
+	case eventCame:
+		x.takeEvent(m)
+	case wholeCame:
+		x.takeWhole(m)
+	case attemptEnded:
+		x.takeEnd(m)
+	}
+}
+
+func (x *exchange) takeHead(m headCame) {
+	// The head waits for the first event: until then the request may still go
+	// elsewhere.
+	m.attempt.answer = m.head
+	m.attempt.told(m.terms, time.Now())
+}
+
+// takeEvent passes an event on. The attempt that speaks first stays; another one
+// that was started because it was silent ends.
+func (x *exchange) takeEvent(m eventCame) {
+	for len(x.live) > 1 {
+		other := x.live[0]
+		if other == m.attempt {
+			other = x.live[1]
+		}
+		x.drop(other)
+	}
+	now := time.Now()
+	m.attempt.heard(now)
+	x.rhythm.event(now)
+	if m.attempt.first() {
+		m.attempt.accepted()
+	}
+	if !x.headSent {
+		x.writeStreamHead(m.attempt.answer)
+		x.forwarder.Latency.First.Record(now.Sub(x.begun))
+	}
+	x.events++
+	if m.event.id != "" {
+		x.lastEvent = m.event.id
+	}
+	if _, err := x.writer.Write(m.event.content); err != nil {
+		x.callerLeft()
+		x.finished = true
+		return
+	}
+	if len(x.messages) == 0 {
+		x.flush()
+	}
+}
+
+func (x *exchange) takeWhole(m wholeCame) {
+	now := time.Now()
+	a := m.attempt
+	a.told(m.terms, now)
+	x.drop(a)
+	switch {
+	case m.terms.NotRun:
+		x.refused(a, m.terms.AtFault, now)
+		x.decide(a, retry.NotRun, &m)
+	case m.head.StatusCode >= http.StatusInternalServerError:
+		x.decide(a, retry.Failed, &m)
+	case promises(m.head.StatusCode) && !x.route.MayRepeat():
+		// Only the endpoint's own word says that a request did not run.
+		x.decide(a, retry.Broken, &m)
+	default:
+		a.heard(now)
+		x.deliver(&m)
+	}
+}
+
+func (x *exchange) takeEnd(m attemptEnded) {
+	a := m.attempt
+	now := time.Now()
+	x.drop(a)
+	switch {
+	case m.cause == nil:
+		a.heard(now)
+		x.endStream()
+	case m.unsent:
+		x.notReached(a)
+		x.blame(a, a.endpoint.Spec().Address, now)
+		x.ended(a, retry.NeverSent, m.cause)
+	case m.stale:
+		// A connection that had rested ended before the answer. The endpoint may
+		// have run the request all the same, but is hardly at fault.
+		x.ended(a, retry.Broken, m.cause)
+	default:
+		x.blame(a, "", now)
+		x.ended(a, retry.Broken, m.cause)
+	}
+}
+
+// promises reports whether a status tells the caller that the request did not
+// run.
+func promises(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
+}
