--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -79,9 +79,8 @@
 }
 
 func (f *Follower) run() {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := f.done.Context()
 	defer cancel()
-	go (&canceller{done: f.done.Done(), cancel: cancel}).run()
 	for !f.done.Closed() {
 		if !f.mustWatch(time.Now()) {
 			f.rest()
@@ -94,17 +93,6 @@
 	}
 }
 
-// canceller cancels a context when a part ends.
-type canceller struct {
-	done   <-chan struct{}
-	cancel context.CancelFunc
-}
-
-func (c *canceller) run() {
-	<-c.done
-	c.cancel()
-}
-
 func (f *Follower) rest() {
 	t := time.NewTimer(pause)
 	defer t.Stop()
--- a/transport/watch/confirm.go
+++ b/transport/watch/confirm.go
@@ -47,9 +47,8 @@
 func (c *Confirmer) Close() { c.done.Close() }
 
 func (c *Confirmer) run() {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := c.done.Context()
 	defer cancel()
-	go (&canceller{done: c.done.Done(), cancel: cancel}).run()
 	rest := confirmEvery
 	for {
 		t := time.NewTimer(rest)
--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -75,9 +75,8 @@
 func (w *Watcher) Close() { w.done.Close() }
 
 func (w *Watcher) run() {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := w.done.Context()
 	defer cancel()
-	go (&canceller{done: w.done.Done(), cancel: cancel}).run()
 	for !w.done.Closed() {
 		if err := w.step(ctx); err != nil {
 			w.failed(err)
@@ -85,17 +84,6 @@
 	}
 }
 
-// canceller cancels a context when a part ends.
-type canceller struct {
-	done   <-chan struct{}
-	cancel context.CancelFunc
-}
-
-func (c *canceller) run() {
-	<-c.done
-	c.cancel()
-}
-
 // Restart makes the watcher give up a call that waits and list anew.
 func (w *Watcher) Restart() {
 	w.mutex.Lock()
@@ -105,6 +93,7 @@
 	}
 }
 
+// step makes one call, which Restart can end.
 func (w *Watcher) step(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -149,10 +138,11 @@
 		w.rest(w.gather())
 		return nil
 	}
-	w.Sink.Confirmed(later(asked, asked.Add(Wait-hush)))
+	w.Sink.Confirmed(asked.Add(Wait - hush))
 	return nil
 }
 
+// gather returns how long to rest after news.
 func (w *Watcher) gather() time.Duration {
 	if w.Entries == nil {
 		return gatherEach
@@ -160,13 +150,6 @@
 	return min(gatherMost, gatherEach*time.Duration(w.Entries()))
 }
 
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // failed lists anew after a call without an answer: what happened meanwhile may
 // be more than the platform remembers.
 func (w *Watcher) failed(err error) {
