--- /dev/null
+++ b/transport/director/moves.go
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package director
+
+import (
+	"time"
+
+	"pinerun.example/pinerun/coordination/place"
+	"pinerun.example/pinerun/protocol"
+)
+
+const (
+	// settleQuiet is how long no engine has joined before the first layers are
+	// ordered in an empty fleet, so that a copy is laid out over all of it; engines
+	// start within a heartbeat or so of each other. settleMost bounds the wait.
+	settleQuiet = 900 * time.Millisecond
+	settleMost  = 4 * time.Second
+)
+
+// move is a wanted move with the engine's address.
+type move struct {
+	place.Move
+
+	address string
+}
+
+// moves returns the wanted moves of all services whose endpoints are engines.
+func (d *Director) moves(now time.Time) []move {
+	table := d.Routing.Current()
+	if table == nil || !d.Roster.Known() {
+		return nil
+	}
+	endpoints := d.Roster.Endpoints()
+	d.forget(endpoints, now)
+	var moves []move
+	services := table.Services()
+	for i := range services {
+		if services[i].Engine != nil {
+			moves = append(moves, d.movesOf(&services[i], endpoints, now)...)
+		}
+	}
+	return moves
+}
+
+// movesOf returns the wanted moves of one service, but none of engines that rest.
+func (d *Director) movesOf(s *protocol.RoutedService, endpoints []protocol.Endpoint, now time.Time) []move {
+	q := place.Query{Facts: s.Engine}
+	addresses := make(map[string]string)
+	view := d.Roster.View()
+	for _, e := range endpoints {
+		if e.Service != s.Name {
+			continue
+		}
+		addresses[e.ID] = e.Address
+		q.Engines = append(q.Engines, place.Engine{
+			ID: e.ID, DataCenter: e.DataCenter, Accelerator: e.Accelerator, Held: d.heldBy(e), Serving: e.Layers,
+			Leaving: e.Leaving || view.Runner(e.ID) != nil && view.Runner(e.ID).Lost(),
+		})
+	}
+	if len(q.Engines) == 0 || d.starting(s.Name, q.Engines, now) {
+		return nil
+	}
+	var moves []move
+	for _, m := range place.Plan(q) {
+		if now.Before(d.resting[m.Engine()]) {
+			continue
+		}
+		moves = append(moves, move{Move: m, address: addresses[m.Engine()]})
+	}
+	return moves
+}
+
+// start is when the engines of an empty fleet were first seen, and when their
+// number last rose.
+type start struct {
+	first   time.Time
+	joined  time.Time
+	engines int
+}
+
+// starting reports whether the engines of a service hold nothing yet and more of
+// them are still coming.
+func (d *Director) starting(service string, engines []place.Engine, now time.Time) bool {
+	for _, e := range engines {
+		if e.Held.Layers() > 0 {
+			delete(d.starts, service)
+			return false
+		}
+	}
+	s := d.starts[service]
+	if s == nil {
+		s = &start{first: now}
+		d.starts[service] = s
+	}
+	if len(engines) > s.engines {
+		s.joined = now
+		s.engines = len(engines)
+	}
+	return now.Sub(s.joined) < settleQuiet && now.Sub(s.first) < settleMost
+}
+
+// heldBy returns what an engine holds, or what it was lately ordered to hold.
+func (d *Director) heldBy(e protocol.Endpoint) protocol.Span {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if o, ok := d.ordered[e.ID]; ok {
+		return o.span
+	}
+	return e.Layers
+}
+
+// forget drops orders whose effect was seen, that took too long, or whose engine
+// is gone.
+func (d *Director) forget(endpoints []protocol.Endpoint, now time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if len(d.ordered) == 0 {
+		return
+	}
+	there := make(map[string]protocol.Span, len(endpoints))
+	for _, e := range endpoints {
+		there[e.ID] = e.Layers
+	}
+	for id, o := range d.ordered {
+		span, known := there[id]
+		if !known || span == o.span || now.After(o.till) {
+			delete(d.ordered, id)
+		}
+	}
+}
--- /dev/null
+++ b/transport/director/order.go
@@ -0,0 +1,103 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package director
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+)
+
+const (
+	// doubtFor is how long an order without effect is taken to be on its way: the
+	// longest load takes a few seconds, the engine's record a second more.
+	doubtFor = 6 * time.Second
+	// refusedRest is how long an engine that refused an order or did not answer is
+	// left alone.
+	refusedRest = time.Second
+	// ordersAtOnce bounds the engines that are spoken to side by side.
+	ordersAtOnce = 8
+)
+
+// order is an order whose effect has not been seen yet.
+type order struct {
+	span protocol.Span
+	till time.Time
+}
+
+// give orders the moves side by side, holes first.
+func (d *Director) give(moves []move, epoch uint64) {
+	var wait sync.WaitGroup
+	for i, m := range moves {
+		if i == ordersAtOnce {
+			break
+		}
+		wait.Add(1)
+		g := &giving{director: d, move: m, epoch: epoch, wait: &wait}
+		go g.run()
+	}
+	wait.Wait()
+}
+
+// giving is one order on its way.
+type giving struct {
+	director *Director
+	move     move
+	epoch    uint64
+	wait     *sync.WaitGroup
+}
+
+// run asks the engine how it stands and gives it the order.
+func (g *giving) run() {
+	defer g.wait.Done()
+	d := g.director
+	ctx, cancel := context.WithTimeout(context.Background(), askLimit)
+	defer cancel()
+	report, err := d.Engines.Report(ctx, g.move.address)
+	if err != nil {
+		g.failed(err)
+		return
+	}
+	if report.Busy {
+		g.doubt() // another order is being carried out; its effect will show
+		return
+	}
+	if _, ok := d.lease.Epoch(time.Now()); !ok {
+		return
+	}
+	d.Counters.Add(metric.OrdersGiven, 1)
+	answer, err := d.Engines.Place(ctx, protocol.PlaceOrder{
+		EndpointID: g.move.Engine(), Address: g.move.address, Layers: g.move.Span(), Epoch: g.epoch, Orders: report.Orders,
+	})
+	if err != nil {
+		g.failed(err)
+	}
+	if answer != protocol.OrderRefused {
+		g.doubt()
+	}
+	event.OrderGiven.Log(d.Logger, slog.String("runner", g.move.Engine()), slog.String("layers", g.move.Span().String()),
+		slog.String("reason", string(g.move.Reason())), slog.Uint64("epoch", g.epoch), slog.Int("answer", int(answer)))
+}
+
+// doubt notes that the order may take effect.
+func (g *giving) doubt() {
+	d := g.director
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.ordered[g.move.Engine()] = order{span: g.move.Span(), till: time.Now().Add(doubtFor)}
+}
+
+// failed leaves the engine alone for a while.
+func (g *giving) failed(err error) {
+	d := g.director
+	d.mutex.Lock()
+	d.resting[g.move.Engine()] = time.Now().Add(refusedRest)
+	d.mutex.Unlock()
+	event.OrderFailed.Log(d.Logger, slog.String("runner", g.move.Engine()),
+		slog.String("layers", g.move.Span().String()), slog.String("cause", err.Error()))
+}
