--- /dev/null
+++ b/explain/judge.go
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package explain
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"pinerun.example/pinerun/internal/event"
+)
+
+// judge names the cause.
+func (r *Report) judge(lines []Line) string {
+	end := &r.lines[len(r.lines)-1]
+	switch end.Event {
+	case event.RequestRefused.Number():
+		return r.judgeRefusal(end)
+	case event.StreamCut.Number():
+		return fmt.Sprintf("the stream was broken off after %d events: %s", end.Events, r.judgeAttempts(end))
+	case event.RequestAnswered.Number():
+		return r.judgeAnswer(end)
+	case event.CallerLeft.Number():
+		return "the caller closed its connection; " + r.judgeWait()
+	}
+	if restarted(lines, end) {
+		return "the entry " + end.Entry + " ended while the request was open, and started anew"
+	}
+	return ""
+}
+
+func restarted(lines []Line, end *Line) bool {
+	return slices.ContainsFunc(lines, func(l Line) bool {
+		return l.Entry == end.Entry && l.Event == event.EntryReady.Number() && l.Time.After(end.Time)
+	})
+}
+
+func (r *Report) judgeRefusal(end *Line) string {
+	switch end.Kind {
+	case "platform_down":
+		why := fmt.Sprintf("%s: the platform last confirmed the routing table %d ms before", end.Message, end.ConfirmedMS)
+		if l := last(r.beliefs, event.PlatformUnreached); l != nil {
+			why += "; it does not answer: " + l.Cause
+		}
+		return why
+	case "wrong_key", "unknown_service":
+		return fmt.Sprintf("%s in routing table %d", end.Message, end.Routing)
+	case "no_path":
+		return "no path holds every layer; look for events 3008, 3003 and 8003 before it"
+	case "stopping", "no_configuration", "body_too_large", "malformed_request":
+		return end.Message
+	}
+	return end.Message + ": " + r.judgeAttempts(end)
+}
+
+// judgeAttempts says how the sends of the request ended.
+func (r *Report) judgeAttempts(end *Line) string {
+	var parts []string
+	for i := range r.lines {
+		l := &r.lines[i]
+		switch l.Event {
+		case event.AttemptBroken.Number():
+			parts = append(parts, fmt.Sprintf("attempt %d at %s broke: %s", l.Attempt, l.Endpoint, l.Cause))
+		case event.AttemptNotRun.Number():
+			parts = append(parts, fmt.Sprintf("attempt %d at %s was not run%s", l.Attempt, l.Endpoint, atFault(l)))
+		case event.SilenceSuspected.Number():
+			parts = append(parts, fmt.Sprintf("attempt %d was silent for %d ms", l.Attempt, l.SilentMS))
+		}
+	}
+	if l := last(r.beliefs, event.RunnerEjected); l != nil {
+		parts = append(parts, "runner "+l.Runner+" was left out ("+l.Reason+")")
+	}
+	if l := last(r.beliefs, event.EndpointGone); l != nil {
+		parts = append(parts, "endpoint "+l.Endpoint+" is gone: "+l.Reason)
+	}
+	if len(parts) == 0 {
+		return fmt.Sprintf("no answer within %d ms", end.TookMS)
+	}
+	return strings.Join(parts, "; ")
+}
+
+func atFault(l *Line) string {
+	if l.AtFault == "" {
+		return ""
+	}
+	return " because of the engine at " + l.AtFault
+}
+
+func (r *Report) judgeAnswer(end *Line) string {
+	if end.Status >= 500 {
+		return fmt.Sprintf("the endpoint itself answered %d after %d sends", end.Status, end.Sends)
+	}
+	why := fmt.Sprintf("answered %d after %d ms", end.Status, end.TookMS)
+	if end.Events > 0 {
+		why += fmt.Sprintf(", first event after %d ms, longest pause %d ms", end.FirstMS, end.PauseMS)
+	}
+	if trouble := r.judgeAttempts(end); !strings.HasPrefix(trouble, "no answer") {
+		why += ": " + trouble
+	}
+	return why
+}
+
+func (r *Report) judgeWait() string {
+	if last(r.lines, event.RequestSent) == nil {
+		return "nothing had been sent"
+	}
+	return r.judgeAttempts(&r.lines[len(r.lines)-1])
+}
--- a/explain/line.go
+++ b/explain/line.go
@@ -1,14 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package explain tells from collected logs what became of a request and why.
-//
-// It reads the lines of any number of entries, in any order, and picks out the
-// request's own lines and, for the entry that served it, what that entry believed
-// at the time: the routing table, the platform, the endpoints of the paths that
-// were tried.
-//
-//	lines, err := explain.Read(file)
-//	fmt.Println(explain.Explain(lines, "9c41d07be2a35f68"))
 package explain
 
 import (
@@ -25,20 +16,16 @@
 type Line struct {
 	Time        time.Time `json:"time"`
 	Event       int       `json:"event"`
-	Name        string    `json:"msg"`
 	Entry       string    `json:"entry"`
 	Request     string    `json:"request"`
 	Kind        string    `json:"kind"`
 	Message     string    `json:"message"`
-	Outcome     string    `json:"outcome"`
 	Cause       string    `json:"cause"`
 	Reason      string    `json:"reason"`
 	Path        string    `json:"path"`
 	Endpoint    string    `json:"endpoint"`
 	Runner      string    `json:"runner"`
-	Address     string    `json:"address"`
 	AtFault     string    `json:"at_fault"`
-	Layers      string    `json:"layers"`
 	Status      int       `json:"status"`
 	Attempt     int       `json:"attempt"`
 	Events      int       `json:"events"`
@@ -48,7 +35,6 @@
 	PauseMS     int64     `json:"pause_ms"`
 	SilentMS    int64     `json:"silent_ms"`
 	ConfirmedMS int64     `json:"confirmed_ms"`
-	Version     uint64    `json:"version"`
 	Routing     uint64    `json:"routing"`
 	Lines       int64     `json:"lines"`
 
