--- a/transport/front/register.go
+++ b/transport/front/register.go
@@ -61,14 +61,14 @@
 	}
 	list, err := r.front.Outside.Objects.List(ctx, entryKind)
 	if err != nil {
-		r.front.platformFailed("entries", err, now)
+		r.front.platformFailed("entries", err)
 		return now.Add(registerAgain)
 	}
 	now = time.Now()
 	r.census.Seen(list.Objects, now)
 	for _, old := range r.census.Forgotten(now) {
 		if err := r.front.Outside.Objects.Delete(ctx, entryKind, old.Name(), old.Version()); err != nil {
-			r.front.platformFailed("entries", err, now)
+			r.front.platformFailed("entries", err)
 		}
 	}
 	if n := r.census.Count(now); n != r.counted {
@@ -99,7 +99,7 @@
 		version, err = f.Outside.Objects.Put(ctx, entryKind, f.Settings.Name, r.version, value)
 	}
 	if err != nil {
-		f.platformFailed("entries", err, time.Now())
+		f.platformFailed("entries", err)
 		return err
 	}
 	r.version = version
--- a/transport/front/sinks.go
+++ b/transport/front/sinks.go
@@ -50,8 +50,9 @@
 }
 
 // Failed notes that the platform did not answer.
-func (s *routingSink) Failed(err error, now time.Time) { s.front.platformFailed("routing", err, now) }
+func (s *routingSink) Failed(err error, _ time.Time) { s.front.platformFailed("routing", err) }
 
+// take puts a table in force that was not taken before.
 func (s *routingSink) take(o protocol.Object) {
 	f := s.front
 	s.mutex.Lock()
@@ -153,7 +154,7 @@
 // Failed notes that the platform did not answer.
 func (s *endpointSink) Failed(err error, now time.Time) {
 	s.front.roster.Outage(now)
-	s.front.platformFailed("endpoints", err, now)
+	s.front.platformFailed("endpoints", err)
 }
 
 func (s *endpointSink) decode(o protocol.Object) (protocol.Endpoint, bool) {
@@ -166,7 +167,7 @@
 }
 
 // platformFailed tells once that the platform does not answer.
-func (f *Front) platformFailed(what string, err error, _ time.Time) {
+func (f *Front) platformFailed(what string, err error) {
 	f.Counters.Add(metric.PlatformFaults, 1)
 	if f.reached.Swap(false) {
 		event.PlatformUnreached.Log(f.Logger, slog.String("for", what), slog.String("cause", err.Error()))
