--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -70,7 +70,6 @@
 	EndpointConnections Name = "endpoint_connections"
 	ReportsAsked        Name = "reports_asked"
 	OrdersGiven         Name = "orders_given"
-	LinesDropped        Name = "lines_dropped"
 )
 
 // Names returns every counter that is neither a refusal nor a retry.
@@ -80,7 +79,7 @@
 		RepliesDropped, FramesBroken, ReportsIgnored, PlatformCalls, PlatformFaults,
 		ClaimsGranted, ClaimsReplayed, ClaimWrites, ConfigAccepted, ConfigIgnored,
 		RunnersEjected, PeerConnections, PeerFrames, PeerBytes,
-		EndpointConnections, ReportsAsked, OrdersGiven, LinesDropped,
+		EndpointConnections, ReportsAsked, OrdersGiven,
 	}
 }
 
--- a/protocol/routing.go
+++ b/protocol/routing.go
@@ -127,9 +127,6 @@
 // IdleBy returns when a connection that rests from then is closed.
 func (c *CallerLimits) IdleBy(from time.Time) time.Time { return from.Add(fromMS(c.IdleMS)) }
 
-// HeaderBy returns when the header of a request begun then must be in.
-func (c *CallerLimits) HeaderBy(from time.Time) time.Time { return from.Add(fromMS(c.HeaderMS)) }
-
 // Endpoint is one live endpoint as it recorded itself in the platform. Every
 // start of an endpoint has a new ID.
 type Endpoint struct {
