--- a/coordination/path/parts.go
+++ b/coordination/path/parts.go
@@ -9,6 +9,14 @@
 	"pinerun.example/pinerun/state/fleet"
 )
 
+const (
+	// tieSeconds spreads equal runners: entries that believe the same must not all
+	// take the same path.
+	tieSeconds = 0.0005
+	// desperateSeconds is what a runner costs that should be left out.
+	desperateSeconds = 10
+)
+
 // Parts fills p with the cheapest path on which a runner may run a part of the
 // layers that it holds, and returns -1, or the first layer that can't be reached.
 // It is for engines that take the layers of each stage with the request. A stage
@@ -103,14 +111,6 @@
 	}
 }
 
-const (
-	// tieSeconds spreads equal runners: entries that believe the same must not all
-	// take the same path.
-	tieSeconds = 0.0005
-	// desperateSeconds is what a runner costs that should be left out.
-	desperateSeconds = 10
-)
-
 // penaltyOf returns what it costs to take a runner beside its work, and whether
 // it may be taken at all.
 func penaltyOf(r *fleet.Runner, q *Query, desperate bool) (float64, bool) {
@@ -123,6 +123,7 @@
 	return desperateSeconds, desperate
 }
 
+// furthest returns the last bound before the end that a path reaches.
 func (s *search) furthest(layers int) int {
 	for i := s.count - 1; i > 0; i-- {
 		if at := s.bounds[i]; at < layers && !math.IsInf(s.best[at], 1) {
