--- a/command/front.go
+++ b/command/front.go
@@ -7,19 +7,14 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
 
-	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/logs"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/platform"
-	"pinerun.example/pinerun/settings"
 	"pinerun.example/pinerun/transport/front"
 )
 
@@ -29,9 +24,6 @@
 	// heapShare is the part of the memory limit at which the collector works
 	// harder; the rest is for stacks and for bytes that wait in sockets.
 	heapShare = 0.6
-	// settingsEvery is how often the settings file is looked at: it may change
-	// without a signal.
-	settingsEvery = 2 * time.Second
 )
 
 // frontVerb runs one entry of a deployed system until it is told to stop.
@@ -77,60 +69,3 @@
 	}
 	return l
 }
-
-// settingsWatch reads the settings file again when a signal says that it has
-// changed, and when its time of change says so.
-type settingsWatch struct {
-	file   string
-	logger *slog.Logger
-	done   <-chan struct{}
-	seen   time.Time
-}
-
-func (w *settingsWatch) run() {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	w.changed()
-	t := time.NewTicker(settingsEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-signals:
-			w.changed()
-			w.read("signal")
-		case <-t.C:
-			if w.changed() {
-				w.read("file changed")
-			}
-		case <-w.done:
-			return
-		}
-	}
-}
-
-// changed reports whether the file's time of change is another than last seen.
-func (w *settingsWatch) changed() bool {
-	info, err := os.Stat(w.file)
-	if err != nil || info.ModTime().Equal(w.seen) {
-		return false
-	}
-	w.seen = info.ModTime()
-	return true
-}
-
-// read checks the changed settings. Addresses and limits stay those of the start:
-// what changes while the process runs is told, and in force from its next start.
-func (w *settingsWatch) read(why string) {
-	content, err := os.ReadFile(w.file)
-	if err != nil {
-		event.SettingsIgnored.Log(w.logger, slog.String("cause", err.Error()))
-		return
-	}
-	_, mistakes := settings.Read(content)
-	if len(mistakes) > 0 {
-		event.SettingsIgnored.Log(w.logger, slog.String("cause", mistakes[0].Error()), slog.Int("mistakes", len(mistakes)))
-		return
-	}
-	event.SettingsRead.Log(w.logger, slog.String("why", why))
-}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -3,10 +3,7 @@
 package front
 
 import (
-	"context"
 	"log/slog"
-	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -25,36 +22,6 @@
 	"pinerun.example/pinerun/transport/watch"
 )
 
-// Objects is the platform's object store.
-type Objects interface {
-	watch.Source
-	director.Objects
-	Delete(ctx context.Context, kind, name string, known uint64) error
-}
-
-// Engines is the way to model engines.
-type Engines interface {
-	forward.Reporter
-	director.Engines
-}
-
-// Decoder decodes the objects of the platform.
-type Decoder interface {
-	Routing(o protocol.Object) (protocol.Routing, error)
-	Endpoint(o protocol.Object) (protocol.Endpoint, error)
-}
-
-// Outside is everything that a front meets, behind one platform's names.
-type Outside struct {
-	Objects      Objects
-	Engines      Engines
-	Headers      forward.Headers
-	Decoder      Decoder
-	RoutingKind  string
-	RoutingName  string
-	EndpointKind string
-}
-
 const (
 	// shareKept is the part of the retry share that an entry uses itself, since
 	// the platform counts requests where they were sent, not where they came in.
@@ -85,7 +52,7 @@
 	ready     listener
 	metrics   listener
 	stopping  atomic.Bool
-	reached   atomic.Bool
+	reached   atomic.Bool // the platform answered last
 }
 
 // Start begins to serve.
@@ -130,6 +97,7 @@
 	return nil
 }
 
+// listen opens the addresses for callers, the balancer and metrics.
 func (f *Front) listen() error {
 	l := &f.Settings.Listen
 	f.callers.limits = f.callerLimits
@@ -173,34 +141,17 @@
 		now.Before(f.Settings.KeyTrust(f.routing.ConfirmedAt()))
 }
 
-// listener is one HTTP server beside that of the callers.
-type listener struct {
-	server http.Server
-	socket net.Listener
-}
-
-func (l *listener) open(address string, h http.Handler) error {
-	socket, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
+// platformFailed tells once that the platform does not answer.
+func (f *Front) platformFailed(what string, err error) {
+	f.Counters.Add(metric.PlatformFaults, 1)
+	if f.reached.Swap(false) {
+		event.PlatformUnreached.Log(f.Logger, slog.String("for", what), slog.String("cause", err.Error()))
 	}
-	l.socket = socket
-	l.server = http.Server{Handler: h, ReadHeaderTimeout: sideLimit, IdleTimeout: sideIdle}
-	go l.run()
-	return nil
 }
 
-const (
-	// sideLimit and sideIdle bound how slow a question may come and how long its
-	// connection rests; the balancer asks every second.
-	sideLimit = 5 * time.Second
-	sideIdle  = 30 * time.Second
-)
-
-func (l *listener) run() { _ = l.server.Serve(l.socket) }
-
-func (l *listener) close() {
-	if l.socket != nil {
-		_ = l.server.Close()
+// platformAnswered tells once that the platform answers again.
+func (f *Front) platformAnswered() {
+	if !f.reached.Swap(true) {
+		event.PlatformBack.Log(f.Logger)
 	}
 }
--- /dev/null
+++ b/transport/front/outside.go
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package front
+
+import (
+	"context"
+
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/transport/director"
+	"pinerun.example/pinerun/transport/forward"
+	"pinerun.example/pinerun/transport/watch"
+)
+
+// Outside is everything that a front meets, behind one platform's names.
+type Outside struct {
+	Objects      Objects
+	Engines      Engines
+	Headers      forward.Headers
+	Decoder      Decoder
+	RoutingKind  string
+	RoutingName  string
+	EndpointKind string
+}
+
+// Objects is the platform's object store.
+type Objects interface {
+	watch.Source
+	director.Objects
+	Delete(ctx context.Context, kind, name string, known uint64) error
+}
+
+// Engines is the way to model engines.
+type Engines interface {
+	forward.Reporter
+	director.Engines
+}
+
+// Decoder decodes the objects of the platform.
+type Decoder interface {
+	Routing(o protocol.Object) (protocol.Routing, error)
+	Endpoint(o protocol.Object) (protocol.Endpoint, error)
+}
