--- /dev/null
+++ b/transport/front/endpoint_sink.go
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package front
+
+import (
+	"log/slog"
+	"time"
+
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/protocol"
+)
+
+// endpointSink keeps the roster of endpoints.
+type endpointSink struct{ front *Front }
+
+// Listed takes a whole list of endpoints.
+func (s *endpointSink) Listed(objects []protocol.Object, now time.Time) {
+	f := s.front
+	f.platformAnswered()
+	known := make(map[string]bool)
+	for _, e := range f.roster.Endpoints() {
+		known[e.ID] = true
+	}
+	list := make([]protocol.Endpoint, 0, len(objects))
+	for _, o := range objects {
+		e, ok := s.decode(o)
+		if !ok {
+			continue
+		}
+		list = append(list, e)
+		if !known[e.ID] {
+			s.joined(e, o.Version)
+		}
+	}
+	for _, e := range f.roster.Replace(list, now) {
+		event.EndpointGone.Log(f.Logger, slog.String("endpoint", e.ID), slog.String("reason", "not in the list"))
+	}
+}
+
+// Changed takes one endpoint that came, changed or went.
+func (s *endpointSink) Changed(c protocol.Change, now time.Time) {
+	f := s.front
+	if c.Gone {
+		if f.roster.Remove(c.Object.Name, now) {
+			event.EndpointGone.Log(f.Logger, slog.String("endpoint", c.Object.Name), slog.String("reason", "record gone"),
+				slog.Uint64("revision", c.Object.Version))
+		}
+		return
+	}
+	e, ok := s.decode(c.Object)
+	if !ok {
+		return
+	}
+	if f.roster.Put(e) {
+		s.joined(e, c.Object.Version)
+		return
+	}
+	if e.Leaving {
+		event.EndpointLeaving.Log(f.Logger, slog.String("endpoint", e.ID), slog.Uint64("revision", c.Object.Version))
+		return
+	}
+	event.LayersChanged.Log(f.Logger, slog.String("endpoint", e.ID), slog.String("layers", e.Layers.String()),
+		slog.Uint64("revision", c.Object.Version))
+}
+
+// joined tells of an endpoint that was unknown.
+func (s *endpointSink) joined(e protocol.Endpoint, revision uint64) {
+	event.EndpointJoined.Log(s.front.Logger, slog.String("endpoint", e.ID), slog.String("service", e.Service),
+		slog.String("address", e.Address), slog.String("data_center", e.DataCenter), slog.String("accelerator", e.Accelerator),
+		slog.String("layers", e.Layers.String()), slog.Bool("leaving", e.Leaving), slog.Uint64("revision", revision))
+}
+
+// Confirmed has no use for endpoints: each record tells its own state.
+func (s *endpointSink) Confirmed(time.Time) {}
+
+// Failed notes that the platform did not answer.
+func (s *endpointSink) Failed(err error, now time.Time) {
+	s.front.roster.Outage(now)
+	s.front.platformFailed("endpoints", err)
+}
+
+// decode reads a record, or tells that it can't be read.
+func (s *endpointSink) decode(o protocol.Object) (protocol.Endpoint, bool) {
+	e, err := s.front.Outside.Decoder.Endpoint(o)
+	if err != nil {
+		event.EndpointIgnored.Log(s.front.Logger, slog.String("endpoint", o.Name), slog.String("cause", err.Error()))
+		return protocol.Endpoint{}, false
+	}
+	return e, true
+}
