forward, front, claims: end no open stream in another answer

Three findings of the landing, each with a test that failed first. - A stream that had begun and met an endpoint's own failure elsewhere was given that failure's body and a proper end: it looked whole. It is broken off now. - A table was in force before the roster knew its services: a request in between was refused for want of a path.

--- a/transport/claims/keeper.go
+++ b/transport/claims/keeper.go
@@ -32,6 +32,9 @@
 	// Pauses between two looks at a claim that another entry holds.
 	lookFirst = 25 * time.Millisecond
 	lookMost  = 400 * time.Millisecond
+	// goneFor is how long a holder must be gone before that is said: one that was only
+	// paused is heard again a heartbeat or two after it wakes.
+	goneFor = 2500 * time.Millisecond
 	// expireEvery is how often keys that are remembered no longer are dropped.
 	expireEvery = 10 * time.Second
 )
@@ -96,15 +99,22 @@
 
 // Await claims again and again while another claimant holds the key, until it
 // has settled, has released the key to us, or ctx ends. A claimant whose entry is
-// gone won't tell any more: its request may have run, and that is said at once.
+// gone won't tell any more: its request may have run, and that is said soon.
 func (k *Keeper) Await(ctx context.Context, r protocol.ClaimRecord) (claim.Result, error) {
 	pause := lookFirst
+	var gone time.Time // from when the holder was gone at every look
 	for {
 		result, err := k.Claim(ctx, r)
 		if err != nil || result.Verdict() != claim.Held {
 			return result, err
 		}
-		if held := result.Held(); k.Gone != nil && held.Holder != "" && k.Gone(held.Holder, held.Life) {
+		held := result.Held()
+		switch {
+		case k.Gone == nil || held.Holder == "" || !k.Gone(held.Holder, held.Life):
+			gone = time.Time{}
+		case gone.IsZero():
+			gone = time.Now()
+		case time.Since(gone) >= goneFor:
 			return claim.Told(r, claim.Doubtful, held), nil
 		}
 		t := time.NewTimer(pause)
--- a/transport/forward/take.go
+++ b/transport/forward/take.go
@@ -82,6 +82,9 @@
 	case promises(m.head.StatusCode) && !x.route.MayRepeat():
 		// Only the endpoint's own word says that a request did not run.
 		x.decide(a, retry.Broken, &m)
+	case x.headSent:
+		// The caller has the head of a stream, and this is no part of one.
+		x.decide(a, retry.Broken, &m)
 	default:
 		a.heard(now)
 		x.deliver(&m)
--- a/transport/front/routing_sink.go
+++ b/transport/front/routing_sink.go
@@ -80,10 +80,13 @@
 	if err != nil {
 		return err
 	}
-	if !f.routing.Offer(t) {
+	if c := f.routing.Current(); c != nil && t.Version() <= c.Version() {
 		return nil
 	}
+	// The endpoints of its services come first: from the moment at which the table is
+	// in force, requests look for them.
 	f.roster.Services(t.Services())
+	f.routing.Offer(t)
 	f.Counters.Add(metric.ConfigAccepted, 1)
 	event.ConfigInForce.Log(f.Logger, slog.Uint64("version", t.Version()), slog.Uint64("revision", o.Version),
 		slog.Int("routes", len(decoded.Routes)), slog.Int("teams", len(decoded.Teams)))
--- /dev/null
+++ b/transport/front/sinks_test.go
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package front
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/roster"
+)
+
+// fixed decodes every object to the same table.
+type fixed struct{ table protocol.Routing }
+
+func (f fixed) Routing(protocol.Object) (protocol.Routing, error) { return f.table, nil }
+
+func (f fixed) Endpoint(o protocol.Object) (protocol.Endpoint, error) {
+	return protocol.Endpoint{ID: o.Name, Service: "plain", Address: o.Name}, nil
+}
+
+// TestATableIsInForceOnlyOnceItsServicesHaveEndpoints looks at the roster at the
+// first moment at which a table is in force.
+func TestATableIsInForceOnlyOnceItsServicesHaveEndpoints(t *testing.T) {
+	f := &Front{
+		Counters: &metric.Set{},
+		Outside: Outside{RoutingName: "main", Decoder: fixed{table: protocol.Routing{
+			Version: 1, Services: []protocol.RoutedService{{Name: "plain"}},
+		}}},
+	}
+	var records []protocol.Object
+	for i := range 5000 { // building the view takes a while
+		records = append(records, protocol.Object{Name: fmt.Sprint("e", i), Version: uint64(i + 1)})
+	}
+	(&endpointSink{front: f}).Listed(records, time.Now())
+	found := make(chan bool)
+	go func() {
+		for f.routing.Current() == nil {
+			runtime.Gosched()
+		}
+		found <- f.roster.View().Model(roster.ModelName("plain", "")) != nil
+	}()
+	(&routingSink{front: f}).Listed([]protocol.Object{{Name: "main", Version: 9000}}, time.Now())
+	require.True(t, <-found)
+}
