--- a/command/front.go
+++ b/command/front.go
@@ -37,6 +37,7 @@
 }
 
 func (v *frontVerb) run(ctx context.Context, o *output) int {
+	hangups := catchHangups()
 	file, ok := readSettings(v.file, o)
 	if !ok {
 		return exitUsage
@@ -55,7 +56,7 @@
 	if err := f.Start(); err != nil {
 		return o.fail(exitFailed, fmt.Errorf("the entry can't start: %w; check the addresses in its settings", err))
 	}
-	w := &settingsWatch{file: v.file, logger: logger, done: ctx.Done()}
+	w := &settingsWatch{file: v.file, logger: logger, signals: hangups, done: ctx.Done()}
 	go w.run()
 	<-ctx.Done()
 	f.Stop(time.Now())
--- a/command/settings_watch.go
+++ b/command/settings_watch.go
@@ -20,22 +20,29 @@
 // settingsWatch reads the settings file again when a signal says that it has
 // changed, and when its time of change says so.
 type settingsWatch struct {
-	file   string
-	logger *slog.Logger
-	done   <-chan struct{}
-	seen   time.Time
+	file    string
+	logger  *slog.Logger
+	signals <-chan os.Signal
+	done    <-chan struct{}
+	seen    time.Time
 }
 
-func (w *settingsWatch) run() {
+// catchHangups returns the signals that say that the settings file has changed. They
+// stay caught until the process has ended, also while it stops: one that nobody
+// catches ends the process at once, with every open answer.
+func catchHangups() <-chan os.Signal {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	return signals
+}
+
+func (w *settingsWatch) run() {
 	w.changed()
 	t := time.NewTicker(settingsEvery)
 	defer t.Stop()
 	for {
 		select {
-		case <-signals:
+		case <-w.signals:
 			w.changed()
 			w.read("signal")
 		case <-t.C:
--- a/deployed_test.go
+++ b/deployed_test.go
@@ -263,6 +263,7 @@
 	two.until(func() bool { return runs() > begun }, "the stream has begun")
 	require.NoError(t, two.process.Process.Signal(syscall.SIGTERM))
 	two.until(func() bool { return !two.isReady() }, "not ready at once")
+	require.NoError(t, two.process.Process.Signal(syscall.SIGHUP), "a change of the settings must not end it")
 	for _, e := range engines {
 		e.Fail(platformtest.None, 0)
 	}
