forward: one rule for whole answers that meet an open stream

Read once more: the rule stood twice, in takeWhole for successes and as an exception to the retry policy in decide for failures. It is one case of takeWhole now; the retry policy decides the same.

--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -8,7 +8,8 @@
 // service and data center; an endpoint of a plain service is a runner of a model
 // with one layer:
 //
-//	r.Replace(endpoints, routed, now)
+//	r.Services(table.Services())
+//	gone := r.Replace(endpoints, now)
 //	m := r.View().Model(roster.ModelName("fares-llm", "jhb-a"))
 package roster
 
--- a/transport/forward/decide.go
+++ b/transport/forward/decide.go
@@ -43,9 +43,6 @@
 		x.rhythm.restart(now)
 		return
 	}
-	if next == retry.Deliver && x.headSent {
-		next = retry.Fail // a stream that has begun can't end in another answer
-	}
 	switch next {
 	case retry.Deliver:
 		x.deliver(whole)
--- a/transport/forward/take.go
+++ b/transport/forward/take.go
@@ -77,14 +77,15 @@
 	case m.terms.NotRun:
 		x.refused(a, m.terms.AtFault, now)
 		x.decide(a, retry.NotRun, &m)
+	case x.headSent:
+		// The caller has the head of a stream, and this is no part of one, whether
+		// it is a success or the endpoint's own failure.
+		x.decide(a, retry.Broken, &m)
 	case m.head.StatusCode >= http.StatusInternalServerError:
 		x.decide(a, retry.Failed, &m)
 	case promises(m.head.StatusCode) && !x.route.MayRepeat():
 		// Only the endpoint's own word says that a request did not run.
 		x.decide(a, retry.Broken, &m)
-	case x.headSent:
-		// The caller has the head of a stream, and this is no part of one.
-		x.decide(a, retry.Broken, &m)
 	default:
 		a.heard(now)
 		x.deliver(&m)
