--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -107,7 +107,14 @@
 	if err := f.ready.open(l.Readiness, f.readinessHandler()); err != nil {
 		return err
 	}
-	return f.metrics.open(l.Metrics, f.metricsHandler())
+	if err := f.metrics.open(l.Metrics, f.metricsHandler()); err != nil {
+		return err
+	}
+	// Port 0 asks for any free one; who started the front reads here which it is.
+	l.Callers = f.callers.socket.Addr().String()
+	l.Readiness = f.ready.socket.Addr().String()
+	l.Metrics = f.metrics.socket.Addr().String()
+	return nil
 }
 
 // callerLimits returns the limits in force, zero before the first table.
