relay, mirror, watch, front: follow one entry of the data center

Change: the entries of a data center rank themselves alike, and each follows the first that it reaches; keys rest on a confirmation whose age is counted from the follower's own question. The census reads its records stale, at a tenth of the price.

--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -229,7 +229,7 @@
 func Rank(work string, members []protocol.Member) []protocol.Member {
 	scores := make(map[string]uint64, len(members))
 	for _, m := range members {
-		scores[m.Name] = score(work, m.Name)
+		scores[m.Name] = Score(work, m.Name)
 	}
 	ranked := slices.Clone(members)
 	slices.SortFunc(ranked, func(a, b protocol.Member) int {
@@ -238,4 +238,5 @@
 	return ranked
 }
 
-func score(work, name string) uint64 { return xxhash.Sum64String(work + "\x00" + name) }
+// Score is the weight of an entry for a piece of work; the heaviest does it.
+func Score(work, name string) uint64 { return xxhash.Sum64String(work + "\x00" + name) }
--- a/deployed_test.go
+++ b/deployed_test.go
@@ -56,7 +56,7 @@
 // template uses its language.
 func render(t *testing.T, values map[string]any) string {
 	t.Helper()
-	gap := regexp.MustCompile(`\{\{([a-z_.]+)(\|json)?\}\}`)
+	gap := regexp.MustCompile(`\{\{([a-z0-9_.]+)(\|json)?\}\}`)
 	return gap.ReplaceAllStringFunc(read(t, "deploy/front.jsonc"), func(g string) string {
 		m := gap.FindStringSubmatch(g)
 		v, ok := values[m[1]]
@@ -84,7 +84,7 @@
 	text := render(t, map[string]any{
 		"node_name": name, "zone": "a", "ip": "127.0.0.1", "listen.front": m.address, "listen.readiness": m.ready,
 		"platform.address": store, "bounds.grace_s": 8, "bounds.revoke_ms": 5000, "bounds.retry_budget_ratio": 0.2,
-		"bounds.retry_budget_slack": 200, "bounds.budget_window_s": 10, "limits.memory_mb": 284,
+		"bounds.retry_budget_slack": 200, "bounds.budget_window_s": 10, "limits.memory_mb": 284, "internal_ports.0": port(takeAddress(t)),
 	})
 	text = strings.Replace(text, "127.0.0.1:9464", takeAddress(t), 1) // both stand on this machine
 	m.file = filepath.Join(t.TempDir(), name+".jsonc")
@@ -309,3 +309,6 @@
 		}
 	}
 }
+
+// port returns the port of an IP:port.
+func port(address string) string { return address[strings.LastIndexByte(address, ':')+1:] }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -56,6 +56,9 @@
 	LeaseTaken         = Event{8001, "lease taken", slog.LevelInfo}
 	LeaseLost          = Event{8002, "lease lost", slog.LevelWarn}
 	OrderGiven         = Event{8003, "order given", slog.LevelInfo}
+	RelayFollowed      = Event{7004, "peer followed", slog.LevelInfo}
+	RelayLeft          = Event{7005, "peer left", slog.LevelInfo}
+	RelayServed        = Event{7006, "follower gone", slog.LevelInfo}
 	EntriesCounted     = Event{7003, "entries counted", slog.LevelInfo}
 	OrderFailed        = Event{8004, "order failed", slog.LevelWarn}
 	LinesDropped       = Event{9101, "lines dropped", slog.LevelWarn}
@@ -76,7 +79,7 @@
 		PlatformUnreached, PlatformBack,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
 		PeerConnected, PeerLost,
-		EntriesCounted,
+		EntriesCounted, RelayFollowed, RelayLeft, RelayServed,
 		LeaseTaken, LeaseLost, OrderGiven, OrderFailed,
 		PlanConfirmed, LinesDropped,
 	}
--- a/protocol/object.go
+++ b/protocol/object.go
@@ -40,10 +40,12 @@
 }
 
 // Changes are the changes of a kind in order, and the revision from which to
-// watch on.
+// watch on. Relayed says that another entry passed them on, so that they prove
+// nothing about what the platform holds now.
 type Changes struct {
 	Changes []Change
 	At      uint64
+	Relayed bool
 }
 
 // Change is an object as it now is, or was when it went.
--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -99,6 +99,39 @@
 	})
 }
 
+func FuzzDecodeRelay(f *testing.F) {
+	for _, m := range []any{
+		protocol.RelayHello{Name: "e1", Known: []protocol.RelayMark{{Kind: "k", At: 3}}},
+		protocol.RelayAsk{Number: 7},
+		protocol.RelayFrame{
+			Runs:   []protocol.RelayRun{{Kind: "k", After: 3, At: 9, Changes: []protocol.RelayChange{{Name: "o", Version: 4, Value: []byte("{}")}}}},
+			Answer: &protocol.RelayAnswer{Number: 7, ConfirmedMS: 3.5, Version: 4}, FailedMS: -1,
+		},
+	} {
+		good, err := protocol.EncodeRelay(m)
+		require.NoError(f, err)
+		f.Add(good)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if h, err := protocol.DecodeRelayHello(b); err == nil && (h.Name == "" || len(h.Known) == 0) {
+			t.Fatalf("a hello without a name or kinds was taken: %+v", h)
+		}
+		_, _ = protocol.DecodeRelayAsk(b)
+		frame, err := protocol.DecodeRelayFrame(b)
+		if err != nil {
+			return
+		}
+		for _, r := range frame.Runs {
+			if r.Kind == "" || r.After >= r.At {
+				t.Fatalf("a run that goes nowhere was taken: %+v", r)
+			}
+		}
+		if a := frame.Answer; a != nil && a.ConfirmedMS < 0 && a.ConfirmedMS != -1 {
+			t.Fatalf("a confirmation of the future was taken: %+v", a)
+		}
+	})
+}
+
 func FuzzDecodePeer(f *testing.F) {
 	good, err := protocol.EncodePeer(protocol.PeerFrame{
 		Hello:  &protocol.Member{Name: "e1", Address: "127.0.0.1:1"},
--- a/settings/front.go
+++ b/settings/front.go
@@ -27,11 +27,14 @@
 }
 
 // FrontListen is where a front serves callers, the balancer's questions whether
-// it is ready, and metrics.
+// it is ready, metrics, and its peers.
 type FrontListen struct {
 	Callers   string `json:"callers" validate:"required,hostname_port"`
 	Readiness string `json:"readiness" validate:"required,hostname_port"`
 	Metrics   string `json:"metrics" validate:"required,hostname_port"`
+	// Peers is where other entries follow this one; without it none does, and it
+	// follows none.
+	Peers string `json:"peers" validate:"omitempty,hostname_port"`
 }
 
 // StopBy returns when an entry told to stop now is killed.
--- /dev/null
+++ b/state/mirror/mirror.go
@@ -0,0 +1,238 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package mirror is what an entry knows of the platform's objects, and the latest
+// changes of them, so that other entries can learn from it what the platform told.
+//
+// A Mirror takes whole lists and runs of changes, in whatever order they come from
+// the platform and from other entries, and tells the changes since a revision:
+//
+//	m.Listed("servers", listing)
+//	m.Took("servers", mirror.Run{After: 7, At: 9, Changes: changes})
+//	run, ok := m.Since("servers", 7)
+package mirror
+
+import (
+	"slices"
+	"sync"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+const (
+	// keptRuns and keptBytes bound the changes that are remembered of a kind: those of
+	// some ten seconds of a day on which the whole fleet changes.
+	keptRuns  = 128
+	keptBytes = 4 << 20
+)
+
+// Run takes whoever knows a kind as it was at revision After to revision At. Changes
+// that were watched also serve who knows a later revision than After. A difference
+// between two lists does not: it lacks what came and went between them.
+type Run struct {
+	After      uint64
+	At         uint64
+	Difference bool
+	Changes    []protocol.Change
+}
+
+// Mirror holds the objects of several kinds. The zero value is empty.
+type Mirror struct {
+	mutex   sync.Mutex
+	kinds   map[string]*kind
+	changed chan struct{} // closed at the next change
+}
+
+// kind is the objects of one kind.
+type kind struct {
+	objects map[string]protocol.Object
+	at      uint64
+	runs    []Run // the latest, each going on where the one before it ends
+	bytes   int   // of the values in them
+}
+
+// At returns the revision up to which a kind is known, 0 before its first list.
+func (m *Mirror) At(name string) uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if k := m.kinds[name]; k != nil {
+		return k.at
+	}
+	return 0
+}
+
+// Object returns an object and whether it is there.
+func (m *Mirror) Object(kindName, name string) (protocol.Object, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	k := m.kinds[kindName]
+	if k == nil {
+		return protocol.Object{}, false
+	}
+	o, ok := k.objects[name]
+	return o, ok
+}
+
+// Changed returns a channel that closes at the next change of any kind.
+func (m *Mirror) Changed() <-chan struct{} {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.changed == nil {
+		m.changed = make(chan struct{})
+	}
+	return m.changed
+}
+
+// Listed takes a whole list. What it changes is remembered as a run, so that those
+// who learn from here need no list of their own.
+func (m *Mirror) Listed(name string, l protocol.Listing) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	k := m.kind(name)
+	if k.at == 0 {
+		k.at = max(1, l.At)
+		for _, o := range l.Objects {
+			k.objects[o.Name] = o
+		}
+		m.wake()
+		return
+	}
+	if l.At < k.at {
+		return // a list that was asked for before newer changes came
+	}
+	if l.At == k.at {
+		return
+	}
+	k.append(k.difference(l))
+	k.at = l.At
+	m.wake()
+}
+
+// Forget drops what is known of a kind, so that it has to be listed anew.
+func (m *Mirror) Forget(name string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	delete(m.kinds, name)
+	m.wake()
+}
+
+// Took takes a run of changes, and reports whether it goes on from what is known.
+// A run that ends before is known already.
+func (m *Mirror) Took(name string, r Run) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	k := m.kind(name)
+	if r.At <= k.at {
+		return true
+	}
+	if k.at == 0 || r.After > k.at || r.Difference && r.After != k.at {
+		return false
+	}
+	r.After = k.at
+	k.append(r)
+	k.at = r.At
+	m.wake()
+	return true
+}
+
+// Since returns the changes after a revision as one run, and whether they are all
+// remembered. Of several changes of an object only the last is told.
+func (m *Mirror) Since(name string, after uint64) (Run, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	k := m.kinds[name]
+	if k == nil || after >= k.at {
+		return Run{After: after, At: after}, true
+	}
+	all := Run{After: after, At: after}
+	if len(k.runs) == 0 || k.runs[0].After > after {
+		return all, false
+	}
+	for _, r := range k.runs {
+		if r.At <= after {
+			continue
+		}
+		if r.Difference && r.After < after {
+			return all, false
+		}
+		all.Changes = append(all.Changes, r.Changes...)
+		all.At = r.At
+		all.Difference = all.Difference || r.Difference
+	}
+	all.Changes = lastOfEach(all.Changes)
+	return all, true
+}
+
+// lastOfEach returns the last change of each object, in order.
+func lastOfEach(changes []protocol.Change) []protocol.Change {
+	last := make(map[string]int, len(changes))
+	for i, c := range changes {
+		last[c.Object.Name] = i
+	}
+	if len(last) == len(changes) {
+		return changes
+	}
+	kept := make([]protocol.Change, 0, len(last))
+	for i, c := range changes {
+		if last[c.Object.Name] == i {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+func (m *Mirror) kind(name string) *kind {
+	if m.kinds == nil {
+		m.kinds = make(map[string]*kind)
+	}
+	k := m.kinds[name]
+	if k == nil {
+		k = &kind{objects: make(map[string]protocol.Object)}
+		m.kinds[name] = k
+	}
+	return k
+}
+
+// wake tells those who wait for a change.
+func (m *Mirror) wake() {
+	if m.changed != nil {
+		close(m.changed)
+		m.changed = nil
+	}
+}
+
+// difference returns the run from what is known to a list.
+func (k *kind) difference(l protocol.Listing) Run {
+	r := Run{After: k.at, At: l.At, Difference: true}
+	listed := make(map[string]bool, len(l.Objects))
+	for _, o := range l.Objects {
+		listed[o.Name] = true
+		if known, ok := k.objects[o.Name]; !ok || known.Version < o.Version {
+			r.Changes = append(r.Changes, protocol.Change{Object: o})
+		}
+	}
+	for _, o := range k.objects {
+		if !listed[o.Name] {
+			r.Changes = append(r.Changes, protocol.Change{Object: o, Gone: true})
+		}
+	}
+	return r
+}
+
+// append remembers a run that goes on from the last and applies it.
+func (k *kind) append(r Run) {
+	for _, c := range r.Changes {
+		k.bytes += len(c.Object.Value)
+		if c.Gone {
+			delete(k.objects, c.Object.Name)
+		} else {
+			k.objects[c.Object.Name] = c.Object
+		}
+	}
+	k.runs = append(k.runs, r)
+	for len(k.runs) > 1 && (len(k.runs) > keptRuns || k.bytes > keptBytes) {
+		for _, c := range k.runs[0].Changes {
+			k.bytes -= len(c.Object.Value)
+		}
+		k.runs = slices.Delete(k.runs, 0, 1)
+	}
+}
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -90,10 +90,12 @@
 }
 
 // Outage notes that the platform did not answer at that time.
-func (r *Roster) Outage(now time.Time) {
+func (r *Roster) Outage(at time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.outage = now
+	if at.After(r.outage) {
+		r.outage = at
+	}
 }
 
 // Replace takes a whole list. It returns the endpoints that are gone.
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -3,7 +3,9 @@
 package front
 
 import (
+	"crypto/rand"
 	"log/slog"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +21,7 @@
 	"pinerun.example/pinerun/state/routing"
 	"pinerun.example/pinerun/transport/director"
 	"pinerun.example/pinerun/transport/forward"
+	"pinerun.example/pinerun/transport/relay"
 	"pinerun.example/pinerun/transport/watch"
 )
 
@@ -45,12 +48,14 @@
 	latency   forward.Latency
 	forwarder forward.Forwarder
 	director  director.Director
+	source    relay.Source
 	watchers  []*watch.Watcher
 	confirmer watch.Confirmer
 	register  register
 	callers   callers
 	ready     listener
 	metrics   listener
+	peers     listener
 	stopping  atomic.Bool
 	reached   atomic.Bool // the platform answered last
 }
@@ -71,33 +76,56 @@
 		Self: s.Name, LeaseKind: leaseKind, Routing: &f.routing, Roster: &f.roster, Engines: f.Outside.Engines,
 		Objects: f.Outside.Objects, Entries: f.forwarder.Entries, Counters: f.Counters, Logger: f.Logger,
 	}
+	f.source = relay.Source{
+		Platform: f.Outside.Objects, Self: protocol.EntryRecord{Name: s.Name, DataCenter: s.DataCenter},
+		Kinds: []string{f.Outside.RoutingKind, f.Outside.EndpointKind}, Kind: f.Outside.RoutingKind, Name: f.Outside.RoutingName,
+		Counters: f.Counters, Logger: f.Logger, Failed: f.roster.Outage,
+	}
 	if err := f.listen(); err != nil {
 		return err
 	}
 	f.forwarder.Start()
 	f.director.Start()
+	f.watch()
+	f.register.front = f
+	go f.register.run()
+	go f.run()
+	event.EntryReady.Log(f.Logger, slog.String("data_center", s.DataCenter),
+		slog.String("callers", s.Listen.Callers), slog.String("store", s.Store))
+	return nil
+}
+
+// watch begins to follow the platform's objects.
+func (f *Front) watch() {
 	tables := &routingSink{front: f}
 	f.watchers = []*watch.Watcher{
-		{Source: f.Outside.Objects, Kind: f.Outside.RoutingKind, Sink: tables, Entries: f.forwarder.Entries},
-		{Source: f.Outside.Objects, Kind: f.Outside.EndpointKind, Sink: &endpointSink{front: f}, Entries: f.forwarder.Entries},
+		{Source: &f.source, Kind: f.Outside.RoutingKind, Sink: tables, Entries: f.watching},
+		{Source: &f.source, Kind: f.Outside.EndpointKind, Sink: &endpointSink{front: f}, Entries: f.watching},
 	}
 	f.confirmer = watch.Confirmer{
-		Source: f.Outside.Objects, Kind: f.Outside.RoutingKind, Name: f.Outside.RoutingName,
+		Source: &f.source, Kind: f.Outside.RoutingKind, Name: f.Outside.RoutingName,
 		Sink: tables, Watchers: f.watchers,
 	}
+	f.source.Start()
 	for _, w := range f.watchers {
 		w.Start()
 	}
 	f.confirmer.Start()
-	f.register.front = f
-	go f.register.run()
-	go f.run()
-	event.EntryReady.Log(f.Logger, slog.String("data_center", s.DataCenter),
-		slog.String("callers", s.Listen.Callers), slog.String("store", s.Store))
-	return nil
 }
 
-// listen opens the addresses for callers, the balancer and metrics.
+// watching returns how many entries watch the platform themselves: one of each data
+// center where entries follow each other.
+func (f *Front) watching() int {
+	if f.Settings.Listen.Peers == "" {
+		return f.forwarder.Entries()
+	}
+	if n := f.register.centers.Load(); n > 0 {
+		return int(n)
+	}
+	return f.forwarder.Entries()
+}
+
+// listen opens the addresses for callers, the balancer, metrics and peers.
 func (f *Front) listen() error {
 	l := &f.Settings.Listen
 	f.callers.limits = f.callerLimits
@@ -110,10 +138,33 @@
 	if err := f.metrics.open(l.Metrics, f.metricsHandler()); err != nil {
 		return err
 	}
+	if err := f.listenToPeers(); err != nil {
+		return err
+	}
 	// Port 0 asks for any free one; who started the front reads here which it is.
 	l.Callers = f.callers.socket.Addr().String()
 	l.Readiness = f.ready.socket.Addr().String()
 	l.Metrics = f.metrics.socket.Addr().String()
+	f.source.Self.Callers = l.Callers
+	return nil
+}
+
+// listenToPeers opens the address for peers, if the settings name one. The key that
+// they have to show is drawn anew for each life.
+func (f *Front) listenToPeers() error {
+	l := &f.Settings.Listen
+	if l.Peers == "" {
+		return nil
+	}
+	key := rand.Text()
+	mux := http.NewServeMux()
+	mux.Handle(relay.Path, &relay.Server{Source: &f.source, Key: key})
+	if err := f.peers.open(l.Peers, mux); err != nil {
+		return err
+	}
+	l.Peers = f.peers.socket.Addr().String()
+	f.source.Self.Peers = l.Peers
+	f.source.Self.Key = key
 	return nil
 }
 
--- a/transport/front/outside.go
+++ b/transport/front/outside.go
@@ -26,6 +26,7 @@
 type Objects interface {
 	watch.Source
 	director.Objects
+	ListLately(ctx context.Context, kind string) (protocol.Listing, error)
 	Delete(ctx context.Context, kind, name string, known uint64) error
 }
 
--- a/transport/front/stop.go
+++ b/transport/front/stop.go
@@ -49,10 +49,12 @@
 		w.Close()
 	}
 	f.confirmer.Close()
+	f.source.Close()
 	f.register.done.Close()
 	f.director.Close()
 	f.forwarder.Close()
 	f.callers.close()
 	f.ready.close()
 	f.metrics.close()
+	f.peers.close()
 }
--- /dev/null
+++ b/transport/relay/seeker.go
@@ -0,0 +1,160 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pinerun.example/pinerun/coordination/relay"
+	"pinerun.example/pinerun/protocol"
+)
+
+const (
+	// dialLimit bounds the way to a peer and its first frame, before which it may ask
+	// the platform.
+	dialLimit = 300*time.Millisecond + relay.QuickFor
+	// avoidFirst is how long a peer that could not be reached or could not confirm is
+	// left out; it doubles with each time in a row, up to avoidMost.
+	avoidFirst = time.Second
+	avoidMost  = 16 * time.Second
+	avoidTimes = 4
+	// steadyAfter is how long a peer must have been followed for what was before to be
+	// forgotten.
+	steadyAfter = 10 * time.Second
+	// seekEvery is how often it is looked for a better peer although nothing was heard.
+	seekEvery = 2 * time.Second
+)
+
+// avoidance is until when a peer is left out, and how often in a row it was.
+type avoidance struct {
+	till  time.Time
+	times int
+}
+
+// seeker finds the peer to follow.
+type seeker struct {
+	source *Source
+
+	mutex   sync.Mutex
+	records []protocol.EntryRecord
+	avoided map[string]avoidance // by name
+	woken   chan struct{}
+}
+
+func (s *seeker) run() {
+	t := time.NewTicker(seekEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.source.done.Done():
+			return
+		case <-s.wakes():
+		case <-t.C:
+		}
+		s.seek()
+	}
+}
+
+// seek follows the first peer that it reaches, unless that one is followed already.
+func (s *seeker) seek() {
+	if s.source.Self.Peers == "" || !s.source.listed() || s.source.followers.Load() > 0 {
+		return
+	}
+	s.steady(time.Now())
+	for _, m := range s.candidates(time.Now()) {
+		if l := s.source.following(); l != nil && l.peer.Name == m.Name {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
+		l, err := dial(ctx, s.source, m)
+		cancel()
+		if err != nil {
+			s.avoid(m.Name, time.Now())
+			continue
+		}
+		s.source.follow(l)
+		go l.run()
+		return
+	}
+}
+
+// listed reports whether every kind was listed: a peer passes on only changes.
+func (s *Source) listed() bool {
+	for _, k := range s.Kinds {
+		if s.mirror.At(k) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// candidates returns whom to try, in order.
+func (s *seeker) candidates(now time.Time) []protocol.EntryRecord {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var open []protocol.EntryRecord
+	for _, r := range relay.Before(s.source.Self, s.records) {
+		if now.After(s.avoided[r.Name].till) {
+			open = append(open, r)
+		}
+	}
+	return open
+}
+
+// avoid leaves a peer out for a while.
+func (s *seeker) avoid(name string, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.avoided == nil {
+		s.avoided = make(map[string]avoidance)
+	}
+	a := s.avoided[name]
+	if now.Before(a.till) {
+		return
+	}
+	a.till = now.Add(min(avoidMost, avoidFirst<<min(a.times, avoidTimes)))
+	a.times++
+	s.avoided[name] = a
+}
+
+// steady forgets what was before with a peer that has been followed for a while.
+func (s *seeker) steady(now time.Time) {
+	l := s.source.following()
+	if l == nil || now.Sub(l.since) < steadyAfter {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.avoided, l.peer.Name)
+}
+
+func (s *seeker) learn(records []protocol.EntryRecord) {
+	s.mutex.Lock()
+	s.records = records
+	s.mutex.Unlock()
+	s.wake()
+}
+
+// wake makes the seeker look now.
+func (s *seeker) wake() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.woken == nil {
+		s.woken = make(chan struct{}, 1)
+	}
+	select {
+	case s.woken <- struct{}{}:
+	default:
+	}
+}
+
+func (s *seeker) wakes() <-chan struct{} {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.woken == nil {
+		s.woken = make(chan struct{}, 1)
+	}
+	return s.woken
+}
--- a/transport/watch/confirm.go
+++ b/transport/watch/confirm.go
@@ -4,33 +4,44 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"pinerun.example/pinerun/internal/part"
 	"pinerun.example/pinerun/protocol"
-	"pinerun.example/pinerun/transport/platform"
 )
 
-const (
-	// confirmEvery is how often the object is read. Keys are trusted for a bound
-	// counted from the last confirmation, so an outage finds as much of the bound
-	// spent as the last confirmation is old.
-	confirmEvery = 1400 * time.Millisecond
-	// confirmAgain is when to read it again after a failed call.
-	confirmAgain = 300 * time.Millisecond
-)
+// Reading is an object as the platform held it at a time. The zero value says that
+// nobody has written it yet.
+type Reading struct {
+	object protocol.Object
+	at     time.Time
+}
+
+// Read returns the reading of an object.
+func Read(o protocol.Object, at time.Time) Reading { return Reading{object: o, at: at} }
+
+// Object returns the object.
+func (r Reading) Object() protocol.Object { return r.object }
 
-// Getter is the platform as far as a Confirmer needs it.
-type Getter interface {
-	Get(ctx context.Context, kind, name string) (protocol.Object, error)
+// At returns a time at which the platform held the object so, zero if it has none.
+func (r Reading) At() time.Time { return r.at }
+
+// Reader reads objects, from the platform or from a peer that knows how fresh its
+// knowledge is.
+type Reader interface {
+	Read(ctx context.Context, kind, name string) (Reading, error)
+	// Next returns when to read again.
+	Next(now time.Time, failed bool) time.Time
+	// Following reports whether watchers hear through a peer.
+	Following() bool
 }
 
 // Confirmer reads one object at a steady rate, because a watch that hears nothing
 // can't tell how fresh that is. When a read fails, and when reads succeed again,
-// the watchers beside it begin anew: their calls may hang in what broke.
+// the watchers beside it begin anew, unless they hear through a peer: their calls
+// may hang in what broke.
 type Confirmer struct {
-	Source   Getter
+	Source   Reader
 	Kind     string
 	Name     string
 	Sink     Sink
@@ -49,45 +60,35 @@
 func (c *Confirmer) run() {
 	ctx, cancel := c.done.Context()
 	defer cancel()
-	rest := confirmEvery
 	for {
-		t := time.NewTimer(rest)
+		t := time.NewTimer(time.Until(c.Source.Next(time.Now(), c.failed)))
 		select {
 		case <-t.C:
 		case <-c.done.Done():
 			t.Stop()
 			return
 		}
-		rest = c.read(ctx)
+		c.read(ctx)
 	}
 }
 
-// read reads the object once and returns how long to rest.
-func (c *Confirmer) read(ctx context.Context) time.Duration {
-	asked := time.Now()
-	o, err := c.Source.Get(ctx, c.Kind, c.Name)
+// read reads the object once.
+func (c *Confirmer) read(ctx context.Context) {
+	r, err := c.Source.Read(ctx, c.Kind, c.Name)
 	if c.done.Closed() {
-		return confirmEvery
-	}
-	var missing *platform.NotFound
-	if errors.As(err, &missing) {
-		return confirmEvery // the platform answers, and nobody has written it yet
+		return
 	}
+	before := c.failed
+	c.failed = err != nil
 	if err != nil {
 		c.Sink.Failed(err, time.Now())
-		if !c.failed {
-			c.restart()
-		}
-		c.failed = true
-		return confirmAgain
+	} else if !r.at.IsZero() {
+		c.Sink.Changed(protocol.Change{Object: r.object}, time.Now())
+		c.Sink.Confirmed(r.at)
 	}
-	c.Sink.Changed(protocol.Change{Object: o}, time.Now())
-	c.Sink.Confirmed(asked)
-	if c.failed {
+	if c.failed != before && !c.Source.Following() {
 		c.restart()
 	}
-	c.failed = false
-	return confirmEvery
 }
 
 func (c *Confirmer) restart() {
--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -28,11 +28,13 @@
 	// hush is how long before its end a watch may have missed a change: the
 	// platform's watches hear nothing for up to a second before it forgets.
 	hush = time.Second
-	// gatherEach is how long a watch rests after news, for each entry, and gatherMost
-	// the longest rest. Endpoints come and change many at a time, each of them would
-	// end a call of every entry, and the platform's rate does not grow with entries.
-	gatherEach = 10 * time.Millisecond
-	gatherMost = 500 * time.Millisecond
+	// gatherEach is how long a watch rests after news, for each entry that watches
+	// the platform itself; gatherLeast and gatherMost bound the rest. Endpoints come
+	// and change many at a time, each of them would end a call of every such entry,
+	// and the platform's rate does not grow with entries.
+	gatherEach  = 10 * time.Millisecond
+	gatherLeast = 80 * time.Millisecond
+	gatherMost  = 500 * time.Millisecond
 	// startingFor is how long after its start a watcher rests startingRests times as
 	// long after news: a whole fleet may be starting with it.
 	startingFor   = 8 * time.Second
@@ -62,7 +64,7 @@
 	Source Source
 	Kind   string
 	Sink   Sink
-	// Entries returns how many entries watch alike; nil counts as one.
+	// Entries returns how many entries call the platform alike; nil counts as one.
 	Entries func() int
 
 	done      part.Done
@@ -138,15 +140,18 @@
 	for _, change := range c.Changes {
 		w.Sink.Changed(change, now)
 	}
-	if len(c.Changes) > 0 {
+	switch {
+	case c.Relayed:
+		w.from = max(w.from, c.At)
+	case len(c.Changes) > 0:
 		// Only news moves the place to go on from: a watch that heard nothing
 		// may have missed something, and its old place then is found forgotten.
 		w.from = max(w.from, c.At)
 		w.Sink.Confirmed(asked)
 		w.rest(w.gather(now))
-		return nil
+	default:
+		w.Sink.Confirmed(asked.Add(Wait - hush))
 	}
-	w.Sink.Confirmed(asked.Add(Wait - hush))
 	return nil
 }
 
@@ -159,7 +164,7 @@
 	if now.Before(w.startedBy) {
 		rest *= startingRests
 	}
-	return min(gatherMost, rest)
+	return min(gatherMost, max(gatherLeast, rest))
 }
 
 // failed lists anew after a call without an answer: what happened meanwhile may
--- a/transport/watch/watch_test.go
+++ b/transport/watch/watch_test.go
@@ -73,12 +73,15 @@
 type sink struct {
 	mutex     sync.Mutex
 	listed    int
+	listedAt  time.Time
 	changed   []string
 	confirmed time.Time
 	failed    int
 }
 
-func (s *sink) Listed([]protocol.Object, time.Time) { s.locked(func() { s.listed++ }) }
+func (s *sink) Listed(_ []protocol.Object, now time.Time) {
+	s.locked(func() { s.listed++; s.listedAt = now })
+}
 
 func (s *sink) Changed(c protocol.Change, _ time.Time) {
 	s.locked(func() { s.changed = append(s.changed, c.Object.Name) })
@@ -141,58 +144,81 @@
 	})
 }
 
-// getter answers reads by script; after the last one reads succeed.
-type getter struct {
-	mutex sync.Mutex
-	errs  []error
-	reads int
-}
-
-func (g *getter) Get(context.Context, string, string) (protocol.Object, error) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.reads++
-	if len(g.errs) == 0 {
-		return protocol.Object{Name: "o"}, nil
+// reader answers reads by script; after the last one reads succeed.
+type reader struct {
+	mutex     sync.Mutex
+	errs      []error
+	reads     int
+	unwritten bool
+	following bool
+}
+
+func (r *reader) Read(context.Context, string, string) (watch.Reading, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.reads++
+	if r.unwritten {
+		return watch.Reading{}, nil
+	}
+	good := watch.Read(protocol.Object{Name: "o"}, time.Now())
+	if len(r.errs) == 0 {
+		return good, nil
 	}
-	err := g.errs[0]
-	g.errs = g.errs[1:]
-	return protocol.Object{Name: "o"}, err
+	err := r.errs[0]
+	r.errs = r.errs[1:]
+	return good, err
 }
 
-func TestAFailedReadMakesTheWatchersBeginAnew(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		src, snk := &source{steps: []step{list(7), {after: time.Hour}}}, &sink{}
+func (r *reader) Next(now time.Time, _ bool) time.Time { return now.Add(time.Second) }
+func (r *reader) Following() bool                      { return r.following }
+
+// confirm runs a confirmer over a script beside a watcher whose second call hangs.
+func confirm(t *testing.T, r *reader, limit time.Duration) *sink {
+	snk := &sink{}
+	synctest.Test(t, func(*testing.T) {
+		src := &source{steps: []step{list(7), {after: time.Hour}}}
 		w := &watch.Watcher{Source: src, Kind: "k", Sink: snk}
-		g := &getter{errs: []error{nil, errors.New("silent"), errors.New("silent")}}
-		c := &watch.Confirmer{Source: g, Kind: "k", Name: "o", Sink: snk, Watchers: []*watch.Watcher{w}}
+		c := &watch.Confirmer{Source: r, Kind: "k", Name: "o", Sink: snk, Watchers: []*watch.Watcher{w}}
 		w.Start()
 		c.Start()
-		time.Sleep(4 * time.Second)
+		time.Sleep(limit)
 		synctest.Wait()
 		snk.locked(func() {
-			require.GreaterOrEqual(t, snk.listed, 2, "the call that hung was given up")
-			require.Equal(t, 2, snk.failed)
-			require.Less(t, time.Since(snk.confirmed), 1500*time.Millisecond)
+			if !r.unwritten {
+				require.Less(t, time.Since(snk.confirmed), 1500*time.Millisecond)
+			}
 		})
 		c.Close()
 		w.Close()
 		synctest.Wait()
 	})
+	return snk
+}
+
+func TestAFailedReadMakesTheWatchersBeginAnew(t *testing.T) {
+	snk := confirm(t, &reader{errs: []error{nil, errors.New("silent"), errors.New("silent")}}, 4*time.Second+time.Millisecond)
+	require.GreaterOrEqual(t, snk.listed, 2, "the call that hung was given up")
+	require.Equal(t, 2, snk.failed)
+}
+
+func TestWatchersThatHearThroughAPeerGoOnWhenAReadFails(t *testing.T) {
+	snk := confirm(t, &reader{following: true, errs: []error{nil, errors.New("silent")}}, 4*time.Second+time.Millisecond)
+	require.Equal(t, 1, snk.listed)
+	require.Equal(t, 1, snk.failed)
 }
 
 func TestAnObjectThatNobodyWroteIsNoOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		snk := &sink{}
-		c := &watch.Confirmer{Source: &getter{errs: []error{platform.Missing("k", "o")}}, Sink: snk}
-		c.Start()
-		time.Sleep(2 * time.Second)
-		synctest.Wait()
-		snk.locked(func() {
-			require.Zero(t, snk.failed)
-			require.True(t, snk.confirmed.IsZero())
-		})
-		c.Close()
-		synctest.Wait()
-	})
+	snk := confirm(t, &reader{unwritten: true}, 2*time.Second+time.Millisecond)
+	require.Zero(t, snk.failed)
+	require.Equal(t, 1, snk.listed)
+}
+
+func TestWhatAPeerPassedOnProvesNothingAboutThePlatform(t *testing.T) {
+	relayed := news(9, "a")
+	relayed.changes.Relayed = true
+	quiet := step{changes: &protocol.Changes{At: 11, Relayed: true}, after: watch.Wait}
+	src, snk := play(t, watch.Wait+time.Second, list(7), relayed, quiet)
+	require.Equal(t, []string{"a"}, snk.changed)
+	require.Equal(t, []uint64{0, 7, 9, 11}, src.asked[:4], "a peer tells the place to go on from")
+	require.Less(t, snk.confirmed.Sub(snk.listedAt), time.Second, "confirmed by the list alone")
 }
