watch, relay, director: fewer calls while the platform is away

Change: watchers rest up to 1.6 s and are woken by the confirmer that finds the platform back; reads of an entry that nobody follows double from 0.3 to 1.2 s; followers ask each 2.8 s after two calls without an answer, and leave orders to their peers for 2 s.

--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -32,9 +32,12 @@
 	// QuickFor is how long a call to a platform that is well takes at most, many times
 	// the 4 ms of the users' deployments. A slower one says nothing about the peer.
 	QuickFor = 250 * time.Millisecond
-	// AskedEvery is the least time between two calls to the platform by an entry whose
-	// peer can't confirm: both may find the platform down, and each call has a price.
-	AskedEvery = 1400 * time.Millisecond
+	// AskedFirst is the least time between two calls to the platform by an entry whose
+	// peer can't confirm, and AskedMost that after several without an answer: both may
+	// find the platform down, and each call has a price. An entry that reaches it again
+	// counts as such after three seconds.
+	AskedFirst = 1400 * time.Millisecond
+	AskedMost  = 2800 * time.Millisecond
 )
 
 // work names what entries are ranked for.
@@ -70,13 +73,14 @@
 // which the peer had all that the platform held, zero when it could not say; Held is
 // the version that this entry has of the object that both confirm, Told the peer's.
 // AskedAt is when this entry last called the platform because its peer could not
-// confirm, FollowedAt when it began to follow the peer.
+// confirm, Unanswered how many such calls in a row had no answer, FollowedAt when it began to follow the peer.
 type Query struct {
 	Now        time.Time
 	Confirmed  time.Time
 	Held       uint64
 	Told       uint64
 	AskedAt    time.Time
+	Unanswered int
 	FollowedAt time.Time
 }
 
@@ -102,13 +106,21 @@
 	switch {
 	case fresh && q.Held >= q.Told:
 		return Trust{}
-	case q.Now.Sub(q.AskedAt) < AskedEvery:
+	case q.Now.Before(q.askFrom()):
 		return Wait{}
 	default:
 		return Ask{}
 	}
 }
 
+// askFrom returns from when the platform may be asked again.
+func (q *Query) askFrom() time.Time {
+	if q.Unanswered > 1 {
+		return q.AskedAt.Add(AskedMost)
+	}
+	return q.AskedAt.Add(AskedFirst)
+}
+
 // Leave reports whether a peer that could not confirm is to be left, now that the
 // platform has answered this entry: only if it answered as fast as one that is well
 // does, because then it is the peer that is in trouble; and not in the first moment,
--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -34,6 +34,9 @@
 	// stagger spreads the entries' attempts to take the lease, for each entry, so
 	// that one write is made where all see the same work.
 	stagger = 60 * time.Millisecond
+	// followerRest is how much later an entry that learns through a peer tries: the
+	// peers know sooner, and most work is done by then.
+	followerRest = 2 * time.Second
 	// askLimit bounds one round with an engine, and one with the platform for the
 	// lease: both answer in some ms.
 	askLimit = time.Second
@@ -59,7 +62,8 @@
 	Roster    *roster.Roster
 	Engines   Engines
 	Objects   Objects
-	Entries   func() int // how many entries there may be
+	Entries   func() int  // how many entries may try alike
+	Following func() bool // whether this entry learns through a peer, nil for never
 	Counters  *metric.Set
 	Logger    *slog.Logger
 
@@ -135,5 +139,9 @@
 
 // spread returns a part of the time over which the entries' attempts are spread.
 func (d *Director) spread() time.Duration {
-	return rand.N(stagger * time.Duration(max(1, d.Entries())))
+	part := rand.N(stagger * time.Duration(max(1, d.Entries())))
+	if d.Following != nil && d.Following() {
+		part += followerRest
+	}
+	return part
 }
--- a/transport/director/director_test.go
+++ b/transport/director/director_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"sync"
@@ -13,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"pinerun.example/pinerun/coordination/lease"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/fleet"
@@ -161,6 +163,34 @@
 	return d
 }
 
+// TestFollowersLeaveOrdersToTheirPeers runs a director that learns through a peer
+// beside one that does not, and then alone.
+func TestFollowersLeaveOrdersToTheirPeers(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(2)
+			follower := w.director(t, "follower")
+			follower.Following = func() bool { return true }
+			first := w.director(t, "first")
+			follower.Start()
+			if !alone {
+				first.Start()
+			}
+			time.Sleep(10 * time.Second)
+			synctest.Wait()
+			var r lease.Record
+			require.NoError(t, json.Unmarshal(w.object.Value, &r))
+			require.Equal(t, alone, r.Holder == "follower")
+			for _, e := range w.engines {
+				require.NotEmpty(t, e.orders)
+			}
+			follower.Close()
+			first.Close()
+			synctest.Wait()
+		})
+	}
+}
+
 // play runs that many directors for a time.
 func play(t *testing.T, w *world, directors int, limit time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -74,7 +74,7 @@
 	f.forwarder.OpenBudget(census.Least, s.RetrySlack, s.RetryWindow(time.Now()))
 	f.director = director.Director{
 		Self: s.Name, LeaseKind: leaseKind, Routing: &f.routing, Roster: &f.roster, Engines: f.Outside.Engines,
-		Objects: f.Outside.Objects, Entries: f.forwarder.Entries, Counters: f.Counters, Logger: f.Logger,
+		Objects: f.Outside.Objects, Entries: f.watching, Following: f.source.Following, Counters: f.Counters, Logger: f.Logger,
 	}
 	f.source = relay.Source{
 		Platform: f.Outside.Objects, Self: protocol.EntryRecord{Name: s.Name, DataCenter: s.DataCenter},
@@ -113,13 +113,10 @@
 	f.confirmer.Start()
 }
 
-// watching returns how many entries watch the platform themselves: one of each data
-// center where entries follow each other.
+// watching returns how many entries watch the platform as this one does: where
+// entries follow it, one of each data center.
 func (f *Front) watching() int {
-	if f.Settings.Listen.Peers == "" {
-		return f.forwarder.Entries()
-	}
-	if n := f.register.centers.Load(); n > 0 {
+	if n := f.register.centers.Load(); n > 0 && f.source.Followed() {
 		return int(n)
 	}
 	return f.forwarder.Entries()
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -43,8 +43,11 @@
 	// often they ask it: together well below relay.FreshFor.
 	confirmFollowed = 450 * time.Millisecond
 	askEvery        = 350 * time.Millisecond
-	// failedAgain is when to read again after a call that failed.
-	failedAgain = 300 * time.Millisecond
+	// failedFirst is when to read again after a call that failed; an entry that nobody
+	// follows doubles it with each in a row, up to failedMost.
+	failedFirst = 300 * time.Millisecond
+	failedMost  = 1200 * time.Millisecond
+	failedRuns  = 2
 )
 
 // Platform is the platform's object store as far as a Source needs it.
@@ -77,6 +80,7 @@
 	link      *link         // to the peer that is followed, nil for none
 	linked    chan struct{} // closed when link changes
 	askedAt   time.Time     // of the platform, because the peer could not confirm
+	failures  int           // calls of reads without an answer, in a row
 	confirmed confirmation
 	awaited   confirmation // not passed on yet, because the watch has not brought that version
 	failedAt  time.Time    // when a call of this entry last failed
@@ -106,6 +110,9 @@
 // Learn takes the records of the entries that there may be.
 func (s *Source) Learn(records []protocol.EntryRecord) { s.seeker.learn(records) }
 
+// Followed reports whether other entries follow this one.
+func (s *Source) Followed() bool { return s.followers.Load() > 0 }
+
 // Following reports whether watchers hear through a peer.
 func (s *Source) Following() bool { return s.following() != nil }
 
@@ -216,7 +223,8 @@
 	if peer == nil {
 		return s.readPlatform(ctx, kind, name)
 	}
-	q := relay.Query{AskedAt: s.lastAsked(), FollowedAt: peer.since}
+	q := relay.Query{FollowedAt: peer.since}
+	q.AskedAt, q.Unanswered = s.lastAsked()
 	q.Confirmed, q.Told = peer.ask(ctx)
 	q.Now = time.Now()
 	held, _ := s.mirror.Object(kind, name)
@@ -250,8 +258,10 @@
 	s.note(err)
 	var missing *platform.NotFound
 	if errors.As(err, &missing) {
+		s.counted(nil)
 		return watch.Reading{}, nil // the platform answers, and nobody has written it yet
 	}
+	s.counted(err)
 	if err != nil {
 		return watch.Reading{}, err
 	}
@@ -300,8 +310,11 @@
 	switch {
 	case s.Following():
 		return now.Add(askEvery)
+	case failed && s.followers.Load() > 0:
+		return now.Add(failedFirst)
 	case failed:
-		return now.Add(failedAgain)
+		_, failures := s.lastAsked()
+		return now.Add(min(failedMost, failedFirst<<min(max(0, failures-1), failedRuns)))
 	case s.followers.Load() > 0:
 		return now.Add(confirmFollowed)
 	default:
@@ -309,10 +322,22 @@
 	}
 }
 
-func (s *Source) lastAsked() time.Time {
+// lastAsked returns when the platform was last asked because the peer could not
+// confirm, and how many reads in a row had no answer.
+func (s *Source) lastAsked() (time.Time, int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.askedAt
+	return s.askedAt, s.failures
+}
+
+// counted counts reads without an answer.
+func (s *Source) counted(err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.failures++
+	if err == nil {
+		s.failures = 0
+	}
 }
 
 func (s *Source) setAsked(now time.Time) {
--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -39,9 +39,10 @@
 	// long after news: a whole fleet may be starting with it.
 	startingFor   = 8 * time.Second
 	startingRests = 4
-	// pauseFirst and pauseMost bound the rest after a failed call.
+	// pauseFirst and pauseMost bound the rest after a failed call. A Confirmer that
+	// finds the platform back ends the rest.
 	pauseFirst = 100 * time.Millisecond
-	pauseMost  = 800 * time.Millisecond
+	pauseMost  = 1600 * time.Millisecond
 )
 
 // Source is the platform.
@@ -73,11 +74,13 @@
 	startedBy time.Time // until when a fleet may be starting
 	mutex     sync.Mutex
 	cut       context.CancelFunc // ends the call that waits
+	wake      chan struct{}      // ends a rest
 }
 
 // Start begins to follow.
 func (w *Watcher) Start() {
 	w.startedBy = time.Now().Add(startingFor)
+	w.wake = make(chan struct{}, 1)
 	go w.run()
 }
 
@@ -94,13 +97,18 @@
 	}
 }
 
-// Restart makes the watcher give up a call that waits and list anew.
+// Restart makes the watcher give up a call that waits and list anew, or end its
+// rest.
 func (w *Watcher) Restart() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.cut != nil {
 		w.cut()
 	}
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
 }
 
 // step makes one call, which Restart can end.
@@ -188,7 +196,12 @@
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
+	case <-w.wake: // of a time before the rest
+	default:
+	}
+	select {
 	case <-t.C:
+	case <-w.wake:
 	case <-w.done.Done():
 	}
 }
--- a/transport/watch/watch_test.go
+++ b/transport/watch/watch_test.go
@@ -222,3 +222,21 @@
 	require.Equal(t, []uint64{0, 7, 9, 11}, src.asked[:4], "a peer tells the place to go on from")
 	require.Less(t, snk.confirmed.Sub(snk.listedAt), time.Second, "confirmed by the list alone")
 }
+
+func TestARestEndsWhenThePlatformIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		down := step{err: errors.New("down")}
+		src, snk := &source{steps: []step{down, down, down, down, down, down, down}}, &sink{}
+		w := &watch.Watcher{Source: src, Kind: "k", Sink: snk}
+		w.Start()
+		time.Sleep(4 * time.Second) // it rests longer each time
+		synctest.Wait()
+		asked := len(src.asked)
+		require.LessOrEqual(t, asked, 7)
+		w.Restart()
+		synctest.Wait()
+		require.Greater(t, len(src.asked), asked)
+		w.Close()
+		synctest.Wait()
+	})
+}
