--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -62,9 +62,20 @@
 	return s.storm.world.entries[s.draw.IntN(len(s.storm.world.entries))]
 }
 
+// endpoint draws a live endpoint, one of a plain service as often as an engine.
 func (s *series) endpoint() *endpoint {
-	all := s.storm.world.all()
-	return all[s.draw.IntN(len(all))]
+	live := s.storm.world.live(s.draw.IntN(2) == 0)
+	return live[s.draw.IntN(len(live))]
+}
+
+// last waits as long as a fault lasts: mostly shorter than what the bounds allow for,
+// now and then longer.
+func (s *series) last() {
+	if s.draw.IntN(4) == 0 {
+		s.pause(4000, 8000)
+		return
+	}
+	s.pause(100, 4000)
 }
 
 // fault injects one fault and waits until it is over.
@@ -135,7 +146,7 @@
 	e := s.entry()
 	s.storm.tell("pause " + e.name)
 	e.pause(syscall.SIGSTOP)
-	s.pause(100, 4000)
+	s.last()
 	e.pause(syscall.SIGCONT)
 }
 
@@ -181,7 +192,7 @@
 		s.pause(100, 1000) // watches hear nothing for a second at most, then the history goes
 		store.Forget()
 	} else {
-		s.pause(100, 4000)
+		s.last()
 	}
 	store.Fail(platformtest.StoreFaults{})
 }
@@ -199,7 +210,7 @@
 		return
 	}
 	p.set(states[n])
-	s.pause(100, 4000)
+	s.last()
 	if s.draw.IntN(2) == 0 {
 		p.reset() // what was held up is lost
 	}
@@ -230,7 +241,7 @@
 	n := s.draw.IntN(len(faults))
 	s.storm.tell(e.ID + " " + []string{"refuses", "hangs", "cuts", "fails", "unsigned", "other id", "extra", "closes", "pauses"}[n])
 	e.Fail(faults[n], s.draw.IntN(platformtest.StreamEvents))
-	s.pause(100, 3000)
+	s.last()
 	e.Fail(platformtest.None, 0)
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,7 +30,7 @@
 )
 
 // besides is how many series of faults run side by side.
-const besides = 4
+const besides = 6
 
 // seedsFile holds the seeds that ever failed, each with the cause.
 const seedsFile = "testdata/seeds.txt"
