soak: look for work after the bound, withdraw keys unheard

Cause: mutants that ignore leaving endpoints and trust keys for ever survived: the calm's requests came within its own slack, and no cut met a withdrawn key.

--- a/soak/calm_test.go
+++ b/soak/calm_test.go
@@ -12,6 +12,10 @@
 	"pinerun.example/pinerun/platform/platformtest"
 )
 
+// drainSlack is how much later than the bound a request may reach an endpoint that
+// leaves: it was on its way.
+const drainSlack = 300 * time.Millisecond
+
 // calm checks, after a storm, the promises that are bounded in time.
 type calm struct {
 	world *world
@@ -100,7 +104,8 @@
 		old := live[0]
 		w.addEndpoint(engine, old.center)
 		w.leave(old)
-		time.Sleep(drainBound)
+		late := old.leaving.Add(drainBound + drainSlack)
+		time.Sleep(time.Until(late))
 		for _, e := range w.entries {
 			for range 3 {
 				for _, kind := range []string{"once", "again", "stream"} {
@@ -110,7 +115,6 @@
 				}
 			}
 		}
-		late := old.leaving.Add(drainBound + scheduling/10)
 		for _, r := range old.Came() {
 			if r.At.After(late) {
 				w.problem("%s reached %s %v after it said that it leaves", r.ID, old.ID, r.At.Sub(old.leaving))
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -83,7 +83,7 @@
 	faults := []func(){
 		s.killEntry, s.stopEntry, s.pauseEntry, s.hangUp, s.killMany,
 		s.disturbStore, s.disturbStoreWay, s.disturbCallers, s.disturbEndpointWay,
-		s.failEndpoint, s.replaceEndpoint, s.crashEndpoint, s.changeTable,
+		s.failEndpoint, s.replaceEndpoint, s.crashEndpoint, s.changeTable, s.withdrawUnheard,
 	}
 	faults[s.draw.IntN(len(faults))]()
 }
@@ -289,3 +289,17 @@
 	s.storm.tell("give the spare key")
 	w.changeTable("key", "spare")
 }
+
+// withdrawUnheard takes the spare key away while an entry can't hear of it, until well
+// after the key must not be taken any more.
+func (s *series) withdrawUnheard() {
+	w, e := s.storm.world, s.entry()
+	s.storm.tell("take the spare key away, unheard by " + e.name)
+	w.changeTable("key", "spare")
+	s.pause(300, 1000)
+	e.store.set(linkState{stopOut: true, stopIn: true})
+	w.changeTable("key")
+	time.Sleep(keyWithdrawn)
+	s.pause(1000, 2000)
+	e.store.set(linkState{})
+}
