lease, director: give the lease up when there is no more work

The lease had been taken at 10.6 s and had lapsed without work; its own holder waited its whole length again, and so would any other entry. Change: a holder takes its own lapsed lease at once (the condition of the write is that nobody else took it), gives it up after half a second without work and without an order in doubt, and one that finds it held looks again after a second instead of three. The model of lease_test has the release now; 20,000 drawn runs, mutants still caught.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -36,7 +36,7 @@
 
 // Record is a lease's content in the platform.
 type Record struct {
-	Holder string `json:"holder"`
+	Holder string `json:"holder"` // empty when it was given up
 	Epoch  uint64 `json:"epoch"`
 	// Nonce differs in each write, so that every renewal has its own mark.
 	Nonce uint64 `json:"nonce"`
@@ -92,7 +92,7 @@
 		return Read{}
 	case l.mine():
 		return l.renew(now)
-	case l.version == 0 || now.Sub(l.since) > Length:
+	case l.version == 0 || l.record.Holder == "" || now.Sub(l.since) > Length:
 		return l.write(l.record.Epoch+1, now)
 	case now.Sub(l.readAt) >= lookEvery:
 		return Read{}
@@ -101,16 +101,36 @@
 	}
 }
 
+// Release returns the write that gives the lease up, so that others need not wait for
+// its end, and whether this entry holds it. The caller must give no order any more.
+func (l *Lease) Release(now time.Time) (Write, bool) {
+	if _, held := l.Epoch(now); !held {
+		return Write{}, false
+	}
+	l.writes++
+	l.heldUntil = time.Time{}
+	l.asking = Record{Epoch: l.record.Epoch, Nonce: l.writes}
+	l.askedAt = now
+	return Write{known: l.version, record: l.asking}, true
+}
+
+// Released takes the success of that write.
+func (l *Lease) Released(version uint64) {
+	l.version = version
+	l.record = l.asking
+	l.since = l.askedAt
+	l.readAt = l.askedAt
+}
+
 // mine reports whether the record seen last is this entry's own, still held by
-// its clock. A record of ours that lapsed is taken anew, with a new epoch, like
-// anybody else's.
+// its clock. A record of ours that lapsed is taken anew, with a new epoch.
 func (l *Lease) mine() bool { return l.record.Holder == l.Self && !l.heldUntil.IsZero() }
 
 func (l *Lease) renew(now time.Time) Action {
 	if now.After(l.heldUntil) {
+		// The condition of the write is that nobody else has taken it since.
 		l.heldUntil = time.Time{}
-		l.since = now // wait a whole length before taking it again
-		return Read{}
+		return l.write(l.record.Epoch+1, now)
 	}
 	if next := l.askedAt.Add(renewEvery); now.Before(next) {
 		return Rest{till: next}
@@ -147,7 +167,11 @@
 	l.seen = true
 	l.readAt = now
 	if version != 0 && r == l.asking && version != l.version {
-		l.take(version)
+		if r.Holder == "" {
+			l.Released(version)
+		} else {
+			l.take(version)
+		}
 		return
 	}
 	if version != l.version {
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -43,6 +43,7 @@
 	skew   time.Duration
 	paused bool
 	flight lease.Action
+	gives  bool   // the write in flight gives the lease up
 	order  uint64 // epoch of an order that was decided on and not yet sent
 }
 
@@ -74,16 +75,33 @@
 		e.lease.Seen(w.version, w.record, w.clock(e))
 	case lease.Write:
 		if w.version != a.Known() && w.mutant != unmatched {
+			e.gives = false
 			e.lease.Doubt()
 			return
 		}
 		w.version++
 		w.record = a.Record()
-		if lost {
+		switch {
+		case lost:
 			e.lease.Doubt()
-			return
+		case e.gives:
+			e.lease.Released(w.version)
+		default:
+			e.lease.Wrote(w.version)
 		}
-		e.lease.Wrote(w.version)
+	}
+	e.gives = false
+}
+
+// release lets an entry that has decided on no order give the lease up.
+func (w *world) release(i int) {
+	e := w.entries[i]
+	if e.paused || e.flight != nil || e.order != 0 {
+		return
+	}
+	if write, ok := e.lease.Release(w.clock(e)); ok {
+		e.flight = write
+		e.gives = true
 	}
 }
 
@@ -138,8 +156,9 @@
 		"step": func(t *rapid.T) {
 			w.step(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry"), rapid.IntRange(0, 3).Draw(t, "lost") == 0)
 		},
-		"decide": func(t *rapid.T) { w.decide(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry")) },
-		"send":   func(t *rapid.T) { w.send(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry")) },
+		"release": func(t *rapid.T) { w.release(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry")) },
+		"decide":  func(t *rapid.T) { w.decide(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry")) },
+		"send":    func(t *rapid.T) { w.send(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry")) },
 		"pause": func(t *rapid.T) {
 			e := rapid.SampledFrom(w.entries).Draw(t, "who")
 			e.paused = !e.paused
@@ -218,3 +237,37 @@
 	_, holds := w.entries[0].lease.Epoch(w.clock(w.entries[0]))
 	require.True(t, holds)
 }
+
+// takes lets an entry act until it rests, and reports whether it holds the lease then.
+func (w *world) takes(i int) bool {
+	for range 6 {
+		w.step(i, false)
+	}
+	_, holds := w.entries[i].lease.Epoch(w.clock(w.entries[i]))
+	return holds
+}
+
+func TestALeaseThatWasGivenUpIsTakenAtOnce(t *testing.T) {
+	w := newWorld(sound, 2)
+	require.True(t, w.takes(0))
+	require.False(t, w.takes(1))
+	w.release(0)
+	w.step(0, false)
+	_, holds := w.entries[0].lease.Epoch(w.clock(w.entries[0]))
+	require.False(t, holds)
+	w.now = w.now.Add(time.Second)
+	require.True(t, w.takes(1))
+	require.Equal(t, uint64(2), w.record.Epoch)
+}
+
+func TestAHolderTakesItsOwnLapsedLeaseAtOnce(t *testing.T) {
+	w := newWorld(sound, 2)
+	require.True(t, w.takes(0))
+	w.now = w.now.Add(lease.Length)
+	require.True(t, w.takes(0))
+	require.Equal(t, uint64(2), w.record.Epoch)
+	w.now = w.now.Add(lease.Length)
+	require.False(t, w.takes(1), "the other has just seen it for the first time")
+	require.True(t, w.takes(0))
+	require.False(t, w.takes(1))
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -55,6 +55,8 @@
 	PeerLost           = Event{7002, "peer lost", slog.LevelWarn}
 	LeaseTaken         = Event{8001, "lease taken", slog.LevelInfo}
 	LeaseLost          = Event{8002, "lease lost", slog.LevelWarn}
+	LeaseReleased      = Event{8005, "lease given up", slog.LevelInfo}
+	LeaseUnsure        = Event{8006, "lease write unsure", slog.LevelWarn}
 	OrderGiven         = Event{8003, "order given", slog.LevelInfo}
 	RelayFollowed      = Event{7004, "peer followed", slog.LevelInfo}
 	RelayLeft          = Event{7005, "peer left", slog.LevelInfo}
@@ -80,7 +82,7 @@
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
 		PeerConnected, PeerLost,
 		EntriesCounted, RelayFollowed, RelayLeft, RelayServed,
-		LeaseTaken, LeaseLost, OrderGiven, OrderFailed,
+		LeaseTaken, LeaseLost, OrderGiven, OrderFailed, LeaseReleased, LeaseUnsure,
 		PlanConfirmed, LinesDropped,
 	}
 }
--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -67,16 +67,17 @@
 	Counters  *metric.Set
 	Logger    *slog.Logger
 
-	done    part.Done
-	lease   lease.Lease
-	held    bool
-	starts  map[string]*start // of services whose engines hold nothing yet
-	basis   basis
-	again   time.Time // when the moves are worked out although nothing has changed
-	waitTo  time.Time // when this entry tries to take the lease for work that it sees
-	mutex   sync.Mutex
-	ordered map[string]order     // by endpoint ID, still in doubt
-	resting map[string]time.Time // by endpoint ID, until when it gets no order
+	done     part.Done
+	lease    lease.Lease
+	held     bool
+	starts   map[string]*start // of services whose engines hold nothing yet
+	basis    basis
+	again    time.Time // when the moves are worked out although nothing has changed
+	waitTo   time.Time // when this entry tries to take the lease for work that it sees
+	idleFrom time.Time // when there was last work
+	mutex    sync.Mutex
+	ordered  map[string]order     // by endpoint ID, still in doubt
+	resting  map[string]time.Time // by endpoint ID, until when it gets no order
 }
 
 // basis is what moves are worked out from.
@@ -114,6 +115,7 @@
 func (d *Director) look(now time.Time) {
 	b := basis{table: d.Routing.Current(), endpoints: d.Roster.Changes()}
 	if b == d.basis && now.Before(d.again) {
+		d.release(now)
 		return
 	}
 	d.basis = b
@@ -124,6 +126,7 @@
 		return
 	}
 	d.again = now // there is work: look again at once
+	d.idleFrom = now
 	if d.waitTo.IsZero() {
 		d.waitTo = now.Add(d.spread())
 	}
--- a/transport/director/director_test.go
+++ b/transport/director/director_test.go
@@ -178,15 +178,16 @@
 			}
 			time.Sleep(10 * time.Second)
 			synctest.Wait()
-			var r lease.Record
-			require.NoError(t, json.Unmarshal(w.object.Value, &r))
-			require.Equal(t, alone, r.Holder == "follower")
-			for _, e := range w.engines {
-				require.NotEmpty(t, e.orders)
-			}
 			follower.Close()
 			first.Close()
 			synctest.Wait()
+			require.Equal(t, alone, follower.Counters.Value(string(metric.OrdersGiven)) > 0)
+			for _, e := range w.engines {
+				require.NotEmpty(t, e.orders)
+			}
+			var r lease.Record
+			require.NoError(t, json.Unmarshal(w.object.Value, &r))
+			require.Empty(t, r.Holder, "the lease was given up when there was no more work")
 		})
 	}
 }
--- a/transport/director/lease.go
+++ b/transport/director/lease.go
@@ -17,11 +17,14 @@
 const (
 	// leaseName names the lease.
 	leaseName = "placement"
-	// heldRest is how long an entry that finds the lease held leaves it alone: it
-	// can't be taken sooner.
-	heldRest = lease.Length
+	// heldRest is how long an entry that finds the lease held leaves it alone. Its
+	// holder gives it up when it sees no more work, and may not see what this one does.
+	heldRest = time.Second
 	// failedRest is when to try again after the platform did not answer.
 	failedRest = 250 * time.Millisecond
+	// releaseAfter is how long after the last order, with none in doubt, the lease is
+	// given up: losses come several at a time.
+	releaseAfter = 500 * time.Millisecond
 	// leaseSteps is how many steps one try at the lease takes at most: read, write,
 	// and read again after a doubt.
 	leaseSteps = 3
@@ -49,6 +52,29 @@
 	return d.epoch()
 }
 
+// release gives the lease up once there has been nothing to order for a while, so that
+// another entry which sees the next work first need not wait for its end.
+func (d *Director) release(now time.Time) {
+	if !d.held || now.Before(d.idleFrom.Add(releaseAfter)) || d.inDoubt() {
+		return
+	}
+	d.held = false
+	w, ok := d.lease.Release(now)
+	if !ok {
+		return // it has lapsed
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askLimit)
+	defer cancel()
+	version, err := d.putLease(ctx, w)
+	if err != nil {
+		d.lease.Doubt()
+		event.LeaseUnsure.Log(d.Logger, slog.String("lease", leaseName), slog.String("cause", err.Error()))
+		return
+	}
+	d.lease.Released(version)
+	event.LeaseReleased.Log(d.Logger, slog.String("lease", leaseName), slog.Uint64("epoch", w.Record().Epoch))
+}
+
 // epoch returns the epoch of the lease and whether this entry holds it. If not, it
 // sets when to try again.
 func (d *Director) epoch() (uint64, bool) {
@@ -88,15 +114,20 @@
 }
 
 func (d *Director) writeLease(ctx context.Context, w lease.Write) {
-	value, err := json.Marshal(w.Record())
+	version, err := d.putLease(ctx, w)
 	if err != nil {
 		d.lease.Doubt()
+		event.LeaseUnsure.Log(d.Logger, slog.String("lease", leaseName), slog.String("cause", err.Error()))
 		return
 	}
-	version, err := d.Objects.Put(ctx, d.LeaseKind, leaseName, w.Known(), value)
+	d.lease.Wrote(version)
+}
+
+// putLease writes the lease under its condition and returns the new version.
+func (d *Director) putLease(ctx context.Context, w lease.Write) (uint64, error) {
+	value, err := json.Marshal(w.Record())
 	if err != nil {
-		d.lease.Doubt()
-		return
+		return 0, err
 	}
-	d.lease.Wrote(version)
+	return d.Objects.Put(ctx, d.LeaseKind, leaseName, w.Known(), value)
 }
