place: fill a hole whole with a spare engine, and cut what passes through it

Change: an engine whose layers others hold too comes first if it fills the hole whole, and breaks off what passes, which goes on elsewhere.

--- a/coordination/place/holes.go
+++ b/coordination/place/holes.go
@@ -4,10 +4,11 @@
 
 import "pinerun.example/pinerun/protocol"
 
-// fillHoles gives every layer without a holder to an empty engine, to the engines
-// beside it while they have room, or to one whose layers are all held by others
-// too; and as the last resort to the engines beside it, at the cost of their room
-// for requests.
+// fillHoles gives every layer without a holder to an empty engine; to one whose layers
+// are all held by others too, if that fills the hole; to the engines beside it while
+// they have room; to one whose layers others hold too although it fills only a part;
+// and as the last resort to the engines beside it, at the cost of their room for
+// requests.
 func (p *pool) fillHoles() []Move {
 	var moves []Move
 	for {
@@ -29,11 +30,14 @@
 	if m := p.idleFor(hole.Layers()); m != nil {
 		return p.give(m, hole, Hole), true
 	}
+	if m := p.spareFor(hole.Layers()); m != nil && m.capacity >= hole.Layers() {
+		return p.shift(m, hole), true
+	}
 	if m, span, ok := p.beside(hole, ownCapacity); ok {
 		return p.extend(m, span), true
 	}
 	if m := p.spareFor(hole.Layers()); m != nil {
-		return p.give(m, hole, Shift), true
+		return p.shift(m, hole), true
 	}
 	if m, span, ok := p.beside(hole, scarceCapacity); ok {
 		return p.extend(m, span), true
@@ -41,6 +45,15 @@
 	return Move{}, false
 }
 
+// shift orders an engine whose layers others hold too to hold a hole. It breaks off
+// what passes through it: that goes on elsewhere after a short pause, while waiting for
+// the longest stream takes ten seconds, in which the data center serves nothing.
+func (p *pool) shift(m *member, hole protocol.Span) Move {
+	move := p.give(m, hole, Shift)
+	move.cut = true
+	return move
+}
+
 // give orders an engine to hold the beginning of a hole, as far as it can.
 func (p *pool) give(m *member, hole protocol.Span, why Reason) Move {
 	span := protocol.Span{From: hole.From, To: min(hole.To, hole.From+m.capacity)}
--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -27,7 +27,7 @@
 
 // Engine is one engine as far as placement needs to know it. Held is what it
 // holds, or what it was ordered to hold when that is still in doubt; Serving is
-// what it is known to hold now.
+// what it is known to hold now. One that leaves takes no orders.
 type Engine struct {
 	ID          string
 	DataCenter  string
@@ -48,6 +48,7 @@
 	engine string
 	span   protocol.Span
 	reason Reason
+	cut    bool
 }
 
 // Engine returns the engine's ID.
@@ -59,6 +60,10 @@
 // Reason returns why.
 func (m Move) Reason() Reason { return m.reason }
 
+// Cut reports whether the engine shall break off what passes through the layers that
+// it gives up, instead of waiting for it.
+func (m Move) Cut() bool { return m.cut }
+
 // Reason says why a move is wanted.
 type Reason string
 
--- a/coordination/place/place_test.go
+++ b/coordination/place/place_test.go
@@ -181,6 +181,28 @@
 	require.Equal(t, place.Shift, moves[0].Reason())
 }
 
+// TestASpareEngineFillsAHoleWhole plays the loss that left a data center of Kovács with
+// one engine of ten layers and little room: the engines beside the hole each took a
+// layer or two, although one held only what another held too.
+func TestASpareEngineFillsAHoleWhole(t *testing.T) {
+	f := facts()
+	span := func(id, kind string, from, to int) place.Engine {
+		s := protocol.Span{From: from, To: to}
+		return place.Engine{ID: id, DataCenter: "c", Accelerator: kind, Held: s, Serving: s}
+	}
+	engines := []place.Engine{
+		span("a", "a100s", 0, 15), span("b", "t4", 0, 6), span("c", "t4", 6, 12), span("d", "l4", 15, 24), span("e", "l4", 15, 24),
+		span("g", "l4", 33, 42), span("h", "l4", 42, 51), span("i", "l4", 51, 60), span("j", "l4", 60, 69), span("k", "l4", 69, 78),
+		span("l", "t4", 78, 80),
+	}
+	moves := place.Plan(place.Query{Facts: f, Engines: engines})
+	require.Len(t, moves, 1)
+	require.Equal(t, protocol.Span{From: 24, To: 33}, moves[0].Span())
+	require.Contains(t, []string{"d", "e"}, moves[0].Engine())
+	require.Equal(t, place.Shift, moves[0].Reason())
+	require.True(t, moves[0].Cut(), "waiting for what passes takes as long as the longest stream")
+}
+
 func TestSmallDataCentersHoldACopyTogether(t *testing.T) {
 	f := facts()
 	engines := fleet(map[string][4]int{"a": {0, 0, 4, 0}, "b": {0, 0, 5, 0}})
--- a/protocol/forward.go
+++ b/protocol/forward.go
@@ -54,6 +54,7 @@
 	Layers     Span
 	Epoch      uint64
 	Orders     int
+	Cut        bool // break off what passes through the layers given up, instead of waiting for it
 }
 
 // OrderAnswer is what became of an order.
--- a/transport/director/order.go
+++ b/transport/director/order.go
@@ -73,6 +73,7 @@
 	d.Counters.Add(metric.OrdersGiven, 1)
 	answer, err := d.Engines.Place(ctx, protocol.PlaceOrder{
 		EndpointID: g.move.Engine(), Address: g.move.address, Layers: g.move.Span(), Epoch: g.epoch, Orders: report.Orders,
+		Cut: g.move.Cut(),
 	})
 	if err != nil {
 		g.failed(err)
@@ -81,7 +82,7 @@
 		g.doubt()
 	}
 	event.OrderGiven.Log(d.Logger, slog.String("runner", g.move.Engine()), slog.String("layers", g.move.Span().String()),
-		slog.String("reason", string(g.move.Reason())), slog.Uint64("epoch", g.epoch), slog.Int("answer", int(answer)))
+		slog.String("reason", string(g.move.Reason())), slog.Bool("cut", g.move.Cut()), slog.Uint64("epoch", g.epoch), slog.Int("answer", int(answer)))
 }
 
 // doubt notes that the order may take effect.
