metric, forward: times of pauses, detection and calls; the limit of heads in force

Latencies of the longest pause, of detection, of calls to the store and to engines are served beside the two that were, from one Set; dropped log lines are a counter. A head longer than the table's limit is refused with 431 and runs nowhere.

--- a/command/front.go
+++ b/command/front.go
@@ -47,11 +47,11 @@
 	}
 	s := *file.Front
 	debug.SetMemoryLimit(int64(s.MemoryMB * heapShare * (1 << 20)))
-	writer := &logs.Writer{Out: o.out}
+	counters := &metric.Set{}
+	writer := &logs.Writer{Out: o.out, Counters: counters}
 	writer.Start()
 	defer func() { writer.Close(time.Now().Add(logsBy)) }()
 	logger := slog.New(logs.NewHandler(writer, logLevel(s.LogLevel))).With(slog.String("entry", s.Name))
-	counters := &metric.Set{}
 	f := &front.Front{Settings: s, Outside: platform.Outside(s.Store, counters), Counters: counters, Logger: logger}
 	if err := f.Start(); err != nil {
 		return o.fail(exitFailed, fmt.Errorf("the entry can't start: %w; check the addresses in its settings", err))
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -33,11 +33,11 @@
 	// the 4 ms of the users' deployments. A slower one says nothing about the peer.
 	QuickFor = 250 * time.Millisecond
 	// AskedFirst is the least time between two calls to the platform by an entry whose
-	// peer can't confirm, and AskedMost that after several without an answer: both may
-	// find the platform down, and each call has a price. An entry that reaches it again
-	// counts as such after three seconds.
+	// peer can't confirm: both may find the platform down, and each call has a price. An
+	// entry that reaches it again counts as such after three seconds.
 	AskedFirst = 1400 * time.Millisecond
-	AskedMost  = 2800 * time.Millisecond
+	// AskedMost is that after several calls without an answer.
+	AskedMost = 2800 * time.Millisecond
 )
 
 // work names what entries are ranked for.
--- a/docs_test.go
+++ b/docs_test.go
@@ -45,6 +45,9 @@
 	for _, n := range metric.Names() {
 		require.Contains(t, page, "`"+string(n)+"`")
 	}
+	for _, what := range metric.AllTimed() {
+		require.Contains(t, page, "`"+string(what)+"_seconds`")
+	}
 	for _, r := range metric.Reasons() {
 		require.Contains(t, page, "`retried."+string(r)+"`")
 	}
--- a/internal/logs/handler.go
+++ b/internal/logs/handler.go
@@ -53,7 +53,7 @@
 		}
 	}
 	if !allowed {
-		h.writer.dropped.Add(1)
+		h.writer.drop(1)
 		return nil
 	}
 	return h.Handler.Handle(ctx, r)
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -19,6 +19,7 @@
 	"sync/atomic"
 	"time"
 
+	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/internal/part"
 )
 
@@ -35,7 +36,8 @@
 
 // Writer is an io.Writer that never blocks. Set Out before Start.
 type Writer struct {
-	Out io.Writer
+	Out      io.Writer
+	Counters *metric.Set // counts dropped lines, nil for nobody
 
 	done    part.Done
 	ended   part.Done
@@ -67,7 +69,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.waiting.Len()+len(line) > bufferMost {
-		w.dropped.Add(1)
+		w.drop(1)
 		return len(line), nil
 	}
 	if w.waiting.Len() == 0 {
@@ -79,6 +81,14 @@
 	return w.waiting.Write(line)
 }
 
+// drop counts lines that are not written.
+func (w *Writer) drop(lines int64) {
+	w.dropped.Add(lines)
+	if w.Counters != nil {
+		w.Counters.Add(metric.LinesDropped, lines)
+	}
+}
+
 // Dropped returns how many lines were dropped so far.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
@@ -111,7 +121,7 @@
 		lines = lines[len(piece):]
 		if _, err := w.Out.Write(piece); err != nil {
 			// There is nowhere left to tell it but the count.
-			w.dropped.Add(int64(bytes.Count(piece, newline)))
+			w.drop(int64(bytes.Count(piece, newline)))
 		}
 	}
 }
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -14,6 +14,7 @@
 
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/logs"
+	"pinerun.example/pinerun/internal/metric"
 )
 
 // stuck is a reader that stands still.
@@ -27,7 +28,7 @@
 func TestAReaderThatStandsStillHoldsNothingUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		out := &stuck{gate: make(chan struct{})}
-		w := &logs.Writer{Out: out}
+		w := &logs.Writer{Out: out, Counters: &metric.Set{}}
 		w.Start()
 		began := time.Now()
 		line := []byte(strings.Repeat("x", 1023) + "\n")
@@ -37,6 +38,7 @@
 		}
 		require.Zero(t, time.Since(began))
 		require.Positive(t, w.Dropped())
+		require.Equal(t, w.Dropped(), w.Counters.Value(string(metric.LinesDropped)))
 		w.Close(time.Now().Add(time.Second))
 		require.Equal(t, time.Second, time.Since(began), "the end waits no longer than told")
 		close(out.gate)
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -11,6 +11,8 @@
 
 import (
 	"expvar"
+	"sync"
+	"time"
 
 	"pinerun.example/pinerun/protocol"
 )
@@ -70,6 +72,7 @@
 	EndpointConnections Name = "endpoint_connections"
 	ReportsAsked        Name = "reports_asked"
 	OrdersGiven         Name = "orders_given"
+	LinesDropped        Name = "log_lines_dropped"
 )
 
 // Names returns every counter that is neither a refusal nor a retry.
@@ -79,12 +82,26 @@
 		RepliesDropped, FramesBroken, ReportsIgnored, PlatformCalls, PlatformFaults,
 		ClaimsGranted, ClaimsReplayed, ClaimWrites, ConfigAccepted, ConfigIgnored,
 		RunnersEjected, PeerConnections, PeerFrames, PeerBytes,
-		EndpointConnections, ReportsAsked, OrdersGiven,
+		EndpointConnections, ReportsAsked, OrdersGiven, LinesDropped,
 	}
 }
 
-// Set is one entry's counters. The zero value counts from nothing.
-type Set struct{ counters expvar.Map }
+// Set is one entry's counters and latencies. The zero value counts from nothing.
+type Set struct {
+	counters expvar.Map
+	times    sync.Map // of *Times by Timed
+}
+
+// Took records how long something took.
+func (s *Set) Took(what Timed, d time.Duration) { s.timesOf(what).Record(d) }
+
+func (s *Set) timesOf(what Timed) *Times {
+	t, ok := s.times.Load(what)
+	if !ok {
+		t, _ = s.times.LoadOrStore(what, &Times{})
+	}
+	return t.(*Times)
+}
 
 // Refused counts a refusal of that kind.
 func (s *Set) Refused(k protocol.Kind) { s.counters.Add("refused."+string(k), 1) }
--- a/internal/metric/text.go
+++ b/internal/metric/text.go
@@ -15,8 +15,8 @@
 // quantiles are the percentiles that the text form tells of a histogram.
 var quantiles = []float64{50, 90, 95, 99, 99.9}
 
-// WriteText writes the counters as lines that common scrapers read. A counter
-// "refused.no_path" becomes pinerun_refused{reason="no_path"}.
+// WriteText writes the counters as lines that common scrapers read, and the latencies
+// after them. A counter "refused.no_path" becomes pinerun_refused{reason="no_path"}.
 func (s *Set) WriteText(w io.Writer) error {
 	var failed error
 	s.counters.Do(func(v expvar.KeyValue) {
@@ -28,11 +28,16 @@
 			failed = err
 		}
 	})
+	for _, what := range AllTimed() {
+		if failed == nil {
+			failed = s.timesOf(what).writeText(w, string(what))
+		}
+	}
 	return failed
 }
 
-// WriteTimes writes the percentiles of what was recorded, in seconds.
-func WriteTimes(w io.Writer, name string, t *Times) error {
+// writeText writes the percentiles of what was recorded, in seconds.
+func (t *Times) writeText(w io.Writer, name string) error {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.histogram == nil {
--- a/internal/metric/times.go
+++ b/internal/metric/times.go
@@ -40,6 +40,27 @@
 	}
 }
 
+// Timed names what a Set records the time of.
+type Timed string
+
+// FirstEvent and WholeAnswer are counted from when a request came in; Pause is the
+// longest between two events of a stream; Detection is how long a stream was silent
+// when it was asked for elsewhere; StoreCall and EngineCall are calls to the platform
+// (watches left out, which wait) and to engines.
+const (
+	FirstEvent  Timed = "first_event"
+	WholeAnswer Timed = "whole_answer"
+	Pause       Timed = "pause"
+	Detection   Timed = "detection"
+	StoreCall   Timed = "store_call"
+	EngineCall  Timed = "engine_call"
+)
+
+// AllTimed returns everything that a Set records the time of.
+func AllTimed() []Timed {
+	return []Timed{FirstEvent, WholeAnswer, Pause, Detection, StoreCall, EngineCall}
+}
+
 // Summary is a snapshot in milliseconds.
 type Summary struct {
 	Count int64   `json:"count"`
--- a/protocol/kind.go
+++ b/protocol/kind.go
@@ -12,6 +12,7 @@
 const (
 	MalformedRequest    Kind = "malformed_request"
 	BodyTooLarge        Kind = "body_too_large"
+	HeadTooLarge        Kind = "head_too_large"
 	WrongKey            Kind = "wrong_key"
 	WrongRole           Kind = "wrong_role"
 	UnknownModel        Kind = "unknown_model"
@@ -51,6 +52,7 @@
 var kinds = map[Kind]kindInfo{
 	MalformedRequest:    {http.StatusBadRequest, "mend the request as the message says and send it again"},
 	BodyTooLarge:        {http.StatusRequestEntityTooLarge, "send a shorter body; the limit is in the message"},
+	HeadTooLarge:        {http.StatusRequestHeaderFieldsTooLarge, "send fewer or shorter headers; the limit is in the message"},
 	WrongKey:            {http.StatusUnauthorized, "send a valid key as 'Authorization: Bearer KEY'"},
 	WrongRole:           {http.StatusForbidden, "use an operator key whose role allows this"},
 	UnknownModel:        {http.StatusNotFound, "ask the operator which models exist"},
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -120,7 +121,11 @@
 		p.mutex.Lock()
 		s, moved := p.state, p.moved
 		p.mutex.Unlock()
-		if !(outward && s.stopOut || !outward && s.stopIn) {
+		stopped := s.stopIn
+		if outward {
+			stopped = s.stopOut
+		}
+		if !stopped {
 			return s.delay
 		}
 		<-moved
@@ -150,7 +155,7 @@
 			continue
 		}
 		p.proxy.pass(p.outward)
-		if tcp, ok := p.to.(*net.TCPConn); ok && err == io.EOF {
+		if tcp, ok := p.to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
 			_ = tcp.CloseWrite()
 			return
 		}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -225,7 +225,7 @@
 }
 
 // addEndpoint starts an endpoint and records it.
-func (w *world) addEndpoint(engine bool, center string) *endpoint {
+func (w *world) addEndpoint(engine bool, center string) {
 	w.mutex.Lock()
 	id := fmt.Sprint("p-", w.made)
 	w.made++
@@ -243,7 +243,6 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.endpoints = append(w.endpoints, e)
-	return e
 }
 
 // hold takes an order: the engine holds other layers from now on.
--- a/transport/forward/admit.go
+++ b/transport/forward/admit.go
@@ -5,6 +5,8 @@
 import (
 	"io"
 	"math/rand/v2"
+	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -33,6 +35,9 @@
 		return protocol.Refuse(protocol.NoConfiguration, "no routing table was read yet").Again(x.begun.Add(againUnsure))
 	}
 	x.table = table
+	if most := table.Callers().HeaderBytes; most > 0 && headBytes(x.request) > most {
+		return protocol.Refuse(protocol.HeadTooLarge, "the head is longer than "+strconv.Itoa(most)+" bytes")
+	}
 	unsure := x.begun.Sub(f.Routing.ConfirmedAt()) > unsureAfter
 	target, _, _ := strings.Cut(x.request.RequestURI, "?")
 	x.route = table.Match(x.request.Host, target)
@@ -53,6 +58,20 @@
 	return x.readBody(table.Callers().BodyBytes)
 }
 
+// headBytes returns how long a request's head was, as far as the library still tells:
+// the request line and a line for each header.
+func headBytes(r *http.Request) int {
+	const lineEnd, separators = 2, 2
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + lineEnd
+	n += len("Host: ") + len(r.Host) + lineEnd
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + separators + len(v) + lineEnd
+		}
+	}
+	return n + lineEnd
+}
+
 // admitTeam finds the team of the caller's key. A key is taken only while the
 // platform has lately confirmed that it was not withdrawn.
 func (x *exchange) admitTeam(unsure bool) *protocol.Refusal {
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -43,7 +43,6 @@
 	Headers  Headers
 	Reporter Reporter
 	Counters *metric.Set
-	Latency  *Latency
 	Logger   *slog.Logger
 	// Budget bounds further sends; it is this entry's part of what all entries
 	// may spend together.
--- a/transport/forward/reply.go
+++ b/transport/forward/reply.go
@@ -82,7 +82,10 @@
 func (x *exchange) answered(status int) {
 	f := x.forwarder
 	took := time.Since(x.begun)
-	f.Latency.Whole.Record(took)
+	f.Counters.Took(metric.WholeAnswer, took)
+	if x.events > 1 {
+		f.Counters.Took(metric.Pause, x.rhythm.longest)
+	}
 	f.Counters.Add(metric.AnsweredInTime, 1)
 	f.log(event.RequestAnswered, x.id(), slog.Int("status", status), slog.Int("events", x.events),
 		slog.Int64("took_ms", took.Milliseconds()), slog.Int("sends", x.tries),
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -80,6 +80,7 @@
 		return action
 	}
 	x.forwarder.Counters.Retried(metric.Silence)
+	x.forwarder.Counters.Took(metric.Detection, now.Sub(x.rhythm.last))
 	x.send(&p)
 	return action
 }
--- a/transport/forward/take.go
+++ b/transport/forward/take.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pinerun.example/pinerun/coordination/retry"
+	"pinerun.example/pinerun/internal/metric"
 )
 
 // take acts on what an attempt tells, as long as the attempt is open.
@@ -52,7 +53,7 @@
 	}
 	if !x.headSent {
 		x.writeStreamHead(m.attempt.answer)
-		x.forwarder.Latency.First.Record(now.Sub(x.begun))
+		x.forwarder.Counters.Took(metric.FirstEvent, now.Sub(x.begun))
 	}
 	x.events++
 	if m.event.id != "" {
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -45,7 +45,6 @@
 	done      part.Done
 	routing   routing.Store
 	roster    roster.Roster
-	latency   forward.Latency
 	forwarder forward.Forwarder
 	director  director.Director
 	source    relay.Source
@@ -67,7 +66,7 @@
 	f.roster.Home = home
 	f.forwarder = forward.Forwarder{
 		Home: home, Routing: &f.routing, Roster: &f.roster, Headers: f.Outside.Headers, Reporter: f.Outside.Engines,
-		Counters: f.Counters, Latency: &f.latency, Logger: f.Logger,
+		Counters: f.Counters, Logger: f.Logger,
 		Budget:    retry.Budget{Share: s.RetryShare * shareKept},
 		TrustKeys: s.KeyTrust,
 	}
--- a/transport/front/side.go
+++ b/transport/front/side.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
-
-	"pinerun.example/pinerun/internal/metric"
 )
 
 // readinessHandler answers the balancer.
@@ -29,17 +27,7 @@
 	e.GET("/metrics", func(c echo.Context) error {
 		c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
 		c.Response().WriteHeader(http.StatusOK)
-		return f.writeMetrics(c.Response())
+		return f.Counters.WriteText(c.Response())
 	})
 	return e
 }
-
-func (f *Front) writeMetrics(w http.ResponseWriter) error {
-	if err := f.Counters.WriteText(w); err != nil {
-		return err
-	}
-	if err := metric.WriteTimes(w, "first_event", &f.latency.First); err != nil {
-		return err
-	}
-	return metric.WriteTimes(w, "whole_answer", &f.latency.Whole)
-}
