--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -242,7 +242,7 @@
 }
 
 // newEntries starts entries of one data center, the first to be followed first.
-func newEntries(t *testing.T, s *store, n int) []*entry {
+func newEntries(t testing.TB, s *store, n int) []*entry {
 	var names []string
 	for i := range n {
 		names = append(names, fmt.Sprint("e-", i))
@@ -251,7 +251,7 @@
 }
 
 // newNamed is newEntries with names.
-func newNamed(t *testing.T, s *store, names ...string) []*entry {
+func newNamed(t testing.TB, s *store, names ...string) []*entry {
 	var all []*entry
 	var records []protocol.EntryRecord
 	for i, name := range names {
