relay: take no followers without the platform, and go on following then

Cause: in an outage followers look for a peer that knows more, and each that they asked gave up following for them.

--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -420,6 +420,22 @@
 	eventually(t, "the news came", func() bool { return all[1].believes.value(table) == "two" })
 }
 
+// TestInAnOutageNobodyCallsForOthers: in an outage of all, followers look for a peer that
+// knows more, and none of those that they ask gives up following for them.
+func TestInAnOutageNobodyCallsForOthers(t *testing.T) {
+	s := newStore()
+	s.put(table, "one")
+	all := newEntries(t, s, 4)
+	s.mutex.Lock()
+	s.down = true
+	s.mutex.Unlock()
+	before := all[3].calls()
+	eventually(t, "the last asks the platform, and then its peers", func() bool { return all[3].calls() >= before+2 })
+	for _, e := range all[1:] {
+		require.True(t, e.source.Following(), "%s went off on its own", e.outside.name)
+	}
+}
+
 func TestAForgottenHistoryIsMadeGoodForFollowers(t *testing.T) {
 	s := newStore()
 	s.put(table, "one")
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -286,12 +286,21 @@
 	}
 }
 
-// beFollowed makes ready for a follower: this entry asks the platform itself from now
-// on, and at once if what it knows is not fresh. It reports whether it is fresh then.
+// beFollowed makes ready for a follower, and reports whether one can be taken: only if
+// the platform answers here, at once or a moment ago. From then on this entry asks the
+// platform itself.
 func (s *Source) beFollowed(ctx context.Context) bool {
+	if !s.reaches(ctx) {
+		return false
+	}
 	if l := s.following(); l != nil {
 		s.leave(l, "another entry follows this one")
 	}
+	return true
+}
+
+// reaches reports whether the platform answers this entry.
+func (s *Source) reaches(ctx context.Context) bool {
 	p := s.passedOn()
 	if time.Since(p.confirmed.at) < confirmFollowed {
 		return true
