bound, command: say what a deployment's engines allow, and what binds

pinerun bound lays a described deployment out as the director would: open requests, requests a second by room and by reading, room after the worst loss of one engine.

--- /dev/null
+++ b/command/bound.go
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/integrii/flaggy"
+
+	"pinerun.example/pinerun/coordination/bound"
+	"pinerun.example/pinerun/coordination/place"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/settings"
+)
+
+// boundVerb says what a deployment's engines allow, from a written description.
+type boundVerb struct{ file string }
+
+func (v *boundVerb) define() *flaggy.Subcommand {
+	s := flaggy.NewSubcommand("bound")
+	s.Description = "Say how many requests a deployment's engines allow, and what binds: pinerun bound -settings FILE"
+	s.String(&v.file, "s", "settings", "the settings file with the section \"fleet\"")
+	return s
+}
+
+func (v *boundVerb) run(_ context.Context, o *output) int {
+	file, ok := readSettings(v.file, o)
+	if !ok {
+		return exitUsage
+	}
+	if file.Fleet == nil {
+		return o.fail(exitUsage, errors.New(`the settings have no section "fleet"; add it`))
+	}
+	facts := factsOf(file.Fleet)
+	engines, err := enginesOf(file.Fleet, facts)
+	if err != nil {
+		return o.fail(exitUsage, err)
+	}
+	if err := printBounds(o, file.Fleet, bound.Fleet(facts, engines)); err != nil {
+		return o.fail(exitFailed, err)
+	}
+	return exitGood
+}
+
+func factsOf(f *settings.Fleet) *protocol.EngineFacts {
+	const kBPerMB = 1000
+	facts := &protocol.EngineFacts{
+		Layers: f.Layers, LayerMB: f.LayerMB, TokenLayerMB: f.TokenKB / kBPerMB / float64(f.Layers),
+		StepMS: f.StepMS, SequenceMS: f.SequenceMS, ReadPerSecond: f.ReadPerSecond, UsualPrompt: f.Prompt, UsualAnswer: f.Answer,
+	}
+	for _, a := range f.Accelerators {
+		facts.Accelerators = append(facts.Accelerators, protocol.AcceleratorFacts{
+			Name: a.Name, MemoryMB: a.MemoryMB, StepFactor: a.StepFactor, ReadFactor: a.ReadFactor,
+		})
+	}
+	return facts
+}
+
+// enginesOf returns each engine by itself, or an error that names an accelerator that
+// is not described.
+func enginesOf(f *settings.Fleet, facts *protocol.EngineFacts) ([]place.Engine, error) {
+	var all []place.Engine
+	for i, e := range f.Engines {
+		if _, known := facts.Accelerator(e.Accelerator); !known {
+			return nil, fmt.Errorf("the accelerator %q of %s is not described; add it to \"accelerators\"", e.Accelerator, e.DataCenter)
+		}
+		for n := range e.Count {
+			all = append(all, place.Engine{ID: fmt.Sprintf("%s-%d-%d", e.DataCenter, i, n), DataCenter: e.DataCenter, Accelerator: e.Accelerator})
+		}
+	}
+	return all, nil
+}
+
+func printBounds(o *output, f *settings.Fleet, centers []bound.Center) error {
+	w := tabwriter.NewWriter(o.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "data center\tcopies\tstages\topen requests\tafter the worst loss\trequests/s by room\tby reading\tbinds")
+	total := 0.0
+	for _, c := range centers {
+		total += c.PerSecond()
+		fmt.Fprintf(w, "%s\t%.2f\t%d\t%.0f\t%.0f\t%.1f\t%.1f\t%s\n",
+			c.Name(), c.Copies(), c.Stages(), c.Room(), c.LossRoom(), c.ByRoom(), c.ByReading(), c.Binds())
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintf(o.out, "asked %.1f requests/s, allowed %.1f: %.2f of the bound\n", f.RequestsPerSecond, total, f.RequestsPerSecond/total)
+	return nil
+}
--- a/command/command.go
+++ b/command/command.go
@@ -57,7 +57,7 @@
 	o := &output{out: out, err: errs}
 	verbs := []verb{
 		&demoVerb{}, &entryVerb{}, &frontVerb{}, &standinVerb{}, &loadVerb{}, &checkVerb{}, &statusVerb{},
-		&intentVerb{}, &plansVerb{}, &capacityVerb{}, &explainVerb{},
+		&intentVerb{}, &plansVerb{}, &capacityVerb{}, &boundVerb{}, &explainVerb{},
 		&endVerb{name: "confirm", description: "Accept a plan; it may be repeated"},
 		&endVerb{name: "withdraw", description: "Take an open plan back"},
 	}
--- /dev/null
+++ b/coordination/bound/fleet_test.go
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package bound_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pinerun.example/pinerun/coordination/bound"
+	"pinerun.example/pinerun/coordination/place"
+	"pinerun.example/pinerun/protocol"
+)
+
+// smallModel has ten layers of 100 MB; a token's cache takes 0.1 MB of each layer.
+func smallModel() *protocol.EngineFacts {
+	return &protocol.EngineFacts{
+		Layers: 10, LayerMB: 100, TokenLayerMB: 0.1, StepMS: 10, SequenceMS: 0.1, ReadPerSecond: 1000, UsualPrompt: 8, UsualAnswer: 2,
+		Accelerators: []protocol.AcceleratorFacts{{Name: "big", MemoryMB: 2000, StepFactor: 1, ReadFactor: 1}, {Name: "small", MemoryMB: 700, StepFactor: 2, ReadFactor: 4}},
+	}
+}
+
+func engines(center, accelerator string, n int) []place.Engine {
+	var all []place.Engine
+	for i := range n {
+		all = append(all, place.Engine{ID: fmt.Sprint(center, "-", accelerator, "-", i), DataCenter: center, Accelerator: accelerator})
+	}
+	return all
+}
+
+func TestOneEngineThatHoldsAll(t *testing.T) {
+	c := bound.Fleet(smallModel(), engines("a", "big", 1))[0]
+	require.InDelta(t, 1, c.Copies(), 1e-9)
+	require.Equal(t, 1, c.Stages())
+	require.InDelta(t, 100, c.Room(), 1e-9, "1,000 MB beside the weights, 1 MB a token, 10 tokens a request")
+	require.InDelta(t, 125, c.ByReading(), 1e-9, "1,000 tokens a second, 8 a prompt")
+	require.InDelta(t, 100/(1.0/125+2*0.020), c.ByRoom(), 1e-9, "10 ms a step and 0.1 ms for each of 100 requests")
+	require.Equal(t, "reading", c.Binds())
+	require.InDelta(t, 0, c.LossRoom(), 1e-9)
+}
+
+func TestADataCenterWithoutACopyServesNothing(t *testing.T) {
+	c := bound.Fleet(smallModel(), engines("a", "small", 1))[0]
+	require.Zero(t, c.Room())
+	require.Zero(t, c.PerSecond())
+}
+
+// TestBoundsOfAnyFleet: a loss never leaves more room, and figures are never negative.
+func TestBoundsOfAnyFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := engines("a", "big", rapid.IntRange(0, 3).Draw(t, "big"))
+		all = append(all, engines("a", "small", rapid.IntRange(1, 6).Draw(t, "small"))...)
+		for _, c := range bound.Fleet(smallModel(), all) {
+			require.LessOrEqual(t, c.LossRoom(), c.Room()+1e-9)
+			require.GreaterOrEqual(t, c.LossRoom(), 0.0)
+			require.GreaterOrEqual(t, c.PerSecond(), 0.0)
+			require.LessOrEqual(t, c.PerSecond(), c.ByReading())
+		}
+	})
+}
--- a/protocol/routing.go
+++ b/protocol/routing.go
@@ -76,6 +76,7 @@
 	LayerMB         float64
 	TokenLayerMB    float64 // cache of one token in one layer
 	StepMS          float64 // one token of one sequence
+	SequenceMS      float64 // how much longer for each further one
 	ReadPerSecond   float64 // prompt tokens
 	LoadMS          float64 // the weights of all layers
 	UsualPrompt     int     // mean tokens of a prompt
--- a/settings/read.go
+++ b/settings/read.go
@@ -52,8 +52,8 @@
 	if err := dec.Decode(&f); err != nil {
 		return f, []Mistake{decodeMistake(content, dec, err)}
 	}
-	if f.Entry == nil && f.Standin == nil && f.Load == nil && f.Front == nil {
-		return f, []Mistake{{what: "has no section", remedy: `give at least one of "entry", "front", "standin" and "load"`}}
+	if f.Entry == nil && f.Standin == nil && f.Load == nil && f.Front == nil && f.Fleet == nil {
+		return f, []Mistake{{what: "has no section", remedy: `give at least one of "entry", "front", "fleet", "standin" and "load"`}}
 	}
 	return f, validateFile(content, &tree, f)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -20,6 +20,7 @@
 	Standin *Standin `json:"standin"`
 	Load    *Load    `json:"load"`
 	Front   *Front   `json:"front"`
+	Fleet   *Fleet   `json:"fleet"`
 }
 
 // Entry is the settings of one entry process. All addresses are IP:port.
