fleet: count a runner dearer yet as its room comes to its end

Change: beside the square of the part of the room that is taken, thirty times its sixth power. The test's figure at full room follows (7 to 37 times), and half room is tested.

--- a/state/fleet/cost.go
+++ b/state/fleet/cost.go
@@ -11,6 +11,10 @@
 	// crowding is how many times longer a layer is taken to need at a runner whose
 	// room is full of this entry's requests and of as many of each entry beside it.
 	crowding = 6.0
+	// overflowing is how many times longer yet when it is full, since a request beyond
+	// it is refused. It grows with the sixth power, so that it counts for little until
+	// three quarters are taken.
+	overflowing = 30.0
 )
 
 // linkSeconds is the expected time there and back, before anything is measured.
@@ -51,7 +55,8 @@
 	layer = slowness * (float64(read)/r.spec.Speed + float64(write)*r.spec.Step)
 	if r.spec.Room > 0 {
 		full := sharers * float64(r.outstanding.Load()) / float64(r.Span().Layers()) / r.spec.Room
-		layer *= 1 + crowding*full*full
+		square := full * full
+		layer *= 1 + crowding*square + overflowing*square*square*square
 	}
 	return fixed, layer
 }
--- a/state/fleet/room_test.go
+++ b/state/fleet/room_test.go
@@ -46,8 +46,11 @@
 	require.InDelta(t, 10.0/1000+100*0.001, empty, 1e-9)
 	r.Sent(250 * 5) // 250 tokens through five layers, a quarter of the room for each of four
 	_, full := r.Parts(now, 10, 100, 4)
-	require.InDelta(t, 7*empty, full, 1e-9)
-	r.Settled(250 * 5)
+	require.InDelta(t, 37*empty, full, 1e-9, "a full runner refuses: rather one that is many times slower")
+	r.Settled(125 * 5)
+	_, half := r.Parts(now, 10, 100, 4)
+	require.InDelta(t, (1+6.0/4+30.0/64)*empty, half, 1e-9, "half of the room is hardly crowded")
+	r.Settled(125 * 5)
 	_, again := r.Parts(now, 10, 100, 4)
 	require.InDelta(t, empty, again, 1e-9)
 }
