--- a/transport/relay/link.go
+++ b/transport/relay/link.go
@@ -145,17 +145,8 @@
 		l.source.Failed(time.Now().Add(-time.Duration(f.FailedMS) * time.Millisecond))
 	}
 	for i := range f.Runs {
-		r := &f.Runs[i]
-		run := mirror.Run{After: r.After, At: r.At, Difference: r.Difference}
-		for k := range r.Changes {
-			c, err := decode(r.Kind, &r.Changes[k])
-			if err != nil {
-				return err
-			}
-			run.Changes = append(run.Changes, c)
-		}
-		if !l.source.mirror.Took(r.Kind, run) {
-			return errGap
+		if err := l.takeRun(&f.Runs[i]); err != nil {
+			return err
 		}
 	}
 	if f.Answer != nil {
@@ -164,6 +155,22 @@
 	return nil
 }
 
+// takeRun takes the changes of one kind.
+func (l *link) takeRun(r *protocol.RelayRun) error {
+	run := mirror.Run{After: r.After, At: r.At, Difference: r.Difference}
+	for i := range r.Changes {
+		c, err := decode(r.Kind, &r.Changes[i])
+		if err != nil {
+			return err
+		}
+		run.Changes = append(run.Changes, c)
+	}
+	if !l.source.mirror.Took(r.Kind, run) {
+		return errGap
+	}
+	return nil
+}
+
 // ask asks the peer how fresh its knowledge is. It returns a time at which the peer
 // had all that the platform held, zero when it could not say, and the version of
 // the confirmed object then.
--- /dev/null
+++ b/transport/relay/read.go
@@ -0,0 +1,122 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"pinerun.example/pinerun/coordination/relay"
+	"pinerun.example/pinerun/transport/platform"
+	"pinerun.example/pinerun/transport/watch"
+)
+
+const (
+	// confirmAlone is how often an entry that nobody follows reads the confirmed
+	// object. Keys are trusted for a bound counted from the last confirmation, so an
+	// outage finds as much of the bound spent as the last confirmation is old.
+	confirmAlone = 1400 * time.Millisecond
+	// confirmFollowed is how often one that others follow reads it, and askEvery how
+	// often they ask it: together well below relay.FreshFor.
+	confirmFollowed = 450 * time.Millisecond
+	askEvery        = 350 * time.Millisecond
+	// failedFirst is when to read again after a call that failed; an entry that nobody
+	// follows doubles it with each in a row, up to failedMost.
+	failedFirst     = 300 * time.Millisecond
+	failedMost      = 1200 * time.Millisecond
+	failedDoublings = 2
+)
+
+// Read reads an object as the platform held it at the time that the reading names.
+func (s *Source) Read(ctx context.Context, kind, name string) (watch.Reading, error) {
+	peer := s.following()
+	if peer == nil {
+		return s.readPlatform(ctx, kind, name)
+	}
+	q := relay.Query{FollowedAt: peer.since}
+	q.AskedAt, q.Unanswered = s.lastAsked()
+	q.Confirmed, q.Told = peer.ask(ctx)
+	q.Now = time.Now()
+	held, _ := s.mirror.Object(kind, name)
+	q.Held = held.Version
+	switch relay.Judge(q).(type) {
+	case relay.Trust:
+		return watch.Read(held, q.Confirmed), nil
+	case relay.Wait:
+		return watch.Reading{}, errUnconfirmed
+	}
+	s.setAsked(q.Now)
+	r, err := s.readPlatform(ctx, kind, name)
+	switch {
+	case err != nil:
+		// It may be that only some entries are turned away: another peer may know more.
+		s.seeker.avoid(peer.peer.Name, time.Now())
+		s.seeker.wake()
+	case relay.Leave(q, time.Now()):
+		s.seeker.avoid(peer.peer.Name, time.Now())
+		s.leave(peer, "it could not confirm what the platform holds")
+	}
+	return r, err
+}
+
+// errUnconfirmed says that neither peer nor platform could confirm an object.
+var errUnconfirmed = errors.New("the followed entry can't confirm it, and the platform was asked a moment ago")
+
+func (s *Source) readPlatform(ctx context.Context, kind, name string) (watch.Reading, error) {
+	asked := time.Now()
+	o, err := s.Platform.Get(ctx, kind, name)
+	s.note(err)
+	var missing *platform.NotFound
+	if errors.As(err, &missing) {
+		s.counted(nil)
+		return watch.Reading{}, nil // the platform answers, and nobody has written it yet
+	}
+	s.counted(err)
+	if err != nil {
+		return watch.Reading{}, err
+	}
+	s.confirm(o, asked)
+	return watch.Read(o, asked), nil
+}
+
+// Next returns when to read again.
+func (s *Source) Next(now time.Time, failed bool) time.Time {
+	switch {
+	case s.Following():
+		return now.Add(askEvery)
+	case failed && s.Followed():
+		return now.Add(failedFirst)
+	case failed:
+		_, failures := s.lastAsked()
+		return now.Add(min(failedMost, failedFirst<<min(max(0, failures-1), failedDoublings)))
+	case s.Followed():
+		return now.Add(confirmFollowed)
+	default:
+		return now.Add(confirmAlone)
+	}
+}
+
+// lastAsked returns when the platform was last asked because the peer could not
+// confirm, and how many reads in a row had no answer.
+func (s *Source) lastAsked() (time.Time, int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.askedAt, s.failures
+}
+
+func (s *Source) setAsked(now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.askedAt = now
+}
+
+// counted counts reads without an answer.
+func (s *Source) counted(err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.failures++
+	if err == nil {
+		s.failures = 0
+	}
+}
--- a/transport/relay/seeker.go
+++ b/transport/relay/seeker.go
@@ -16,14 +16,15 @@
 	// the platform.
 	dialLimit = 300*time.Millisecond + relay.QuickFor
 	// avoidFirst is how long a peer that could not be reached or could not confirm is
-	// left out; it doubles with each time in a row, up to avoidMost.
-	avoidFirst = time.Second
-	avoidMost  = 16 * time.Second
-	avoidTimes = 4
+	// left out; it doubles with each time in a row, avoidDoublings times, which makes
+	// avoidMost.
+	avoidFirst     = time.Second
+	avoidMost      = 16 * time.Second
+	avoidDoublings = 4
 	// steadyAfter is how long a peer must have been followed for what was before to be
 	// forgotten.
 	steadyAfter = 10 * time.Second
-	// seekEvery is how often it is looked for a better peer although nothing was heard.
+	// seekEvery is how often a better peer is looked for although nothing was heard.
 	seekEvery = 2 * time.Second
 )
 
@@ -57,9 +58,10 @@
 	}
 }
 
-// seek follows the first peer that it reaches, unless that one is followed already.
+// seek follows the first peer that it reaches, unless that one is followed already. An
+// entry that serves no peers, has not listed yet or is itself followed looks for none.
 func (s *seeker) seek() {
-	if s.source.Self.Peers == "" || !s.source.listed() || s.source.followers.Load() > 0 {
+	if s.source.Self.Peers == "" || !s.source.listed() || s.source.Followed() {
 		return
 	}
 	s.steady(time.Now())
@@ -80,16 +82,6 @@
 	}
 }
 
-// listed reports whether every kind was listed: a peer passes on only changes.
-func (s *Source) listed() bool {
-	for _, k := range s.Kinds {
-		if s.mirror.At(k) == 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // candidates returns whom to try, in order.
 func (s *seeker) candidates(now time.Time) []protocol.EntryRecord {
 	s.mutex.Lock()
@@ -114,7 +106,7 @@
 	if now.Before(a.till) {
 		return
 	}
-	a.till = now.Add(min(avoidMost, avoidFirst<<min(a.times, avoidTimes)))
+	a.till = now.Add(min(avoidMost, avoidFirst<<min(a.times, avoidDoublings)))
 	a.times++
 	s.avoided[name] = a
 }
