--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -4,7 +4,8 @@
 // changes of them, so that other entries can learn from it what the platform told.
 //
 // A Mirror takes whole lists and runs of changes, in whatever order they come from
-// the platform and from other entries, and tells the changes since a revision:
+// the platform and from other entries, and tells the changes since a revision. It may
+// be used by several goroutines at once.
 //
 //	m.Listed("servers", listing)
 //	m.Took("servers", mirror.Run{After: 7, At: 9, Changes: changes})
@@ -19,8 +20,8 @@
 )
 
 const (
-	// keptRuns and keptBytes bound the changes that are remembered of a kind: those of
-	// some ten seconds of a day on which the whole fleet changes.
+	// keptRuns and keptBytes (of values) bound the changes that are remembered of a
+	// kind: those of some ten seconds of a day on which the whole fleet changes.
 	keptRuns  = 128
 	keptBytes = 4 << 20
 )
@@ -96,11 +97,8 @@
 		m.wake()
 		return
 	}
-	if l.At < k.at {
-		return // a list that was asked for before newer changes came
-	}
-	if l.At == k.at {
-		return
+	if l.At <= k.at {
+		return // nothing new, or asked for before newer changes came
 	}
 	k.append(k.difference(l))
 	k.at = l.At
@@ -180,6 +178,7 @@
 	return kept
 }
 
+// kind returns a kind, empty if nothing was known of it.
 func (m *Mirror) kind(name string) *kind {
 	if m.kinds == nil {
 		m.kinds = make(map[string]*kind)
