relay: say what unanswered counts, and show every action in the example

Every read of the platform counts, not only those because a peer could not confirm; AskedMost holds from the second on, and the example left Wait out.

--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -13,6 +13,7 @@
 //	switch relay.Judge(q).(type) {
 //	case relay.Trust: // the peer knows as much as the platform told a moment ago
 //	case relay.Ask:   // ask the platform
+//	case relay.Wait:  // it was asked a moment ago; ask the peer again soon
 //	}
 package relay
 
@@ -36,7 +37,7 @@
 	// peer can't confirm: both may find the platform down, and each call has a price. An
 	// entry that reaches it again counts as such after three seconds.
 	AskedFirst = 1400 * time.Millisecond
-	// AskedMost is that after several calls without an answer.
+	// AskedMost is that after more than one call without an answer.
 	AskedMost = 2800 * time.Millisecond
 )
 
@@ -73,7 +74,8 @@
 // which the peer had all that the platform held, zero when it could not say; Held is
 // the version that this entry has of the object that both confirm, Told the peer's.
 // AskedAt is when this entry last called the platform because its peer could not
-// confirm, Unanswered how many such calls in a row had no answer, FollowedAt when it began to follow the peer.
+// confirm, Unanswered how many reads of the platform in a row had no answer, and
+// FollowedAt when it began to follow the peer.
 type Query struct {
 	Now        time.Time
 	Confirmed  time.Time
