soak: one topic a file, kinds and keys by name, and one way to end by a reset

Kinds of calls and keys stood as words in twenty places, resetting a connection twice, and the bound on further sends was one long function. A call's end was noted and never read.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,14 +20,29 @@
 // deadline is how long a caller waits.
 const deadline = 6 * time.Second
 
+// The kinds of calls, after the routes of platformtest.Table: what must not run twice,
+// what may, and what is answered by a stream.
+const (
+	once   = "once"
+	again  = "again"
+	stream = "stream"
+)
+
+var kinds = []string{once, again, stream}
+
+// The keys of the one team: usualKey is never taken away, spareKey comes and goes.
+const (
+	usualKey = "key"
+	spareKey = "spare"
+)
+
 // call is one request of a caller and what came of it.
 type call struct {
 	id     string
-	kind   string // once, again or stream
+	kind   string
 	key    string
 	entry  *entry
 	sent   time.Time
-	ended  time.Time
 	status int // 0 when no head came
 	header http.Header
 	body   string
@@ -34,8 +50,8 @@
 	left   bool  // the caller gave up early
 }
 
-// once reports whether the request must not run twice.
-func (c *call) once() bool { return c.kind == "once" }
+// runsOnce reports whether the request must not run twice.
+func (c *call) runsOnce() bool { return c.kind == once }
 
 // promised reports whether the answer says that the request has not run and never
 // will.
@@ -73,7 +89,7 @@
 func startCallers(w *world, draw *rand.Rand) *callers {
 	cs := &callers{world: w, stop: make(chan struct{})}
 	for _, e := range w.entries {
-		for _, kind := range []string{"once", "again", "stream"} {
+		for _, kind := range kinds {
 			c := &caller{
 				callers: cs, entry: e, kind: kind, draw: rand.New(rand.NewPCG(draw.Uint64(), 1)),
 				client: &http.Client{Transport: &http.Transport{}},
@@ -95,7 +111,7 @@
 func (cs *callers) all() []*call {
 	cs.mutex.Lock()
 	defer cs.mutex.Unlock()
-	return append([]*call(nil), cs.calls...)
+	return slices.Clone(cs.calls)
 }
 
 func (cs *callers) id() string {
@@ -127,14 +143,14 @@
 // ask sends one request, now and then with the spare key, and now and then leaves
 // before the answer.
 func (c *caller) ask() *call {
-	q := &call{id: c.callers.id(), kind: c.kind, key: "key", entry: c.entry, sent: time.Now()}
+	q := &call{id: c.callers.id(), kind: c.kind, key: usualKey, entry: c.entry, sent: time.Now()}
 	wait := deadline
 	switch c.draw.IntN(20) {
 	case 0:
 		q.left = true
 		wait = time.Duration(c.draw.IntN(20)) * time.Millisecond
 	case 1, 2, 3:
-		q.key = "spare"
+		q.key = spareKey
 	}
 	send(c.client, q, wait)
 	return q
@@ -142,7 +158,6 @@
 
 // send sends a request and notes what comes of it.
 func send(client *http.Client, q *call, wait time.Duration) {
-	defer func() { q.ended = time.Now() }()
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	url := fmt.Sprintf("http://%s/%s/%s", q.entry.callers.address(), q.kind, q.id)
--- a/soak/calm_test.go
+++ b/soak/calm_test.go
@@ -59,8 +59,8 @@
 
 func (c *calm) serves() bool {
 	for _, e := range c.world.entries {
-		for _, kind := range []string{"once", "again", "stream"} {
-			if !e.isReady() || !answered(c.ask(e, kind, "key")) {
+		for _, kind := range kinds {
+			if !e.isReady() || !answered(c.ask(e, kind, usualKey)) {
 				return false
 			}
 		}
@@ -74,16 +74,16 @@
 	obeyed := func(status int) func() bool {
 		return func() bool {
 			for _, e := range c.world.entries {
-				if c.ask(e, "again", "spare").status != status {
+				if c.ask(e, again, spareKey).status != status {
 					return false
 				}
 			}
 			return true
 		}
 	}
-	c.world.changeTable("key", "spare")
+	c.world.changeTable(usualKey, spareKey)
 	c.within(configBound, "a key that was given is taken everywhere", obeyed(http.StatusOK))
-	c.world.changeTable("key")
+	c.world.changeTable(usualKey)
 	if !c.within(configBound, "a key that was taken away is refused everywhere", obeyed(http.StatusUnauthorized)) {
 		return
 	}
@@ -108,8 +108,8 @@
 		time.Sleep(time.Until(late))
 		for _, e := range w.entries {
 			for range 3 {
-				for _, kind := range []string{"once", "again", "stream"} {
-					if q := c.ask(e, kind, "key"); !answered(q) {
+				for _, kind := range kinds {
+					if q := c.ask(e, kind, usualKey); !answered(q) {
 						w.problem("%s %s in a calm time: %d %v %q", kind, q.id, q.status, q.broken, q.body)
 					}
 				}
@@ -124,6 +124,15 @@
 	}
 }
 
+// asking is a request for a stream that is under way beside the checks.
+type asking struct {
+	calm  *calm
+	entry *entry
+	done  chan *call
+}
+
+func (a *asking) run() { a.done <- a.calm.ask(a.entry, stream, usualKey) }
+
 // checkStop stops an entry while streams are open: all of them come whole.
 func (c *calm) checkStop() {
 	w := c.world
@@ -139,7 +148,7 @@
 	}
 	begun := running()
 	done := make(chan *call, 1)
-	go func() { done <- c.ask(e, "stream", "key") }()
+	go (&asking{calm: c, entry: e, done: done}).run()
 	c.within(contact, "a stream has begun", func() bool { return running() > begun })
 	ended := e.expectEnd()
 	e.signal(syscall.SIGTERM)
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -28,7 +28,7 @@
 			if c.status != http.StatusInternalServerError || c.broken == nil && c.body != "failed at "+signer {
 				w.problem("%s %s: an endpoint's failure was changed: %d %q of %s", c.kind, c.id, c.status, c.body, signer)
 			}
-		case c.status >= 300 && c.status < 500 && !c.promised() && !w.mayRefuse(c):
+		case c.status >= 300 && c.status < 500 && !c.promised() && !mayRefuse(c):
 			w.problem("%s %s: refused with %d though it is proper: %q", c.kind, c.id, c.status, c.body)
 		}
 	}
@@ -42,7 +42,7 @@
 		w.problem("%s %s: the answer of another request, %q", c.kind, c.id, got)
 	}
 	want := "answer of " + signer
-	if c.kind == "stream" {
+	if c.kind == stream {
 		want = whole()
 	}
 	if c.broken == nil && c.body != want || !strings.HasPrefix(want, c.body) {
@@ -50,28 +50,27 @@
 	}
 }
 
-// mayRefuse reports whether a table in force around a call did not hold its key.
-func (w *world) mayRefuse(c *call) bool {
-	return c.key == "spare" && (c.status == http.StatusUnauthorized)
-}
+// mayRefuse reports whether a table without a call's key may have been in force: that
+// is taken for granted of the spare key, which tables give and take.
+func mayRefuse(c *call) bool { return c.key == spareKey && c.status == http.StatusUnauthorized }
 
-// ran is all that came to an endpoint.
-type ran struct {
+// arrival is one request that came to an endpoint.
+type arrival struct {
 	endpoint *endpoint
 	request  platformtest.Ran
-	run      bool
+	run      bool // it was begun there
 }
 
 // arrivals returns all that came to endpoints, by request.
-func (w *world) arrivals() map[string][]ran {
-	all := map[string][]ran{}
+func (w *world) arrivals() map[string][]arrival {
+	all := map[string][]arrival{}
 	for _, e := range w.all() {
 		begun := map[time.Time]bool{}
 		for _, r := range e.Ran() {
 			begun[r.At] = true
 		}
 		for _, r := range e.Came() {
-			all[r.ID] = append(all[r.ID], ran{endpoint: e, request: r, run: begun[r.At]})
+			all[r.ID] = append(all[r.ID], arrival{endpoint: e, request: r, run: begun[r.At]})
 		}
 	}
 	return all
@@ -92,10 +91,10 @@
 				w.checkPath(c, &a)
 			}
 		}
-		if c.once() && runs > 1 {
+		if c.runsOnce() && runs > 1 {
 			w.problem("%s ran %d times", c.id, runs)
 		}
-		if c.once() && runs > 0 && c.promised() {
+		if c.runsOnce() && runs > 0 && c.promised() {
 			w.problem("%s was answered %d and has run", c.id, c.status)
 		}
 		delete(arrivals, c.id)
@@ -105,7 +104,7 @@
 	}
 }
 
-func (w *world) checkUnchanged(c *call, a *ran) {
+func (w *world) checkUnchanged(c *call, a *arrival) {
 	r := &a.request
 	if r.Method != http.MethodPost || r.Target != "/"+c.kind+"/"+c.id || r.Body != bodyOf(c.id) {
 		w.problem("%s came changed: %s %s %q", c.id, r.Method, r.Target, r.Body)
@@ -113,19 +112,19 @@
 	if r.Team != "team" || r.Key != "" {
 		w.problem("%s came as team %q with key %q", c.id, r.Team, r.Key)
 	}
-	if c.kind != "stream" && r.LastEvent != "" {
+	if c.kind != stream && r.LastEvent != "" {
 		w.problem("%s was resumed after %q", c.id, r.LastEvent)
 	}
 	if left, err := strconv.Atoi(r.DeadlineMS); err != nil || left > int(deadline.Milliseconds()) {
 		w.problem("%s came with the deadline %q", c.id, r.DeadlineMS)
 	}
-	if a.endpoint.engine != (c.kind == "stream") {
+	if a.endpoint.engine != (c.kind == stream) {
 		w.problem("%s of kind %s came to %s", c.id, c.kind, a.endpoint.ID)
 	}
 }
 
 // checkPath checks that a path runs every layer once and in order.
-func (w *world) checkPath(c *call, a *ran) {
+func (w *world) checkPath(c *call, a *arrival) {
 	next := 0
 	for i, part := range strings.Split(a.request.Path, ",") {
 		address, span, _ := strings.Cut(part, "=")
@@ -145,8 +144,8 @@
 
 // checkKey checks that no request ran that was sent too long after its key was taken
 // away.
-func (w *world) checkKey(c *call, a *ran) {
-	if c.key != "spare" {
+func (w *world) checkKey(c *call, a *arrival) {
+	if c.key != spareKey {
 		return
 	}
 	w.mutex.Lock()
@@ -164,6 +163,22 @@
 
 // checkBudget checks the bound on further sends in every window.
 func (w *world) checkBudget(calls []*call) {
+	var sent []time.Time
+	for _, c := range calls {
+		sent = append(sent, c.sent)
+	}
+	further := w.furtherSends()
+	for _, t := range further {
+		requests := max(windowed(sent, t), windowed(sent, t.Add(-retryWindow)), windowed(sent, t.Add(-retryWindow/2)))
+		if n := windowed(further, t); float64(n) > retryShare*float64(requests)+retrySlack {
+			w.problem("%d further sends in a window of %d requests", n, requests)
+			return
+		}
+	}
+}
+
+// furtherSends returns when requests came to endpoints after they had come first.
+func (w *world) furtherSends() []time.Time {
 	var further []time.Time
 	for _, as := range w.arrivals() {
 		first := as[0].request.At
@@ -178,25 +193,18 @@
 			}
 		}
 	}
-	count := func(times []time.Time, from time.Time) (n int) {
-		for _, t := range times {
-			if !t.Before(from) && t.Before(from.Add(retryWindow)) {
-				n++
-			}
-		}
-		return n
-	}
-	var sent []time.Time
-	for _, c := range calls {
-		sent = append(sent, c.sent)
-	}
-	for _, t := range further {
-		requests := max(count(sent, t), count(sent, t.Add(-retryWindow)), count(sent, t.Add(-retryWindow/2)))
-		if n := count(further, t); float64(n) > retryShare*float64(requests)+retrySlack {
-			w.problem("%d further sends in a window of %d requests", n, requests)
-			return
+	return further
+}
+
+// windowed counts the times within the window that begins at from.
+func windowed(times []time.Time, from time.Time) int {
+	n := 0
+	for _, t := range times {
+		if !t.Before(from) && t.Before(from.Add(retryWindow)) {
+			n++
 		}
 	}
+	return n
 }
 
 // checkLogs checks that no entry told of a fault of its own.
--- /dev/null
+++ b/soak/endpoint_test.go
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"pinerun.example/pinerun/platform/platformtest"
+)
+
+// endpoint is a stand-in with the proxy before it.
+type endpoint struct {
+	*platformtest.Endpoint
+	link    *proxy
+	service string
+	center  string
+	engine  bool
+
+	mutex   sync.Mutex
+	span    [2]int
+	leaving time.Time // when the store took that it leaves, zero before
+	gone    bool
+}
+
+// addEndpoint starts an endpoint and records it.
+func (w *world) addEndpoint(engine bool, center string) {
+	w.mutex.Lock()
+	id := fmt.Sprint("p-", w.made)
+	w.made++
+	w.mutex.Unlock()
+	e := &endpoint{center: center, service: "plain", engine: engine}
+	if engine {
+		e.service = "llm"
+		e.Endpoint = platformtest.NewEngine(w.t, id)
+	} else {
+		e.Endpoint = platformtest.NewService(w.t, id)
+	}
+	e.link = newProxy(w.t, e.Address())
+	e.OnSpan(func(from, to int) { w.hold(e, from, to) })
+	w.record(e, "ready")
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.endpoints = append(w.endpoints, e)
+}
+
+// hold takes an order: the engine holds other layers from now on.
+func (w *world) hold(e *endpoint, from, to int) {
+	if mb := (to - from) * platformtest.TableLayerMB; mb > platformtest.TableEngineMB || from < 0 || to > platformtest.TableLayers {
+		w.problem("%s was ordered to hold %d-%d, %d MB", e.ID, from, to, mb)
+	}
+	e.mutex.Lock()
+	e.span = [2]int{from, to}
+	state := "ready"
+	if !e.leaving.IsZero() {
+		state = "draining"
+	}
+	gone := e.gone
+	e.mutex.Unlock()
+	if !gone {
+		w.record(e, state)
+	}
+}
+
+// record writes what an endpoint says of itself.
+func (w *world) record(e *endpoint, state string) {
+	e.mutex.Lock()
+	span := e.span
+	e.mutex.Unlock()
+	w.store.Put("servers", e.ID, map[string]any{
+		"service": e.service, "address": e.link.address(), "zone": e.center, "slots": 8, "state": state, "route_type": "t4",
+		"layers": map[string]int{"from": span[0], "target_version": span[1]},
+	})
+}
+
+// leave makes an endpoint say that it is leaving.
+func (w *world) leave(e *endpoint) {
+	w.record(e, "draining")
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.leaving = time.Now()
+}
+
+// remove ends an endpoint.
+func (w *world) remove(e *endpoint) {
+	e.mutex.Lock()
+	e.gone = true
+	e.mutex.Unlock()
+	w.store.Delete("servers", e.ID)
+	e.Stop()
+	e.link.reset()
+}
+
+// live returns the endpoints of a service that neither leave nor are gone.
+func (w *world) live(engine bool) []*endpoint {
+	var list []*endpoint
+	for _, e := range w.all() {
+		e.mutex.Lock()
+		if e.engine == engine && e.leaving.IsZero() && !e.gone {
+			list = append(list, e)
+		}
+		e.mutex.Unlock()
+	}
+	return list
+}
+
+func (w *world) all() []*endpoint {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return slices.Clone(w.endpoints)
+}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -3,91 +3,13 @@
 package soak
 
 import (
-	"math/rand/v2"
 	"os"
-	"sync"
 	"syscall"
 	"time"
 
 	"pinerun.example/pinerun/platform/platformtest"
 )
 
-// storm injects faults drawn from a seed, in series that overlap.
-type storm struct {
-	world *world
-	wait  sync.WaitGroup
-	till  time.Time
-	mutex sync.Mutex
-	story []string // what was done, for the report
-	begun time.Time
-}
-
-// series is faults one after the other, beside other series.
-type series struct {
-	storm *storm
-	draw  *rand.Rand
-}
-
-// run injects faults until a time, in that many series side by side, and returns when
-// all of them are over.
-func (s *storm) run(draw *rand.Rand, beside int) {
-	s.begun = time.Now()
-	for range beside {
-		s.wait.Add(1)
-		go (&series{storm: s, draw: rand.New(rand.NewPCG(draw.Uint64(), 2))}).run()
-	}
-	s.wait.Wait()
-}
-
-func (s *storm) tell(what string) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.story = append(s.story, time.Since(s.begun).Round(10*time.Millisecond).String()+" "+what)
-}
-
-func (s *series) run() {
-	defer s.storm.wait.Done()
-	for time.Now().Before(s.storm.till) {
-		s.pause(50, 900)
-		s.fault()
-	}
-}
-
-// pause waits for between least and most milliseconds.
-func (s *series) pause(least, most int) {
-	time.Sleep(time.Duration(least+s.draw.IntN(most-least)) * time.Millisecond)
-}
-
-func (s *series) entry() *entry {
-	return s.storm.world.entries[s.draw.IntN(len(s.storm.world.entries))]
-}
-
-// endpoint draws a live endpoint, one of a plain service as often as an engine.
-func (s *series) endpoint() *endpoint {
-	live := s.storm.world.live(s.draw.IntN(2) == 0)
-	return live[s.draw.IntN(len(live))]
-}
-
-// last waits as long as a fault lasts: mostly shorter than what the bounds allow for,
-// now and then longer.
-func (s *series) last() {
-	if s.draw.IntN(4) == 0 {
-		s.pause(4000, 8000)
-		return
-	}
-	s.pause(100, 4000)
-}
-
-// fault injects one fault and waits until it is over.
-func (s *series) fault() {
-	faults := []func(){
-		s.killEntry, s.stopEntry, s.pauseEntry, s.hangUp, s.killMany,
-		s.disturbStore, s.disturbStoreWay, s.disturbCallers, s.disturbEndpointWay,
-		s.failEndpoint, s.replaceEndpoint, s.crashEndpoint, s.changeTable, s.withdrawUnheard,
-	}
-	faults[s.draw.IntN(len(faults))]()
-}
-
 func (s *series) killEntry() {
 	e := s.entry()
 	e.life.Lock()
@@ -249,8 +171,7 @@
 // and goes.
 func (s *series) replaceEndpoint() {
 	w := s.storm.world
-	live := w.live(s.draw.IntN(2) == 0)
-	old := live[s.draw.IntN(len(live))]
+	old := s.endpoint()
 	s.storm.tell("replace " + old.ID)
 	w.addEndpoint(old.engine, old.center)
 	s.pause(50, 500)
@@ -283,11 +204,11 @@
 	w := s.storm.world
 	if s.draw.IntN(2) == 0 {
 		s.storm.tell("take the spare key away")
-		w.changeTable("key")
+		w.changeTable(usualKey)
 		return
 	}
 	s.storm.tell("give the spare key")
-	w.changeTable("key", "spare")
+	w.changeTable(usualKey, spareKey)
 }
 
 // withdrawUnheard takes the spare key away while an entry can't hear of it, until well
@@ -295,10 +216,10 @@
 func (s *series) withdrawUnheard() {
 	w, e := s.storm.world, s.entry()
 	s.storm.tell("take the spare key away, unheard by " + e.name)
-	w.changeTable("key", "spare")
+	w.changeTable(usualKey, spareKey)
 	s.pause(300, 1000)
 	e.store.set(linkState{stopOut: true, stopIn: true})
-	w.changeTable("key")
+	w.changeTable(usualKey)
 	time.Sleep(keyWithdrawn)
 	s.pause(1000, 2000)
 	e.store.set(linkState{})
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -13,6 +13,9 @@
 	"github.com/stretchr/testify/require"
 )
 
+// pieceBytes is how much a proxy passes on at once; an answer of the stand-ins is shorter.
+const pieceBytes = 16 << 10
+
 // linkState is what a proxy does to the bytes of its connections.
 type linkState struct {
 	delay   time.Duration // of every piece
@@ -57,10 +60,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = c.Close()
+		abort(c)
 	}
 }
 
@@ -81,10 +81,7 @@
 		}
 		out, err := net.Dial("tcp", p.target)
 		if err != nil {
-			if tcp, ok := in.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0) // a dead port resets
-			}
-			_ = in.Close()
+			abort(in) // as a dead port does
 			continue
 		}
 		if !p.keep(in, out) {
@@ -132,6 +129,14 @@
 	}
 }
 
+// abort ends a connection by a reset.
+func abort(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // pipe is one direction of a connection.
 type pipe struct {
 	proxy    *proxy
@@ -141,7 +146,7 @@
 
 func (p *pipe) run() {
 	defer p.proxy.drop(p.from)
-	b := make([]byte, 16<<10)
+	b := make([]byte, pieceBytes)
 	for {
 		n, err := p.from.Read(b)
 		if n > 0 {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,8 +29,8 @@
 	keepIn   = flag.String("soak.keep", "", "a folder for the logs of runs that failed")
 )
 
-// besides is how many series of faults run side by side.
-const besides = 6
+// seriesBeside is how many series of faults run side by side.
+const seriesBeside = 6
 
 // seedsFile holds the seeds that ever failed, each with the cause.
 const seedsFile = "testdata/seeds.txt"
@@ -86,7 +86,7 @@
 	w := newWorld(t, binary, *entries)
 	cs := startCallers(w, draw)
 	s := &storm{world: w, till: time.Now().Add(*stormFor)}
-	s.run(draw, besides)
+	s.run(draw, seriesBeside)
 	c := &calm{world: w}
 	c.run()
 	cs.close()
