lease, director: write once what taking and giving up have in common

Release and write numbered and noted a write each in the same three lines, Released and take settled it in the same four, and the director told of an unsure write in two places. The package's example shows how to give a lease up.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -15,6 +15,7 @@
 //	case lease.Rest:  // until a.Till()
 //	}
 //	if epoch, ok := l.Epoch(now); ok { ... } // ask again right before each order
+//	if w, ok := l.Release(now); ok { ... }   // write it; then l.Released(version), or l.Doubt()
 //
 // The epoch rises with each new holder and goes into every order, so that an
 // endpoint that checks refuses the orders of an older holder.
@@ -93,7 +94,7 @@
 	case l.mine():
 		return l.renew(now)
 	case l.version == 0 || l.record.Holder == "" || now.Sub(l.since) > Length:
-		return l.write(l.record.Epoch+1, now)
+		return l.hold(l.record.Epoch+1, now)
 	case now.Sub(l.readAt) >= lookEvery:
 		return Read{}
 	default:
@@ -107,20 +108,12 @@
 	if _, held := l.Epoch(now); !held {
 		return Write{}, false
 	}
-	l.writes++
 	l.heldUntil = time.Time{}
-	l.asking = Record{Epoch: l.record.Epoch, Nonce: l.writes}
-	l.askedAt = now
-	return Write{known: l.version, record: l.asking}, true
+	return l.write(Record{Epoch: l.record.Epoch}, now), true
 }
 
 // Released takes the success of that write.
-func (l *Lease) Released(version uint64) {
-	l.version = version
-	l.record = l.asking
-	l.since = l.askedAt
-	l.readAt = l.askedAt
-}
+func (l *Lease) Released(version uint64) { l.stands(version) }
 
 // mine reports whether the record seen last is this entry's own, still held by
 // its clock. A record of ours that lapsed is taken anew, with a new epoch.
@@ -130,32 +123,44 @@
 	if now.After(l.heldUntil) {
 		// The condition of the write is that nobody else has taken it since.
 		l.heldUntil = time.Time{}
-		return l.write(l.record.Epoch+1, now)
+		return l.hold(l.record.Epoch+1, now)
 	}
 	if next := l.askedAt.Add(renewEvery); now.Before(next) {
 		return Rest{till: next}
 	}
-	return l.write(l.record.Epoch, now)
+	return l.hold(l.record.Epoch, now)
 }
 
-func (l *Lease) write(epoch uint64, now time.Time) Action {
+// hold returns the write that takes the lease, or renews it.
+func (l *Lease) hold(epoch uint64, now time.Time) Write {
+	return l.write(Record{Holder: l.Self, Epoch: epoch}, now)
+}
+
+// write returns the write of a record, which gets a mark of its own.
+func (l *Lease) write(r Record, now time.Time) Write {
 	l.writes++
-	l.asking = Record{Holder: l.Self, Epoch: epoch, Nonce: l.writes}
+	r.Nonce = l.writes
+	l.asking = r
 	l.askedAt = now
-	return Write{known: l.version, record: l.asking}
+	return Write{known: l.version, record: r}
 }
 
 // Wrote takes the success of the write in flight.
 func (l *Lease) Wrote(version uint64) { l.take(version) }
 
-// take notes that the write in flight stands. The lease counts from when it was
-// asked for, since others may have seen it any time after.
+// take notes that the write in flight stands and holds the lease. That counts from
+// when it was asked for, since others may have seen it any time after.
 func (l *Lease) take(version uint64) {
+	l.stands(version)
+	l.heldUntil = l.askedAt.Add(Length - Margin)
+}
+
+// stands notes that the write in flight is what the platform holds.
+func (l *Lease) stands(version uint64) {
 	l.version = version
 	l.record = l.asking
 	l.since = l.askedAt
 	l.readAt = l.askedAt
-	l.heldUntil = l.askedAt.Add(Length - Margin)
 }
 
 // Doubt notes that the write in flight met another version, had no effect, or
--- a/transport/director/lease.go
+++ b/transport/director/lease.go
@@ -67,8 +67,7 @@
 	defer cancel()
 	version, err := d.putLease(ctx, w)
 	if err != nil {
-		d.lease.Doubt()
-		event.LeaseUnsure.Log(d.Logger, slog.String("lease", leaseName), slog.String("cause", err.Error()))
+		d.unsure(err)
 		return
 	}
 	d.lease.Released(version)
@@ -116,13 +115,18 @@
 func (d *Director) writeLease(ctx context.Context, w lease.Write) {
 	version, err := d.putLease(ctx, w)
 	if err != nil {
-		d.lease.Doubt()
-		event.LeaseUnsure.Log(d.Logger, slog.String("lease", leaseName), slog.String("cause", err.Error()))
+		d.unsure(err)
 		return
 	}
 	d.lease.Wrote(version)
 }
 
+// unsure notes that a write of the lease had no effect or no answer.
+func (d *Director) unsure(err error) {
+	d.lease.Doubt()
+	event.LeaseUnsure.Log(d.Logger, slog.String("lease", leaseName), slog.String("cause", err.Error()))
+}
+
 // putLease writes the lease under its condition and returns the new version.
 func (d *Director) putLease(ctx context.Context, w lease.Write) (uint64, error) {
 	value, err := json.Marshal(w.Record())
