watch, front: mend comments that relays made untrue, split Start

A watcher's source is no longer always the platform, a confirmer reads when its source says, and the register's limit bounds a turn. Putting the parts of a front together is a step of its own before they start.

--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -61,6 +61,24 @@
 
 // Start begins to serve.
 func (f *Front) Start() error {
+	f.assemble()
+	if err := f.listen(); err != nil {
+		return err
+	}
+	f.forwarder.Start()
+	f.director.Start()
+	f.watch()
+	f.register.front = f
+	go f.register.run()
+	go f.run()
+	s := &f.Settings
+	event.EntryReady.Log(f.Logger, slog.String("data_center", s.DataCenter),
+		slog.String("callers", s.Listen.Callers), slog.String("store", s.Store))
+	return nil
+}
+
+// assemble puts the parts together that are started later.
+func (f *Front) assemble() {
 	s := &f.Settings
 	home := fleet.Home{Name: s.Name, DataCenter: s.DataCenter}
 	f.roster.Home = home
@@ -80,18 +98,6 @@
 		Kinds: []string{f.Outside.RoutingKind, f.Outside.EndpointKind}, Kind: f.Outside.RoutingKind, Name: f.Outside.RoutingName,
 		Counters: f.Counters, Logger: f.Logger, Failed: f.roster.Outage,
 	}
-	if err := f.listen(); err != nil {
-		return err
-	}
-	f.forwarder.Start()
-	f.director.Start()
-	f.watch()
-	f.register.front = f
-	go f.register.run()
-	go f.run()
-	event.EntryReady.Log(f.Logger, slog.String("data_center", s.DataCenter),
-		slog.String("callers", s.Listen.Callers), slog.String("store", s.Store))
-	return nil
 }
 
 // watch begins to follow the platform's objects.
--- a/transport/front/register.go
+++ b/transport/front/register.go
@@ -20,7 +20,7 @@
 const (
 	// entryKind is the kind of the records that entries keep of themselves.
 	entryKind = "pinerun-entries"
-	// registerLimit bounds the calls of one look.
+	// registerLimit bounds the calls of one turn.
 	registerLimit = 5 * time.Second
 	// registerAgain is when to look again after a failed call.
 	registerAgain = 2 * time.Second
@@ -42,7 +42,7 @@
 	version uint64 // of the own record, 0 if unknown
 	beat    uint64
 	renewAt time.Time
-	looks   int
+	looks   int // that were answered
 	counted int
 	centers atomic.Int64 // data centers that have entries
 }
@@ -105,7 +105,8 @@
 	return now.Add(census.Look)
 }
 
-// learn tells the entries that there may be to whoever follows one of them.
+// learn tells the source which entries there may be to follow, and counts their data
+// centers.
 func (r *register) learn(objects []protocol.Object) {
 	records := make([]protocol.EntryRecord, 0, len(objects))
 	centers := make(map[string]bool)
--- a/transport/watch/confirm.go
+++ b/transport/watch/confirm.go
@@ -36,8 +36,8 @@
 	Following() bool
 }
 
-// Confirmer reads one object at a steady rate, because a watch that hears nothing
-// can't tell how fresh that is. When a read fails, and when reads succeed again,
+// Confirmer reads one object again and again, when its Source says, because a watch
+// that hears nothing can't tell how fresh that is. When a read fails, and when reads succeed again,
 // the watchers beside it begin anew, unless they hear through a peer: their calls
 // may hang in what broke.
 type Confirmer struct {
@@ -91,6 +91,7 @@
 	}
 }
 
+// restart makes every watcher begin anew.
 func (c *Confirmer) restart() {
 	for _, w := range c.Watchers {
 		w.Restart()
--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package watch follows the objects of one kind in the platform.
+// Package watch follows the objects of one kind in the platform, and reads one of them
+// again and again to know how fresh that is.
 //
 // A Watcher lists them, then waits for changes from there on. When the platform
 // has forgotten the changes since, or did not answer for a while, it lists anew.
@@ -45,7 +46,7 @@
 	pauseMost  = 1600 * time.Millisecond
 )
 
-// Source is the platform.
+// Source is the platform, or what stands between it and a watcher.
 type Source interface {
 	List(ctx context.Context, kind string) (protocol.Listing, error)
 	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (protocol.Changes, error)
