--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -54,9 +54,9 @@
 	PeerConnected      = Event{7001, "peer connected", slog.LevelInfo}
 	PeerLost           = Event{7002, "peer lost", slog.LevelWarn}
 	EntriesCounted     = Event{7003, "entries counted", slog.LevelInfo}
-	RelayFollowed      = Event{7004, "peer followed", slog.LevelInfo}
-	RelayLeft          = Event{7005, "peer left", slog.LevelInfo}
-	RelayServed        = Event{7006, "follower gone", slog.LevelInfo}
+	PeerFollowed       = Event{7004, "peer followed", slog.LevelInfo}
+	PeerLeft           = Event{7005, "peer left", slog.LevelInfo}
+	FollowerGone       = Event{7006, "follower gone", slog.LevelInfo}
 	LeaseTaken         = Event{8001, "lease taken", slog.LevelInfo}
 	LeaseLost          = Event{8002, "lease lost", slog.LevelWarn}
 	OrderGiven         = Event{8003, "order given", slog.LevelInfo}
@@ -81,7 +81,7 @@
 		PlatformUnreached, PlatformBack,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
 		PeerConnected, PeerLost,
-		EntriesCounted, RelayFollowed, RelayLeft, RelayServed,
+		EntriesCounted, PeerFollowed, PeerLeft, FollowerGone,
 		LeaseTaken, LeaseLost, OrderGiven, OrderFailed, LeaseReleased, LeaseUnsure,
 		PlanConfirmed, LinesDropped,
 	}
--- a/transport/relay/entry_test.go
+++ b/transport/relay/entry_test.go
@@ -104,36 +104,15 @@
 	var all []*entry
 	var records []protocol.EntryRecord
 	for i, name := range names {
-		e := &entry{outside: &outside{store: s, name: name}, believes: &believes{}, outages: make(chan time.Time, 1000)}
-		e.source = &transport.Source{
-			Platform: e.outside, Kinds: []string{kind}, Kind: kind, Name: table, Counters: &metric.Set{},
-			Failed: func(at time.Time) {
-				select {
-				case e.outages <- at:
-				default:
-				}
-			},
-		}
-		key := fmt.Sprint("key-", i)
-		e.server = httptest.NewServer(&transport.Server{Source: e.source, Key: key})
-		e.source.Self = protocol.EntryRecord{
-			Name: e.outside.name, DataCenter: "a", Key: key, Peers: strings.TrimPrefix(e.server.URL, "http://"),
-		}
+		e := newEntry(t, s, name, fmt.Sprint("key-", i))
 		records = append(records, e.source.Self)
-		e.watcher = &watch.Watcher{Source: e.source, Kind: kind, Sink: e.believes}
-		e.confirmer = &watch.Confirmer{Source: e.source, Kind: kind, Name: table, Sink: e.believes, Watchers: []*watch.Watcher{e.watcher}}
 		all = append(all, e)
-		t.Cleanup(e.close)
 	}
 	slices.SortFunc(all, func(a, b *entry) int {
 		return len(relay.Before(a.source.Self, records)) - len(relay.Before(b.source.Self, records))
 	})
 	for _, e := range all {
-		e.source.Start()
-		e.watcher.Start()
-		e.confirmer.Start()
-		require.Eventually(t, func() bool { return !e.believes.confirmedAt().IsZero() }, soon, time.Millisecond)
-		e.source.Learn(records)
+		e.start(t, records)
 	}
 	for _, e := range all[1:] {
 		require.Eventually(t, e.source.Following, soon, time.Millisecond, "%s follows", e.outside.name)
@@ -146,6 +125,37 @@
 	return all
 }
 
+// newEntry makes an entry that is not started yet.
+func newEntry(t testing.TB, s *store, name, key string) *entry {
+	e := &entry{outside: &outside{store: s, name: name}, believes: &believes{}, outages: make(chan time.Time, 1000)}
+	e.source = &transport.Source{
+		Platform: e.outside, Kinds: []string{kind}, Kind: kind, Name: table, Counters: &metric.Set{},
+		Failed: func(at time.Time) {
+			select {
+			case e.outages <- at:
+			default:
+			}
+		},
+	}
+	e.server = httptest.NewServer(&transport.Server{Source: e.source, Key: key})
+	e.source.Self = protocol.EntryRecord{
+		Name: name, DataCenter: "a", Key: key, Peers: strings.TrimPrefix(e.server.URL, "http://"),
+	}
+	e.watcher = &watch.Watcher{Source: e.source, Kind: kind, Sink: e.believes}
+	e.confirmer = &watch.Confirmer{Source: e.source, Kind: kind, Name: table, Sink: e.believes, Watchers: []*watch.Watcher{e.watcher}}
+	t.Cleanup(e.close)
+	return e
+}
+
+// start starts an entry and tells it of the others once it has confirmed.
+func (e *entry) start(t testing.TB, records []protocol.EntryRecord) {
+	e.source.Start()
+	e.watcher.Start()
+	e.confirmer.Start()
+	require.Eventually(t, func() bool { return !e.believes.confirmedAt().IsZero() }, soon, time.Millisecond)
+	e.source.Learn(records)
+}
+
 func (e *entry) close() {
 	e.closed.Do(func() {
 		e.watcher.Close()
--- a/transport/relay/server.go
+++ b/transport/relay/server.go
@@ -60,7 +60,7 @@
 		case errors.Is(err, errStale):
 			_ = socket.Close(closeStale, err.Error())
 		}
-		event.RelayServed.Log(s.Source.Logger, slog.String("peer", q.RemoteAddr), slog.String("cause", err.Error()))
+		event.FollowerGone.Log(s.Source.Logger, slog.String("peer", q.RemoteAddr), slog.String("cause", err.Error()))
 	}
 }
 
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -107,7 +107,7 @@
 	if old != nil {
 		old.close()
 	}
-	event.RelayFollowed.Log(s.Logger, slog.String("peer", l.peer.Name))
+	event.PeerFollowed.Log(s.Logger, slog.String("peer", l.peer.Name))
 }
 
 // leave ends following a peer.
@@ -121,7 +121,7 @@
 	s.mutex.Unlock()
 	l.close()
 	if current {
-		event.RelayLeft.Log(s.Logger, slog.String("peer", l.peer.Name), slog.String("cause", why))
+		event.PeerLeft.Log(s.Logger, slog.String("peer", l.peer.Name), slog.String("cause", why))
 		s.seeker.wake()
 	}
 }
