--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -53,16 +53,16 @@
 	ClaimOutcomeUnkept = Event{6004, "claim outcome not kept", slog.LevelError}
 	PeerConnected      = Event{7001, "peer connected", slog.LevelInfo}
 	PeerLost           = Event{7002, "peer lost", slog.LevelWarn}
+	EntriesCounted     = Event{7003, "entries counted", slog.LevelInfo}
+	PeerFollowed       = Event{7004, "peer followed", slog.LevelInfo}
+	PeerLeft           = Event{7005, "peer left", slog.LevelInfo}
+	FollowerGone       = Event{7006, "follower gone", slog.LevelInfo}
 	LeaseTaken         = Event{8001, "lease taken", slog.LevelInfo}
 	LeaseLost          = Event{8002, "lease lost", slog.LevelWarn}
-	LeaseReleased      = Event{8005, "lease given up", slog.LevelInfo}
-	LeaseUnsure        = Event{8006, "lease write unsure", slog.LevelWarn}
 	OrderGiven         = Event{8003, "order given", slog.LevelInfo}
-	RelayFollowed      = Event{7004, "peer followed", slog.LevelInfo}
-	RelayLeft          = Event{7005, "peer left", slog.LevelInfo}
-	RelayServed        = Event{7006, "follower gone", slog.LevelInfo}
-	EntriesCounted     = Event{7003, "entries counted", slog.LevelInfo}
 	OrderFailed        = Event{8004, "order failed", slog.LevelWarn}
+	LeaseReleased      = Event{8005, "lease given up", slog.LevelInfo}
+	LeaseUnsure        = Event{8006, "lease write unsure", slog.LevelWarn}
 	LinesDropped       = Event{9101, "lines dropped", slog.LevelWarn}
 	SettingsRead       = Event{1004, "settings read", slog.LevelInfo}
 	SettingsIgnored    = Event{1005, "settings ignored", slog.LevelWarn}
@@ -81,7 +81,7 @@
 		PlatformUnreached, PlatformBack,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
 		PeerConnected, PeerLost,
-		EntriesCounted, RelayFollowed, RelayLeft, RelayServed,
+		EntriesCounted, PeerFollowed, PeerLeft, FollowerGone,
 		LeaseTaken, LeaseLost, OrderGiven, OrderFailed, LeaseReleased, LeaseUnsure,
 		PlanConfirmed, LinesDropped,
 	}
