relay, watch, soak, platform: mend what the tidying found

TestAClosedSourceFollowsNobody fails without the change. - More values than a frame may hold broke the connection; the follower lists now.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -39,7 +39,8 @@
 type Record struct {
 	Holder string `json:"holder"` // empty when it was given up
 	Epoch  uint64 `json:"epoch"`
-	// Nonce differs in each write, so that every renewal has its own mark.
+	// Nonce differs in each write of one life of a process, so that every renewal has
+	// its own mark.
 	Nonce uint64 `json:"nonce"`
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -57,6 +57,7 @@
 	PeerFollowed       = Event{7004, "peer followed", slog.LevelInfo}
 	PeerLeft           = Event{7005, "peer left", slog.LevelInfo}
 	FollowerGone       = Event{7006, "follower gone", slog.LevelInfo}
+	EntryIgnored       = Event{7007, "entry ignored", slog.LevelWarn}
 	LeaseTaken         = Event{8001, "lease taken", slog.LevelInfo}
 	LeaseLost          = Event{8002, "lease lost", slog.LevelWarn}
 	OrderGiven         = Event{8003, "order given", slog.LevelInfo}
@@ -81,7 +82,7 @@
 		PlatformUnreached, PlatformBack,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
 		PeerConnected, PeerLost,
-		EntriesCounted, PeerFollowed, PeerLeft, FollowerGone,
+		EntriesCounted, PeerFollowed, PeerLeft, FollowerGone, EntryIgnored,
 		LeaseTaken, LeaseLost, OrderGiven, OrderFailed, LeaseReleased, LeaseUnsure,
 		PlanConfirmed, LinesDropped,
 	}
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -28,7 +28,7 @@
 			if c.status != http.StatusInternalServerError || c.broken == nil && c.body != "failed at "+signer {
 				w.problem("%s %s: an endpoint's failure was changed: %d %q of %s", c.kind, c.id, c.status, c.body, signer)
 			}
-		case c.status >= 300 && c.status < 500 && !c.promised() && !mayRefuse(c):
+		case c.status >= 300 && c.status < 500 && !c.promised() && !w.mayRefuse(c):
 			w.problem("%s %s: refused with %d though it is proper: %q", c.kind, c.id, c.status, c.body)
 		}
 	}
@@ -50,9 +50,30 @@
 	}
 }
 
-// mayRefuse reports whether a table without a call's key may have been in force: that
-// is taken for granted of the spare key, which tables give and take.
-func mayRefuse(c *call) bool { return c.key == spareKey && c.status == http.StatusUnauthorized }
+// mayRefuse reports whether a table without a call's key may have been in force at its
+// entry while it was served: one that the store held then, or as long before as an entry
+// may go by an old one.
+func (w *world) mayRefuse(c *call) bool {
+	if c.key != spareKey || c.status != http.StatusUnauthorized {
+		return false
+	}
+	from, to := c.sent.Add(-keyWithdrawn-scheduling), c.sent.Add(deadline)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var taken time.Time
+	for _, s := range w.spare {
+		if s.given && !taken.IsZero() && taken.Before(to) && s.at.After(from) {
+			return true
+		}
+		switch {
+		case s.given:
+			taken = time.Time{}
+		case taken.IsZero():
+			taken = s.at
+		}
+	}
+	return !taken.IsZero() && taken.Before(to)
+}
 
 // arrival is one request that came to an endpoint.
 type arrival struct {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -184,17 +184,13 @@
 // crashEndpoint ends an endpoint without a word; its record goes later.
 func (s *series) crashEndpoint() {
 	w := s.storm.world
-	live := w.live(s.draw.IntN(2) == 0)
-	if len(live) < 3 {
+	old := s.doom()
+	if old == nil {
 		return
 	}
-	old := live[s.draw.IntN(len(live))]
 	s.storm.tell("crash " + old.ID)
 	old.Stop()
 	old.link.reset()
-	old.mutex.Lock()
-	old.gone = true
-	old.mutex.Unlock()
 	s.pause(500, 3000)
 	w.store.Delete("servers", old.ID)
 	w.addEndpoint(old.engine, old.center)
--- a/soak/storm_test.go
+++ b/soak/storm_test.go
@@ -64,6 +64,23 @@
 	return live[s.draw.IntN(len(live))]
 }
 
+// doom takes an endpoint from the live ones that is about to crash, nil where fewer
+// than three of its service would be left to others.
+func (s *series) doom() *endpoint {
+	w := s.storm.world
+	w.dooming.Lock()
+	defer w.dooming.Unlock()
+	live := w.live(s.draw.IntN(2) == 0)
+	if len(live) < 3 {
+		return nil
+	}
+	e := live[s.draw.IntN(len(live))]
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.gone = true
+	return e
+}
+
 // last waits as long as a fault lasts: mostly shorter than what the bounds allow for,
 // now and then longer.
 func (s *series) last() {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -40,6 +40,7 @@
 	entries []*entry
 
 	tables    sync.Mutex // held by who changes the table
+	dooming   sync.Mutex // held by who chooses an endpoint to crash
 	mutex     sync.Mutex
 	endpoints []*endpoint
 	version   int
--- a/transport/front/register.go
+++ b/transport/front/register.go
@@ -113,7 +113,7 @@
 	for _, o := range objects {
 		record := protocol.EntryRecord{Name: o.Name}
 		if err := json.Unmarshal(o.Value, &record); err != nil {
-			event.EndpointIgnored.Log(r.front.Logger, slog.String("endpoint", o.Name), slog.String("cause", err.Error()))
+			event.EntryIgnored.Log(r.front.Logger, slog.String("peer", o.Name), slog.String("cause", err.Error()))
 			continue
 		}
 		records = append(records, record)
--- a/transport/relay/follower.go
+++ b/transport/relay/follower.go
@@ -79,8 +79,13 @@
 	}
 }
 
-// fill puts the changes into a frame that the follower does not know.
+// frameMost bounds the bytes of values in a frame, well below what one may be long.
+const frameMost = protocol.MaxFrameBytes / 2
+
+// fill puts the changes into a frame that the follower does not know. Whoever lacks more
+// than a frame holds lists for itself.
 func (f *follower) fill(frame *protocol.RelayFrame) error {
+	bytes := 0
 	for i := range f.known {
 		mark := &f.known[i]
 		run, ok := f.source.mirror.Since(mark.Kind, mark.At)
@@ -97,6 +102,10 @@
 				return err
 			}
 			out.Changes = append(out.Changes, change)
+			bytes += len(change.Value)
+		}
+		if bytes > frameMost {
+			return errForgotten
 		}
 		frame.Runs = append(frame.Runs, out)
 		mark.At = run.At
--- a/transport/relay/read.go
+++ b/transport/relay/read.go
@@ -66,7 +66,7 @@
 func (s *Source) readPlatform(ctx context.Context, kind, name string) (watch.Reading, error) {
 	asked := time.Now()
 	o, err := s.Platform.Get(ctx, kind, name)
-	s.note(err)
+	s.note(ctx, err)
 	var missing *platform.NotFound
 	if errors.As(err, &missing) {
 		s.counted(nil)
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -171,6 +171,41 @@
 	eventually(t, "the news came", func() bool { return all[2].believes.value(table) == "two" })
 }
 
+// TestMoreThanAFrameHoldsIsListed lets more come than one frame may hold, while the
+// history is forgotten: the follower lists for itself and follows on.
+func TestMoreThanAFrameHoldsIsListed(t *testing.T) {
+	s := newStore()
+	s.put(table, "one")
+	all := newEntries(t, s, 2)
+	const objects, long = 2500, 1900 // too short each to be packed, 4.75 MB together
+	s.mutex.Lock()
+	for i := range objects {
+		s.now++
+		name := fmt.Sprint("many-", i)
+		s.objects[name] = protocol.Object{Kind: kind, Name: name, Version: s.now, Value: []byte(strings.Repeat("x", long))}
+	}
+	s.mutex.Unlock()
+	s.forget()
+	eventually(t, "all came", func() bool { return all[1].believes.value("many-2499") != "" })
+	eventually(t, "it follows again", all[1].source.Following)
+	s.put(table, "two")
+	eventually(t, "the news came", func() bool { return all[1].believes.value(table) == "two" })
+}
+
+func TestAClosedSourceFollowsNobody(t *testing.T) {
+	s := newStore()
+	s.put(table, "one")
+	all := newEntries(t, s, 1)
+	peer := all[0].source.Self
+	for range 20 {
+		next := newNamed(t, s, rankedAfter(peer))[0]
+		next.source.Learn([]protocol.EntryRecord{peer})
+		next.close()
+		eventually(t, "nobody follows", func() bool { return !next.source.Following() })
+	}
+	eventually(t, "nobody is followed", func() bool { return !all[0].source.Followed() })
+}
+
 func TestAWrongKeyIsRefused(t *testing.T) {
 	s := newStore()
 	s.put(table, "one")
--- a/transport/relay/seeker.go
+++ b/transport/relay/seeker.go
@@ -54,6 +54,9 @@
 		case <-s.wakes():
 		case <-t.C:
 		}
+		if s.source.done.Closed() {
+			return
+		}
 		s.seek()
 	}
 }
@@ -76,8 +79,9 @@
 			s.avoid(m.Name, time.Now())
 			continue
 		}
-		s.source.follow(l)
-		go l.run()
+		if s.source.follow(l) {
+			go l.run()
+		}
 		return
 	}
 }
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -97,9 +97,15 @@
 	return s.link
 }
 
-// follow begins to follow a peer in place of the one that was followed, if any.
-func (s *Source) follow(l *link) {
+// follow begins to follow a peer in place of the one that was followed, if any, and
+// reports whether it does: not when this entry ends or is itself followed by now.
+func (s *Source) follow(l *link) bool {
 	s.mutex.Lock()
+	if s.done.Closed() || s.Followed() {
+		s.mutex.Unlock()
+		l.close()
+		return false
+	}
 	old := s.link
 	s.link = l
 	s.relinked()
@@ -108,6 +114,7 @@
 		old.close()
 	}
 	event.PeerFollowed.Log(s.Logger, slog.String("peer", l.peer.Name))
+	return true
 }
 
 // leave ends following a peer.
@@ -157,7 +164,7 @@
 // List asks the platform for every object of a kind.
 func (s *Source) List(ctx context.Context, kind string) (protocol.Listing, error) {
 	l, err := s.Platform.List(ctx, kind)
-	s.note(err)
+	s.note(ctx, err)
 	if err == nil {
 		s.mirror.Listed(kind, l)
 	}
@@ -195,18 +202,19 @@
 
 func (s *Source) watchPlatform(ctx context.Context, kind string, after uint64, wait time.Duration) (protocol.Changes, error) {
 	c, err := s.Platform.Watch(ctx, kind, after, wait)
-	s.note(err)
+	s.note(ctx, err)
 	if err == nil && len(c.Changes) > 0 && !s.mirror.Took(kind, mirror.Run{After: after, At: c.At, Changes: c.Changes}) {
 		return protocol.Changes{}, &platform.Forgotten{}
 	}
 	return c, err
 }
 
-// note notes whether the platform answered.
-func (s *Source) note(err error) {
+// note notes whether the platform answered. A call that was given up here says nothing
+// about it.
+func (s *Source) note(ctx context.Context, err error) {
 	var forgotten *platform.Forgotten
 	var missing *platform.NotFound
-	if err == nil || errors.As(err, &forgotten) || errors.As(err, &missing) || errors.Is(err, context.Canceled) {
+	if err == nil || errors.As(err, &forgotten) || errors.As(err, &missing) || ctx.Err() != nil {
 		return
 	}
 	s.mutex.Lock()
--- a/transport/watch/watch_test.go
+++ b/transport/watch/watch_test.go
@@ -211,6 +211,8 @@
 	snk := confirm(t, &reader{unwritten: true}, 2*time.Second+time.Millisecond)
 	require.Zero(t, snk.failed)
 	require.Equal(t, 1, snk.listed)
+	require.Empty(t, snk.changed, "there is no object to take")
+	require.Equal(t, snk.listedAt, snk.confirmed, "the list confirmed what there is, and no reading did")
 }
 
 func TestWhatAPeerPassedOnProvesNothingAboutThePlatform(t *testing.T) {
