--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -48,6 +48,7 @@
 	outage    time.Time            // when the platform was last known not to answer
 	services  []protocol.RoutedService
 	known     atomic.Bool
+	stale     atomic.Bool // what is derived does not hold the latest changes yet
 	changes   atomic.Uint64
 	view      atomic.Pointer[fleet.View]
 	list      atomic.Pointer[[]protocol.Endpoint]
@@ -55,7 +56,10 @@
 }
 
 // View returns the runners of all models, or nil before the first list.
-func (r *Roster) View() *fleet.View { return r.view.Load() }
+func (r *Roster) View() *fleet.View {
+	r.derive()
+	return r.view.Load()
+}
 
 // Changes returns a number that rises with each change of the endpoints.
 func (r *Roster) Changes() uint64 { return r.changes.Load() }
@@ -66,6 +70,7 @@
 // Centers returns the data centers in which engines of a service hold layers, in
 // order of name. The caller must not change the slice.
 func (r *Roster) Centers(service string) []string {
+	r.derive()
 	if c := r.centers.Load(); c != nil {
 		return (*c)[service]
 	}
@@ -75,6 +80,7 @@
 // Endpoints returns every endpoint in order of ID. The caller must not change
 // the slice.
 func (r *Roster) Endpoints() []protocol.Endpoint {
+	r.derive()
 	if l := r.list.Load(); l != nil {
 		return *l
 	}
@@ -86,7 +92,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.services = services
-	r.rebuild()
+	r.changed()
 }
 
 // Outage notes that the platform did not answer at that time.
@@ -116,7 +122,7 @@
 		gone = append(gone, e)
 	}
 	r.known.Store(true)
-	r.rebuild()
+	r.changed()
 	return gone
 }
 
@@ -130,7 +136,7 @@
 	_, there := r.endpoints[e.ID]
 	r.endpoints[e.ID] = e
 	delete(r.vanished, e.ID)
-	r.rebuild()
+	r.changed()
 	return !there
 }
 
@@ -144,7 +150,7 @@
 		return false
 	}
 	delete(r.endpoints, id)
-	r.rebuild()
+	r.changed()
 	return true
 }
 
@@ -163,7 +169,7 @@
 		delete(r.endpoints, id)
 	}
 	if len(gone) > 0 {
-		r.rebuild()
+		r.changed()
 	}
 	return gone
 }
@@ -184,6 +190,27 @@
 	return true
 }
 
+// changed notes that what is derived is stale. Changes come many at a time, with the
+// start of a fleet thousands of them, and deriving takes as long as there are
+// endpoints: so it waits until somebody looks. The mutex is held.
+func (r *Roster) changed() {
+	r.changes.Add(1)
+	r.stale.Store(true)
+}
+
+// derive brings what is derived up to date.
+func (r *Roster) derive() {
+	if !r.stale.Load() {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.stale.Load() {
+		r.rebuild()
+		r.stale.Store(false)
+	}
+}
+
 // rebuild derives the view and the list anew. Measurements of runners that did
 // not change are kept.
 func (r *Roster) rebuild() {
@@ -193,7 +220,6 @@
 	}
 	slices.SortFunc(list, func(a, b protocol.Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	r.list.Store(&list)
-	r.changes.Add(1)
 	centers := make(map[string][]string)
 	var models []protocol.Model
 	var runners []protocol.Runner
--- a/state/roster/roster_test.go
+++ b/state/roster/roster_test.go
@@ -3,6 +3,7 @@
 package roster_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -101,3 +102,35 @@
 	require.Empty(t, r.Sweep(now.Add(time.Minute)))
 	require.True(t, r.Remove("x", now.Add(time.Minute)), "long after the outage, gone is gone")
 }
+
+func TestEachLookHoldsAllThatWasTakenBefore(t *testing.T) {
+	r := newRoster()
+	before := r.Changes()
+	r.Put(engine("x", "a", 0, 5))
+	r.Put(engine("y", "b", 0, 10))
+	require.Equal(t, before+2, r.Changes())
+	require.NotNil(t, r.View().Runner("y"))
+	require.Equal(t, []string{"a", "b"}, r.Centers("llm"))
+	require.Equal(t, []string{"x", "y"}, ids(r.Endpoints()))
+	require.Same(t, r.View(), r.View(), "nothing is derived anew without a change")
+	r.Remove("x", time.Unix(100, 0))
+	require.Equal(t, []string{"y"}, ids(r.Endpoints()))
+	require.Nil(t, r.View().Runner("x"))
+}
+
+// BenchmarkStart takes a fleet that starts, endpoint by endpoint, and looks once.
+func BenchmarkStart(b *testing.B) {
+	for _, n := range []int{40, 400, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				r := newRoster()
+				for i := range n {
+					r.Put(engine(fmt.Sprint("e-", i), "a", 0, 5))
+				}
+				if r.View().Runner("e-1") == nil {
+					b.Fatal("not there")
+				}
+			}
+		})
+	}
+}
