--- a/transport/entry/director.go
+++ b/transport/entry/director.go
@@ -139,7 +139,11 @@
 
 // pass asks some engines for their state and orders what differs.
 func (d *director) pass(ctx context.Context) {
-	for _, r := range d.chosen(d.entry.follower.Current().Runners()) {
+	current := d.entry.follower.Current()
+	if current == nil {
+		return // the lease may be held before the first configuration is in force
+	}
+	for _, r := range d.chosen(current.Runners()) {
 		if d.entry.done.Closed() {
 			return
 		}
--- /dev/null
+++ b/transport/entry/director_test.go
@@ -0,0 +1,29 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/coordination/lease"
+)
+
+// TestADirectorWithoutAConfigurationGivesNoOrders holds the lease before any
+// configuration is in force, as happens where the platform answers for the lease
+// sooner than for the manifest.
+func TestADirectorWithoutAConfigurationGivesNoOrders(t *testing.T) {
+	e := &Entry{}
+	d := &director{entry: e, holding: true}
+	d.lease.Self = "e1"
+	now := time.Now()
+	d.lease.Seen(0, lease.Record{}, now)
+	_, writes := d.lease.Next(now).(lease.Write)
+	require.True(t, writes)
+	d.lease.Wrote(1)
+	_, holding := d.lease.Epoch(now)
+	require.True(t, holding)
+	require.NotPanics(t, func() { d.pass(t.Context()) })
+}
