place, watch: derive whether a move cuts, remove an accessor that nothing called

Read once more: every shift cuts and nothing else does, so the flag beside the reason could only disagree with it; the reason for cutting stands at Move.Cut now. No Reading's object was asked for from outside. Behaviour is the same; the tests keep their assertions.

--- a/coordination/place/holes.go
+++ b/coordination/place/holes.go
@@ -31,13 +31,13 @@
 		return p.give(m, hole, Hole), true
 	}
 	if m := p.spareFor(hole.Layers()); m != nil && m.capacity >= hole.Layers() {
-		return p.shift(m, hole), true
+		return p.give(m, hole, Shift), true
 	}
 	if m, span, ok := p.beside(hole, ownCapacity); ok {
 		return p.extend(m, span), true
 	}
 	if m := p.spareFor(hole.Layers()); m != nil {
-		return p.shift(m, hole), true
+		return p.give(m, hole, Shift), true
 	}
 	if m, span, ok := p.beside(hole, scarceCapacity); ok {
 		return p.extend(m, span), true
@@ -45,15 +45,6 @@
 	return Move{}, false
 }
 
-// shift orders an engine whose layers others hold too to hold a hole. It breaks off
-// what passes through it: that goes on elsewhere after a short pause, while waiting for
-// the longest stream takes ten seconds, in which the data center serves nothing.
-func (p *pool) shift(m *member, hole protocol.Span) Move {
-	move := p.give(m, hole, Shift)
-	move.cut = true
-	return move
-}
-
 // give orders an engine to hold the beginning of a hole, as far as it can.
 func (p *pool) give(m *member, hole protocol.Span, why Reason) Move {
 	span := protocol.Span{From: hole.From, To: min(hole.To, hole.From+m.capacity)}
--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -48,7 +48,6 @@
 	engine string
 	span   protocol.Span
 	reason Reason
-	cut    bool
 }
 
 // Engine returns the engine's ID.
@@ -61,8 +60,10 @@
 func (m Move) Reason() Reason { return m.reason }
 
 // Cut reports whether the engine shall break off what passes through the layers that
-// it gives up, instead of waiting for it.
-func (m Move) Cut() bool { return m.cut }
+// it gives up, instead of waiting for it. What passed through one that fills a hole goes
+// on elsewhere after a short pause, while waiting for the longest stream takes ten
+// seconds, in which the data center serves nothing.
+func (m Move) Cut() bool { return m.reason == Shift }
 
 // Reason says why a move is wanted.
 type Reason string
--- a/transport/watch/confirm.go
+++ b/transport/watch/confirm.go
@@ -20,9 +20,6 @@
 // Read returns the reading of an object.
 func Read(o protocol.Object, at time.Time) Reading { return Reading{object: o, at: at} }
 
-// Object returns the object.
-func (r Reading) Object() protocol.Object { return r.object }
-
 // At returns a time at which the platform held the object so, zero if it has none.
 func (r Reading) At() time.Time { return r.at }
 
