forward, admit: requests wait for room in front of the engines

An entry knew only its own requests.

Change: admit.Line, a pure queue that says whose turn it is: priority, then those that can be on time by the turn of their teams, then late ones; a request that has no hope before its caller leaves is refused at once, with when to come back. The exchange waits there before its first send and after one that did not run, and a broken stream goes on from there before new ones. Engines are asked for the part of their room that is used, twice a second and only from half full on; what this entry began and ended since counts exactly, a rejection counts as full for 0.25 s. Data centers with room come before those without. Silence is judged by twice the stream's own pause. An engine that others wait for is asked itself before it counts as lost.

--- a/coordination/retry/resend.go
+++ b/coordination/retry/resend.go
@@ -25,9 +25,11 @@
 	MayRepeat bool
 	MayHave   bool // an earlier send of the request may have run
 	Allowed   bool
+	Ready     bool // an endpoint can take it now
 	Unsent    int
 	Now       time.Time
 	Deadline  time.Time
+	Hope      time.Time // until when it is of use to wait for one, zero if not at all
 }
 
 // maxUnsent is how many endpoints are tried that can't be reached. Each may cost
@@ -39,13 +41,15 @@
 
 // Again: send it to another endpoint. Deliver: pass the endpoint's own failure
 // on. Refuse: tell the caller that it has not run and never will. Fail: tell the
-// caller that it may have run. Expire: its time is over.
+// caller that it may have run. Expire: its time is over. Hold: wait until an endpoint
+// can take it.
 const (
 	Again Next = iota
 	Deliver
 	Refuse
 	Fail
 	Expire
+	Hold
 )
 
 // Resend decides on a forwarded request after a send without a good answer. A
@@ -57,17 +61,26 @@
 	}
 	mayRun := f.MayHave || f.Result == Failed || f.Result == Broken
 	if f.Allowed && (f.MayRepeat || !mayRun) {
-		if f.Result == NeverSent && f.Unsent <= maxUnsent {
+		if f.Ready && f.Result == NeverSent && f.Unsent <= maxUnsent {
 			return Again
 		}
-		if f.Result != NeverSent && b.Take() {
+		if f.Ready && f.Result != NeverSent && b.Take() {
 			return Again
 		}
+		if f.Now.Before(f.Hope) {
+			return Hold
+		}
 	}
+	return Ending(f.Result, mayRun)
+}
+
+// Ending returns how a request ends that is not sent again: after a send with that
+// result, and whether an earlier one may have run.
+func Ending(r Result, mayHave bool) Next {
 	switch {
-	case f.Result == Failed:
+	case r == Failed:
 		return Deliver
-	case mayRun:
+	case mayHave || r == Broken:
 		return Fail
 	default:
 		return Refuse
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -73,6 +73,7 @@
 	ReportsAsked        Name = "reports_asked"
 	OrdersGiven         Name = "orders_given"
 	LinesDropped        Name = "log_lines_dropped"
+	RequestsHeld        Name = "requests_held"
 )
 
 // Names returns every counter that is neither a refusal nor a retry.
@@ -82,7 +83,7 @@
 		RepliesDropped, FramesBroken, ReportsIgnored, PlatformCalls, PlatformFaults,
 		ClaimsGranted, ClaimsReplayed, ClaimWrites, ConfigAccepted, ConfigIgnored,
 		RunnersEjected, PeerConnections, PeerFrames, PeerBytes,
-		EndpointConnections, ReportsAsked, OrdersGiven, LinesDropped,
+		EndpointConnections, ReportsAsked, OrdersGiven, LinesDropped, RequestsHeld,
 	}
 }
 
--- a/internal/metric/times.go
+++ b/internal/metric/times.go
@@ -54,11 +54,12 @@
 	Detection   Timed = "detection"
 	StoreCall   Timed = "store_call"
 	EngineCall  Timed = "engine_call"
+	Held        Timed = "held"
 )
 
 // AllTimed returns everything that a Set records the time of.
 func AllTimed() []Timed {
-	return []Timed{FirstEvent, WholeAnswer, Pause, Detection, StoreCall, EngineCall}
+	return []Timed{FirstEvent, WholeAnswer, Pause, Detection, StoreCall, EngineCall, Held}
 }
 
 // Summary is a snapshot in milliseconds.
--- a/protocol/routing.go
+++ b/protocol/routing.go
@@ -37,7 +37,8 @@
 	TimeoutMS  float64
 	AimMS      float64
 	PauseAimMS float64
-	Priority   int // 0 is the most urgent
+	PatienceMS float64 // silence of a stream after which callers leave, 0 if they don't
+	Priority   int     // 0 is the most urgent
 	Targets    []Target
 	MaxTries   int // endpoints that one request may be sent to
 	Public     bool
@@ -56,6 +57,9 @@
 // Aim returns when a request that came in then should have its first event.
 func (r *Route) Aim(from time.Time) time.Time { return from.Add(fromMS(r.AimMS)) }
 
+// Patience returns when a caller leaves a stream that has said nothing since then.
+func (r *Route) Patience(since time.Time) time.Time { return since.Add(fromMS(r.PatienceMS)) }
+
 // MayRepeat reports whether a request of the route may run more than once.
 func (r *Route) MayRepeat() bool {
 	return r.Repeat == Repeatable || r.Repeat == Stream && r.Resumable
@@ -149,7 +153,12 @@
 	Layers  Span
 	Waiting int
 	Running int
-	Stalled []StalledRequest
+	// RoomUsed is the part of the memory for requests that they hold; RoomKnown says
+	// whether the engine told it.
+	RoomUsed  float64
+	RoomKnown bool
+	Pace      float64 // taken over expected time of a step, 0 if not told
+	Stalled   []StalledRequest
 }
 
 // StalledRequest is a request that can't go on because the engine at an address
--- a/state/fleet/cost.go
+++ b/state/fleet/cost.go
@@ -54,7 +54,10 @@
 	fixed = slowness * (r.Wait(now) + batchSeconds + linkSeconds[r.link])
 	layer = slowness * (float64(read)/r.spec.Speed + float64(write)*r.spec.Step)
 	if r.spec.Room > 0 {
-		full := sharers * float64(r.outstanding.Load()) / float64(r.Span().Layers()) / r.spec.Room
+		full := sharers * float64(r.outstanding.Load()) / r.roomPasses()
+		if now.Before(r.UsedTill()) {
+			full = r.Fill(now, 0)
+		}
 		square := full * full
 		layer *= 1 + crowding*square + overflowing*square*square*square
 	}
--- a/state/fleet/ejection.go
+++ b/state/fleet/ejection.go
@@ -52,6 +52,10 @@
 	}
 }
 
+// Answers notes that the runner itself answers, although others wait for it: it is left
+// out as before, but not lost.
+func (r *Runner) Answers() { r.failures.Store(0) }
+
 // Refused notes that the runner did not run a request. It gets no new work for a
 // time that doubles with each refusal in a row.
 func (r *Runner) Refused(now time.Time) {
--- a/transport/forward/blame.go
+++ b/transport/forward/blame.go
@@ -41,6 +41,7 @@
 	for i := range a.path.Len() {
 		if r := a.path.Runner(i); r.Spec().Address == address || address == "" && i == 0 {
 			r.Refused(now)
+			r.RefusedForRoom(now)
 			x.avoid = append(x.avoid, r)
 		}
 	}
--- a/transport/forward/candidate.go
+++ b/transport/forward/candidate.go
@@ -19,26 +19,29 @@
 	homeFull = 0.6
 	// awayGain is how much emptier another data center has to be.
 	awayGain = 0.2
+	// fullAt is the part of a runner's room up to which requests are sent there. Lengths of
+	// answers are guesses, and what does not fit is put back and read anew.
+	fullAt = 0.9
 )
 
 // candidate is a path in one data center.
 type candidate struct {
-	path      path.Path
-	sound     bool
-	occupancy float64
+	path  path.Path
+	sound bool    // every runner may take work
+	ready bool    // and has room
+	fill  float64 // the part of the room that is taken at the fullest runner
 }
 
-// choose finds a path for a service. The entry's own data center comes first, as
-// long as it has a sound path and room; then the emptiest other one with a sound
-// path; then whatever there is.
+// choose finds a path for a service. The entry's own data center comes first, as long as
+// it has room and no other has much more; then the emptiest other one with room; then
+// whatever there is.
 func (f *Forwarder) choose(s *protocol.RoutedService, q *path.Query, into *path.Path) bool {
 	view := f.Roster.View()
 	if s.Engine == nil {
 		return path.Into(view.Model(roster.ModelName(s.Name, "")), q, into) < 0
 	}
-	usual := float64(s.Engine.UsualPrompt) + float64(s.Engine.UsualAnswer)/2
-	best, found := f.candidate(view, s.Name, f.Home.DataCenter, q, usual)
-	if found && best.sound && best.occupancy < homeFull {
+	best, found := candidateIn(view, s.Name, f.Home.DataCenter, q)
+	if found && best.ready && best.fill < homeFull {
 		*into = best.path
 		return true
 	}
@@ -46,7 +49,7 @@
 		if center == f.Home.DataCenter {
 			continue
 		}
-		other, ok := f.candidate(view, s.Name, center, q, usual)
+		other, ok := candidateIn(view, s.Name, center, q)
 		if ok && (!found || other.better(&best)) {
 			best, found = other, true
 		}
@@ -55,22 +58,43 @@
 	return found
 }
 
-func (f *Forwarder) candidate(view *fleet.View, service, center string, q *path.Query, usual float64) (candidate, bool) {
+func candidateIn(view *fleet.View, service, center string, q *path.Query) (candidate, bool) {
 	var c candidate
 	m := view.Model(roster.ModelName(service, center))
 	if path.Parts(m, q, &c.path) >= 0 {
 		return c, false
 	}
 	c.sound = sound(&c.path, q.Now, q.Avoid)
-	c.occupancy = m.Occupancy(q.Now, usual)
+	c.fill = fill(&c.path, q)
+	c.ready = c.sound && c.fill <= fullAt
 	return c, true
 }
 
 func (c *candidate) better(than *candidate) bool {
+	if c.ready != than.ready {
+		return c.ready
+	}
 	if c.sound != than.sound {
 		return c.sound
 	}
-	return c.occupancy+awayGain < than.occupancy
+	return c.fill+awayGain < than.fill
+}
+
+// ready reports whether every runner of a path may take work now and has room for the
+// request.
+func ready(p *path.Path, q *path.Query) bool {
+	return sound(p, q.Now, q.Avoid) && fill(p, q) <= fullAt
+}
+
+// fill returns which part of the room is taken at the fullest runner of a path, the
+// request included.
+func fill(p *path.Path, q *path.Query) float64 {
+	most := 0.0
+	for i := range p.Len() {
+		passes := float64((q.Positions + q.Write) * p.Span(i).Layers())
+		most = max(most, p.Runner(i).Fill(q.Now, passes))
+	}
+	return most
 }
 
 // sound reports whether every runner of a path may take work now and need not be
--- a/transport/forward/decide.go
+++ b/transport/forward/decide.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"pinerun.example/pinerun/coordination/path"
 	"pinerun.example/pinerun/coordination/retry"
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/metric"
@@ -32,22 +33,42 @@
 	if a.path.Len() == 1 {
 		x.avoid = append(x.avoid, a.endpoint)
 	}
-	p, found := x.pick(now)
+	p, ready := x.pickNext(now)
+	hope := x.hopeTill()
 	next := x.forwarder.resend(retry.Forwarded{
 		Result: r, MayRepeat: x.route.MayRepeat(), MayHave: x.mayHave,
-		Allowed: found && x.mayReach(&p), Unsent: x.unsent, Now: now, Deadline: x.deadline,
+		Allowed: x.mayReachMore(), Ready: ready && x.mayReach(&p), Unsent: x.unsent, Now: now, Deadline: x.deadline, Hope: hope,
 	})
-	if next == retry.Again {
+	switch next {
+	case retry.Again:
 		x.forwarder.Counters.Retried(reasonOf(r))
 		x.send(&p)
 		x.rhythm.restart(now)
-		return
+	case retry.Hold:
+		if again, ok := x.wait(a, r, whole, hope, now); !ok {
+			x.end(retry.Ending(r, x.mayHave), whole, again)
+		}
+	default:
+		x.end(next, whole, now.Add(againFull))
+	}
+}
+
+// pickNext chooses a path for a further send and reports whether it can take it now. A
+// plain service's endpoints take it whenever there are any.
+func (x *exchange) pickNext(now time.Time) (path.Path, bool) {
+	if x.service.Engine == nil {
+		return x.pick(now)
 	}
+	return x.pickReady(now)
+}
+
+// end ends the request as the retry policy says.
+func (x *exchange) end(next retry.Next, whole *wholeCame, again time.Time) {
 	switch next {
 	case retry.Deliver:
 		x.deliver(whole)
 	case retry.Refuse:
-		x.finish(protocol.Refuse(protocol.RetriesSpent, "no endpoint could take the request").Again(now.Add(againFull)))
+		x.finish(protocol.Refuse(protocol.RetriesSpent, "no endpoint could take the request").Again(again))
 	case retry.Expire:
 		x.finish(expired())
 	default:
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -49,6 +49,7 @@
 	events    int    // that the caller has
 	rhythm    rhythm
 	silence   silenceAction // the last that was done
+	held      *hold         // while it waits for room
 }
 
 // run sends the request and serves its answer to the end.
@@ -59,19 +60,17 @@
 	x.draw = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	x.lastEvent = x.terms.LastEvent
 	defer x.stopAll()
-	first, ok := x.pick(time.Now())
-	if !ok {
-		x.refuse(noPath())
-		return
-	}
-	x.send(&first)
+	defer x.unhold()
 	x.rhythm.begin(x.route, x.service, x.begun)
+	x.begin(x.begun)
 	timer := time.NewTimer(time.Until(x.wakeAt()))
 	defer timer.Stop()
 	for !x.finished {
 		select {
 		case m := <-x.messages:
 			x.take(m)
+		case after := <-x.turns():
+			x.takeTurn(after, time.Now())
 		case <-timer.C:
 			x.wake(time.Now())
 		case <-x.request.Context().Done():
@@ -86,12 +85,23 @@
 
 // wakeAt returns when to look at the request although no attempt tells anything.
 func (x *exchange) wakeAt() time.Time {
+	if x.held != nil {
+		return x.held.till
+	}
 	if at := x.rhythm.overdueAt(); at.Before(x.deadline) {
 		return at
 	}
 	return x.deadline
 }
 
+// turns returns the channel of the request's turns while it waits for room.
+func (x *exchange) turns() <-chan int {
+	if x.held == nil {
+		return nil
+	}
+	return x.held.turns
+}
+
 // stopAll ends every open attempt.
 func (x *exchange) stopAll() {
 	for _, a := range x.live {
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -56,6 +56,8 @@
 	spent    float64    // further sends so far
 	pool     pool
 	suspects suspects
+	lines    lines
+	poller   poller
 	open     atomic.Int64
 	entries  atomic.Int64
 	refusing atomic.Bool
@@ -65,6 +67,7 @@
 func (f *Forwarder) Start() {
 	f.pool.opened = func() { f.Counters.Add(metric.EndpointConnections, 1) }
 	f.suspects.forwarder = f
+	f.poller.forwarder = f
 	go f.run()
 }
 
@@ -81,11 +84,19 @@
 func (f *Forwarder) run() {
 	t := time.NewTicker(sweepEvery)
 	defer t.Stop()
+	turns := time.NewTicker(turnEvery)
+	defer turns.Stop()
+	polls := time.NewTicker(pollLook)
+	defer polls.Stop()
 	for {
 		select {
 		case now := <-t.C:
 			f.pool.sweep(now)
 			f.fillBudget(now)
+		case now := <-turns.C:
+			f.lines.turn(now)
+		case now := <-polls.C:
+			f.poller.look(now)
 		case <-f.done.Done():
 			return
 		}
--- /dev/null
+++ b/transport/forward/poll.go
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/state/fleet"
+	"pinerun.example/pinerun/state/roster"
+)
+
+const (
+	// pollEvery is how often an engine is asked for its report while it has requests of
+	// this entry and little room.
+	pollEvery = 500 * time.Millisecond
+	// pollLook is how often it is looked which engines are due.
+	pollLook = 50 * time.Millisecond
+	// pollFill is the part of an engine's room, as far as known, from which it is asked.
+	pollFill = 0.5
+)
+
+// poller asks the engines of the entry's own data center how much of their room is
+// used, while their room matters: what the other entries have open there is not known
+// otherwise.
+type poller struct {
+	forwarder *Forwarder
+	mutex     sync.Mutex
+	asked     map[string]time.Time // by endpoint ID
+}
+
+// look asks the engines that are due.
+func (p *poller) look(now time.Time) {
+	f := p.forwarder
+	table := f.Routing.Current()
+	if table == nil {
+		return
+	}
+	view := f.Roster.View()
+	services := table.Services()
+	for i := range services {
+		if services[i].Engine == nil {
+			continue
+		}
+		for _, center := range f.Roster.Centers(services[i].Name) {
+			p.lookAt(view.Model(roster.ModelName(services[i].Name, center)), services[i].Name, now)
+		}
+	}
+}
+
+func (p *poller) lookAt(m *fleet.Model, service string, now time.Time) {
+	groups := m.Groups()
+	for i := range groups {
+		for _, r := range groups[i].Runners() {
+			if r.Outstanding() > 0 && p.matters(r, service, now) && p.due(r, now) {
+				go (&poll{forwarder: p.forwarder, runner: r}).run()
+			}
+		}
+	}
+}
+
+// matters reports whether an engine's room may be short.
+func (p *poller) matters(r *fleet.Runner, service string, now time.Time) bool {
+	fill := r.Fill(now, 0)
+	if !now.Before(r.UsedTill()) {
+		fill *= p.forwarder.sharers(service)
+	}
+	return fill > pollFill
+}
+
+func (p *poller) due(r *fleet.Runner, now time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.asked == nil {
+		p.asked = make(map[string]time.Time)
+	}
+	if now.Before(p.asked[r.Name()].Add(pollEvery)) {
+		return false
+	}
+	p.asked[r.Name()] = now
+	return true
+}
+
+// poll is one question to an engine.
+type poll struct {
+	forwarder *Forwarder
+	runner    *fleet.Runner
+}
+
+func (p *poll) run() {
+	f := p.forwarder
+	ctx, cancel := context.WithTimeout(context.Background(), askLimit)
+	defer cancel()
+	f.Counters.Add(metric.ReportsAsked, 1)
+	report, err := f.Reporter.Report(ctx, p.runner.Spec().Address)
+	if err != nil || !report.RoomKnown {
+		return
+	}
+	p.runner.ReportUsed(report.RoomUsed, time.Now())
+}
--- a/transport/forward/rhythm.go
+++ b/transport/forward/rhythm.go
@@ -14,6 +14,9 @@
 	pauseLeast = 90 * time.Millisecond
 	// pauseFactor is how many of its usual pauses a stream may be silent.
 	pauseFactor = 4
+	// pauseUsual is how many of its usual pauses a stream may be silent even where that is
+	// beyond half of the pause aimed at: engines with many open requests write that slowly.
+	pauseUsual = 2
 	// firstShare is the part of the aim after which a first event is overdue.
 	firstShare = 0.5
 	// lookEvery is how often a silence that lasts is looked at again.
@@ -74,7 +77,7 @@
 func (r *rhythm) bound() time.Duration {
 	b := max(pauseLeast, pauseFactor*r.mean)
 	if r.pauseAim > 0 {
-		b = min(b, max(pauseLeast, r.pauseAim/2))
+		b = min(b, max(pauseLeast, r.pauseAim/2, pauseUsual*r.mean))
 	}
 	return b
 }
--- a/transport/forward/send.go
+++ b/transport/forward/send.go
@@ -77,6 +77,9 @@
 	return len(x.reached) < x.route.MaxTries || slices.Contains(x.reached, p.Runner(0))
 }
 
+// mayReachMore reports whether the route allows any further send.
+func (x *exchange) mayReachMore() bool { return x.tries-x.unsent < sendsMost }
+
 // notReached takes back that an attempt reached its endpoint.
 func (x *exchange) notReached(a *attempt) {
 	x.unsent++
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -30,6 +30,12 @@
 
 // wake acts when the deadline has come or an event is overdue.
 func (x *exchange) wake(now time.Time) {
+	if x.held != nil {
+		if !now.Before(x.held.till) {
+			x.endHold(now)
+		}
+		return
+	}
 	if !now.Before(x.deadline) {
 		x.finish(expired())
 		return
--- a/transport/forward/suspects.go
+++ b/transport/forward/suspects.go
@@ -96,6 +96,7 @@
 		if r := q.path.Runner(i); stalledAt(r, report.Stalled) {
 			found = true
 			q.eject(r, "requests wait for it", now)
+			go (&probe{forwarder: f, runner: r}).run()
 		}
 	}
 	if !found {
@@ -116,6 +117,31 @@
 		slog.Int64("till_ms", till.Sub(now).Milliseconds()), slog.Int64("silent_ms", now.Sub(q.since).Milliseconds()))
 }
 
+// probe asks an engine that others wait for how it stands. One that doesn't answer
+// either is likely to be dead, which is then known within the bound of one question and
+// not after the next request has run into it; one that answers is left out for a moment,
+// but not taken as lost.
+type probe struct {
+	forwarder *Forwarder
+	runner    *fleet.Runner
+}
+
+func (p *probe) run() {
+	f := p.forwarder
+	ctx, cancel := context.WithTimeout(context.Background(), askLimit)
+	defer cancel()
+	f.Counters.Add(metric.ReportsAsked, 1)
+	if _, err := f.Reporter.Report(ctx, p.runner.Spec().Address); err == nil {
+		p.runner.Answers()
+		return
+	}
+	now := time.Now()
+	till := p.runner.Failed(now)
+	f.Counters.Add(metric.RunnersEjected, 1)
+	f.log(event.RunnerEjected, slog.String("runner", p.runner.Name()), slog.String("reason", "does not answer"),
+		slog.Int64("till_ms", till.Sub(now).Milliseconds()))
+}
+
 func stalledAt(r *fleet.Runner, stalled []protocol.StalledRequest) bool {
 	return slices.ContainsFunc(stalled, func(s protocol.StalledRequest) bool { return s.Address == r.Spec().Address })
 }
