forward: let a runner that failed a request take it again where no other can

Cause: a stream broken off by the only holder of a layer waited for another holder until its caller left; engines that break answers off now and then are common.

--- a/transport/forward/candidate.go
+++ b/transport/forward/candidate.go
@@ -27,8 +27,8 @@
 // candidate is a path in one data center.
 type candidate struct {
 	path  path.Path
-	sound bool    // every runner may take work
-	ready bool    // and has room
+	sound bool    // every runner may take work and has not failed the request
+	ready bool    // every runner may take work and has room
 	fill  float64 // the part of the room that is taken at the fullest runner
 }
 
@@ -41,7 +41,7 @@
 		return path.Into(view.Model(roster.ModelName(s.Name, "")), q, into) < 0
 	}
 	best, found := candidateIn(view, s.Name, f.Home.DataCenter, q)
-	if found && best.ready && best.fill < homeFull {
+	if found && best.ready && best.sound && best.fill < homeFull {
 		*into = best.path
 		return true
 	}
@@ -66,7 +66,7 @@
 	}
 	c.sound = sound(&c.path, q.Now, q.Avoid)
 	c.fill = fill(&c.path, q)
-	c.ready = c.sound && c.fill <= fullAt
+	c.ready = ready(&c.path, q)
 	return c, true
 }
 
@@ -81,9 +81,10 @@
 }
 
 // ready reports whether every runner of a path may take work now and has room for the
-// request.
+// request. One that has failed it before may, where no other holds its layers: waiting for
+// another would be in vain.
 func ready(p *path.Path, q *path.Query) bool {
-	return sound(p, q.Now, q.Avoid) && fill(p, q) <= fullAt
+	return sound(p, q.Now, nil) && fill(p, q) <= fullAt
 }
 
 // fill returns which part of the room is taken at the fullest runner of a path, the
