--- /dev/null
+++ b/explain/summary_test.go
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package explain_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/explain"
+)
+
+const badHour = `
+{"time":"2026-01-01T00:00:01Z","entry":"e","event":2003,"request":"a","attempt":1}
+{"time":"2026-01-01T00:00:01.5Z","entry":"e","event":2010,"request":"a","attempt":1,"endpoint":"i-1","at_fault":"10.0.0.2:80"}
+{"time":"2026-01-01T00:00:01.6Z","entry":"e","event":2003,"request":"a","attempt":2}
+{"time":"2026-01-01T00:00:03Z","entry":"e","event":2004,"request":"a","first_ms":1400}
+{"time":"2026-01-01T00:00:03Z","entry":"f","event":2011,"request":"b","held_ms":1600}
+{"time":"2026-01-01T00:00:03Z","entry":"f","event":2001,"request":"b","kind":"queue_full"}
+{"time":"2026-01-01T00:00:03.1Z","entry":"f","event":2008,"request":"c","events":0}
+{"time":"2026-01-01T00:00:03.2Z","entry":"f","event":2007,"request":"d","kind":"stage_failed"}
+{"time":"2026-01-01T00:00:03.3Z","entry":"f","event":3003,"runner":"i-9"}
+`
+
+func TestASummaryAddsUpWhatBecameOfRequests(t *testing.T) {
+	lines, err := explain.Read(strings.NewReader(badHour))
+	require.NoError(t, err)
+	s := explain.Summarize(lines, 2*time.Second)
+	require.Len(t, s.Spans(), 2)
+	first, second := s.Spans()[0], s.Spans()[1]
+	require.Equal(t, 2, first.Sent)
+	require.Equal(t, 1, first.NotRun)
+	require.Zero(t, first.Answered)
+	require.Equal(t, [5]int{1, 1, 1, 1, 1}, [5]int{second.Answered, second.Refused, second.Held, second.Left, second.Cut})
+	require.EqualValues(t, 1400, second.WaitMS)
+	require.Equal(t, []explain.Tally{{Name: "10.0.0.2:80", Count: 1}}, s.Faults())
+	require.Equal(t, []explain.Tally{
+		{Name: "caller left before the first event", Count: 1}, {Name: "refused: queue_full", Count: 1}, {Name: "stream cut: stage_failed", Count: 1},
+	}, s.Causes())
+	require.Contains(t, s.String(), "refused: queue_full")
+}
+
+func TestASummaryOfNothingIsEmpty(t *testing.T) {
+	s := explain.Summarize(nil, time.Second)
+	require.Empty(t, s.Spans())
+	require.Contains(t, s.String(), "how requests failed")
+}
