fleet, forward: remove the count of requests that engines tell

Which data center is less full follows from the room of its engines since requests wait for it; nothing used the requests told in answers any more.

--- a/protocol/forward.go
+++ b/protocol/forward.go
@@ -39,13 +39,8 @@
 	Signed    bool   // the answer is the endpoint's own
 	NotRun    bool   // the request did not run there and never will
 	AtFault   string // address of the engine of the path that could not run it
-	Load      EndpointLoad
-	LoadKnown bool
 }
 
-// EndpointLoad is how many requests an endpoint runs, lets wait, and can run.
-type EndpointLoad struct{ Running, Waiting, Slots int }
-
 // PlaceOrder tells an engine to hold a span of layers. Orders is how many orders
 // the engine is expected to have taken before.
 type PlaceOrder struct {
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -120,8 +120,9 @@
 		}
 		delete(arrivals, c.id)
 	}
-	for id := range arrivals {
-		w.problem("%q was asked by nobody", id)
+	for id, came := range arrivals {
+		r := &came[0].request
+		w.problem("%q was asked by nobody: %s %s of %d bytes, path %q, team %q, at %s", id, r.Method, r.Target, len(r.Body), r.Path, r.Team, came[0].endpoint.ID)
 	}
 }
 
--- a/state/fleet/room_test.go
+++ b/state/fleet/room_test.go
@@ -21,24 +21,6 @@
 	}, fleet.Home{Name: "e1"})
 }
 
-func TestOccupancyIsThatOfTheLayerWithTheLeastRoom(t *testing.T) {
-	v, now := roomy(), time.Unix(100, 0)
-	m := v.Model("m")
-	require.Zero(t, m.Occupancy(now, 100))
-	v.Runner("a").Told(3, now)
-	v.Runner("b").Begin()
-	require.InDelta(t, 4*100.0/1500, m.Occupancy(now, 100), 1e-9, "three told of and one of our own")
-	v.Runner("a").Begin()
-	require.InDelta(t, 5*100.0/1500, m.Occupancy(now, 100), 1e-9, "begun since it told")
-	later := now.Add(2 * time.Second)
-	require.InDelta(t, 2*100.0/1500, m.Occupancy(later, 100), 1e-9, "what was told is too old")
-	v.Runner("a").End()
-	v.Runner("b").End()
-	require.Zero(t, m.Occupancy(later, 100))
-	require.Zero(t, fleet.Gather(nil, nil, []protocol.Runner{{Name: "x", Model: "m", To: 1}}, fleet.Home{}).Model("m").Occupancy(now, 100),
-		"unknown room is never full")
-}
-
 func TestACrowdedRunnerCostsMore(t *testing.T) {
 	v, now := roomy(), time.Unix(100, 0)
 	r := v.Runner("a")
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -35,10 +35,6 @@
 	deviation   atomic.Uint64
 	measuredAt  atomic.Int64  // unix nanoseconds
 	heardAt     atomic.Int64  // unix nanoseconds
-	begun       atomic.Int64  // requests of this entry that begin here and are open
-	told        atomic.Int64  // requests of all entries here, as last told
-	toldAt      atomic.Int64  // unix nanoseconds
-	begunSince  atomic.Int64  // requests of this entry begun since then
 	used        atomic.Uint64 // layer passes that others' requests held by the last word, a float
 	usedTill    atomic.Int64  // unix nanoseconds until when that is believed
 	ejectedTill atomic.Int64  // unix nanoseconds
--- a/state/fleet/view.go
+++ b/state/fleet/view.go
@@ -13,7 +13,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -46,7 +45,6 @@
 type Model struct {
 	layers int
 	groups []Group
-	room   float64 // tokens of requests that fit at once, 0 if unknown
 }
 
 // Layers returns how many layers the model has.
@@ -55,44 +53,6 @@
 // Groups returns the groups in order of their first layer.
 func (m *Model) Groups() []Group { return m.groups }
 
-// Occupancy returns how much of the room for requests is taken, 1 when it is
-// full, if a request holds that many tokens. It is 0 when the room is unknown.
-func (m *Model) Occupancy(now time.Time, tokens float64) float64 {
-	if m.room <= 0 {
-		return 0
-	}
-	var requests int64
-	for i := range m.groups {
-		for _, r := range m.groups[i].runners {
-			requests += r.Requests(now)
-		}
-	}
-	return float64(requests) * tokens / m.room
-}
-
-// measureRoom works out how many tokens of requests fit at once: every request
-// needs a holder of each layer, so the layer with the least room decides.
-func (m *Model) measureRoom() {
-	rooms := make([]float64, m.layers)
-	for i := range m.groups {
-		span := m.groups[i].span
-		if !span.Valid(m.layers) {
-			continue
-		}
-		for _, r := range m.groups[i].runners {
-			if r.Leaving() {
-				continue
-			}
-			for l := span.From; l < span.To; l++ {
-				rooms[l] += r.Spec().Room
-			}
-		}
-	}
-	if len(rooms) > 0 {
-		m.room = slices.Min(rooms)
-	}
-}
-
 // View is the whole fleet under one configuration.
 type View struct {
 	models  map[string]*Model
@@ -130,7 +90,6 @@
 		for i := range m.groups {
 			drawSubset(m.groups[i].runners, home.Name)
 		}
-		m.measureRoom()
 	}
 	return v
 }
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -241,10 +241,3 @@
 		a.path.Runner(i).Accepted()
 	}
 }
-
-// told takes how busy the first engine of the path says that it is.
-func (a *attempt) told(t protocol.AnswerTerms, now time.Time) {
-	if t.LoadKnown {
-		a.endpoint.Told(int64(t.Load.Running+t.Load.Waiting), now)
-	}
-}
--- a/transport/forward/send.go
+++ b/transport/forward/send.go
@@ -41,7 +41,6 @@
 	for i := range a.path.Len() {
 		a.path.Runner(i).Sent(a.passes * int64(a.path.Span(i).Layers()))
 	}
-	a.endpoint.Begin()
 	a.newEndpoint = !slices.Contains(x.reached, a.endpoint)
 	if a.newEndpoint {
 		x.reached = append(x.reached, a.endpoint)
@@ -94,7 +93,6 @@
 	for i := range a.path.Len() {
 		a.path.Runner(i).Settled(a.passes * int64(a.path.Span(i).Layers()))
 	}
-	a.endpoint.End()
 }
 
 // describe returns a path as endpoint IDs with their layers.
--- a/transport/forward/take.go
+++ b/transport/forward/take.go
@@ -32,7 +32,6 @@
 	// The head waits for the first event: until then the request may still go
 	// elsewhere.
 	m.attempt.answer = m.head
-	m.attempt.told(m.terms, time.Now())
 }
 
 // takeEvent passes an event on. The attempt that speaks first stays; another one
@@ -72,7 +71,6 @@
 func (x *exchange) takeWhole(m wholeCame) {
 	now := time.Now()
 	a := m.attempt
-	a.told(m.terms, now)
 	x.drop(a)
 	switch {
 	case m.terms.NotRun:
