director: improve from one entry a data center, and wait for the turn without planning

Cause: every entry worked the moves out anew ten times a second while it waited for its turn at the lease, and improvements once a second; a layout of 31 engines takes some ten ms, 59 entries of a grown deployment have a fifth of a core each. And an entry that found an improvement lost it before its turn came, or for good when the list of endpoints was not trusted yet: the new test failed on both. Now a follower leaves improvements to its peer, an entry whose turn has not come plans nothing, and an improvement found stays until its turn.

--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -125,14 +125,15 @@
 		d.release(now)
 		return
 	}
+	if !d.held && now.Before(d.waitTo) {
+		return // there is work, and another entry's turn comes first
+	}
 	d.basis = b
-	improving := b != d.improved && !now.Before(d.improve)
+	improving := b != d.improved && !now.Before(d.improve) && !d.following() && d.listTrusted(now)
 	moves := d.moves(now, improving)
-	if improving {
+	if improving && len(moves) == 0 {
+		d.improved = b
 		d.improve = now.Add(improveEvery)
-		if len(moves) == 0 {
-			d.improved = b
-		}
 	}
 	if len(moves) == 0 {
 		d.waitTo = time.Time{}
@@ -152,12 +153,17 @@
 		return
 	}
 	d.give(moves, epoch)
+	d.improve = time.Now().Add(improveEvery)
 }
 
+// following reports whether this entry learns through a peer. Then the peer, and one
+// entry of each other data center, work improvements out; holes everybody does.
+func (d *Director) following() bool { return d.Following != nil && d.Following() }
+
 // spread returns a part of the time over which the entries' attempts are spread.
 func (d *Director) spread() time.Duration {
 	part := rand.N(stagger * time.Duration(max(1, d.Entries())))
-	if d.Following != nil && d.Following() {
+	if d.following() {
 		part += followerRest
 	}
 	return part
--- a/transport/director/director_test.go
+++ b/transport/director/director_test.go
@@ -293,3 +293,31 @@
 		})
 	}
 }
+
+// TestAnEngineWithFewLayersIsGivenMore: without a hole, one of several entries puts a
+// layout right that was made in haste.
+func TestAnEngineWithFewLayersIsGivenMore(t *testing.T) {
+	for _, following := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(3)
+			var all []*director.Director
+			for i := range 3 {
+				d := w.director(t, fmt.Sprint("d", i))
+				d.Following = func() bool { return following }
+				d.Roster.Replace([]protocol.Endpoint{
+					record("e0", protocol.Span{To: 6}), record("e1", protocol.Span{From: 5, To: 10}), record("e2", protocol.Span{From: 5, To: 6}),
+				}, time.Now())
+				all = append(all, d)
+			}
+			for _, d := range all {
+				d.Start()
+			}
+			time.Sleep(15 * time.Second)
+			for _, d := range all {
+				d.Close()
+			}
+			synctest.Wait()
+			require.Equal(t, !following, len(w.engines["e2"].orders) > 0, "followers leave it to their peers")
+		})
+	}
+}
--- a/transport/director/moves.go
+++ b/transport/director/moves.go
@@ -84,12 +84,17 @@
 // incomplete reports whether engines that live may be missing from the list. In an empty
 // fleet, which is only starting, nothing can go wrong by it.
 func (d *Director) incomplete(engines []place.Engine, now time.Time) bool {
-	if !now.Before(d.knownAt.Add(listTrust)) {
+	if d.listTrusted(now) {
 		return false
 	}
 	return slices.ContainsFunc(engines, func(e place.Engine) bool { return e.Serving.Layers() > 0 })
 }
 
+// listTrusted reports whether every live engine is in the list by now.
+func (d *Director) listTrusted(now time.Time) bool {
+	return !d.knownAt.IsZero() && !now.Before(d.knownAt.Add(listTrust))
+}
+
 // start is when the engines of an empty fleet were first seen, and when their
 // number last rose.
 type start struct {
