--- a/coordination/place/worth.go
+++ b/coordination/place/worth.go
@@ -18,7 +18,7 @@
 	// soleWeight is what it costs that an engine is the only holder of some layer: every
 	// request of the data center passes it, so it can't be left out while it is slow or
 	// breaks answers off, which engines do a twentieth of the time.
-	soleWeight = 0.03
+	soleWeight = 0.04
 	// noticeSeconds is how long it takes from a loss to the order that mends it, and
 	// missedSeconds the time over which an outage is weighed: that of a loss.
 	noticeSeconds = 1.2
--- a/state/fleet/cost.go
+++ b/state/fleet/cost.go
@@ -15,6 +15,10 @@
 	// it is refused. It grows with the sixth power, so that it counts for little until
 	// three quarters are taken.
 	overflowing = 30.0
+	// nearlyFull is the part of a runner's room from which what it reported counts for the
+	// choice of a path. Below it, entries that hear the same would all run to the same
+	// runner until they hear again; what each has open itself spreads them.
+	nearlyFull = 0.75
 )
 
 // linkSeconds is the expected time there and back, before anything is measured.
@@ -55,8 +59,8 @@
 	layer = slowness * (float64(read)/r.spec.Speed + float64(write)*r.spec.Step)
 	if r.spec.Room > 0 {
 		full := sharers * float64(r.outstanding.Load()) / r.roomPasses()
-		if now.Before(r.UsedTill()) {
-			full = r.Fill(now, 0)
+		if known := r.Fill(now, 0); known > nearlyFull {
+			full = max(full, known)
 		}
 		square := full * full
 		layer *= 1 + crowding*square + overflowing*square*square*square
--- a/transport/forward/poll.go
+++ b/transport/forward/poll.go
@@ -16,6 +16,9 @@
 	// pollEvery is how often an engine is asked for its report while it has requests of
 	// this entry and little room.
 	pollEvery = 500 * time.Millisecond
+	// pollSharers is how many entries of a data center ask that often; more ask in turn the
+	// more seldom, so that an engine is not asked more than about ten times a second.
+	pollSharers = 5.0
 	// pollLook is how often it is looked which engines are due.
 	pollLook = 50 * time.Millisecond
 	// pollFill is the part of an engine's room, as far as known, from which it is asked.
@@ -54,7 +57,7 @@
 	groups := m.Groups()
 	for i := range groups {
 		for _, r := range groups[i].Runners() {
-			if r.Outstanding() > 0 && p.matters(r, service, now) && p.due(r, now) {
+			if r.Outstanding() > 0 && p.matters(r, service, now) && p.due(r, p.forwarder.sharers(service), now) {
 				go (&poll{forwarder: p.forwarder, runner: r}).run()
 			}
 		}
@@ -70,13 +73,13 @@
 	return fill > pollFill
 }
 
-func (p *poller) due(r *fleet.Runner, now time.Time) bool {
+func (p *poller) due(r *fleet.Runner, sharers float64, now time.Time) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.asked == nil {
 		p.asked = make(map[string]time.Time)
 	}
-	if now.Before(p.asked[r.Name()].Add(pollEvery)) {
+	if now.Before(p.asked[r.Name()].Add(time.Duration(max(1, sharers/pollSharers) * float64(pollEvery)))) {
 		return false
 	}
 	p.asked[r.Name()] = now
