--- a/coordination/place/improve.go
+++ b/coordination/place/improve.go
@@ -29,6 +29,7 @@
 	return p.improveOne()
 }
 
+// underWay reports whether some engine still carries out an order.
 func (p *pool) underWay() bool {
 	for i := range p.engines {
 		if m := &p.engines[i]; m.span != m.serving {
@@ -58,7 +59,8 @@
 	return moves
 }
 
-// gain returns how much more than that the layout is worth if an engine holds a span.
+// gain returns how much more than it is now the layout is worth if an engine holds a span,
+// less the price of loading it.
 func (p *pool) gain(m *member, s protocol.Span, worth float64) float64 {
 	before := m.span
 	p.hold(m, s)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -34,6 +34,7 @@
 	AttemptNotRun      = Event{2010, "attempt not run", slog.LevelInfo}
 	CallerUnbounded    = Event{2009, "caller unbounded", slog.LevelWarn}
 	HoldEnded          = Event{2011, "waited in vain", slog.LevelInfo}
+	HoldBegun          = Event{2012, "waits for room", slog.LevelInfo}
 	RunnerConnected    = Event{3001, "runner connected", slog.LevelInfo}
 	RunnerLost         = Event{3002, "runner lost", slog.LevelWarn}
 	RunnerEjected      = Event{3003, "runner ejected", slog.LevelWarn}
@@ -76,7 +77,7 @@
 	return []Event{
 		EntryReady, EntryStopping, EntryStopped, SettingsRead, SettingsIgnored,
 		RequestRefused, RequestRetried, RequestSent, RequestAnswered, SilenceSuspected, AttemptBroken,
-		StreamCut, CallerLeft, CallerUnbounded, AttemptNotRun, HoldEnded,
+		StreamCut, CallerLeft, CallerUnbounded, AttemptNotRun, HoldEnded, HoldBegun,
 		RunnerConnected, RunnerLost, RunnerEjected, FrameBroken, ReportIgnored,
 		EndpointJoined, EndpointLeaving, EndpointGone, EndpointIgnored, LayersChanged,
 		ConfigInForce, ConfigIgnored,
--- a/transport/forward/hold.go
+++ b/transport/forward/hold.go
@@ -208,6 +208,8 @@
 	}
 	x.held = h
 	x.forwarder.Counters.Add(metric.RequestsHeld, 1)
+	x.forwarder.log(event.HoldBegun, x.id(), slog.Int("sends", x.tries), slog.Int("priority", priority),
+		slog.Int64("most_ms", till.Sub(now).Milliseconds()))
 	return time.Time{}, true
 }
 
--- a/transport/forward/poll.go
+++ b/transport/forward/poll.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
+	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/state/fleet"
 	"pinerun.example/pinerun/state/roster"
@@ -25,9 +27,8 @@
 	pollFill = 0.5
 )
 
-// poller asks the engines of the entry's own data center how much of their room is
-// used, while their room matters: what the other entries have open there is not known
-// otherwise.
+// poller asks the engines that run requests of this entry how much of their room is used,
+// while their room matters: what the other entries have open there is not known otherwise.
 type poller struct {
 	forwarder *Forwarder
 	mutex     sync.Mutex
@@ -53,6 +54,7 @@
 	}
 }
 
+// lookAt asks the engines of one model in one data center.
 func (p *poller) lookAt(m *fleet.Model, service string, now time.Time) {
 	groups := m.Groups()
 	for i := range groups {
@@ -73,6 +75,7 @@
 	return fill > pollFill
 }
 
+// due reports whether an engine may be asked again, and notes that it is.
 func (p *poller) due(r *fleet.Runner, sharers float64, now time.Time) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -98,8 +101,12 @@
 	defer cancel()
 	f.Counters.Add(metric.ReportsAsked, 1)
 	report, err := f.Reporter.Report(ctx, p.runner.Spec().Address)
-	if err != nil || !report.RoomKnown {
+	if err != nil {
+		f.log(event.ReportIgnored, slog.String("runner", p.runner.Name()), slog.String("cause", err.Error()))
 		return
 	}
+	if !report.RoomKnown {
+		return // an engine whose room is unknown is never taken as full
+	}
 	p.runner.ReportUsed(report.RoomUsed, time.Now())
 }
