--- a/explain/judge.go
+++ b/explain/judge.go
@@ -67,6 +67,8 @@
 		return why
 	case "wrong_key", "unknown_service":
 		return fmt.Sprintf("%s in routing table %d", end.Message, end.Routing)
+	case "queue_full":
+		return end.Message + ": " + r.judgeRoom()
 	case "no_path":
 		return "no path holds every layer; look for events 3008, 3003 and 8003 before it"
 	case "stopping", "no_configuration", "body_too_large", "malformed_request":
@@ -75,6 +77,14 @@
 	return end.Message + ": " + r.judgeAttempts(end)
 }
 
+// judgeRoom says what became of a request for which the engines had no room.
+func (r *Report) judgeRoom() string {
+	if l := last(r.lines, event.HoldEnded); l != nil {
+		return fmt.Sprintf("it waited %d ms in vain; look for events 3008, 3003 and 8003 before it", l.HeldMS)
+	}
+	return "refused at once, since those ahead of it would take longer than its caller waits"
+}
+
 // judgeAttempts says how the sends of the request ended.
 func (r *Report) judgeAttempts(end *Line) string {
 	var parts []string
--- a/explain/line.go
+++ b/explain/line.go
@@ -34,6 +34,7 @@
 	FirstMS     int64     `json:"first_ms"`
 	PauseMS     int64     `json:"pause_ms"`
 	SilentMS    int64     `json:"silent_ms"`
+	HeldMS      int64     `json:"held_ms"`
 	ConfirmedMS int64     `json:"confirmed_ms"`
 	Routing     uint64    `json:"routing"`
 	Lines       int64     `json:"lines"`
--- a/explain/summary_test.go
+++ b/explain/summary_test.go
@@ -47,3 +47,10 @@
 	require.Empty(t, s.Spans())
 	require.Contains(t, s.String(), "how requests failed")
 }
+
+func TestARequestWithoutRoomIsExplained(t *testing.T) {
+	lines, err := explain.Read(strings.NewReader(badHour + `{"time":"2026-01-01T00:00:04Z","entry":"f","event":2001,"request":"e","kind":"queue_full","message":"no room"}`))
+	require.NoError(t, err)
+	require.Contains(t, explain.Explain(lines, "b").Cause(), "waited 1600 ms in vain")
+	require.Contains(t, explain.Explain(lines, "e").Cause(), "refused at once")
+}
