forward: let whole answers of engines wait for room too

Cause: a request of a route to engines that is no stream has no patience known, so it was refused at once whenever no path was ready, also for the blink of an ejection. It waits to its deadline now. The test fails on the code before.

--- a/transport/forward/hold.go
+++ b/transport/forward/hold.go
@@ -171,10 +171,14 @@
 }
 
 // hopeTill returns until when it is of use to begin: after that the caller leaves before
-// the first event can come. It is zero for a request whose caller's patience is unknown.
+// the first event can come. Callers of answers that are no streams wait to their deadline;
+// requests of plain services don't wait here.
 func (x *exchange) hopeTill() time.Time {
-	if x.service.Engine == nil || x.route.PatienceMS <= 0 {
+	switch {
+	case x.service.Engine == nil:
 		return time.Time{}
+	case x.route.PatienceMS <= 0:
+		return x.deadline
 	}
 	from := x.begun
 	if x.headSent {
