--- a/explain/summary.go
+++ b/explain/summary.go
@@ -18,7 +18,6 @@
 // Summary tells what became of many requests: in each span of time, by cause, and which
 // engines did not run what they were sent.
 type Summary struct {
-	step   time.Duration
 	spans  []Span
 	causes []Tally
 	faults []Tally
@@ -73,7 +72,7 @@
 			faults[cmp.Or(l.AtFault, l.Endpoint)]++
 		}
 	}
-	s := &Summary{step: step, causes: tallies(causes), faults: tallies(faults)}
+	s := &Summary{causes: tallies(causes), faults: tallies(faults)}
 	for _, p := range spans {
 		s.spans = append(s.spans, *p)
 	}
