forward: one piece keeps how often endpoints are asked

Read again: the poller and the suspects each kept a map of when an engine was last asked, with the same lines; both use asked now. The pace that reports tell was decoded and read by nobody; it is gone until something uses it. Behaviour is unchanged.

--- a/protocol/routing.go
+++ b/protocol/routing.go
@@ -157,7 +157,6 @@
 	// whether the engine told it.
 	RoomUsed  float64
 	RoomKnown bool
-	Pace      float64 // taken over expected time of a step, 0 if not told
 	Stalled   []StalledRequest
 }
 
--- a/transport/forward/poll.go
+++ b/transport/forward/poll.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"time"
 
 	"pinerun.example/pinerun/internal/event"
@@ -31,8 +30,7 @@
 // while their room matters: what the other entries have open there is not known otherwise.
 type poller struct {
 	forwarder *Forwarder
-	mutex     sync.Mutex
-	asked     map[string]time.Time // by endpoint ID
+	asked     asked
 }
 
 // look asks the engines that are due.
@@ -77,16 +75,8 @@
 
 // due reports whether an engine may be asked again, and notes that it is.
 func (p *poller) due(r *fleet.Runner, sharers float64, now time.Time) bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if p.asked == nil {
-		p.asked = make(map[string]time.Time)
-	}
-	if now.Before(p.asked[r.Name()].Add(time.Duration(max(1, sharers/pollSharers) * float64(pollEvery)))) {
-		return false
-	}
-	p.asked[r.Name()] = now
-	return true
+	every := time.Duration(max(1, sharers/pollSharers) * float64(pollEvery))
+	return p.asked.may(r.Name(), every, now)
 }
 
 // poll is one question to an engine.
--- a/transport/forward/suspects.go
+++ b/transport/forward/suspects.go
@@ -6,7 +6,6 @@
 	"context"
 	"log/slog"
 	"slices"
-	"sync"
 	"time"
 
 	"pinerun.example/pinerun/coordination/path"
@@ -35,8 +34,7 @@
 // moment, and the first engine is asked what its requests wait for.
 type suspects struct {
 	forwarder *Forwarder
-	mutex     sync.Mutex
-	asked     map[string]time.Time // by endpoint ID
+	asked     asked
 }
 
 // silent takes it that nothing has come on an attempt since a time. It returns the
@@ -53,25 +51,12 @@
 		quiet = append(quiet, r)
 		r.Suspect(now.Add(suspectFor))
 	}
-	if len(quiet) > 0 && a.path.Len() > 1 && s.mayAsk(a.endpoint.Name(), now) {
+	if len(quiet) > 0 && a.path.Len() > 1 && s.asked.may(a.endpoint.Name(), askEvery, now) {
 		go (&question{suspects: s, path: a.path, since: since}).run()
 	}
 	return quiet
 }
 
-func (s *suspects) mayAsk(endpoint string, now time.Time) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.asked == nil {
-		s.asked = make(map[string]time.Time)
-	}
-	if now.Before(s.asked[endpoint].Add(askEvery)) {
-		return false
-	}
-	s.asked[endpoint] = now
-	return true
-}
-
 // question asks the first engine of a path which engine its requests wait for.
 type question struct {
 	suspects *suspects
