director: rest after calls for the lease without an answer

Ruled out: the followers' confirmations, which rest as they should. Now an entry whose knowledge is older than 2 s does not ask, and calls without an answer in a row put the next off, 250 ms to 2 s, with chance. The first one is still followed by another at once, which settles a lost answer.

front: a failed read of the table notes the outage too. The watch of endpoints may rest 1.6 s, longer than vanished endpoints are believed in (1.5 s).

--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -82,9 +82,12 @@
 	again    time.Time // when the moves are worked out although nothing has changed
 	waitTo   time.Time // when this entry tries to take the lease for work that it sees
 	idleFrom time.Time // when there was last work
-	mutex    sync.Mutex
-	ordered  map[string]order     // by endpoint ID, still in doubt
-	resting  map[string]time.Time // by endpoint ID, until when it gets no order
+	askFrom  time.Time // when the platform may be asked for the lease again
+	// unanswered is how many calls for the lease in a row had no answer.
+	unanswered int
+	mutex      sync.Mutex
+	ordered    map[string]order     // by endpoint ID, still in doubt
+	resting    map[string]time.Time // by endpoint ID, until when it gets no order
 }
 
 // basis is what moves are worked out from.
--- a/transport/director/director_test.go
+++ b/transport/director/director_test.go
@@ -73,6 +73,14 @@
 	return known + 1, nil
 }
 
+// setDown makes every call fail, or ends that, and returns how many there were.
+func (w *world) setDown(down bool) int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.down = down
+	return w.calls
+}
+
 func (w *world) Report(_ context.Context, address string) (protocol.EngineReport, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -235,6 +243,48 @@
 	require.NotZero(t, w.calls)
 }
 
+// TestAnOutageMeetsFewCallsForTheLease has work that never ends, an engine that does not
+// answer, while the platform goes down: its holder, and who would like to be.
+func TestAnOutageMeetsFewCallsForTheLease(t *testing.T) {
+	for _, confirming := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(4)
+			w.engines["e1"].silent = true
+			var all []*director.Director
+			for i := range 3 {
+				d := w.director(t, fmt.Sprint("d", i))
+				if confirming {
+					d.Routing.Confirm(time.Now().Add(2 * time.Second))
+				}
+				d.Start()
+				all = append(all, d)
+			}
+			time.Sleep(2 * time.Second)
+			before := w.setDown(true)
+			time.Sleep(10 * time.Second)
+			during := w.setDown(false) - before
+			if confirming {
+				require.LessOrEqual(t, during, 15, "entries that can't confirm anything stop asking")
+			} else {
+				require.LessOrEqual(t, during, 3*12, "each asks ever less often")
+			}
+			require.NotZero(t, during)
+			for _, d := range all {
+				if confirming {
+					d.Routing.Confirm(time.Now())
+				}
+			}
+			before = w.setDown(false)
+			time.Sleep(3 * time.Second)
+			require.Greater(t, w.setDown(false), before, "and does again when the platform is back")
+			for _, d := range all {
+				d.Close()
+			}
+			synctest.Wait()
+		})
+	}
+}
+
 func TestAnEngineThatDoesNotAnswerHoldsNobodyUp(t *testing.T) {
 	w := newWorld(4)
 	w.engines["e1"].silent = true
--- a/transport/director/lease.go
+++ b/transport/director/lease.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"pinerun.example/pinerun/coordination/lease"
@@ -20,8 +21,15 @@
 	// heldRest is how long an entry that finds the lease held leaves it alone. Its
 	// holder gives it up when it sees no more work, and may not see what this one does.
 	heldRest = time.Second
-	// failedRest is when to try again after the platform did not answer.
+	// failedRest is when to try again after the platform did not answer. It doubles with
+	// each failure in a row up to failedMost, and up to failedRest more is drawn: an outage
+	// meets every entry that sees work.
 	failedRest = 250 * time.Millisecond
+	failedMost = 2 * time.Second
+	// knownFor is how old an entry's knowledge of the platform may be for it to try: one
+	// that could not confirm for so long would ask in vain, and the moves that it works
+	// out may be wrong. An entry that nobody follows confirms each 1.4 s.
+	knownFor = 2 * time.Second
 	// releaseAfter is how long after the last order, with none in doubt, the lease is
 	// given up: losses come several at a time.
 	releaseAfter = 500 * time.Millisecond
@@ -35,23 +43,55 @@
 func (d *Director) hold(now time.Time) (uint64, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), askLimit)
 	defer cancel()
+	answered := true
 	for range leaseSteps {
+		if !d.mayAsk(now) {
+			return d.withoutPlatform(now)
+		}
 		switch a := d.lease.Next(now).(type) {
 		case lease.Read:
-			if !d.readLease(ctx) {
-				d.waitTo = time.Now().Add(failedRest)
-				return 0, false
-			}
+			answered = d.readLease(ctx)
 		case lease.Write:
-			d.writeLease(ctx, a)
+			answered = d.writeLease(ctx, a)
 		case lease.Rest:
 			return d.epoch()
 		}
 		now = time.Now()
+		d.asked(answered, now)
 	}
 	return d.epoch()
 }
 
+// withoutPlatform is epoch for an entry that may not ask for the lease: what it holds
+// lasts on, and what it doesn't it tries for soon.
+func (d *Director) withoutPlatform(now time.Time) (uint64, bool) {
+	epoch, ok := d.epoch()
+	if !ok {
+		d.waitTo = now.Add(failedRest + d.spread())
+	}
+	return epoch, ok
+}
+
+// mayAsk reports whether the platform may be asked for the lease now.
+func (d *Director) mayAsk(now time.Time) bool {
+	confirmed := d.Routing.ConfirmedAt()
+	return !now.Before(d.askFrom) && (confirmed.IsZero() || now.Sub(confirmed) <= knownFor)
+}
+
+// asked notes whether the platform answered. The first call in a row without an answer
+// is followed by another at once, which settles a write whose answer was lost; each
+// one more puts the next off.
+func (d *Director) asked(answered bool, now time.Time) {
+	if answered {
+		d.unanswered = 0
+		return
+	}
+	d.unanswered++
+	if n := d.unanswered - 2; n >= 0 {
+		d.askFrom = now.Add(min(failedMost, failedRest<<min(n, 10)) + rand.N(failedRest))
+	}
+}
+
 // release gives the lease up once there has been nothing to order for a while, so that
 // another entry which sees the next work first need not wait for its end.
 func (d *Director) release(now time.Time) {
@@ -112,13 +152,17 @@
 	return true
 }
 
-func (d *Director) writeLease(ctx context.Context, w lease.Write) {
+// writeLease writes the lease and reports whether the platform answered, be it that
+// another entry was faster.
+func (d *Director) writeLease(ctx context.Context, w lease.Write) bool {
 	version, err := d.putLease(ctx, w)
 	if err != nil {
 		d.unsure(err)
-		return
+		var raced *platform.Conflict
+		return errors.As(err, &raced)
 	}
 	d.lease.Wrote(version)
+	return true
 }
 
 // unsure notes that a write of the lease had no effect or no answer.
--- a/transport/front/routing_sink.go
+++ b/transport/front/routing_sink.go
@@ -49,8 +49,12 @@
 	}
 }
 
-// Failed notes that the platform did not answer.
-func (s *routingSink) Failed(err error, _ time.Time) { s.front.platformFailed("routing", err) }
+// Failed notes that the platform did not answer. Endpoints' records lapse meanwhile, and
+// the watch of endpoints may rest for longer than those are believed in afterwards.
+func (s *routingSink) Failed(err error, now time.Time) {
+	s.front.roster.Outage(now)
+	s.front.platformFailed("routing", err)
+}
 
 // take puts a table in force that was not taken before.
 func (s *routingSink) take(o protocol.Object) {
--- a/transport/front/sinks_test.go
+++ b/transport/front/sinks_test.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"errors"
 	"fmt"
 	"runtime"
 	"testing"
@@ -48,3 +49,17 @@
 	(&routingSink{front: f}).Listed([]protocol.Object{{Name: "main", Version: 9000}}, time.Now())
 	require.True(t, <-found)
 }
+
+// TestEndpointsOutliveAnOutageThatOnlyAReadMet lets the watch of endpoints rest through
+// the end of an outage, in which a read of the routing table fails.
+func TestEndpointsOutliveAnOutageThatOnlyAReadMet(t *testing.T) {
+	f := &Front{Counters: &metric.Set{}, Outside: Outside{RoutingName: "main", Decoder: fixed{}}}
+	endpoints := &endpointSink{front: f}
+	tables := &routingSink{front: f}
+	began := time.Now()
+	endpoints.Listed([]protocol.Object{{Name: "lives", Version: 1}}, began)
+	endpoints.Failed(errors.New("down"), began.Add(time.Second))
+	tables.Failed(errors.New("down"), began.Add(3*time.Second))
+	endpoints.Listed(nil, began.Add(3500*time.Millisecond))
+	require.Len(t, f.roster.Endpoints(), 1, "its record lapsed while the platform was away")
+}
