--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -1,12 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
 
 // Package relay decides from whom an entry learns what the platform's objects are,
-// so that calls to the platform grow with data centers and not with entries.
+// so that calls to the platform do not grow with entries.
 //
-// The entries of a data center rank themselves alike. Each follows the first of
-// those ranked before it that it can reach; one that finds none asks the platform
-// itself. Agreement does not rest on it: entries that differ about the ranking cost
-// calls, never a promise, and nobody follows in a circle, since an entry follows
+// All entries rank themselves alike. Each follows the first of those ranked before it
+// that it can reach, its own data center's before others'; one that finds none asks the
+// platform itself. Agreement does not rest on it: entries that differ about the ranking
+// cost calls, never a promise, and nobody follows in a circle, since an entry follows
 // only those ranked before it.
 //
 //	for _, r := range relay.Before(self, records) { ... } // whom to try, in order
@@ -18,6 +18,7 @@
 package relay
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -30,6 +31,11 @@
 	// two seconds after it was accepted, where every entry reaches the platform: what
 	// a peer that is cut off from it misses has to be found out within half of that.
 	FreshFor = time.Second
+	// PatienceLeast and PatienceMost bound how much longer an entry that nobody follows
+	// trusts its peer, drawn for each: the peer itself asks at FreshFor and passes on what
+	// it learned, so that one call serves all who follow it.
+	PatienceLeast = 200 * time.Millisecond
+	PatienceMost  = 500 * time.Millisecond
 	// QuickFor is how long a call to a platform that is well takes at most, many times
 	// the 4 ms of the users' deployments. A slower one says nothing about the peer.
 	QuickFor = 250 * time.Millisecond
@@ -41,51 +47,79 @@
 	AskedMost = 2800 * time.Millisecond
 )
 
-// work names what entries are ranked for.
-const work = "relay"
+const (
+	// work names what entries are ranked for.
+	work = "relay"
+	// ownMost is how many entries of its own data center an entry tries, and headsOfEach
+	// how many of each other one: who is not reached by so many is cut off from most.
+	ownMost     = 4
+	headsOfEach = 2
+)
 
-// Before returns the entries of an entry's data center that rank before it and serve
-// peers, the first to be followed first.
+// Before returns the entries to follow, the first to be tried first: those of the own
+// data center that rank before this one, and then the first ones of the other data
+// centers that do. So the first entry of all asks the platform, the first of each other
+// data center follows it, and the rest follow the first of theirs.
 func Before(self protocol.EntryRecord, records []protocol.EntryRecord) []protocol.EntryRecord {
-	own := member.Score(work, self.Name)
 	var before []protocol.EntryRecord
 	for _, r := range records {
-		if r.DataCenter != self.DataCenter || r.Name == self.Name || r.Peers == "" {
-			continue
-		}
-		if precedes(member.Score(work, r.Name), r.Name, own, self.Name) {
+		if r.Name != self.Name && r.Peers != "" && compare(r, self) < 0 {
 			before = append(before, r)
 		}
 	}
-	slices.SortFunc(before, func(a, b protocol.EntryRecord) int {
-		if precedes(member.Score(work, a.Name), a.Name, member.Score(work, b.Name), b.Name) {
-			return -1
+	slices.SortFunc(before, compare)
+	var own, others []protocol.EntryRecord
+	taken := make(map[string]int)
+	for _, r := range before {
+		taken[r.DataCenter]++
+		switch n := taken[r.DataCenter]; {
+		case r.DataCenter == self.DataCenter && n <= ownMost:
+			own = append(own, r)
+		case r.DataCenter != self.DataCenter && n <= headsOfEach:
+			others = append(others, r)
 		}
-		return 1
-	})
-	return before
+	}
+	return append(own, others...)
 }
 
-func precedes(score uint64, name string, other uint64, otherName string) bool {
-	return score > other || score == other && name < otherName
+// compare orders entries by rank. Larger VMs come first: who is followed sends all that
+// is known to as many as there are, over its own link.
+func compare(a, b protocol.EntryRecord) int {
+	return cmp.Or(
+		cmp.Compare(b.MemoryMB, a.MemoryMB),
+		cmp.Compare(member.Score(work, b.Name), member.Score(work, a.Name)),
+		cmp.Compare(a.Name, b.Name),
+	)
 }
 
 // Query is what the judgement on a peer's answer depends on. Confirmed is a time at
 // which the peer had all that the platform held, zero when it could not say; Held is
 // the version that this entry has of the object that both confirm, Told the peer's.
-// AskedAt is when this entry last called the platform because its peer could not
-// confirm, Unanswered how many reads of the platform in a row had no answer, and
-// FollowedAt when it began to follow the peer.
+// Followed says that others follow this entry, and Patience, from 0 to 1, where its own
+// lies between the bounds. AskedAt is when this entry last called the platform because its
+// peer could not confirm, Unanswered how many reads of the platform in a row had no answer,
+// and FollowedAt when it began to follow the peer.
 type Query struct {
 	Now        time.Time
 	Confirmed  time.Time
 	Held       uint64
 	Told       uint64
+	Followed   bool
+	Patience   float64
 	AskedAt    time.Time
 	Unanswered int
 	FollowedAt time.Time
 }
 
+// TrustedTill returns until when what the peer confirmed is trusted.
+func (q *Query) TrustedTill() time.Time {
+	till := q.Confirmed.Add(FreshFor)
+	if !q.Followed {
+		till = till.Add(PatienceLeast + time.Duration(q.Patience*float64(PatienceMost-PatienceLeast)))
+	}
+	return till
+}
+
 // Action is what to do: Trust, Ask or Wait.
 type Action interface{ action() }
 
@@ -104,7 +138,7 @@
 
 // Judge decides what a peer's answer is worth.
 func Judge(q Query) Action {
-	fresh := !q.Confirmed.IsZero() && q.Now.Sub(q.Confirmed) <= FreshFor
+	fresh := !q.Confirmed.IsZero() && !q.Now.After(q.TrustedTill())
 	switch {
 	case fresh && q.Held >= q.Told:
 		return Trust{}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -87,6 +87,20 @@
 	}
 }
 
+// Call is what a call to the platform asks for.
+type Call string
+
+// The calls, each with a counter "platform_calls_by.CALL KIND", where KIND is that of the
+// objects.
+const (
+	Read       Call = "read"
+	Write      Call = "write"
+	List       Call = "list"
+	ListLately Call = "list_lately" // as the platform held it some seconds ago
+	Watch      Call = "watch"
+	Delete     Call = "delete"
+)
+
 // Set is one entry's counters and latencies. The zero value counts from nothing.
 type Set struct {
 	counters expvar.Map
@@ -110,6 +124,12 @@
 // Retried counts a further try for that reason.
 func (s *Set) Retried(r Reason) { s.counters.Add("retried."+string(r), 1) }
 
+// Called counts a call to the platform for objects of a kind.
+func (s *Set) Called(what Call, kind string) {
+	s.Add(PlatformCalls, 1)
+	s.counters.Add("platform_calls_by."+string(what)+" "+kind, 1)
+}
+
 // Add raises a counter by n.
 func (s *Set) Add(n Name, delta int64) { s.counters.Add(string(n), delta) }
 
--- a/protocol/object.go
+++ b/protocol/object.go
@@ -34,9 +34,12 @@
 )
 
 // Listing is every object of a kind and the revision from which to watch it.
+// Relayed says that another entry passed it on, so that it proves nothing about what
+// the platform holds now.
 type Listing struct {
 	Objects []Object
 	At      uint64
+	Relayed bool
 }
 
 // Changes are the changes of a kind in order, and the revision from which to
--- a/protocol/relay.go
+++ b/protocol/relay.go
@@ -3,14 +3,18 @@
 package protocol
 
 // EntryRecord is what an entry writes of itself in the platform, under its name. Key
-// is what an entry shows that wants to follow it.
+// is what an entry shows that wants to follow it. The entry keeps it over restarts, so
+// that others which know an older record can follow at once.
 type EntryRecord struct {
 	Name       string `json:"-"`
 	DataCenter string `json:"data_center"`
 	Callers    string `json:"callers"`         // IP:port
 	Peers      string `json:"peers,omitempty"` // IP:port, empty when it serves no peers
 	Key        string `json:"key,omitempty"`
-	Beat       uint64 `json:"beat"` // rises each time it is written
+	// MemoryMB is the memory of the entry's VM. Larger VMs have faster links too, and
+	// are followed first.
+	MemoryMB float64 `json:"memory_mb,omitempty"`
+	Beat     uint64  `json:"beat"` // rises each time it is written
 }
 
 // RelayHello is the first frame of an entry that follows another one: who it is and
@@ -28,10 +32,12 @@
 	At   uint64
 }
 
-// RelayAsk asks how fresh the answering entry's knowledge is.
+// RelayAsk asks how fresh the answering entry's knowledge is. The answer may wait for
+// news of that, up to HoldMS milliseconds.
 type RelayAsk struct {
 	_      struct{} `cbor:",toarray"`
 	Number uint64
+	HoldMS float64
 }
 
 // RelayFrame is what the followed entry sends: changes as they come, and an answer
@@ -46,40 +52,54 @@
 }
 
 // RelayRun takes whoever knows a kind as it was at After to At; if it is the
-// difference between two lists, only who knows exactly that.
+// difference between two lists, only who knows exactly that. Whole says that it holds
+// every object there was at At, for who knows none of them or something else. Long runs
+// have Packed in place of Changes: their encoding, compressed (raw DEFLATE).
 type RelayRun struct {
 	_          struct{} `cbor:",toarray"`
 	Kind       string
 	After      uint64
 	At         uint64
 	Difference bool
+	Whole      bool
 	Changes    []RelayChange
+	Packed     []byte
 }
 
-// RelayChange is a changed object, or one that went. Packed says that the value is
-// compressed (raw DEFLATE).
+// RelayChange is a changed object, or one that went.
 type RelayChange struct {
 	_       struct{} `cbor:",toarray"`
 	Name    string
 	Version uint64
 	Gone    bool
-	Packed  bool
 	Value   []byte
 }
 
-// RelayAnswer says how many milliseconds before it was written the sender last
-// asked the platform for the object that both confirm, -1 when never, and which
-// version it has; all changes up to it were sent before.
+// RelayAnswer says how many milliseconds before it was written the platform was last
+// asked for the object that both confirm, -1 when never, and which version it had. The answer was held back for HeldMS milliseconds.
 type RelayAnswer struct {
 	_           struct{} `cbor:",toarray"`
 	Number      uint64
 	ConfirmedMS float64
+	HeldMS      float64
 	Version     uint64
+	// Ahead is the object itself if no run has told of that version yet: a watch of the
+	// platform may be deaf.
+	Ahead *RelayRun
 }
 
-// EncodeRelay returns the bytes of a hello, an ask or a frame.
+// EncodeRelay returns the bytes of a hello, an ask, a frame or the changes of a run.
 func EncodeRelay(message any) ([]byte, error) { return encoder.Marshal(message) }
 
+// DecodeRelayChanges reads the changes of a run.
+func DecodeRelayChanges(b []byte) ([]RelayChange, error) {
+	var c []RelayChange
+	if err := decoder.Unmarshal(b, &c); err != nil {
+		return nil, &BrokenFrame{what: "relay changes"}
+	}
+	return c, nil
+}
+
 // DecodeRelayHello reads a hello and checks its shape.
 func DecodeRelayHello(b []byte) (RelayHello, error) {
 	var h RelayHello
@@ -98,6 +118,9 @@
 	if err := decodeFrame("relay ask", b, &a); err != nil {
 		return RelayAsk{}, err
 	}
+	if !(a.HoldMS >= 0) {
+		return RelayAsk{}, &BrokenFrame{what: "relay ask"}
+	}
 	return a, nil
 }
 
@@ -113,7 +136,7 @@
 			return RelayFrame{}, &BrokenFrame{what: "relay"}
 		}
 	}
-	if a := f.Answer; a != nil && !(a.ConfirmedMS >= 0 || a.ConfirmedMS == -1) {
+	if a := f.Answer; a != nil && (!(a.ConfirmedMS >= 0 || a.ConfirmedMS == -1) || !(a.HeldMS >= 0)) {
 		return RelayFrame{}, &BrokenFrame{what: "relay"}
 	}
 	return f, nil
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -14,6 +14,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 
 	"pinerun.example/pinerun/protocol"
@@ -28,14 +29,25 @@
 
 // Run takes whoever knows a kind as it was at revision After to revision At. Changes
 // that were watched also serve who knows a later revision than After. A difference
-// between two lists does not: it lacks what came and went between them.
+// between two lists does not: it lacks what came and went between them. A whole run
+// holds every object there is at At, and serves who knows anything else or nothing.
 type Run struct {
 	After      uint64
 	At         uint64
 	Difference bool
+	Whole      bool
 	Changes    []protocol.Change
 }
 
+// listing returns what a whole run holds.
+func (r *Run) listing() protocol.Listing {
+	l := protocol.Listing{At: r.At}
+	for _, c := range r.Changes {
+		l.Objects = append(l.Objects, c.Object)
+	}
+	return l
+}
+
 // Mirror holds the objects of several kinds. The zero value is empty.
 type Mirror struct {
 	mutex   sync.Mutex
@@ -88,6 +100,11 @@
 func (m *Mirror) Listed(name string, l protocol.Listing) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	m.listed(name, l)
+}
+
+// listed is Listed with the mutex held.
+func (m *Mirror) listed(name string, l protocol.Listing) {
 	k := m.kind(name)
 	if k.at == 0 {
 		k.at = max(1, l.At)
@@ -105,6 +122,32 @@
 	m.wake()
 }
 
+// All returns every object of a kind, and whether it was ever listed.
+func (m *Mirror) All(name string) (protocol.Listing, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	k := m.kinds[name]
+	if k == nil || k.at == 0 {
+		return protocol.Listing{}, false
+	}
+	l := protocol.Listing{At: k.at, Objects: make([]protocol.Object, 0, len(k.objects))}
+	for _, o := range k.objects {
+		l.Objects = append(l.Objects, o)
+	}
+	return l, true
+}
+
+// Whole returns every object of a kind as one run, for who can't be told the changes.
+func (m *Mirror) Whole(name string) Run {
+	l, _ := m.All(name)
+	r := Run{At: l.At, Whole: true}
+	for _, o := range l.Objects {
+		r.Changes = append(r.Changes, protocol.Change{Object: o})
+	}
+	slices.SortFunc(r.Changes, func(a, b protocol.Change) int { return strings.Compare(a.Object.Name, b.Object.Name) })
+	return r
+}
+
 // Forget drops what is known of a kind, so that it has to be listed anew.
 func (m *Mirror) Forget(name string) {
 	m.mutex.Lock()
@@ -118,6 +161,10 @@
 func (m *Mirror) Took(name string, r Run) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if r.Whole {
+		m.listed(name, r.listing())
+		return true
+	}
 	k := m.kind(name)
 	if r.At <= k.at {
 		return true
--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -39,8 +39,10 @@
 	// that one write is made where all see the same work.
 	stagger = 60 * time.Millisecond
 	// followerRest is how much later an entry that learns through a peer tries: the
-	// peers know sooner, and most work is done by then.
+	// peers know sooner, and most work is done by then. followedRest is that of one which
+	// others follow in turn, the first of its data center.
 	followerRest = 2 * time.Second
+	followedRest = 400 * time.Millisecond
 	// askLimit bounds one round with an engine, and one with the platform for the
 	// lease: both answer in some ms.
 	askLimit = time.Second
@@ -68,6 +70,7 @@
 	Objects   Objects
 	Entries   func() int  // how many entries may try alike
 	Following func() bool // whether this entry learns through a peer, nil for never
+	Followed  func() bool // whether others learn through this entry, nil for never
 	Counters  *metric.Set
 	Logger    *slog.Logger
 
@@ -166,8 +169,12 @@
 // spread returns a part of the time over which the entries' attempts are spread.
 func (d *Director) spread() time.Duration {
 	part := rand.N(stagger * time.Duration(max(1, d.Entries())))
-	if d.following() {
-		part += followerRest
+	switch {
+	case !d.following():
+		return part
+	case d.Followed != nil && d.Followed():
+		return part + followedRest
+	default:
+		return part + followerRest
 	}
-	return part
 }
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -91,11 +91,12 @@
 	f.forwarder.OpenBudget(census.Least, s.RetrySlack, s.RetryWindow(time.Now()))
 	f.director = director.Director{
 		Self: s.Name, LeaseKind: leaseKind, Routing: &f.routing, Roster: &f.roster, Engines: f.Outside.Engines,
-		Objects: f.Outside.Objects, Entries: f.watching, Following: f.source.Following, Counters: f.Counters, Logger: f.Logger,
+		Objects: f.Outside.Objects, Entries: f.watching, Following: f.source.Following, Followed: f.source.Followed, Counters: f.Counters, Logger: f.Logger,
 	}
 	f.source = relay.Source{
-		Platform: f.Outside.Objects, Self: protocol.EntryRecord{Name: s.Name, DataCenter: s.DataCenter},
-		Kinds: []string{f.Outside.RoutingKind, f.Outside.EndpointKind}, Kind: f.Outside.RoutingKind, Name: f.Outside.RoutingName,
+		Platform: f.Outside.Objects,
+		Self:     protocol.EntryRecord{Name: s.Name, DataCenter: s.DataCenter, MemoryMB: s.MemoryMB},
+		Kinds:    []string{f.Outside.RoutingKind, f.Outside.EndpointKind, entryKind}, Kind: f.Outside.RoutingKind, Name: f.Outside.RoutingName,
 		Counters: f.Counters, Logger: f.Logger, Failed: f.roster.Outage,
 	}
 }
@@ -118,13 +119,17 @@
 	f.confirmer.Start()
 }
 
-// watching returns how many entries watch the platform as this one does: where
-// entries follow it, one of each data center.
+// watching returns how many entries watch the platform, or what they were told, as this
+// one does: the one that all others follow, the first of each data center, or all.
 func (f *Front) watching() int {
-	if n := f.register.centers.Load(); n > 0 && f.source.Followed() {
-		return int(n)
+	switch n := f.register.centers.Load(); {
+	case !f.source.Followed():
+		return f.forwarder.Entries()
+	case !f.source.Following():
+		return 1
+	default:
+		return max(1, int(n))
 	}
-	return f.forwarder.Entries()
 }
 
 // listen opens the addresses for callers, the balancer, metrics and peers.
@@ -152,7 +157,7 @@
 }
 
 // listenToPeers opens the address for peers, if the settings name one. The key that
-// they have to show is drawn anew for each life.
+// they have to show is drawn unless the platform has one of an earlier life.
 func (f *Front) listenToPeers() error {
 	l := &f.Settings.Listen
 	if l.Peers == "" {
@@ -160,7 +165,7 @@
 	}
 	key := rand.Text()
 	mux := http.NewServeMux()
-	mux.Handle(relay.Path, &relay.Server{Source: &f.source, Key: key})
+	mux.Handle(relay.Path, &relay.Server{Source: &f.source})
 	if err := f.peers.open(l.Peers, mux); err != nil {
 		return err
 	}
--- a/transport/front/register.go
+++ b/transport/front/register.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -24,16 +25,21 @@
 	registerLimit = 5 * time.Second
 	// registerAgain is when to look again after a failed call.
 	registerAgain = 2 * time.Second
-	// firstLook is how long after its own record is written an entry looks for those of
-	// others: all start within a third of a second of each other. It looks again after
-	// secondLook, for those that were slower; both need to see what was just written.
+	// firstLook is how long after its first look an entry looks again that has not seen
+	// its own record yet, and so may not have seen others' either: all start within a
+	// third of a second of each other, and a cheap list is as the platform held it some
+	// seconds ago. The time doubles with each look; after cheapLooks of them a list is
+	// asked for that is of this moment, and after firstLooks it is done without.
 	firstLook  = 400 * time.Millisecond
-	secondLook = 1500 * time.Millisecond
-	// freshLooks is how many of the first looks are those.
-	freshLooks = 2
+	cheapLooks = 3
+	firstLooks = 4
+	// lookFollowed is how often an entry that others follow reads the records for all,
+	// and an entry that follows looks at what it was told.
+	lookFollowed = 2 * time.Second
 )
 
-// register keeps this entry's record and counts those of all entries.
+// register keeps this entry's record and counts those of all entries. Of the entries
+// that follow one another, one reads the records; the others are told.
 type register struct {
 	front *Front
 
@@ -42,7 +48,10 @@
 	version uint64 // of the own record, 0 if unknown
 	beat    uint64
 	renewAt time.Time
-	looks   int // that were answered
+	looks   int  // of the start
+	settled bool // the own record was seen
+	lookAt  time.Time
+	at      uint64 // revision of the records that were counted last
 	counted int
 	centers atomic.Int64 // data centers that have entries
 }
@@ -59,55 +68,149 @@
 	}
 }
 
-// turn renews the own record if it is time or else reads all, and returns when to
-// act again.
+// turn does what is due, and returns when to act again.
 func (r *register) turn(now time.Time) time.Time {
 	ctx, cancel := context.WithTimeout(context.Background(), registerLimit)
 	defer cancel()
-	if now.Before(r.renewAt) {
-		return r.look(ctx, now)
+	if !r.settled {
+		return r.begin(ctx, now)
 	}
-	if err := r.renew(ctx); err != nil {
-		return now.Add(registerAgain)
+	if !now.Before(r.renewAt) {
+		if err := r.renew(ctx); err != nil {
+			return now.Add(registerAgain)
+		}
+	}
+	if !now.Before(r.lookAt) {
+		r.lookAt = r.look(ctx, now)
 	}
-	r.renewAt = now.Add(census.Renew)
-	return now.Add(firstLook)
+	return earlier(r.lookAt, r.renewAt)
 }
 
-// look reads all records and returns when to look again.
-func (r *register) look(ctx context.Context, now time.Time) time.Time {
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// begin looks for other entries and for the record of an earlier life of this one, writes
+// its own, and returns when to go on. A record that needs no change is renewed later:
+// entries start many at a time.
+func (r *register) begin(ctx context.Context, now time.Time) time.Time {
 	read := r.front.Outside.Objects.ListLately
-	if r.looks < freshLooks {
+	if r.looks >= cheapLooks {
 		read = r.front.Outside.Objects.List
 	}
 	list, err := read(ctx, entryKind)
 	if err != nil {
 		r.front.platformFailed("entries", err)
-		return now.Add(registerAgain)
+		return now.Add(firstLook)
 	}
 	r.looks++
-	now = time.Now()
+	seen := r.recognize(list.Objects, now)
+	r.settled = seen || r.looks >= firstLooks
+	if r.settled {
+		r.front.source.Hold(entryKind, list)
+		r.take(ctx, list)
+	}
+	r.learn(list.Objects, r.settled)
+	if r.renewAt.IsZero() {
+		if err := r.renew(ctx); err != nil {
+			return now.Add(registerAgain)
+		}
+	}
+	if r.settled {
+		r.lookAt = now.Add(lookFollowed)
+		return r.lookAt
+	}
+	return now.Add(firstLook << (r.looks - 1))
+}
+
+// recognize reports whether the own record is among those that were read, and takes over
+// what it says of an earlier life.
+func (r *register) recognize(objects []protocol.Object, now time.Time) bool {
+	for _, o := range objects {
+		if o.Name != r.front.Settings.Name {
+			continue
+		}
+		var record protocol.EntryRecord
+		if err := json.Unmarshal(o.Value, &record); err != nil {
+			event.EntryIgnored.Log(r.front.Logger, slog.String("peer", o.Name), slog.String("cause", err.Error()))
+			return false
+		}
+		if !r.renewAt.IsZero() {
+			return true // written in this life
+		}
+		r.version, r.beat = o.Version, record.Beat
+		if record.Key != "" {
+			r.front.source.Keep(record.Key)
+		}
+		own := r.front.source.Record()
+		own.Name, own.Beat = "", record.Beat
+		if record == own {
+			r.renewAt = now.Add(rand.N(census.Renew))
+		}
+		return true
+	}
+	return false
+}
+
+// look reads all records, or those that a peer told, and returns when to look again.
+func (r *register) look(ctx context.Context, now time.Time) time.Time {
+	source := &r.front.source
+	if source.Following() {
+		if at := source.At(entryKind); at != r.at {
+			list, _ := source.Objects(entryKind)
+			r.take(ctx, list)
+			r.learn(list.Objects, true)
+		}
+		r.count(now)
+		return now.Add(lookFollowed)
+	}
+	list, err := r.front.Outside.Objects.ListLately(ctx, entryKind)
+	if err != nil {
+		r.front.platformFailed("entries", err)
+		return now.Add(registerAgain)
+	}
+	source.Hold(entryKind, list)
+	r.take(ctx, list)
+	r.learn(list.Objects, true)
+	if source.Followed() {
+		return now.Add(lookFollowed)
+	}
+	return now.Add(census.Look)
+}
+
+// take counts the records, and removes those that nobody renews unless a peer does.
+func (r *register) take(ctx context.Context, list protocol.Listing) {
+	now := time.Now()
+	r.at = list.At
 	r.census.Seen(list.Objects, now)
-	r.learn(list.Objects)
+	r.count(now)
+	if r.front.source.Following() {
+		return
+	}
 	for _, old := range r.census.Forgotten(now) {
 		if err := r.front.Outside.Objects.Delete(ctx, entryKind, old.Name(), old.Version()); err != nil {
 			r.front.platformFailed("entries", err)
 		}
 	}
-	if n := r.census.Count(now); n != r.counted {
-		r.counted = n
-		r.front.forwarder.SetEntries(n, r.front.Settings.RetrySlack)
-		event.EntriesCounted.Log(r.front.Logger, slog.Int("entries", n), slog.Uint64("revision", list.At))
-	}
-	if r.looks < freshLooks {
-		return now.Add(secondLook)
+}
+
+// count tells how many entries share the bounds.
+func (r *register) count(now time.Time) {
+	n := r.census.Count(now)
+	if n == r.counted {
+		return
 	}
-	return now.Add(census.Look)
+	r.counted = n
+	r.front.forwarder.SetEntries(n, r.front.Settings.RetrySlack)
+	event.EntriesCounted.Log(r.front.Logger, slog.Int("entries", n), slog.Uint64("revision", r.at))
 }
 
 // learn tells the source which entries there may be to follow, and counts their data
 // centers.
-func (r *register) learn(objects []protocol.Object) {
+func (r *register) learn(objects []protocol.Object, all bool) {
 	records := make([]protocol.EntryRecord, 0, len(objects))
 	centers := make(map[string]bool)
 	for _, o := range objects {
@@ -120,15 +223,15 @@
 		centers[record.DataCenter] = true
 	}
 	r.centers.Store(int64(len(centers)))
-	r.front.source.Learn(records)
+	r.front.source.Learn(records, all)
 }
 
-// renew writes the own record. Whatever else may have become of a write whose
-// answer was lost, the next one settles it.
+// renew writes the own record, and sets when to do so again. Whatever else may have
+// become of a write whose answer was lost, the next one settles it.
 func (r *register) renew(ctx context.Context) error {
 	f := r.front
 	r.beat++
-	record := f.source.Self
+	record := f.source.Record()
 	record.Beat = r.beat
 	value, err := json.Marshal(record)
 	if err != nil {
@@ -145,5 +248,6 @@
 		return err
 	}
 	r.version = version
+	r.renewAt = time.Now().Add(census.Renew)
 	return nil
 }
--- a/transport/relay/followed.go
+++ b/transport/relay/followed.go
@@ -10,11 +10,11 @@
 	"pinerun.example/pinerun/protocol"
 )
 
-// confirmation is a time at which the platform was asked for the confirmed object,
-// and the version that it had.
+// confirmation is a time at which the platform was asked for the confirmed object, and
+// what that was.
 type confirmation struct {
-	at      time.Time
-	version uint64
+	at     time.Time
+	object protocol.Object
 }
 
 // passedOn is what this entry tells those who follow it, beside changes.
@@ -24,29 +24,52 @@
 }
 
 // beFollowed makes ready for a follower, and reports whether one can be taken: only if
-// the platform answers here, at once or a moment ago. From then on this entry asks the
-// platform itself.
+// what is known here is fresh. An entry that follows a peer does not ask the platform for
+// a follower's sake, and one that is starting has it wait a little.
 func (s *Source) beFollowed(ctx context.Context) bool {
-	if !s.reaches(ctx) {
+	s.seeker.await(ctx)
+	ctx, cancel := context.WithTimeout(ctx, relay.QuickFor)
+	defer cancel()
+	for {
+		changed, renewed := s.mirror.Changed(), s.confirmedChanges()
+		if s.fresh() || !s.Following() && s.reaches(ctx) {
+			return true
+		}
+		if !s.listed() || s.Following() {
+			select {
+			case <-changed:
+				continue
+			case <-renewed:
+				continue
+			case <-ctx.Done():
+			}
+		}
 		return false
 	}
-	if l := s.following(); l != nil {
-		s.leave(l, "another entry follows this one")
+}
+
+// tookFollower counts a follower. From the first on, this entry confirms more often.
+func (s *Source) tookFollower() {
+	if s.followers.Add(1) > 1 {
+		return
 	}
-	return true
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.relinked()
+}
+
+// fresh reports whether everything is known here as it was a moment ago.
+func (s *Source) fresh() bool {
+	at := s.passedOn().confirmed.at
+	return s.listed() && !at.IsZero() && time.Since(at) < relay.FreshFor
 }
 
 // reaches reports whether the platform answers this entry.
 func (s *Source) reaches(ctx context.Context) bool {
 	p := s.passedOn()
-	if time.Since(p.confirmed.at) < confirmFollowed {
-		return true
-	}
-	if p.failedAt.After(p.confirmed.at) && time.Since(p.failedAt) < relay.FreshFor {
-		return false // the next read of this entry's own will tell
+	if !s.listed() || p.failedAt.After(p.confirmed.at) && time.Since(p.failedAt) < relay.FreshFor {
+		return false // the next call of this entry's own will tell
 	}
-	ctx, cancel := context.WithTimeout(ctx, relay.QuickFor)
-	defer cancel()
 	_, err := s.readPlatform(ctx, s.Kind, s.Name)
 	return err == nil
 }
@@ -55,22 +78,38 @@
 func (s *Source) confirm(o protocol.Object, asked time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.settle()
-	s.awaited = confirmation{at: asked, version: o.Version}
-	s.settle()
+	if !asked.After(s.confirmed.at) {
+		return
+	}
+	s.confirmed = confirmation{at: asked, object: o}
+	if s.renewed != nil {
+		close(s.renewed)
+		s.renewed = nil
+	}
 }
 
-// settle takes the confirmation that waits for its version once that was passed on to
-// those who follow. The mutex is held.
-func (s *Source) settle() {
-	if held, _ := s.mirror.Object(s.Kind, s.Name); held.Version >= s.awaited.version && s.awaited.at.After(s.confirmed.at) {
-		s.confirmed = s.awaited
+// latest returns the confirmed object as it is known here: the platform's watch may bring
+// it first, or a reading.
+func (s *Source) latest() protocol.Object {
+	held, _ := s.mirror.Object(s.Kind, s.Name)
+	if c := s.passedOn().confirmed.object; c.Version > held.Version {
+		return c
+	}
+	return held
+}
+
+// confirmedChanges returns a channel that closes when something was confirmed.
+func (s *Source) confirmedChanges() <-chan struct{} {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.renewed == nil {
+		s.renewed = make(chan struct{})
 	}
+	return s.renewed
 }
 
 func (s *Source) passedOn() passedOn {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.settle()
 	return passedOn{confirmed: s.confirmed, failedAt: s.failedAt}
 }
--- a/transport/relay/follower.go
+++ b/transport/relay/follower.go
@@ -11,6 +11,7 @@
 
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/mirror"
 )
 
 // follower is one entry that follows this one.
@@ -19,8 +20,14 @@
 	packer *packer
 	socket *websocket.Conn
 	known  []protocol.RelayMark // what it was told
-	asks   chan uint64
+	asks   chan protocol.RelayAsk
 	left   chan error // why it is not read from any more
+
+	asked    *protocol.RelayAsk // that is not answered yet
+	askedAt  time.Time
+	heldTill time.Time // when it is answered at the latest
+	toldAt   time.Time // the confirmation that was told last
+	ahead    uint64    // version of the confirmed object that an answer told
 }
 
 // run reads the follower's questions.
@@ -37,7 +44,7 @@
 			return
 		}
 		select {
-		case f.asks <- a.Number:
+		case f.asks <- a:
 		case <-ctx.Done():
 			f.left <- ctx.Err()
 			return
@@ -48,13 +55,20 @@
 // serve writes changes as they come, and answers. The first frame is written even if
 // there are none: it tells that the follower was taken.
 func (f *follower) serve(ctx context.Context) error {
+	held := time.NewTimer(0)
+	defer held.Stop()
 	for first := true; ; first = false {
 		changed := f.source.mirror.Changed()
-		var frame protocol.RelayFrame
+		confirmed := f.source.confirmedChanges()
+		// What came before an answer is written with it: the answer speaks of it.
+		frame := protocol.RelayFrame{Answer: f.answer(time.Now())}
 		if err := f.fill(&frame); err != nil {
 			return err
 		}
-		if first || len(frame.Runs) > 0 {
+		if err := f.addAhead(frame.Answer); err != nil {
+			return err
+		}
+		if first || len(frame.Runs) > 0 || frame.Answer != nil {
 			if err := f.write(ctx, &frame); err != nil {
 				return err
 			}
@@ -62,15 +76,13 @@
 		}
 		select {
 		case <-changed:
-		case n := <-f.asks:
-			// What came between is written first: an answer speaks of it.
-			if err := f.fill(&frame); err != nil {
-				return err
-			}
-			frame.Answer = f.answer(n)
-			if err := f.write(ctx, &frame); err != nil {
-				return err
-			}
+		case <-confirmed:
+		case <-held.C:
+		case a := <-f.asks:
+			now := time.Now()
+			f.asked, f.askedAt = &a, now
+			f.heldTill = now.Add(time.Duration(min(a.HoldMS, holdMostMS) * float64(time.Millisecond)))
+			held.Reset(time.Until(f.heldTill))
 		case err := <-f.left:
 			return err
 		case <-ctx.Done():
@@ -82,28 +94,24 @@
 // frameMost bounds the bytes of values in a frame, well below what one may be long.
 const frameMost = protocol.MaxFrameBytes / 2
 
-// fill puts the changes into a frame that the follower does not know. Whoever lacks more
-// than a frame holds lists for itself.
+// fill puts the changes into a frame that the follower does not know, or the whole kind
+// if the changes are forgotten. Whoever lacks more than a frame holds lists for itself.
 func (f *follower) fill(frame *protocol.RelayFrame) error {
 	bytes := 0
 	for i := range f.known {
 		mark := &f.known[i]
 		run, ok := f.source.mirror.Since(mark.Kind, mark.At)
 		if !ok {
-			return errForgotten
+			run = f.source.mirror.Whole(mark.Kind)
 		}
 		if run.At <= mark.At {
 			continue
 		}
-		out := protocol.RelayRun{Kind: mark.Kind, After: mark.At, At: run.At, Difference: run.Difference}
-		for _, c := range run.Changes {
-			change, err := f.packer.encode(c)
-			if err != nil {
-				return err
-			}
-			out.Changes = append(out.Changes, change)
-			bytes += len(change.Value)
+		out, err := f.packer.encode(mark.Kind, run)
+		if err != nil {
+			return err
 		}
+		bytes += length(&out)
 		if bytes > frameMost {
 			return errForgotten
 		}
@@ -113,16 +121,50 @@
 	return nil
 }
 
-// answer says how fresh the knowledge here is.
-func (f *follower) answer(number uint64) *protocol.RelayAnswer {
+// answer says how fresh the knowledge here is, once that is news to who asked or the
+// answer was held back for as long as it may be. It returns nil before, and for none.
+func (f *follower) answer(now time.Time) *protocol.RelayAnswer {
+	if f.asked == nil {
+		return nil
+	}
 	c := f.source.passedOn().confirmed
-	a := &protocol.RelayAnswer{Number: number, ConfirmedMS: -1, Version: c.version}
+	if !c.at.After(f.toldAt) && now.Before(f.heldTill) {
+		return nil
+	}
+	a := &protocol.RelayAnswer{
+		Number: f.asked.Number, ConfirmedMS: -1, Version: c.object.Version, HeldMS: milliseconds(now.Sub(f.askedAt)),
+	}
 	if !c.at.IsZero() {
-		a.ConfirmedMS = float64(time.Since(c.at)) / float64(time.Millisecond)
+		a.ConfirmedMS = milliseconds(now.Sub(c.at))
 	}
+	f.asked = nil
+	f.toldAt = c.at
 	return a
 }
 
+// addAhead puts the confirmed object into an answer that speaks of a version which no run
+// has told the follower of.
+func (f *follower) addAhead(a *protocol.RelayAnswer) error {
+	if a == nil {
+		return nil
+	}
+	s := f.source
+	held, _ := s.mirror.Object(s.Kind, s.Name)
+	o := s.passedOn().confirmed.object
+	if o.Version != a.Version || o.Version <= max(held.Version, f.ahead) {
+		return nil
+	}
+	run, err := f.packer.encode(s.Kind, mirror.Run{After: held.Version, At: o.Version, Changes: []protocol.Change{{Object: o}}})
+	if err != nil {
+		return err
+	}
+	a.Ahead = &run
+	f.ahead = o.Version
+	return nil
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 func (f *follower) write(ctx context.Context, frame *protocol.RelayFrame) error {
 	frame.FailedMS = -1
 	if at := f.source.passedOn().failedAt; !at.IsZero() {
@@ -135,4 +177,4 @@
 }
 
 // errForgotten says that a follower has to list for itself.
-var errForgotten = errors.New("the changes since what the follower knows are forgotten; it has to list")
+var errForgotten = errors.New("the follower lacks more than a frame holds; it has to list")
--- /dev/null
+++ b/transport/relay/follower_test.go
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+// TestAnAnswerWaitsForNewsOfTheConfirmation has a follower ask three times: what is news
+// to it is told at once, what it knows when the time for which it may be held back ends.
+func TestAnAnswerWaitsForNewsOfTheConfirmation(t *testing.T) {
+	asked := time.Now()
+	s := &Source{Kind: "k", Name: "n"}
+	f := &follower{source: s}
+	ask := func(number uint64, at time.Time) {
+		f.asked, f.askedAt, f.heldTill = &protocol.RelayAsk{Number: number}, at, at.Add(300*time.Millisecond)
+	}
+	require.Nil(t, f.answer(asked), "nobody asked")
+
+	s.confirm(protocol.Object{}, asked.Add(-200*time.Millisecond))
+	ask(1, asked)
+	require.Equal(t, &protocol.RelayAnswer{Number: 1, ConfirmedMS: 200}, f.answer(asked))
+
+	ask(2, asked)
+	require.Nil(t, f.answer(asked.Add(100*time.Millisecond)), "it knows that")
+	s.confirm(protocol.Object{}, asked.Add(90*time.Millisecond))
+	a := f.answer(asked.Add(110 * time.Millisecond))
+	require.Equal(t, &protocol.RelayAnswer{Number: 2, ConfirmedMS: 20, HeldMS: 110}, a)
+
+	ask(3, asked)
+	require.Equal(t, 300.0, f.answer(asked.Add(300*time.Millisecond)).HeldMS, "held back for long enough")
+	require.Nil(t, f.answer(asked.Add(time.Second)), "answered once")
+}
+
+// TestAConfirmationNeverStepsBack takes an older one that a slower way brought.
+func TestAConfirmationNeverStepsBack(t *testing.T) {
+	now := time.Now()
+	s := &Source{Kind: "k", Name: "n"}
+	s.confirm(protocol.Object{}, now)
+	s.confirm(protocol.Object{}, now.Add(-time.Second))
+	require.Equal(t, now, s.passedOn().confirmed.at)
+}
--- a/transport/relay/link.go
+++ b/transport/relay/link.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -12,9 +14,9 @@
 	"github.com/coder/websocket"
 
 	"pinerun.example/pinerun/coordination/relay"
+	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/part"
 	"pinerun.example/pinerun/protocol"
-	"pinerun.example/pinerun/state/mirror"
 )
 
 const (
@@ -22,8 +24,21 @@
 	Path      = "/relay"
 	keyHeader = "Authorization"
 	keyPrefix = "Bearer "
-	// answerWithin bounds the wait for a peer's answer, which takes a millisecond.
-	answerWithin = 300 * time.Millisecond
+	// holdMostMS is how long a peer may hold an answer back for news, in milliseconds, a
+	// little more than there is between two confirmations. answerWithin bounds the wait for
+	// an answer, which takes a millisecond beside.
+	holdMostMS   = 500
+	answerWithin = (holdMostMS + 300) * time.Millisecond
+	// unansweredMost is how many questions in a row a peer may leave without an answer: it
+	// answers even when it knows nothing, so its connection is silent.
+	unansweredMost = 2
+	// connectWithin bounds the way to a peer's port: a VM that is gone or cut off says
+	// nothing, and an entry that has just started may have its record first of all. Half a
+	// millisecond is usual between data centers.
+	connectWithin = 150 * time.Millisecond
+	// holdLeast is how long a peer may hold back an answer whose like is too old already:
+	// it may be asking the platform.
+	holdLeast = 100 * time.Millisecond
 	// writeWithin bounds the writing of one frame.
 	writeWithin = 2 * time.Second
 )
@@ -36,15 +51,19 @@
 	socket *websocket.Conn
 	done   part.Done
 
-	mutex   sync.Mutex
-	asked   uint64 // number of the last question
-	answers chan protocol.RelayAnswer
+	patience float64 // see relay.Query
+
+	mutex      sync.Mutex
+	asked      uint64 // number of the last question
+	unanswered int    // questions in a row
+	answers    chan protocol.RelayAnswer
 }
 
 // dial connects to a peer and says what is known here.
 func dial(ctx context.Context, s *Source, peer protocol.EntryRecord) (*link, error) {
 	socket, res, err := websocket.Dial(ctx, "ws://"+peer.Peers+Path, &websocket.DialOptions{
 		HTTPHeader: http.Header{keyHeader: {keyPrefix + peer.Key}},
+		HTTPClient: &s.seeker.client,
 	})
 	if res != nil && res.Body != nil {
 		_ = res.Body.Close()
@@ -53,12 +72,11 @@
 		return nil, err
 	}
 	socket.SetReadLimit(protocol.MaxFrameBytes)
-	l := &link{source: s, peer: peer, since: time.Now(), socket: socket, answers: make(chan protocol.RelayAnswer, 1)}
-	hello := protocol.RelayHello{Name: s.Self.Name}
-	for _, k := range s.Kinds {
-		hello.Known = append(hello.Known, protocol.RelayMark{Kind: k, At: s.mirror.At(k)})
+	l := &link{
+		source: s, peer: peer, since: time.Now(), socket: socket, patience: rand.Float64(),
+		answers: make(chan protocol.RelayAnswer, 1),
 	}
-	if err := l.greet(ctx, hello); err != nil {
+	if err := l.greet(ctx, s.hello()); err != nil {
 		l.forget(err)
 		l.close()
 		return nil, err
@@ -66,6 +84,21 @@
 	return l, nil
 }
 
+// hello returns what an entry says that begins to follow: what it knows, or that it knows
+// nothing, after a peer's changes did not go on from that.
+func (s *Source) hello() protocol.RelayHello {
+	hello := protocol.RelayHello{Name: s.Self.Name}
+	anew := s.anew.Swap(false)
+	for _, k := range s.Kinds {
+		mark := protocol.RelayMark{Kind: k}
+		if !anew {
+			mark.At = s.mirror.At(k)
+		}
+		hello.Known = append(hello.Known, mark)
+	}
+	return hello
+}
+
 // greet says what is known here, and waits for the first frame: a peer that can't
 // help closes the connection instead.
 func (l *link) greet(ctx context.Context, hello protocol.RelayHello) error {
@@ -121,14 +154,16 @@
 	s.leave(l, err.Error())
 }
 
-// forget makes this entry list anew if the peer can't tell what changed since what is
-// known here.
+// forget makes this entry list anew if the peer can't send all that is lacking here, and
+// ask the next peer for all if changes did not go on from what is known here.
 func (l *link) forget(err error) {
-	if websocket.CloseStatus(err) != closeForgotten && !errors.Is(err, errGap) {
-		return
-	}
-	for _, k := range l.source.Kinds {
-		l.source.mirror.Forget(k)
+	switch {
+	case errors.Is(err, errGap):
+		l.source.anew.Store(true)
+	case websocket.CloseStatus(err) == closeForgotten:
+		for _, k := range l.source.Kinds {
+			l.source.mirror.Forget(k)
+		}
 	}
 }
 
@@ -157,13 +192,9 @@
 
 // takeRun takes the changes of one kind.
 func (l *link) takeRun(r *protocol.RelayRun) error {
-	run := mirror.Run{After: r.After, At: r.At, Difference: r.Difference}
-	for i := range r.Changes {
-		c, err := decode(r.Kind, &r.Changes[i])
-		if err != nil {
-			return err
-		}
-		run.Changes = append(run.Changes, c)
+	run, err := decode(r)
+	if err != nil {
+		return err
 	}
 	if !l.source.mirror.Took(r.Kind, run) {
 		return errGap
@@ -172,19 +203,21 @@
 }
 
 // ask asks the peer how fresh its knowledge is. It returns a time at which the peer
-// had all that the platform held, zero when it could not say, and the version of
-// the confirmed object then.
+// had all that the platform held, zero when it could not say, and the confirmed object
+// then, at least its version. The peer holds its answer back for news until the one
+// before is too old.
 //
-// The age that the answer tells is counted from the question on, because the answer
-// may have been under way for long.
-func (l *link) ask(ctx context.Context) (confirmed time.Time, version uint64) {
+// The age that the answer tells is counted from the question on, and from the end of
+// the time for which it was held back, because it may have been under way for long.
+func (l *link) ask(ctx context.Context, till time.Time) confirmation {
 	ctx, cancel := context.WithTimeout(ctx, answerWithin)
 	defer cancel()
 	number := l.question()
 	asked := time.Now()
-	if err := write(ctx, l.socket, protocol.RelayAsk{Number: number}); err != nil {
+	hold := milliseconds(max(holdLeast, till.Sub(asked)))
+	if err := write(ctx, l.socket, protocol.RelayAsk{Number: number, HoldMS: hold}); err != nil {
 		l.source.leave(l, err.Error())
-		return time.Time{}, 0
+		return confirmation{}
 	}
 	for {
 		select {
@@ -192,18 +225,45 @@
 			if a.Number != number {
 				continue // of an earlier question
 			}
-			if a.ConfirmedMS < 0 {
-				return time.Time{}, a.Version
+			l.unanswered = 0
+			c := confirmation{object: l.told(&a)}
+			if a.ConfirmedMS >= 0 {
+				c.at = asked.Add(time.Duration((a.HeldMS - a.ConfirmedMS) * float64(time.Millisecond)))
 			}
-			return asked.Add(-time.Duration(a.ConfirmedMS * float64(time.Millisecond))), a.Version
+			return c
 		case <-ctx.Done():
-			return time.Time{}, 0
+			l.silent()
+			return confirmation{}
 		case <-l.done.Done():
-			return time.Time{}, 0
+			return confirmation{}
 		}
 	}
 }
 
+// told returns the object that an answer speaks of, its version alone if the answer does
+// not hold it.
+func (l *link) told(a *protocol.RelayAnswer) protocol.Object {
+	o := protocol.Object{Kind: l.source.Kind, Name: l.source.Name, Version: a.Version}
+	if a.Ahead == nil {
+		return o
+	}
+	run, err := decode(a.Ahead)
+	if err != nil || len(run.Changes) != 1 || run.Changes[0].Object.Name != o.Name {
+		event.FrameBroken.Log(l.source.Logger, slog.String("peer", l.peer.Name), slog.String("cause", "an answer does not hold what it confirms"))
+		return o
+	}
+	return run.Changes[0].Object
+}
+
+// silent ends following a peer that does not answer any more.
+func (l *link) silent() {
+	l.unanswered++
+	if l.unanswered >= unansweredMost {
+		l.source.seeker.avoid(l.peer.Name, time.Now())
+		l.source.leave(l, "it did not answer")
+	}
+}
+
 func (l *link) question() uint64 {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/transport/relay/pack.go
+++ b/transport/relay/pack.go
@@ -10,79 +10,117 @@
 	"sync"
 
 	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/mirror"
 )
 
 const (
-	// packFrom is the length from which values are compressed. A routing table is sent
-	// to every follower at once, over a link of 20 Mbit/s at the smallest VMs.
+	// packFrom is the length of values from which a run is compressed. A routing table
+	// and whole kinds are sent to every follower at once, over a link of 20 Mbit/s at the
+	// smallest VMs.
 	packFrom = 2 << 10
-	// unpackMost bounds what a packed value may hold: the platform's longest object
-	// several times over, since its encoding there may be denser.
+	// unpackMost bounds what a packed run may hold: the platform's longest object
+	// several times over.
 	unpackMost = 8 * protocol.MaxObjectBytes
 )
 
-// packer compresses values, each once for all followers.
+// packer encodes runs, each long one once for all followers.
 type packer struct {
 	mutex  sync.Mutex
-	latest protocol.Object // that was packed last
-	packed []byte
+	latest map[string]protocol.RelayRun // the packed one of each kind
 }
 
-// encode returns a change as it is sent.
-func (p *packer) encode(c protocol.Change) (protocol.RelayChange, error) {
-	out := protocol.RelayChange{Name: c.Object.Name, Version: c.Object.Version, Gone: c.Gone}
-	if c.Gone {
-		return out, nil
+// encode returns a run as it is sent.
+func (p *packer) encode(kind string, r mirror.Run) (protocol.RelayRun, error) {
+	out := protocol.RelayRun{Kind: kind, After: r.After, At: r.At, Difference: r.Difference, Whole: r.Whole}
+	bytes := 0
+	for _, c := range r.Changes {
+		change := protocol.RelayChange{Name: c.Object.Name, Version: c.Object.Version, Gone: c.Gone}
+		if !c.Gone {
+			change.Value = c.Object.Value
+			bytes += len(change.Value)
+		}
+		out.Changes = append(out.Changes, change)
 	}
-	out.Value = c.Object.Value
-	if len(out.Value) < packFrom {
+	if bytes < packFrom {
 		return out, nil
 	}
-	packed, err := p.pack(c.Object)
-	if err != nil {
-		return out, err
-	}
-	out.Packed = true
-	out.Value = packed
-	return out, nil
+	return p.pack(out)
 }
 
-func (p *packer) pack(o protocol.Object) ([]byte, error) {
+// pack returns a run with its changes compressed.
+func (p *packer) pack(r protocol.RelayRun) (protocol.RelayRun, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.latest.Kind == o.Kind && p.latest.Name == o.Name && p.latest.Version == o.Version {
-		return p.packed, nil
+	if l, ok := p.latest[r.Kind]; ok && l.After == r.After && l.At == r.At && l.Whole == r.Whole {
+		return l, nil
+	}
+	encoded, err := protocol.EncodeRelay(r.Changes)
+	if err != nil {
+		return r, err
 	}
+	if r.Packed, err = deflate(encoded); err != nil {
+		return r, err
+	}
+	r.Changes = nil
+	if p.latest == nil {
+		p.latest = make(map[string]protocol.RelayRun)
+	}
+	p.latest[r.Kind] = r
+	return r, nil
+}
+
+func deflate(content []byte) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.BestSpeed)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := w.Write(o.Value); err != nil {
+	if _, err := w.Write(content); err != nil {
 		return nil, err
 	}
 	if err := w.Close(); err != nil {
 		return nil, err
 	}
-	p.latest, p.packed = o, b.Bytes()
-	return p.packed, nil
+	return b.Bytes(), nil
 }
 
-// errTooLong says that a packed value holds more than any object.
-var errTooLong = errors.New("a packed value is longer than any object of the platform")
+// length returns about how many bytes a run takes in a frame.
+func length(r *protocol.RelayRun) int {
+	n := len(r.Packed)
+	for i := range r.Changes {
+		n += len(r.Changes[i].Value)
+	}
+	return n
+}
+
+// errTooLong says that a packed run holds more than it may.
+var errTooLong = errors.New("a packed run holds more than several of the platform's longest objects")
 
-// decode returns the change that was sent.
-func decode(kind string, c *protocol.RelayChange) (protocol.Change, error) {
-	o := protocol.Object{Kind: kind, Name: c.Name, Version: c.Version, Value: c.Value}
-	if c.Packed {
-		value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(c.Value)), unpackMost+1))
+// decode returns the run that was sent.
+func decode(r *protocol.RelayRun) (mirror.Run, error) {
+	run := mirror.Run{After: r.After, At: r.At, Difference: r.Difference, Whole: r.Whole}
+	changes := r.Changes
+	if len(r.Packed) > 0 {
+		unpacked, err := unpack(r.Packed)
 		if err != nil {
-			return protocol.Change{}, err
-		}
-		if len(value) > unpackMost {
-			return protocol.Change{}, errTooLong
+			return run, err
 		}
-		o.Value = value
+		changes = unpacked
+	}
+	for _, c := range changes {
+		o := protocol.Object{Kind: r.Kind, Name: c.Name, Version: c.Version, Value: c.Value}
+		run.Changes = append(run.Changes, protocol.Change{Object: o, Gone: c.Gone})
+	}
+	return run, nil
+}
+
+func unpack(packed []byte) ([]protocol.RelayChange, error) {
+	content, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), unpackMost+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(content) > unpackMost {
+		return nil, errTooLong
 	}
-	return protocol.Change{Object: o, Gone: c.Gone}, nil
+	return protocol.DecodeRelayChanges(content)
 }
--- a/transport/relay/read.go
+++ b/transport/relay/read.go
@@ -17,10 +17,12 @@
 	// object. Keys are trusted for a bound counted from the last confirmation, so an
 	// outage finds as much of the bound spent as the last confirmation is old.
 	confirmAlone = 1400 * time.Millisecond
-	// confirmFollowed is how often one that others follow reads it, and askEvery how
-	// often they ask it: together well below relay.FreshFor.
+	// confirmFollowed is how often one that others follow reads it, well below
+	// relay.FreshFor: one entry of the fleet does, and the others know a few ms later.
 	confirmFollowed = 450 * time.Millisecond
-	askEvery        = 350 * time.Millisecond
+	// askRest is the least time between two questions to a peer, which holds its answer
+	// back until it has news.
+	askRest = 50 * time.Millisecond
 	// failedFirst is when to read again after a call that failed; an entry that nobody
 	// follows doubles it with each in a row, up to failedMost.
 	failedFirst     = 300 * time.Millisecond
@@ -30,18 +32,25 @@
 
 // Read reads an object as the platform held it at the time that the reading names.
 func (s *Source) Read(ctx context.Context, kind, name string) (watch.Reading, error) {
+	s.seeker.await(ctx)
 	peer := s.following()
 	if peer == nil {
 		return s.readPlatform(ctx, kind, name)
 	}
-	q := relay.Query{FollowedAt: peer.since}
+	q := relay.Query{FollowedAt: peer.since, Followed: s.Followed(), Patience: peer.patience}
 	q.AskedAt, q.Unanswered = s.lastAsked()
-	q.Confirmed, q.Told = peer.ask(ctx)
+	q.Confirmed = s.passedOn().confirmed.at
+	c := peer.ask(ctx, q.TrustedTill())
+	q.Confirmed, q.Told = c.at, c.object.Version
 	q.Now = time.Now()
-	held, _ := s.mirror.Object(kind, name)
+	held := s.latest()
+	if len(c.object.Value) > 0 && c.object.Version > held.Version {
+		held = c.object
+	}
 	q.Held = held.Version
 	switch relay.Judge(q).(type) {
 	case relay.Trust:
+		s.confirm(held, q.Confirmed)
 		return watch.Read(held, q.Confirmed), nil
 	case relay.Wait:
 		return watch.Reading{}, errUnconfirmed
@@ -80,20 +89,20 @@
 	return watch.Read(o, asked), nil
 }
 
-// Next returns when to read again.
-func (s *Source) Next(now time.Time, failed bool) time.Time {
+// Next returns when to read again after a reading at last.
+func (s *Source) Next(last time.Time, failed bool) time.Time {
 	switch {
 	case s.Following():
-		return now.Add(askEvery)
+		return last.Add(askRest)
 	case failed && s.Followed():
-		return now.Add(failedFirst)
+		return last.Add(failedFirst)
 	case failed:
 		_, failures := s.lastAsked()
-		return now.Add(min(failedMost, failedFirst<<min(max(0, failures-1), failedDoublings)))
+		return last.Add(min(failedMost, failedFirst<<min(max(0, failures-1), failedDoublings)))
 	case s.Followed():
-		return now.Add(confirmFollowed)
+		return last.Add(confirmFollowed)
 	default:
-		return now.Add(confirmAlone)
+		return last.Add(confirmAlone)
 	}
 }
 
--- a/transport/relay/seeker.go
+++ b/transport/relay/seeker.go
@@ -4,6 +4,9 @@
 
 import (
 	"context"
+	"errors"
+	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -24,6 +27,12 @@
 	// steadyAfter is how long a peer must have been followed for what was before to be
 	// forgotten.
 	steadyAfter = 10 * time.Second
+	// startMost bounds how long lists and reads wait after the start for it to be known
+	// whether there is a peer to follow. startTries is how long peers that are not reached
+	// are tried again each startRest: a whole fleet may be starting.
+	startMost  = 3 * time.Second
+	startTries = 400 * time.Millisecond
+	startRest  = 60 * time.Millisecond
 	// seekEvery is how often a better peer is looked for although nothing was heard.
 	seekEvery = 2 * time.Second
 )
@@ -37,11 +46,61 @@
 // seeker finds the peer to follow.
 type seeker struct {
 	source *Source
+	client http.Client
 
-	mutex   sync.Mutex
-	records []protocol.EntryRecord
-	avoided map[string]avoidance // by name
-	woken   chan struct{}
+	mutex     sync.Mutex
+	records   []protocol.EntryRecord
+	all       bool                 // none is missing in them
+	avoided   map[string]avoidance // by name
+	woken     chan struct{}
+	tryTill   time.Time     // until when peers that are not reached are tried again
+	startTill time.Time     // until when the start lasts at most
+	started   chan struct{} // closed with its end; nil for a source that does not look
+}
+
+// start begins the time in which lists and reads wait.
+func (s *seeker) start(now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.tryTill = now.Add(startTries)
+	s.startTill = now.Add(startMost)
+	s.started = make(chan struct{})
+	s.client.Transport = &http.Transport{
+		DialContext:       (&net.Dialer{Timeout: connectWithin}).DialContext,
+		DisableKeepAlives: true,
+	}
+}
+
+// await waits for the end of the start.
+func (s *seeker) await(ctx context.Context) {
+	s.mutex.Lock()
+	started := s.started
+	s.mutex.Unlock()
+	if started == nil {
+		return
+	}
+	select {
+	case <-started:
+	case <-ctx.Done():
+	}
+}
+
+// starting reports whether the start lasts on, and ends it if that is how it is. Again
+// says that a peer may yet be followed that could not be reached.
+func (s *seeker) starting(again bool, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	select {
+	case <-s.started:
+		return false
+	default:
+	}
+	alone := s.source.Self.Peers == "" || s.all && (!again || now.After(s.tryTill))
+	if s.source.Following() || alone || now.After(s.startTill) {
+		close(s.started)
+		return false
+	}
+	return true
 }
 
 func (s *seeker) run() {
@@ -57,33 +116,41 @@
 		if s.source.done.Closed() {
 			return
 		}
-		s.seek()
+		again := s.seek()
+		if s.starting(again, time.Now()) {
+			t.Reset(startRest)
+		} else {
+			t.Reset(seekEvery)
+		}
 	}
 }
 
 // seek follows the first peer that it reaches, unless that one is followed already. An
-// entry that serves no peers, has not listed yet or is itself followed looks for none.
-func (s *seeker) seek() {
-	if s.source.Self.Peers == "" || !s.source.listed() || s.source.Followed() {
-		return
+// entry that serves no peers looks for none. It reports whether one that could not be
+// followed may be in a moment.
+func (s *seeker) seek() bool {
+	if s.source.Self.Peers == "" {
+		return false
 	}
+	again := false
 	s.steady(time.Now())
 	for _, m := range s.candidates(time.Now()) {
 		if l := s.source.following(); l != nil && l.peer.Name == m.Name {
-			return
+			return false
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
 		l, err := dial(ctx, s.source, m)
 		cancel()
 		if err != nil {
-			s.avoid(m.Name, time.Now())
+			again = s.failed(m.Name, err, time.Now()) || again
 			continue
 		}
 		if s.source.follow(l) {
 			go l.run()
 		}
-		return
+		return false
 	}
+	return again
 }
 
 // candidates returns whom to try, in order.
@@ -99,6 +166,21 @@
 	return open
 }
 
+// failed leaves a peer out for a while that could not be followed, and reports whether it
+// does not: in the first moment after the start the peer may itself be starting, unless
+// it said nothing at all.
+func (s *seeker) failed(name string, err error, now time.Time) bool {
+	s.mutex.Lock()
+	first := now.Before(s.tryTill)
+	s.mutex.Unlock()
+	var silent net.Error
+	if first && !(errors.As(err, &silent) && silent.Timeout()) {
+		return true
+	}
+	s.avoid(name, now)
+	return false
+}
+
 // avoid leaves a peer out for a while.
 func (s *seeker) avoid(name string, now time.Time) {
 	s.mutex.Lock()
@@ -126,9 +208,10 @@
 	delete(s.avoided, l.peer.Name)
 }
 
-func (s *seeker) learn(records []protocol.EntryRecord) {
+func (s *seeker) learn(records []protocol.EntryRecord, all bool) {
 	s.mutex.Lock()
 	s.records = records
+	s.all = s.all || all
 	s.mutex.Unlock()
 	s.wake()
 }
--- a/transport/relay/server.go
+++ b/transport/relay/server.go
@@ -23,11 +23,10 @@
 	asksWaiting = 4
 )
 
-// Server passes what a Source knows on to entries that follow it. The key is in this
-// entry's record in the platform, so that only who may read there can follow.
+// Server passes what a Source knows on to entries that follow it. A follower shows the
+// key of this entry's record in the platform, so that only who may read there can follow.
 type Server struct {
 	Source *Source
-	Key    string // what a follower has to show
 
 	packer packer
 }
@@ -36,13 +35,14 @@
 const (
 	// closeForgotten: the changes since what it knows are forgotten; it has to list.
 	closeForgotten websocket.StatusCode = 4001
-	// closeStale: the platform does not answer here; another entry may know more.
+	// closeStale: what is known here is too old; another entry may know more.
 	closeStale websocket.StatusCode = 4002
 )
 
 // ServeHTTP serves one follower until its connection ends.
 func (s *Server) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	want := keyPrefix + s.Key
+	s.Source.seeker.await(q.Context()) // a key of before the start may come to be known
+	want := keyPrefix + s.Source.key()
 	if subtle.ConstantTimeCompare([]byte(q.Header.Get(keyHeader)), []byte(want)) != 1 {
 		http.Error(w, "not the key of this entry's record; read the record anew", http.StatusUnauthorized)
 		return
@@ -73,12 +73,15 @@
 	if err != nil {
 		return err
 	}
-	source.followers.Add(1)
-	defer source.followers.Add(-1)
 	if !source.beFollowed(ctx) {
 		return errStale
 	}
-	f := &follower{source: source, packer: &s.packer, socket: socket, known: hello.Known, asks: make(chan uint64, asksWaiting), left: make(chan error, 1)}
+	source.tookFollower()
+	defer source.followers.Add(-1)
+	f := &follower{
+		source: source, packer: &s.packer, socket: socket, known: hello.Known,
+		asks: make(chan protocol.RelayAsk, asksWaiting), left: make(chan error, 1),
+	}
 	go f.run(ctx)
 	return f.serve(ctx)
 }
@@ -93,5 +96,5 @@
 	return protocol.DecodeRelayHello(b)
 }
 
-// errStale says that the platform does not answer this entry.
-var errStale = errors.New("the platform does not answer here")
+// errStale says that what is known here is too old.
+var errStale = errors.New("what the platform holds is not known here")
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -64,13 +64,16 @@
 	askedAt   time.Time     // of the platform, because the peer could not confirm
 	failures  int           // calls of reads without an answer, in a row
 	confirmed confirmation
-	awaited   confirmation // not passed on yet, because the watch has not brought that version
-	failedAt  time.Time    // when a call of this entry last failed
+	failedAt  time.Time     // when a call of this entry last failed
+	renewed   chan struct{} // closed when what is confirmed may have changed
+	anew      atomic.Bool   // the next peer is told that nothing is known here
 }
 
-// Start begins to look for a peer to follow.
+// Start begins to look for a peer to follow. Until it is known whether there is one,
+// lists and reads wait, startMost at most.
 func (s *Source) Start() {
 	s.seeker.source = s
+	s.seeker.start(time.Now())
 	go s.seeker.run()
 }
 
@@ -82,8 +85,35 @@
 	}
 }
 
-// Learn takes the records of the entries that there may be.
-func (s *Source) Learn(records []protocol.EntryRecord) { s.seeker.learn(records) }
+// Learn takes the records of the entries that there may be. All says that none is
+// missing that matters: an entry that has just started follows whom it can at once, and
+// only if it has seen all and reaches nobody asks the platform itself.
+func (s *Source) Learn(records []protocol.EntryRecord, all bool) { s.seeker.learn(records, all) }
+
+// Objects returns what is known of a kind, and whether it ever was.
+func (s *Source) Objects(kind string) (protocol.Listing, bool) { return s.mirror.All(kind) }
+
+// At returns the revision up to which a kind is known, 0 for none.
+func (s *Source) At(kind string) uint64 { return s.mirror.At(kind) }
+
+// Hold takes a list of a kind that nobody watches, to be passed on.
+func (s *Source) Hold(kind string, l protocol.Listing) { s.mirror.Listed(kind, l) }
+
+// Keep takes the key under which this entry was known before it started anew.
+func (s *Source) Keep(key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.Self.Key = key
+}
+
+// Record returns this entry's record.
+func (s *Source) Record() protocol.EntryRecord {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.Self
+}
+
+func (s *Source) key() string { return s.Record().Key }
 
 // Followed reports whether other entries follow this one.
 func (s *Source) Followed() bool { return s.followers.Load() > 0 }
@@ -98,10 +128,10 @@
 }
 
 // follow begins to follow a peer in place of the one that was followed, if any, and
-// reports whether it does: not when this entry ends or is itself followed by now.
+// reports whether it does: not when this entry ends.
 func (s *Source) follow(l *link) bool {
 	s.mutex.Lock()
-	if s.done.Closed() || s.Followed() {
+	if s.done.Closed() {
 		s.mutex.Unlock()
 		l.close()
 		return false
@@ -161,16 +191,42 @@
 	return true
 }
 
-// List asks the platform for every object of a kind.
+// Relinked returns a channel that closes when another peer is followed, none any more,
+// or the first one follows this entry.
+func (s *Source) Relinked() <-chan struct{} {
+	_, linked := s.changedLink()
+	return linked
+}
+
+// List returns every object of a kind, as a peer passed it on or else from the platform.
 func (s *Source) List(ctx context.Context, kind string) (protocol.Listing, error) {
+	s.seeker.await(ctx)
+	if l, ok := s.mirror.All(kind); ok && s.Following() {
+		l.Relayed = true
+		return l, nil
+	}
+	asked := time.Now()
 	l, err := s.Platform.List(ctx, kind)
 	s.note(ctx, err)
 	if err == nil {
 		s.mirror.Listed(kind, l)
+		s.confirmListed(kind, l, asked)
 	}
 	return l, err
 }
 
+// confirmListed takes a list as a reading of the confirmed object that is in it.
+func (s *Source) confirmListed(kind string, l protocol.Listing, asked time.Time) {
+	if kind != s.Kind {
+		return
+	}
+	for _, o := range l.Objects {
+		if o.Name == s.Name {
+			s.confirm(o, asked)
+		}
+	}
+}
+
 // Watch returns the changes of a kind after a revision, as soon as a peer or the
 // platform tells of any, or none after the wait.
 func (s *Source) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (protocol.Changes, error) {
--- a/transport/relay/store_test.go
+++ b/transport/relay/store_test.go
@@ -5,9 +5,15 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
+	"testing"
 	"time"
 
+	"github.com/coder/websocket"
+
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/transport/platform"
 )
@@ -22,6 +28,7 @@
 	oldest  uint64
 	changed chan struct{}
 	down    bool
+	deaf    bool // watches hear nothing
 	calls   map[string]int
 }
 
@@ -141,6 +148,9 @@
 			}
 		}
 		forgotten, changed := after < s.oldest, s.changed
+		if s.deaf {
+			c.Changes = nil
+		}
 		s.mutex.Unlock()
 		if forgotten {
 			return protocol.Changes{}, &platform.Forgotten{}
@@ -170,3 +180,31 @@
 	}
 	return object, nil
 }
+
+// newSilent starts a peer that tells of one object, and of nothing after that, and returns
+// its record.
+func newSilent(t *testing.T, kind string, o protocol.Object) protocol.EntryRecord {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		socket, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		defer socket.CloseNow()
+		frame := protocol.RelayFrame{FailedMS: -1, Runs: []protocol.RelayRun{{
+			Kind: kind, At: o.Version, Whole: true, Changes: []protocol.RelayChange{{Name: o.Name, Version: o.Version, Value: o.Value}},
+		}}}
+		b, err := protocol.EncodeRelay(frame)
+		if err != nil {
+			return
+		}
+		_ = socket.Write(r.Context(), websocket.MessageBinary, b)
+		for err == nil {
+			_, _, err = socket.Read(r.Context())
+		}
+	}))
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return protocol.EntryRecord{Name: "silent", DataCenter: "a", Key: "k", Peers: strings.TrimPrefix(server.URL, "http://")}
+}
--- a/transport/watch/confirm.go
+++ b/transport/watch/confirm.go
@@ -27,10 +27,12 @@
 // knowledge is.
 type Reader interface {
 	Read(ctx context.Context, kind, name string) (Reading, error)
-	// Next returns when to read again.
-	Next(now time.Time, failed bool) time.Time
+	// Next returns when to read again after a reading at last.
+	Next(last time.Time, failed bool) time.Time
 	// Following reports whether watchers hear through a peer.
 	Following() bool
+	// Relinked returns a channel that closes when what Next says may have changed.
+	Relinked() <-chan struct{}
 }
 
 // Confirmer reads one object again and again, when its Source says, because a watch
@@ -57,15 +59,21 @@
 func (c *Confirmer) run() {
 	ctx, cancel := c.done.Context()
 	defer cancel()
+	last := time.Now()
 	for {
-		t := time.NewTimer(time.Until(c.Source.Next(time.Now(), c.failed)))
+		relinked := c.Source.Relinked()
+		t := time.NewTimer(time.Until(c.Source.Next(last, c.failed)))
 		select {
 		case <-t.C:
+			c.read(ctx)
+			last = time.Now()
+		case <-relinked:
 		case <-c.done.Done():
-			t.Stop()
+		}
+		t.Stop()
+		if c.done.Closed() {
 			return
 		}
-		c.read(ctx)
 	}
 }
 
--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -134,7 +134,9 @@
 	w.from = max(1, l.At)
 	w.failures = 0
 	w.Sink.Listed(l.Objects, time.Now())
-	w.Sink.Confirmed(asked)
+	if !l.Relayed {
+		w.Sink.Confirmed(asked)
+	}
 	return nil
 }
 
--- a/transport/watch/watch_test.go
+++ b/transport/watch/watch_test.go
@@ -171,6 +171,7 @@
 
 func (r *reader) Next(now time.Time, _ bool) time.Time { return now.Add(time.Second) }
 func (r *reader) Following() bool                      { return r.following }
+func (r *reader) Relinked() <-chan struct{}            { return nil }
 
 // confirm runs a confirmer over a script beside a watcher whose second call hangs.
 func confirm(t *testing.T, r *reader, limit time.Duration) *sink {
