relay: test entries over connections within the process, in virtual time

Traced by reading: a follower asks the platform once its peer's word is over a second old or unanswered for 0.3 s of real time, which a busy machine may take, and rightly so; the test can't tell that from a fault.

--- a/transport/relay/bench_test.go
+++ b/transport/relay/bench_test.go
@@ -38,16 +38,22 @@
 	}
 }
 
-// BenchmarkConfirm asks the followed entry how fresh it is, one question after the
-// other.
+// BenchmarkConfirm has the first entry read the confirmed object, and a follower ask for
+// news of that.
 func BenchmarkConfirm(b *testing.B) {
 	s := newStore()
 	s.put(table, "one")
 	all := newEntries(b, s, 2)
+	for _, e := range all {
+		e.confirmer.Close()
+	}
+	time.Sleep(time.Second) // its last question has been answered
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := all[1].source.Read(b.Context(), kind, table); err != nil {
-			b.Fatal(err)
+		for _, e := range all {
+			if _, err := e.source.Read(b.Context(), kind, table); err != nil {
+				b.Fatal(err)
+			}
 		}
 	}
 }
--- a/transport/relay/entry_test.go
+++ b/transport/relay/entry_test.go
@@ -4,9 +4,7 @@
 
 import (
 	"fmt"
-	"net/http/httptest"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -82,7 +80,7 @@
 type entry struct {
 	outside   *outside
 	source    *transport.Source
-	server    *httptest.Server
+	server    *server
 	believes  *believes
 	watcher   *watch.Watcher
 	confirmer *watch.Confirmer
@@ -129,7 +127,7 @@
 func newEntry(t testing.TB, s *store, name, key string) *entry {
 	e := &entry{outside: &outside{store: s, name: name}, believes: &believes{}, outages: make(chan time.Time, 1000)}
 	e.source = &transport.Source{
-		Platform: e.outside, Kinds: []string{kind}, Kind: kind, Name: table, Counters: &metric.Set{},
+		Platform: e.outside, Kinds: []string{kind}, Kind: kind, Name: table, Counters: &metric.Set{}, Dial: s.network.dial,
 		Failed: func(at time.Time) {
 			select {
 			case e.outages <- at:
@@ -137,10 +135,8 @@
 			}
 		},
 	}
-	e.server = httptest.NewServer(&transport.Server{Source: e.source})
-	e.source.Self = protocol.EntryRecord{
-		Name: name, DataCenter: "a", Key: key, Peers: strings.TrimPrefix(e.server.URL, "http://"),
-	}
+	e.server = s.network.serve(name+":1", &transport.Server{Source: e.source})
+	e.source.Self = protocol.EntryRecord{Name: name, DataCenter: "a", Key: key, Peers: name + ":1"}
 	e.watcher = &watch.Watcher{Source: e.source, Kind: kind, Sink: e.believes}
 	e.confirmer = &watch.Confirmer{Source: e.source, Kind: kind, Name: table, Sink: e.believes, Watchers: []*watch.Watcher{e.watcher}}
 	t.Cleanup(e.close)
@@ -161,8 +157,7 @@
 		e.watcher.Close()
 		e.confirmer.Close()
 		e.source.Close()
-		e.server.CloseClientConnections()
-		e.server.Close()
+		_ = e.server.Close()
 	})
 }
 
--- a/transport/relay/seeker.go
+++ b/transport/relay/seeker.go
@@ -65,10 +65,11 @@
 	s.tryTill = now.Add(startTries)
 	s.startTill = now.Add(startMost)
 	s.started = make(chan struct{})
-	s.client.Transport = &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: connectWithin}).DialContext,
-		DisableKeepAlives: true,
+	connect := s.source.Dial
+	if connect == nil {
+		connect = (&net.Dialer{Timeout: connectWithin}).DialContext
 	}
+	s.client.Transport = &http.Transport{DialContext: connect, DisableKeepAlives: true}
 }
 
 // await waits for the end of the start.
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -20,6 +20,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +54,8 @@
 	// Failed is told when the platform did not answer the peer that is followed, and
 	// when.
 	Failed func(at time.Time)
+	// Dial connects to a peer's address, nil for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	done      part.Done
 	mirror    mirror.Mirror
--- a/transport/relay/store_test.go
+++ b/transport/relay/store_test.go
@@ -6,8 +6,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -20,6 +18,7 @@
 
 // store is the platform: one kind of objects and its history.
 type store struct {
+	network network // between the entries that call it
 	mutex   sync.Mutex
 	objects map[string]protocol.Object
 	history []protocol.Change
@@ -183,8 +182,8 @@
 
 // newSilent starts a peer that tells of one object, and of nothing after that, and returns
 // its record.
-func newSilent(t *testing.T, kind string, o protocol.Object) protocol.EntryRecord {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+func newSilent(t *testing.T, s *store, kind string, o protocol.Object) protocol.EntryRecord {
+	server := s.network.serve("silent:1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		socket, err := websocket.Accept(w, r, nil)
 		if err != nil {
 			return
@@ -197,14 +196,14 @@
 		if err != nil {
 			return
 		}
-		_ = socket.Write(r.Context(), websocket.MessageBinary, b)
+		if _, _, err := socket.Read(r.Context()); err != nil {
+			return
+		}
+		err = socket.Write(r.Context(), websocket.MessageBinary, b)
 		for err == nil {
 			_, _, err = socket.Read(r.Context())
 		}
 	}))
-	t.Cleanup(func() {
-		server.CloseClientConnections()
-		server.Close()
-	})
-	return protocol.EntryRecord{Name: "silent", DataCenter: "a", Key: "k", Peers: strings.TrimPrefix(server.URL, "http://")}
+	t.Cleanup(func() { _ = server.Close() })
+	return protocol.EntryRecord{Name: "silent", DataCenter: "a", Key: "k", Peers: "silent:1"}
 }
