director, lease: the lease and the orders under way travel the road

Now the lease is one of the kinds that travel the road, and who hears of it reads only to settle a doubt of its own. Its record tells the orders whose effect was not seen, so a holder gives it up at once when it sees no more work.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -16,6 +16,10 @@
 //	}
 //	if epoch, ok := l.Epoch(now); ok { ... } // ask again right before each order
 //	if w, ok := l.Release(now); ok { ... }   // write it; then l.Released(version), or l.Doubt()
+//	l.Heard(version, record, now)            // another entry told how the lease stood
+//
+// Who hears of each change need not read: what is heard may be old, but a write on what is
+// old fails by its condition.
 //
 // The epoch rises with each new holder and goes into every order, so that an
 // endpoint that checks refuses the orders of an older holder.
@@ -77,6 +81,8 @@
 	Self string
 
 	seen      bool
+	doubt     bool // of the effect of the last write
+	hears     bool // of each change
 	version   uint64
 	record    Record
 	since     time.Time // from when this entry has seen the version unchanged
@@ -96,6 +102,8 @@
 		return l.renew(now)
 	case l.version == 0 || l.record.Holder == "" || now.Sub(l.since) > Length:
 		return l.hold(l.record.Epoch+1, now)
+	case l.hears:
+		return Rest{till: l.since.Add(Length)}
 	case now.Sub(l.readAt) >= lookEvery:
 		return Read{}
 	default:
@@ -103,6 +111,16 @@
 	}
 }
 
+// Heard takes the object as another entry told it, version 0 for none. It settles no
+// doubt, and what is older than what is known counts for nothing.
+func (l *Lease) Heard(version uint64, r Record, now time.Time) {
+	l.hears = true
+	if l.doubt || l.seen && version <= l.version {
+		return
+	}
+	l.Seen(version, r, now)
+}
+
 // Release returns the write that gives the lease up, so that others need not wait for
 // its end, and whether this entry holds it. The caller must give no order any more.
 func (l *Lease) Release(now time.Time) (Write, bool) {
@@ -166,11 +184,15 @@
 
 // Doubt notes that the write in flight met another version, had no effect, or
 // that its answer was lost. The object is read to find out.
-func (l *Lease) Doubt() { l.seen = false }
+func (l *Lease) Doubt() {
+	l.seen = false
+	l.doubt = true
+}
 
 // Seen takes the object as read; version 0 means that there is none.
 func (l *Lease) Seen(version uint64, r Record, now time.Time) {
 	l.seen = true
+	l.doubt = false
 	l.readAt = now
 	if version != 0 && r == l.asking && version != l.version {
 		if r.Holder == "" {
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -32,6 +32,7 @@
 	now     time.Time
 	version uint64
 	record  lease.Record
+	past    []lease.Record // by version, from 1 on
 	entries []*entry
 	fence   uint64 // the highest epoch that the endpoint has seen
 	stale   bool   // the endpoint took an order of a holder that was deposed
@@ -81,6 +82,7 @@
 		}
 		w.version++
 		w.record = a.Record()
+		w.past = append(w.past, w.record)
 		switch {
 		case lost:
 			e.lease.Doubt()
@@ -93,6 +95,19 @@
 	e.gives = false
 }
 
+// hear tells an entry how the lease stood at some time, the latest or long ago.
+func (w *world) hear(i int, version uint64) {
+	e := w.entries[i]
+	if e.paused || e.flight != nil {
+		return
+	}
+	var r lease.Record
+	if version > 0 {
+		r = w.past[version-1]
+	}
+	e.lease.Heard(version, r, w.clock(e))
+}
+
 // release lets an entry that has decided on no order give the lease up.
 func (w *world) release(i int) {
 	e := w.entries[i]
@@ -156,6 +171,9 @@
 		"step": func(t *rapid.T) {
 			w.step(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry"), rapid.IntRange(0, 3).Draw(t, "lost") == 0)
 		},
+		"hear": func(t *rapid.T) {
+			w.hear(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry"), uint64(rapid.IntRange(0, len(w.past)).Draw(t, "version")))
+		},
 		"release": func(t *rapid.T) { w.release(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry")) },
 		"decide":  func(t *rapid.T) { w.decide(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry")) },
 		"send":    func(t *rapid.T) { w.send(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry")) },
@@ -271,3 +289,22 @@
 	require.True(t, w.takes(0))
 	require.False(t, w.takes(1))
 }
+
+// TestWhoHearsOfTheLeaseNeedNotRead has an entry hear of another's lease, of its renewal,
+// of its end, and of what was before.
+func TestWhoHearsOfTheLeaseNeedNotRead(t *testing.T) {
+	l := lease.Lease{Self: "me"}
+	l.Heard(4, lease.Record{Holder: "other", Epoch: 2}, start)
+	require.Equal(t, start.Add(lease.Length), l.Next(start.Add(2*time.Second)).(lease.Rest).Till())
+	l.Heard(5, lease.Record{Holder: "other", Epoch: 2, Nonce: 1}, start.Add(2*time.Second))
+	l.Heard(4, lease.Record{Holder: "other", Epoch: 2}, start.Add(4*time.Second))
+	require.IsType(t, lease.Rest{}, l.Next(start.Add(4*time.Second)), "it was renewed since")
+	l.Heard(6, lease.Record{Epoch: 2, Nonce: 2}, start.Add(4*time.Second))
+	write := l.Next(start.Add(4 * time.Second)).(lease.Write)
+	require.EqualValues(t, 6, write.Known(), "it was given up")
+	l.Doubt()
+	l.Heard(7, write.Record(), start.Add(4*time.Second))
+	require.Equal(t, lease.Read{}, l.Next(start.Add(4*time.Second)), "only the platform settles a doubt")
+	_, holds := l.Epoch(start.Add(4 * time.Second))
+	require.False(t, holds)
+}
--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -89,6 +89,8 @@
 	// unanswered is how many calls for the lease in a row had no answer.
 	unanswered int
 	mutex      sync.Mutex
+	heard      *heard               // of the lease, not taken into account yet
+	hearing    bool                 // whether the lease was ever heard of
 	ordered    map[string]order     // by endpoint ID, still in doubt
 	resting    map[string]time.Time // by endpoint ID, until when it gets no order
 }
@@ -126,6 +128,7 @@
 
 // look works out the wanted moves and, holding the lease, orders them.
 func (d *Director) look(now time.Time) {
+	d.hear()
 	b := basis{table: d.Routing.Current(), endpoints: d.Roster.Changes()}
 	if b == d.basis && now.Before(d.again) {
 		d.release(now)
--- a/transport/director/director_test.go
+++ b/transport/director/director_test.go
@@ -33,12 +33,14 @@
 	lose    bool // writes take effect and the answer is lost
 	engines map[string]*engine
 	rosters []*roster.Roster
+	hearing []*director.Director // who are told of each change of the lease
 }
 
 type engine struct {
 	orders  []protocol.PlaceOrder
 	reports int
 	silent  bool
+	loads   time.Duration // how long after an order is taken its effect shows
 	loses   int           // that many next orders are lost
 	late    time.Duration // orders are not answered and are carried out so much later
 }
@@ -67,6 +69,9 @@
 		return 0, platform.Raced(w.object.Version)
 	}
 	w.object = protocol.Object{Version: known + 1, Value: value}
+	for _, d := range w.hearing {
+		d.Heard(known+1, value, time.Now())
+	}
 	if w.lose {
 		return 0, platform.InDoubt(errors.New("lost"))
 	}
@@ -81,6 +86,15 @@
 	return w.calls
 }
 
+// lease returns the lease as the platform holds it.
+func (w *world) lease(t *testing.T) lease.Record {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var r lease.Record
+	require.NoError(t, json.Unmarshal(w.object.Value, &r))
+	return r
+}
+
 func (w *world) Report(_ context.Context, address string) (protocol.EngineReport, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -120,9 +134,11 @@
 		return errors.New("another order came first")
 	}
 	e.orders = append(e.orders, o)
-	for _, r := range w.rosters {
-		r.Put(record(o.EndpointID, o.Layers))
-	}
+	time.AfterFunc(e.loads, func() {
+		for _, r := range w.rosters {
+			r.Put(record(o.EndpointID, o.Layers))
+		}
+	})
 	return nil
 }
 
@@ -285,6 +301,96 @@
 	}
 }
 
+// TestWhoHearsOfTheLeaseDoesNotAskForIt has ten entries see work that never ends: those
+// who are told of the lease make less than half as many calls as those who are not, and
+// when a holder is gone another takes the lease.
+func TestWhoHearsOfTheLeaseDoesNotAskForIt(t *testing.T) {
+	calls := map[bool]int{}
+	for _, told := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(4)
+			w.engines["e1"].silent = true
+			var all []*director.Director
+			for i := range 10 {
+				d := w.director(t, fmt.Sprint("d", i))
+				if told {
+					d.Heard(0, nil, time.Now())
+					w.hearing = append(w.hearing, d)
+				}
+				all = append(all, d)
+			}
+			for _, d := range all {
+				d.Start()
+			}
+			time.Sleep(20 * time.Second)
+			calls[told] = w.setDown(false)
+			first := w.lease(t)
+			for _, d := range all {
+				if d.Self == first.Holder {
+					d.Close()
+				}
+			}
+			time.Sleep(lease.Length + 3*time.Second)
+			require.Greater(t, w.lease(t).Epoch, first.Epoch, "another took it")
+			for _, d := range all {
+				d.Close()
+			}
+			synctest.Wait()
+		})
+	}
+	require.Less(t, 2*calls[true], calls[false])
+}
+
+// TestOrdersOfAnEarlierHolderAreLeftTheirTime has a hole that an engine is being loaded
+// for, as the lease tells; the engine's own record shows nothing of it.
+func TestOrdersOfAnEarlierHolderAreLeftTheirTime(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(2)
+			d := w.director(t, "d")
+			d.Roster.Replace([]protocol.Endpoint{
+				record("e0", protocol.Span{To: 6}), record("e1", protocol.Span{}),
+			}, time.Now())
+			value := `{"holder":"","epoch":3,"nonce":7}`
+			if told {
+				value = `{"holder":"","epoch":3,"nonce":7,"orders":[{"endpoint":"e1","from":4,"to":10,"left_ms":5000}]}`
+			}
+			w.object = protocol.Object{Version: 6, Value: []byte(value)}
+			d.Heard(5, []byte(`{"holder":"other","epoch":3,"nonce":6}`), time.Now())
+			d.Start()
+			time.Sleep(200 * time.Millisecond)
+			d.Heard(6, []byte(value), time.Now())
+			time.Sleep(4500 * time.Millisecond)
+			require.Equal(t, told, w.orders() == 0)
+			time.Sleep(4 * time.Second)
+			require.NotZero(t, w.orders(), "it did not come")
+			d.Close()
+			synctest.Wait()
+		})
+	}
+}
+
+// TestTheLeaseTellsWhatWasOrdered gives orders to engines that take seconds to load.
+func TestTheLeaseTellsWhatWasOrdered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(2)
+		for _, e := range w.engines {
+			e.loads = 4 * time.Second
+		}
+		d := w.director(t, "d")
+		d.Start()
+		time.Sleep(2500 * time.Millisecond)
+		w.mutex.Lock()
+		value := string(w.object.Value)
+		w.mutex.Unlock()
+		require.Contains(t, value, `"holder":""`, "it was given up for others")
+		require.Contains(t, value, `"endpoint":"e0"`)
+		require.Contains(t, value, `"endpoint":"e1"`)
+		d.Close()
+		synctest.Wait()
+	})
+}
+
 func TestAnEngineThatDoesNotAnswerHoldsNobodyUp(t *testing.T) {
 	w := newWorld(4)
 	w.engines["e1"].silent = true
--- a/transport/director/lease.go
+++ b/transport/director/lease.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// leaseName names the lease.
-	leaseName = "placement"
+	// LeaseName names the lease.
+	LeaseName = "placement"
 	// heldRest is how long an entry that finds the lease held leaves it alone. Its
 	// holder gives it up when it sees no more work, and may not see what this one does.
 	heldRest = time.Second
@@ -30,8 +30,8 @@
 	// that could not confirm for so long would ask in vain, and the moves that it works
 	// out may be wrong. An entry that nobody follows confirms each 1.4 s.
 	knownFor = 2 * time.Second
-	// releaseAfter is how long after the last order, with none in doubt, the lease is
-	// given up: losses come several at a time.
+	// releaseAfter is how long after the last order the lease is given up: losses come
+	// several at a time.
 	releaseAfter = 500 * time.Millisecond
 	// leaseSteps is how many steps one try at the lease takes at most: read, write,
 	// and read again after a doubt.
@@ -93,9 +93,10 @@
 }
 
 // release gives the lease up once there has been nothing to order for a while, so that
-// another entry which sees the next work first need not wait for its end.
+// another entry which sees the next work first need not wait for its end. What was
+// ordered and shows no effect yet stands in the record.
 func (d *Director) release(now time.Time) {
-	if !d.held || now.Before(d.idleFrom.Add(releaseAfter)) || d.inDoubt() {
+	if !d.held || now.Before(d.idleFrom.Add(releaseAfter)) {
 		return
 	}
 	d.held = false
@@ -111,7 +112,7 @@
 		return
 	}
 	d.lease.Released(version)
-	event.LeaseReleased.Log(d.Logger, slog.String("lease", leaseName), slog.Uint64("epoch", w.Record().Epoch))
+	event.LeaseReleased.Log(d.Logger, slog.String("lease", LeaseName), slog.Uint64("epoch", w.Record().Epoch))
 }
 
 // epoch returns the epoch of the lease and whether this entry holds it. If not, it
@@ -124,9 +125,9 @@
 	if ok != d.held {
 		d.held = ok
 		if ok {
-			event.LeaseTaken.Log(d.Logger, slog.String("lease", leaseName), slog.Uint64("epoch", epoch))
+			event.LeaseTaken.Log(d.Logger, slog.String("lease", LeaseName), slog.Uint64("epoch", epoch))
 		} else {
-			event.LeaseLost.Log(d.Logger, slog.String("lease", leaseName))
+			event.LeaseLost.Log(d.Logger, slog.String("lease", LeaseName))
 		}
 	}
 	return epoch, ok
@@ -134,13 +135,13 @@
 
 // readLease reads the lease and reports whether it could.
 func (d *Director) readLease(ctx context.Context) bool {
-	o, err := d.Objects.Get(ctx, d.LeaseKind, leaseName)
+	o, err := d.Objects.Get(ctx, d.LeaseKind, LeaseName)
 	var missing *platform.NotFound
 	if errors.As(err, &missing) {
 		d.lease.Seen(0, lease.Record{}, time.Now())
 		return true
 	}
-	var r lease.Record
+	var r record
 	if err == nil {
 		err = json.Unmarshal(o.Value, &r)
 	}
@@ -148,7 +149,9 @@
 		event.PlatformUnreached.Log(d.Logger, slog.String("for", "lease"), slog.String("cause", err.Error()))
 		return false
 	}
-	d.lease.Seen(o.Version, r, time.Now())
+	now := time.Now()
+	d.lease.Seen(o.Version, r.Record, now)
+	d.learn(&r, now, doubtFor)
 	return true
 }
 
@@ -168,14 +171,14 @@
 // unsure notes that a write of the lease had no effect or no answer.
 func (d *Director) unsure(err error) {
 	d.lease.Doubt()
-	event.LeaseUnsure.Log(d.Logger, slog.String("lease", leaseName), slog.String("cause", err.Error()))
+	event.LeaseUnsure.Log(d.Logger, slog.String("lease", LeaseName), slog.String("cause", err.Error()))
 }
 
 // putLease writes the lease under its condition and returns the new version.
 func (d *Director) putLease(ctx context.Context, w lease.Write) (uint64, error) {
-	value, err := json.Marshal(w.Record())
+	value, err := json.Marshal(record{Record: w.Record(), Orders: d.underWay(time.Now())})
 	if err != nil {
 		return 0, err
 	}
-	return d.Objects.Put(ctx, d.LeaseKind, leaseName, w.Known(), value)
+	return d.Objects.Put(ctx, d.LeaseKind, LeaseName, w.Known(), value)
 }
--- a/transport/director/moves.go
+++ b/transport/director/moves.go
@@ -134,13 +134,6 @@
 	return e.Layers
 }
 
-// inDoubt reports whether the effect of some order has not been seen yet.
-func (d *Director) inDoubt() bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return len(d.ordered) > 0
-}
-
 // forget drops orders whose effect was seen, that took too long, or whose engine
 // is gone.
 func (d *Director) forget(endpoints []protocol.Endpoint, now time.Time) {
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -96,7 +96,7 @@
 	f.source = relay.Source{
 		Platform: f.Outside.Objects,
 		Self:     protocol.EntryRecord{Name: s.Name, DataCenter: s.DataCenter, MemoryMB: s.MemoryMB},
-		Kinds:    []string{f.Outside.RoutingKind, f.Outside.EndpointKind, entryKind}, Kind: f.Outside.RoutingKind, Name: f.Outside.RoutingName,
+		Kinds:    []string{f.Outside.RoutingKind, f.Outside.EndpointKind, entryKind, leaseKind}, Kind: f.Outside.RoutingKind, Name: f.Outside.RoutingName,
 		Counters: f.Counters, Logger: f.Logger, Failed: f.roster.Outage,
 	}
 }
@@ -107,6 +107,7 @@
 	f.watchers = []*watch.Watcher{
 		{Source: &f.source, Kind: f.Outside.RoutingKind, Sink: tables, Entries: f.watching},
 		{Source: &f.source, Kind: f.Outside.EndpointKind, Sink: &endpointSink{front: f}, Entries: f.watching},
+		{Source: &f.source, Kind: leaseKind, Sink: &leaseSink{front: f}, Entries: f.watching},
 	}
 	f.confirmer = watch.Confirmer{
 		Source: &f.source, Kind: f.Outside.RoutingKind, Name: f.Outside.RoutingName,
--- a/transport/relay/read.go
+++ b/transport/relay/read.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pinerun.example/pinerun/coordination/relay"
+	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/transport/platform"
 	"pinerun.example/pinerun/transport/watch"
 )
@@ -51,6 +52,9 @@
 	switch relay.Judge(q).(type) {
 	case relay.Trust:
 		s.confirm(held, q.Confirmed)
+		if held.Version == 0 {
+			return watch.Reading{}, nil
+		}
 		return watch.Read(held, q.Confirmed), nil
 	case relay.Wait:
 		return watch.Reading{}, errUnconfirmed
@@ -79,6 +83,7 @@
 	var missing *platform.NotFound
 	if errors.As(err, &missing) {
 		s.counted(nil)
+		s.confirm(protocol.Object{}, asked)
 		return watch.Reading{}, nil // the platform answers, and nobody has written it yet
 	}
 	s.counted(err)
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -358,6 +358,28 @@
 	})
 }
 
+// TestWhatNobodyHasWrittenYetIsKnownThroughThePeer follows before the operator has written
+// the first table.
+func TestWhatNobodyHasWrittenYetIsKnownThroughThePeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		first := newEntry(t, s, "e-0", "key")
+		next := newEntry(t, s, rankedAfter(first.source.Self), "key")
+		for _, e := range []*entry{first, next} {
+			e.source.Start()
+			e.source.Learn([]protocol.EntryRecord{first.source.Self}, true)
+			e.watcher.Start()
+			e.confirmer.Start()
+		}
+		eventually(t, "it follows", next.source.Following)
+		time.Sleep(5 * time.Second)
+		require.Zero(t, next.calls())
+		s.put(table, "one")
+		eventually(t, "the news came", func() bool { return next.believes.value(table) == "one" })
+		require.Zero(t, next.calls())
+	})
+}
+
 func TestAnUnwrittenObjectConfirmsNothing(t *testing.T) {
 	s := newStore()
 	source := &transport.Source{Platform: &outside{store: s, name: "e"}, Counters: &metric.Set{}}
