--- a/explain/line.go
+++ b/explain/line.go
@@ -38,6 +38,8 @@
 	ConfirmedMS int64     `json:"confirmed_ms"`
 	Routing     uint64    `json:"routing"`
 	Lines       int64     `json:"lines"`
+	Call        string    `json:"call"`
+	Objects     string    `json:"objects"`
 
 	text string
 }
--- a/explain/summary.go
+++ b/explain/summary.go
@@ -12,15 +12,18 @@
 	"pinerun.example/pinerun/internal/event"
 )
 
-// faultsMost is how many engines a summary lists.
+// faultsMost is how many engines, and entries, a summary lists.
 const faultsMost = 10
 
 // Summary tells what became of many requests: in each span of time, by cause, and which
-// engines did not run what they were sent.
+// engines did not run what they were sent. Where calls to the platform were logged, it
+// tells what for and by which entries.
 type Summary struct {
-	spans  []Span
-	causes []Tally
-	faults []Tally
+	spans   []Span
+	causes  []Tally
+	faults  []Tally
+	calls   []Tally
+	callers []Tally
 }
 
 // Span is what happened in one span of time.
@@ -33,6 +36,8 @@
 	Refused  int
 	Cut      int // streams broken off
 	Left     int // callers who closed first
+	Calls    int // to the platform
+	Failed   int // of them, without an answer or refused
 	WaitMS   int64
 }
 
@@ -51,15 +56,27 @@
 // Faults returns the engines that did not run requests, the most frequent first.
 func (s *Summary) Faults() []Tally { return s.faults }
 
+// Calls returns the calls to the platform by what they asked for, the most frequent first.
+func (s *Summary) Calls() []Tally { return s.calls }
+
+// Callers returns the entries that made them, the busiest first.
+func (s *Summary) Callers() []Tally { return s.callers }
+
 // Summarize adds up the lines of any number of entries.
 func Summarize(lines []Line, step time.Duration) *Summary {
 	spans := map[time.Time]*Span{}
 	causes, faults := map[string]int{}, map[string]int{}
+	calls, callers := map[string]int{}, map[string]int{}
 	for i := range lines {
 		l := &lines[i]
-		if l.Request == "" {
+		called := l.Event == event.PlatformCalled.Number()
+		if l.Request == "" && !called {
 			continue
 		}
+		if called {
+			calls[l.Call+" "+l.Objects]++
+			callers[l.Entry]++
+		}
 		from := l.Time.Truncate(step)
 		if spans[from] == nil {
 			spans[from] = &Span{From: from}
@@ -72,7 +89,7 @@
 			faults[cmp.Or(l.AtFault, l.Endpoint)]++
 		}
 	}
-	s := &Summary{causes: tallies(causes), faults: tallies(faults)}
+	s := &Summary{causes: tallies(causes), faults: tallies(faults), calls: tallies(calls), callers: tallies(callers)}
 	for _, p := range spans {
 		s.spans = append(s.spans, *p)
 	}
@@ -80,9 +97,14 @@
 	return s
 }
 
-// add counts a line of a request.
+// add counts a line of a request or a call.
 func (p *Span) add(l *Line) {
 	switch l.Event {
+	case event.PlatformCalled.Number():
+		p.Calls++
+		if l.Cause != "" {
+			p.Failed++
+		}
 	case event.RequestSent.Number():
 		p.Sent++
 	case event.AttemptNotRun.Number():
@@ -131,13 +153,19 @@
 // String returns the summary as tables.
 func (s *Summary) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%-12s %6s %8s %8s %9s %8s %5s %6s %9s\n", "from", "sent", "not run", "waited", "answered", "refused", "cut", "left", "first ms")
+	fmt.Fprintf(&b, "%-12s %6s %8s %8s %9s %8s %5s %6s %9s %6s %7s\n",
+		"from", "sent", "not run", "waited", "answered", "refused", "cut", "left", "first ms", "calls", "failed")
 	for i := range s.spans {
 		p := &s.spans[i]
-		fmt.Fprintf(&b, "%-12s %6d %8d %8d %9d %8d %5d %6d %9d\n", p.From.UTC().Format("15:04:05.0"), p.Sent, p.NotRun, p.Held, p.Answered, p.Refused, p.Cut, p.Left, p.WaitMS)
+		fmt.Fprintf(&b, "%-12s %6d %8d %8d %9d %8d %5d %6d %9d %6d %7d\n", p.From.UTC().Format("15:04:05.0"),
+			p.Sent, p.NotRun, p.Held, p.Answered, p.Refused, p.Cut, p.Left, p.WaitMS, p.Calls, p.Failed)
 	}
 	write(&b, "how requests failed", s.causes)
 	write(&b, "engines that did not run requests", s.faults[:min(faultsMost, len(s.faults))])
+	if len(s.calls) > 0 {
+		write(&b, "calls to the platform", s.calls)
+		write(&b, "entries that made them", s.callers[:min(faultsMost, len(s.callers))])
+	}
 	return b.String()
 }
 
--- a/explain/summary_test.go
+++ b/explain/summary_test.go
@@ -24,6 +24,24 @@
 {"time":"2026-01-01T00:00:03.3Z","entry":"f","event":3003,"runner":"i-9"}
 `
 
+// outage is what two entries asked of the platform, one of them in vain.
+const outage = `
+{"time":"2026-01-01T00:00:01Z","entry":"e","event":5003,"call":"read","objects":"config","took_ms":4,"cause":""}
+{"time":"2026-01-01T00:00:01.4Z","entry":"e","event":5003,"call":"read","objects":"config","took_ms":4,"cause":"503 Service Unavailable"}
+{"time":"2026-01-01T00:00:03Z","entry":"f","event":5003,"call":"watch","objects":"servers","took_ms":900,"cause":""}
+`
+
+func TestASummaryAddsUpCallsToThePlatform(t *testing.T) {
+	lines, err := explain.Read(strings.NewReader(outage))
+	require.NoError(t, err)
+	s := explain.Summarize(lines, 2*time.Second)
+	require.Len(t, s.Spans(), 2)
+	require.Equal(t, [2]int{2, 1}, [2]int{s.Spans()[0].Calls, s.Spans()[0].Failed})
+	require.Equal(t, []explain.Tally{{Name: "read config", Count: 2}, {Name: "watch servers", Count: 1}}, s.Calls())
+	require.Equal(t, []explain.Tally{{Name: "e", Count: 2}, {Name: "f", Count: 1}}, s.Callers())
+	require.Contains(t, s.String(), "calls to the platform")
+}
+
 func TestASummaryAddsUpWhatBecameOfRequests(t *testing.T) {
 	lines, err := explain.Read(strings.NewReader(badHour))
 	require.NoError(t, err)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -49,6 +49,7 @@
 	ConfigIgnored      = Event{4002, "configuration ignored", slog.LevelWarn}
 	PlatformUnreached  = Event{5001, "platform unreached", slog.LevelWarn}
 	PlatformBack       = Event{5002, "platform back", slog.LevelInfo}
+	PlatformCalled     = Event{5003, "platform called", slog.LevelDebug}
 	ClaimShardLoaded   = Event{6001, "claim shard loaded", slog.LevelInfo}
 	ClaimWriteRaced    = Event{6002, "claim write raced", slog.LevelInfo}
 	ClaimAnswerLost    = Event{6003, "claim write answer lost", slog.LevelWarn}
@@ -81,7 +82,7 @@
 		RunnerConnected, RunnerLost, RunnerEjected, FrameBroken, ReportIgnored,
 		EndpointJoined, EndpointLeaving, EndpointGone, EndpointIgnored, LayersChanged,
 		ConfigInForce, ConfigIgnored,
-		PlatformUnreached, PlatformBack,
+		PlatformUnreached, PlatformBack, PlatformCalled,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
 		PeerConnected, PeerLost,
 		EntriesCounted, PeerFollowed, PeerLeft, FollowerGone, EntryIgnored,
