front: rest longer between looks at the start while the platform does not answer

Cause: an entry that starts in an outage looked for others each 0.4 s, and a whole fleet may. Now the rest doubles to 2 s.

--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -31,11 +31,12 @@
 	// two seconds after it was accepted, where every entry reaches the platform: what
 	// a peer that is cut off from it misses has to be found out within half of that.
 	FreshFor = time.Second
-	// PatienceLeast and PatienceMost bound how much longer an entry that nobody follows
-	// trusts its peer, drawn for each: the peer itself asks at FreshFor and passes on what
-	// it learned, so that one call serves all who follow it.
+	// PatienceLeast is how much longer at least an entry that nobody follows trusts its
+	// peer, drawn for each: the peer itself asks at FreshFor and passes on what it learned,
+	// so that one call serves all who follow it.
 	PatienceLeast = 200 * time.Millisecond
-	PatienceMost  = 500 * time.Millisecond
+	// PatienceMost is the most of that.
+	PatienceMost = 500 * time.Millisecond
 	// QuickFor is how long a call to a platform that is well takes at most, many times
 	// the 4 ms of the users' deployments. A slower one says nothing about the peer.
 	QuickFor = 250 * time.Millisecond
--- a/transport/front/register.go
+++ b/transport/front/register.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -23,16 +22,9 @@
 	entryKind = "pinerun-entries"
 	// registerLimit bounds the calls of one turn.
 	registerLimit = 5 * time.Second
-	// registerAgain is when to look again after a failed call.
+	// registerAgain is when to look again after a failed call, and the most there is
+	// between two at the start: a whole fleet may start in an outage.
 	registerAgain = 2 * time.Second
-	// firstLook is how long after its first look an entry looks again that has not seen
-	// its own record yet, and so may not have seen others' either: all start within a
-	// third of a second of each other, and a cheap list is as the platform held it some
-	// seconds ago. The time doubles with each look; after cheapLooks of them a list is
-	// asked for that is of this moment, and after firstLooks it is done without.
-	firstLook  = 400 * time.Millisecond
-	cheapLooks = 3
-	firstLooks = 4
 	// lookFollowed is how often an entry that others follow reads the records for all,
 	// and an entry that follows looks at what it was told.
 	lookFollowed = 2 * time.Second
@@ -43,17 +35,18 @@
 type register struct {
 	front *Front
 
-	done    part.Done
-	census  census.Census
-	version uint64 // of the own record, 0 if unknown
-	beat    uint64
-	renewAt time.Time
-	looks   int  // of the start
-	settled bool // the own record was seen
-	lookAt  time.Time
-	at      uint64 // revision of the records that were counted last
-	counted int
-	centers atomic.Int64 // data centers that have entries
+	done     part.Done
+	census   census.Census
+	version  uint64 // of the own record, 0 if unknown
+	beat     uint64
+	renewAt  time.Time
+	looks    int  // of the start
+	failures int  // of looks of the start, in a row
+	settled  bool // the own record was seen
+	lookAt   time.Time
+	at       uint64 // revision of the records that were counted last
+	counted  int
+	centers  atomic.Int64 // data centers that have entries
 }
 
 func (r *register) run() {
@@ -93,68 +86,6 @@
 	return b
 }
 
-// begin looks for other entries and for the record of an earlier life of this one, writes
-// its own, and returns when to go on. A record that needs no change is renewed later:
-// entries start many at a time.
-func (r *register) begin(ctx context.Context, now time.Time) time.Time {
-	read := r.front.Outside.Objects.ListLately
-	if r.looks >= cheapLooks {
-		read = r.front.Outside.Objects.List
-	}
-	list, err := read(ctx, entryKind)
-	if err != nil {
-		r.front.platformFailed("entries", err)
-		return now.Add(firstLook)
-	}
-	r.looks++
-	seen := r.recognize(list.Objects, now)
-	r.settled = seen || r.looks >= firstLooks
-	if r.settled {
-		r.front.source.Hold(entryKind, list)
-		r.take(ctx, list)
-	}
-	r.learn(list.Objects, r.settled)
-	if r.renewAt.IsZero() {
-		if err := r.renew(ctx); err != nil {
-			return now.Add(registerAgain)
-		}
-	}
-	if r.settled {
-		r.lookAt = now.Add(lookFollowed)
-		return r.lookAt
-	}
-	return now.Add(firstLook << (r.looks - 1))
-}
-
-// recognize reports whether the own record is among those that were read, and takes over
-// what it says of an earlier life.
-func (r *register) recognize(objects []protocol.Object, now time.Time) bool {
-	for _, o := range objects {
-		if o.Name != r.front.Settings.Name {
-			continue
-		}
-		var record protocol.EntryRecord
-		if err := json.Unmarshal(o.Value, &record); err != nil {
-			event.EntryIgnored.Log(r.front.Logger, slog.String("peer", o.Name), slog.String("cause", err.Error()))
-			return false
-		}
-		if !r.renewAt.IsZero() {
-			return true // written in this life
-		}
-		r.version, r.beat = o.Version, record.Beat
-		if record.Key != "" {
-			r.front.source.Keep(record.Key)
-		}
-		own := r.front.source.Record()
-		own.Name, own.Beat = "", record.Beat
-		if record == own {
-			r.renewAt = now.Add(rand.N(census.Renew))
-		}
-		return true
-	}
-	return false
-}
-
 // look reads all records, or those that a peer told, and returns when to look again.
 func (r *register) look(ctx context.Context, now time.Time) time.Time {
 	source := &r.front.source
--- a/transport/relay/seeker.go
+++ b/transport/relay/seeker.go
@@ -27,12 +27,6 @@
 	// steadyAfter is how long a peer must have been followed for what was before to be
 	// forgotten.
 	steadyAfter = 10 * time.Second
-	// startMost bounds how long lists and reads wait after the start for it to be known
-	// whether there is a peer to follow. startTries is how long peers that are not reached
-	// are tried again each startRest: a whole fleet may be starting.
-	startMost  = 3 * time.Second
-	startTries = 400 * time.Millisecond
-	startRest  = 60 * time.Millisecond
 	// seekEvery is how often a better peer is looked for although nothing was heard.
 	seekEvery = 2 * time.Second
 )
@@ -58,52 +52,6 @@
 	started   chan struct{} // closed with its end; nil for a source that does not look
 }
 
-// start begins the time in which lists and reads wait.
-func (s *seeker) start(now time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.tryTill = now.Add(startTries)
-	s.startTill = now.Add(startMost)
-	s.started = make(chan struct{})
-	connect := s.source.Dial
-	if connect == nil {
-		connect = (&net.Dialer{Timeout: connectWithin}).DialContext
-	}
-	s.client.Transport = &http.Transport{DialContext: connect, DisableKeepAlives: true}
-}
-
-// await waits for the end of the start.
-func (s *seeker) await(ctx context.Context) {
-	s.mutex.Lock()
-	started := s.started
-	s.mutex.Unlock()
-	if started == nil {
-		return
-	}
-	select {
-	case <-started:
-	case <-ctx.Done():
-	}
-}
-
-// starting reports whether the start lasts on, and ends it if that is how it is. Again
-// says that a peer may yet be followed that could not be reached.
-func (s *seeker) starting(again bool, now time.Time) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	select {
-	case <-s.started:
-		return false
-	default:
-	}
-	alone := s.source.Self.Peers == "" || s.all && (!again || now.After(s.tryTill))
-	if s.source.Following() || alone || now.After(s.startTill) {
-		close(s.started)
-		return false
-	}
-	return true
-}
-
 func (s *seeker) run() {
 	t := time.NewTicker(seekEvery)
 	defer t.Stop()
@@ -174,8 +122,9 @@
 	s.mutex.Lock()
 	first := now.Before(s.tryTill)
 	s.mutex.Unlock()
-	var silent net.Error
-	if first && !(errors.As(err, &silent) && silent.Timeout()) {
+	var silence net.Error
+	silent := errors.As(err, &silence) && silence.Timeout()
+	if first && !silent {
 		return true
 	}
 	s.avoid(name, now)
