relay: read the own record under its mutex

Found by reading: the key of an earlier life is taken over while the seeker may look, which copied the record without the mutex.

--- a/transport/relay/seeker.go
+++ b/transport/relay/seeker.go
@@ -107,7 +107,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	var open []protocol.EntryRecord
-	for _, r := range relay.Before(s.source.Self, s.records) {
+	for _, r := range relay.Before(s.source.Record(), s.records) {
 		if now.After(s.avoided[r.Name].till) {
 			open = append(open, r)
 		}
