--- a/transport/relay/entry_test.go
+++ b/transport/relay/entry_test.go
@@ -152,6 +152,14 @@
 	require.Eventually(t, func() bool { return !e.believes.confirmedAt().IsZero() }, soon, time.Millisecond)
 }
 
+// follow starts an entry that knows only of one other, and ranks after it.
+func follow(t testing.TB, s *store, peer *entry) *entry {
+	record := peer.source.Self
+	e := newEntry(t, s, rankedAfter(record), "third")
+	e.start(t, []protocol.EntryRecord{record})
+	return e
+}
+
 func (e *entry) close() {
 	e.closed.Do(func() {
 		e.watcher.Close()
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -58,10 +58,8 @@
 		s := newStore()
 		s.put(table, "one")
 		all := newEntries(t, s, 2)
-		record := all[1].source.Self
-		third := newEntry(t, s, rankedAfter(record), "third")
 		before := all[1].calls()
-		third.start(t, []protocol.EntryRecord{record})
+		third := follow(t, s, all[1])
 		eventually(t, "the third follows", third.source.Following)
 		for i := range 5 {
 			value := fmt.Sprint("value-", i)
@@ -83,9 +81,7 @@
 		s := newStore()
 		s.put(table, "one")
 		all := newEntries(t, s, 2)
-		record := all[1].source.Self
-		third := newEntry(t, s, rankedAfter(record), "third")
-		third.start(t, []protocol.EntryRecord{record})
+		third := follow(t, s, all[1])
 		before := all[1].calls()
 		s.mutex.Lock()
 		s.deaf = true
@@ -111,9 +107,7 @@
 		s := newStore()
 		s.put(table, "one")
 		all := newEntries(t, s, 2)
-		record := all[1].source.Self
-		third := newEntry(t, s, rankedAfter(record), "third")
-		third.start(t, []protocol.EntryRecord{record})
+		third := follow(t, s, all[1])
 		all[0].close()
 		s.put(table, "two")
 		eventually(t, "the news came", func() bool { return third.believes.value(table) == "two" })
