--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -102,10 +102,10 @@
 func FuzzDecodeRelay(f *testing.F) {
 	for _, m := range []any{
 		protocol.RelayHello{Name: "e1", Known: []protocol.RelayMark{{Kind: "k", At: 3}}},
-		protocol.RelayAsk{Number: 7},
+		protocol.RelayAsk{Number: 7, HoldMS: 400},
 		protocol.RelayFrame{
 			Runs:   []protocol.RelayRun{{Kind: "k", After: 3, At: 9, Changes: []protocol.RelayChange{{Name: "o", Version: 4, Value: []byte("{}")}}}},
-			Answer: &protocol.RelayAnswer{Number: 7, ConfirmedMS: 3.5, Version: 4}, FailedMS: -1,
+			Answer: &protocol.RelayAnswer{Number: 7, ConfirmedMS: 3.5, HeldMS: 120, Version: 4}, FailedMS: -1,
 		},
 	} {
 		good, err := protocol.EncodeRelay(m)
@@ -116,7 +116,9 @@
 		if h, err := protocol.DecodeRelayHello(b); err == nil && (h.Name == "" || len(h.Known) == 0) {
 			t.Fatalf("a hello without a name or kinds was taken: %+v", h)
 		}
-		_, _ = protocol.DecodeRelayAsk(b)
+		if a, err := protocol.DecodeRelayAsk(b); err == nil && !(a.HoldMS >= 0) {
+			t.Fatalf("an answer was to be held back for %v ms", a.HoldMS)
+		}
 		frame, err := protocol.DecodeRelayFrame(b)
 		if err != nil {
 			return
@@ -126,7 +128,7 @@
 				t.Fatalf("a run that goes nowhere was taken: %+v", r)
 			}
 		}
-		if a := frame.Answer; a != nil && a.ConfirmedMS < 0 && a.ConfirmedMS != -1 {
+		if a := frame.Answer; a != nil && (a.ConfirmedMS < 0 && a.ConfirmedMS != -1 || !(a.HeldMS >= 0)) {
 			t.Fatalf("a confirmation of the future was taken: %+v", a)
 		}
 	})
