director: keep a plan for as long as what it depends on is the same

Each entry works the urgent moves out twice a second, since an engine may have been found lost, and with engines that hold nothing that takes 13.6 ms at 195 engines of a data center and 70 ms at 598 (BenchmarkImprove), five data centers each time, on 0.19 cores. Ruled out: choosing paths (7 to 56 us at 40 to 400 runners), deriving the view (0.6 ms at 400 endpoints). Now the query is compared with the last one, 1.2 us at 195 engines and 2.3 at 598; the answer is a function of it (rapid). Orders do not change.

--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -45,6 +45,12 @@
 	Urgent  bool
 }
 
+// Same reports whether two queries have the same answer, since nothing differs that it
+// depends on. The facts are the same only if they stand at the same place.
+func (q *Query) Same(other *Query) bool {
+	return q.Facts == other.Facts && q.Urgent == other.Urgent && slices.Equal(q.Engines, other.Engines)
+}
+
 // Move is the decision that an engine shall hold a span.
 type Move struct {
 	engine string
--- a/coordination/place/place_test.go
+++ b/coordination/place/place_test.go
@@ -282,6 +282,61 @@
 	})
 }
 
+// TestTheSameQueryHasTheSameAnswer draws fleets: an answer may be kept for as long as the
+// query stays the same, and each thing that it depends on makes another one.
+func TestTheSameQueryHasTheSameAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := facts()
+		draw := func() []place.Engine {
+			engines := fleet(map[string][4]int{"a": {0, 1, 3, 3}, "b": {0, 2, 2, 2}})
+			for i := range engines {
+				engines[i].Held = protocol.Span{To: rapid.IntRange(0, 2).Draw(t, "held")}
+				engines[i].Leaving = rapid.Bool().Draw(t, "leaving")
+			}
+			return engines
+		}
+		one := place.Query{Facts: f, Engines: draw(), Urgent: rapid.Bool().Draw(t, "urgent")}
+		two := place.Query{Facts: f, Engines: draw(), Urgent: rapid.Bool().Draw(t, "urgent")}
+		kept := slices.Clone(one.Engines)
+		answer := place.Plan(one)
+		require.Equal(t, kept, one.Engines, "a plan changes nothing of its query")
+		require.Equal(t, answer, place.Plan(one))
+		if one.Same(&two) {
+			require.Equal(t, answer, place.Plan(two))
+		}
+		other := one
+		other.Facts = facts()
+		require.False(t, one.Same(&other))
+		other = one
+		other.Urgent = !one.Urgent
+		require.False(t, one.Same(&other))
+		other = one
+		other.Engines = slices.Clone(one.Engines)
+		require.True(t, one.Same(&other))
+		other.Engines[0].Leaving = !other.Engines[0].Leaving
+		require.False(t, one.Same(&other))
+	})
+}
+
+// BenchmarkReplan finds that nothing has changed since the last plan, in place of working
+// out an urgent one: 11 us, 13.6 and 70 ms at 52, 195 and 598 engines of a data center
+// (BenchmarkImprove), some of which hold nothing.
+func BenchmarkReplan(b *testing.B) {
+	for _, n := range []int{4, 15, 46} {
+		engines := fleet(map[string][4]int{"a": {0, 2 * n, 4 * n, 7 * n}})
+		one := place.Query{Facts: facts(), Engines: engines, Urgent: true}
+		two := one
+		two.Engines = slices.Clone(engines)
+		b.Run(fmt.Sprintf("engines=%d", len(engines)), func(b *testing.B) {
+			for b.Loop() {
+				if !one.Same(&two) {
+					b.Fatal("the same")
+				}
+			}
+		})
+	}
+}
+
 func BenchmarkPlan(b *testing.B) {
 	for _, n := range []int{1, 10, 120} {
 		counts := map[string][4]int{}
--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -89,10 +89,11 @@
 	// unanswered is how many calls for the lease in a row had no answer.
 	unanswered int
 	mutex      sync.Mutex
-	heard      *heard           // of the lease, not taken into account yet
-	hearing    bool             // whether the lease was ever heard of
-	ordered    map[string]order // by endpoint ID, still in doubt
-	resting    map[string]rest  // by endpoint ID
+	heard      *heard             // of the lease, not taken into account yet
+	hearing    bool               // whether the lease was ever heard of
+	ordered    map[string]order   // by endpoint ID, still in doubt
+	resting    map[string]rest    // by endpoint ID
+	plans      map[string]planned // by service
 }
 
 // basis is what moves are worked out from.
--- a/transport/director/moves.go
+++ b/transport/director/moves.go
@@ -79,7 +79,7 @@
 		return nil
 	}
 	var moves []move
-	for _, m := range place.Plan(q) {
+	for _, m := range d.plan(s.Name, q) {
 		if now.Before(d.restOf(m.Engine())) {
 			continue
 		}
@@ -131,6 +131,28 @@
 	return now.Sub(s.joined) < settleQuiet && now.Sub(s.first) < settleMost
 }
 
+// planned is what was asked of placement last for a service, and its answer.
+type planned struct {
+	query place.Query
+	moves []place.Move
+}
+
+// plan returns the moves that are wanted, without working them out again where nothing has
+// changed: the answer depends on the query alone. Each entry asks twice a second, since an
+// engine may have been found lost, and with 195 engines of a data center, some of them
+// empty, an answer takes 13.6 ms; comparing the queries takes 1.2 us (`go test -bench Replan`).
+func (d *Director) plan(service string, q place.Query) []place.Move {
+	if last, ok := d.plans[service]; ok && last.query.Same(&q) {
+		return last.moves
+	}
+	moves := place.Plan(q)
+	if d.plans == nil {
+		d.plans = make(map[string]planned)
+	}
+	d.plans[service] = planned{query: q, moves: moves}
+	return moves
+}
+
 // restOf returns until when an engine gets no order.
 func (d *Director) restOf(id string) time.Time {
 	d.mutex.Lock()
