--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -166,8 +166,8 @@
 	d.improve = time.Now().Add(improveEvery)
 }
 
-// following reports whether this entry learns through a peer. Then the peer, and one
-// entry of each other data center, work improvements out; holes everybody does.
+// following reports whether this entry learns through a peer. Then the entry that asks
+// the platform for all works improvements out; holes everybody does.
 func (d *Director) following() bool { return d.Following != nil && d.Following() }
 
 // spread returns a part of the time over which the entries' attempts are spread.
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -1,19 +1,18 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package relay lets the entries of a data center learn from one of them what the
-// platform's objects are, so that only that one calls the platform all the time.
+// Package relay lets entries learn from one another what the platform's objects are, so
+// that only one of them calls the platform all the time.
 //
-// A Source stands between watchers and the platform. While it follows a peer,
-// watches are answered with the changes that the peer passes on, and a read that
-// confirms an object asks the peer how fresh its knowledge is; otherwise both go to
-// the platform. A Server passes on what this entry's Source knows. The words between
+// A Source stands between watchers and the platform. While it follows a peer, lists and
+// watches are answered with what the peer passes on, and a read that confirms an object
+// asks the peer how fresh its knowledge is; otherwise all go to the platform. A Server passes on what this entry's Source knows. The words between
 // them are CBOR frames on a WebSocket connection:
 //
 //	s := &relay.Source{Platform: store, Self: self, Kinds: kinds, Counters: &c}
 //	s.Start()
 //	w := &watch.Watcher{Source: s, Kind: "servers", Sink: sink}
 //	http.Handle(relay.Path, &relay.Server{Source: s})
-//	s.Learn(records) // whenever the entries' records are read
+//	s.Learn(records, true) // whenever the entries' records are read
 package relay
 
 import (
