relay: keep a packed run apart from a difference between the same revisions

Cause, found by reading the change: the run packed last was found again by its revisions and by whether it is whole. A difference serves only who knows its beginning; taken for the changes in between it would have been taken by others too. It needs a mirror that forgot a kind between two runs of the same ends, which no run showed. The test fails on the code before.

--- a/transport/relay/pack.go
+++ b/transport/relay/pack.go
@@ -51,7 +51,7 @@
 func (p *packer) pack(r protocol.RelayRun) (protocol.RelayRun, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if l, ok := p.latest[r.Kind]; ok && l.After == r.After && l.At == r.At && l.Whole == r.Whole {
+	if l, ok := p.latest[r.Kind]; ok && l.After == r.After && l.At == r.At && l.Difference == r.Difference && l.Whole == r.Whole {
 		return l, nil
 	}
 	encoded, err := protocol.EncodeRelay(r.Changes)
--- a/transport/relay/pack_test.go
+++ b/transport/relay/pack_test.go
@@ -37,6 +37,20 @@
 	})
 }
 
+// TestADifferenceIsNotTakenForChanges sends two runs between the same revisions, one of
+// which serves only who knows its beginning.
+func TestADifferenceIsNotTakenForChanges(t *testing.T) {
+	var p packer
+	o := protocol.Object{Kind: "k", Name: "o", Version: 9, Value: make([]byte, packFrom)}
+	run := mirror.Run{After: 3, At: 9, Changes: []protocol.Change{{Object: o}}}
+	_, err := p.encode("k", run)
+	require.NoError(t, err)
+	run.Difference = true
+	sent, err := p.encode("k", run)
+	require.NoError(t, err)
+	require.True(t, sent.Difference)
+}
+
 func TestARunThatUnpacksToTooMuchIsRefused(t *testing.T) {
 	packed, err := deflate(make([]byte, unpackMost+1))
 	require.NoError(t, err)
