front, forward: one way to note a failed watch, to take records and to ask an engine

Read once more: three sinks noted an outage and told the failure in the same two lines; the records were taken and learned side by side in three places; an engine was asked how it stands by the same four lines in poll, question and probe. Each stands once now. Behaviour stays, but that records are learned before forgotten ones are removed and not after.

--- a/protocol/relay.go
+++ b/protocol/relay.go
@@ -76,7 +76,8 @@
 }
 
 // RelayAnswer says how many milliseconds before it was written the platform was last
-// asked for the object that both confirm, -1 when never, and which version it had. The answer was held back for HeldMS milliseconds.
+// asked for the object that both confirm, -1 when never, and which version it had. The
+// answer was held back for HeldMS milliseconds.
 type RelayAnswer struct {
 	_           struct{} `cbor:",toarray"`
 	Number      uint64
--- a/transport/forward/poll.go
+++ b/transport/forward/poll.go
@@ -9,6 +9,7 @@
 
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/fleet"
 	"pinerun.example/pinerun/state/roster"
 )
@@ -79,6 +80,14 @@
 	return p.asked.may(r.Name(), every, now)
 }
 
+// report asks an engine how it stands.
+func (f *Forwarder) report(r *fleet.Runner) (protocol.EngineReport, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askLimit)
+	defer cancel()
+	f.Counters.Add(metric.ReportsAsked, 1)
+	return f.Reporter.Report(ctx, r.Spec().Address)
+}
+
 // poll is one question to an engine.
 type poll struct {
 	forwarder *Forwarder
@@ -87,10 +96,7 @@
 
 func (p *poll) run() {
 	f := p.forwarder
-	ctx, cancel := context.WithTimeout(context.Background(), askLimit)
-	defer cancel()
-	f.Counters.Add(metric.ReportsAsked, 1)
-	report, err := f.Reporter.Report(ctx, p.runner.Spec().Address)
+	report, err := f.report(p.runner)
 	if err != nil {
 		f.log(event.ReportIgnored, slog.String("runner", p.runner.Name()), slog.String("cause", err.Error()))
 		return
--- a/transport/forward/suspects.go
+++ b/transport/forward/suspects.go
@@ -3,7 +3,6 @@
 package forward
 
 import (
-	"context"
 	"log/slog"
 	"slices"
 	"time"
@@ -67,10 +66,7 @@
 func (q *question) run() {
 	f := q.suspects.forwarder
 	first := q.path.Runner(0)
-	ctx, cancel := context.WithTimeout(context.Background(), askLimit)
-	defer cancel()
-	f.Counters.Add(metric.ReportsAsked, 1)
-	report, err := f.Reporter.Report(ctx, first.Spec().Address)
+	report, err := f.report(first)
 	now := time.Now()
 	if err != nil {
 		q.eject(first, "does not report: "+err.Error(), now)
@@ -113,10 +109,7 @@
 
 func (p *probe) run() {
 	f := p.forwarder
-	ctx, cancel := context.WithTimeout(context.Background(), askLimit)
-	defer cancel()
-	f.Counters.Add(metric.ReportsAsked, 1)
-	if _, err := f.Reporter.Report(ctx, p.runner.Spec().Address); err == nil {
+	if _, err := f.report(p.runner); err == nil {
 		p.runner.Answers()
 		return
 	}
--- a/transport/front/endpoint_sink.go
+++ b/transport/front/endpoint_sink.go
@@ -74,10 +74,7 @@
 func (s *endpointSink) Confirmed(time.Time) {}
 
 // Failed notes that the platform did not answer.
-func (s *endpointSink) Failed(err error, now time.Time) {
-	s.front.roster.Outage(now)
-	s.front.platformFailed("endpoints", err)
-}
+func (s *endpointSink) Failed(err error, now time.Time) { s.front.watchFailed("endpoints", err, now) }
 
 // decode reads a record, or tells that it can't be read.
 func (s *endpointSink) decode(o protocol.Object) (protocol.Endpoint, bool) {
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -207,6 +207,14 @@
 		now.Before(f.Settings.KeyTrust(f.routing.ConfirmedAt()))
 }
 
+// watchFailed notes that the platform did not answer a watcher or a confirmer. Endpoints'
+// records lapse meanwhile, whatever was asked for, and the watch of endpoints may rest for
+// longer than those are believed in afterwards.
+func (f *Front) watchFailed(what string, err error, now time.Time) {
+	f.roster.Outage(now)
+	f.platformFailed(what, err)
+}
+
 // platformFailed tells once that the platform does not answer.
 func (f *Front) platformFailed(what string, err error) {
 	f.Counters.Add(metric.PlatformFaults, 1)
--- a/transport/front/lease_sink.go
+++ b/transport/front/lease_sink.go
@@ -36,7 +36,4 @@
 func (s *leaseSink) Confirmed(time.Time) {}
 
 // Failed notes that the platform did not answer.
-func (s *leaseSink) Failed(err error, now time.Time) {
-	s.front.roster.Outage(now)
-	s.front.platformFailed("lease", err)
-}
+func (s *leaseSink) Failed(err error, now time.Time) { s.front.watchFailed("lease", err, now) }
--- a/transport/front/register.go
+++ b/transport/front/register.go
@@ -93,7 +93,6 @@
 		if at := source.At(entryKind); at != r.at {
 			list, _ := source.Objects(entryKind)
 			r.take(ctx, list)
-			r.learn(list.Objects, true)
 		}
 		r.count(now)
 		return now.Add(lookFollowed)
@@ -105,19 +104,20 @@
 	}
 	source.Hold(entryKind, list)
 	r.take(ctx, list)
-	r.learn(list.Objects, true)
 	if source.Followed() {
 		return now.Add(lookFollowed)
 	}
 	return now.Add(census.Look)
 }
 
-// take counts the records, and removes those that nobody renews unless a peer does.
+// take takes all records: it counts them, tells whom they are of, and removes those that
+// nobody renews unless a peer does.
 func (r *register) take(ctx context.Context, list protocol.Listing) {
 	now := time.Now()
 	r.at = list.At
 	r.census.Seen(list.Objects, now)
 	r.count(now)
+	r.learn(list.Objects, true)
 	if r.front.source.Following() {
 		return
 	}
--- a/transport/front/routing_sink.go
+++ b/transport/front/routing_sink.go
@@ -49,12 +49,8 @@
 	}
 }
 
-// Failed notes that the platform did not answer. Endpoints' records lapse meanwhile, and
-// the watch of endpoints may rest for longer than those are believed in afterwards.
-func (s *routingSink) Failed(err error, now time.Time) {
-	s.front.roster.Outage(now)
-	s.front.platformFailed("routing", err)
-}
+// Failed notes that the platform did not answer.
+func (s *routingSink) Failed(err error, now time.Time) { s.front.watchFailed("routing", err, now) }
 
 // take puts a table in force that was not taken before.
 func (s *routingSink) take(o protocol.Object) {
--- a/transport/front/start.go
+++ b/transport/front/start.go
@@ -49,8 +49,9 @@
 	if r.settled {
 		r.front.source.Hold(entryKind, list)
 		r.take(ctx, list)
+	} else {
+		r.learn(list.Objects, false)
 	}
-	r.learn(list.Objects, r.settled)
 	if r.renewAt.IsZero() {
 		if err := r.renew(ctx); err != nil {
 			return now.Add(registerAgain)
