soak: let proxies listen where no other test's clients ask

Ruled out: the system's own questions (reports and orders are not recorded as requests; health is not asked in the soak).

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
+	"pinerun.example/pinerun/platform/platformtest"
 )
 
 // pieceBytes is how much a proxy passes on at once; an answer of the stand-ins is shorter.
@@ -36,9 +36,7 @@
 }
 
 func newProxy(t testing.TB, target string) *proxy {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	p := &proxy{target: target, listener: l, moved: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p := &proxy{target: target, listener: platformtest.Listen(), moved: make(chan struct{}), conns: map[net.Conn]bool{}}
 	go p.run()
 	t.Cleanup(p.close)
 	return p
