director: let those whose turn comes last look for work each two seconds

Cause: every entry worked a plan out at each change of the engines, up to ten times a second, although an entry that follows a peer and that nobody follows waits two seconds and more before it may try for the lease. Of 300 entries 295 planned for nothing.

Change: such an entry looks each two seconds. The counter plans_worked_out is new.

--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -71,6 +71,7 @@
 
 	EndpointConnections Name = "endpoint_connections"
 	ReportsAsked        Name = "reports_asked"
+	PlansWorkedOut      Name = "plans_worked_out"
 	OrdersGiven         Name = "orders_given"
 	LinesDropped        Name = "log_lines_dropped"
 	RequestsHeld        Name = "requests_held"
@@ -83,7 +84,7 @@
 		RepliesDropped, FramesBroken, ReportsIgnored, PlatformCalls, PlatformFaults,
 		ClaimsGranted, ClaimsReplayed, ClaimWrites, ConfigAccepted, ConfigIgnored,
 		RunnersEjected, PeerConnections, PeerFrames, PeerBytes,
-		EndpointConnections, ReportsAsked, OrdersGiven, LinesDropped, RequestsHeld,
+		EndpointConnections, ReportsAsked, PlansWorkedOut, OrdersGiven, LinesDropped, RequestsHeld,
 	}
 }
 
--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -84,6 +84,7 @@
 	improve  time.Time // when they may be worked out again
 	again    time.Time // when the moves are worked out although nothing has changed
 	waitTo   time.Time // when this entry tries to take the lease for work that it sees
+	lookFrom time.Time // when one whose turn comes last looks again
 	idleFrom time.Time // when there was last work
 	askFrom  time.Time // when the platform may be asked for the lease again
 	// unanswered is how many calls for the lease in a row had no answer.
@@ -135,8 +136,11 @@
 		d.release(now)
 		return
 	}
-	if !d.held && now.Before(d.waitTo) {
-		return // there is work, and another entry's turn comes first
+	if !d.held && (now.Before(d.waitTo) || now.Before(d.lookFrom)) {
+		return // there may be work, and another entry's turn comes first
+	}
+	if d.last() {
+		d.lookFrom = now.Add(followerRest)
 	}
 	d.basis = b
 	improving := b != d.improved && !now.Before(d.improve) && !d.following() && d.listTrusted(now)
@@ -150,7 +154,7 @@
 		d.again = now.Add(lookAnyway)
 		return
 	}
-	d.again = now // there is work: look again at once
+	d.again, d.lookFrom = now, time.Time{} // there is work: look again at once
 	d.idleFrom = now
 	if d.waitTo.IsZero() {
 		d.waitTo = now.Add(d.spread())
@@ -170,6 +174,14 @@
 // the platform for all works improvements out; holes everybody does.
 func (d *Director) following() bool { return d.Following != nil && d.Following() }
 
+// last reports whether this entry's turn to give orders comes after all others': it
+// learns through a peer, and nobody learns through it. It looks for work no more often
+// than its turn could come: while engines come and go each look works a plan out, and of
+// 300 entries 295 did so for nothing.
+func (d *Director) last() bool {
+	return d.following() && (d.Followed == nil || !d.Followed())
+}
+
 // spread returns a part of the time over which the entries' attempts are spread.
 func (d *Director) spread() time.Duration {
 	part := rand.N(stagger * time.Duration(max(1, d.Entries())))
--- a/transport/director/director_test.go
+++ b/transport/director/director_test.go
@@ -497,3 +497,32 @@
 		})
 	}
 }
+
+// TestWhoseTurnComesLastSeldomPlans lets engines change each 100 ms: the entry that all
+// others follow plans for each change, and one that nobody follows once each two seconds.
+func TestWhoseTurnComesLastSeldomPlans(t *testing.T) {
+	plans := map[bool]int64{}
+	for _, follows := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(3)
+			d := w.director(t, "one")
+			d.Following = func() bool { return follows }
+			whole := protocol.Span{From: 0, To: 5}
+			d.Roster.Put(record("e0", whole))
+			d.Roster.Put(record("e1", protocol.Span{From: 5, To: 10}))
+			d.Start()
+			time.Sleep(50 * time.Millisecond) // changes come between looks
+			for i := range 100 {
+				time.Sleep(100 * time.Millisecond)
+				span := whole
+				span.To += i % 2
+				d.Roster.Put(record("e2", span))
+			}
+			d.Close()
+			synctest.Wait()
+			plans[follows] = d.Counters.Value(string(metric.PlansWorkedOut))
+		})
+	}
+	require.Greater(t, plans[false], int64(50))
+	require.LessOrEqual(t, plans[true], int64(7))
+}
--- a/transport/director/moves.go
+++ b/transport/director/moves.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pinerun.example/pinerun/coordination/place"
+	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
 )
 
@@ -146,6 +147,7 @@
 		return last.moves
 	}
 	moves := place.Plan(q)
+	d.Counters.Add(metric.PlansWorkedOut, 1)
 	if d.plans == nil {
 		d.plans = make(map[string]planned)
 	}
