loss, relay, forward: what one entry meets of a lost engine, all know at once

Cause: the platform's list tells of a death three heartbeats later; until then each entry found out for itself (73 entries: 120 refused connections in 3.7 s for one engine), sent to it, waited for room beside it, and spent the retry budget on it.

Change: a refused connection (the process is gone, and its ID with it), a question without an answer (while other endpoints are heard) and an answer after all are news, judged in one place (coordination/loss): a refusal is certain, silence takes two witnesses, no more than a third of the endpoints is believed lost at once. News travel the relay tree both ways, each report that changes something once; the director is woken by them.

--- /dev/null
+++ b/coordination/loss/loss.go
@@ -0,0 +1,165 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package loss judges news of endpoints that are lost.
+//
+// The platform's list tells that an endpoint is gone three heartbeats after its death,
+// some four seconds in which each entry would run into it for itself. So what one entry
+// meets it tells the others, and a Book says what the word of one is worth:
+//
+//	switch v := book.Take(report, known, now).(type) {
+//	case loss.Lost:    // no work for it until v.Till(); tell the others
+//	case loss.Doubted: // no work for a moment; tell the others
+//	case loss.Back:    // it works after all; tell the others
+//	case loss.Nothing: // known already, or not to be believed
+//	}
+package loss
+
+import (
+	"time"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+const (
+	// KeptFor is how long a report counts: a dead endpoint leaves the platform's list
+	// after three heartbeats of 1.2 s, and the news of that takes a moment.
+	KeptFor = 4 * time.Second
+	// witnesses is how many entries must have found an endpoint silent for it to be
+	// lost. One alone may be cut off from it.
+	witnesses = 2
+	// partMost is the part of all endpoints that may be lost by reports at the same time.
+	// Losses of a fifth of them at once are known; an entry, or a few of them, that reach
+	// no endpoint any more must not empty everybody's lists.
+	partMost = 0.34
+	// fewest is how many may be, in a fleet of few endpoints.
+	fewest = 2
+)
+
+// Report says that an entry, the witness, met a sign of an endpoint at a time.
+type Report struct {
+	endpoint string
+	witness  string
+	sign     protocol.LossSign
+	at       time.Time
+}
+
+// NewReport returns the report of a witness.
+func NewReport(endpoint, witness string, sign protocol.LossSign, at time.Time) Report {
+	return Report{endpoint: endpoint, witness: witness, sign: sign, at: at}
+}
+
+// Endpoint returns the ID of the endpoint.
+func (r Report) Endpoint() string { return r.endpoint }
+
+// Witness returns the name of the entry that met the sign.
+func (r Report) Witness() string { return r.witness }
+
+// Sign returns what it met.
+func (r Report) Sign() protocol.LossSign { return r.sign }
+
+// At returns when, by the clock of the entry that holds the report.
+func (r Report) At() time.Time { return r.at }
+
+// Verdict is what a report changes: Lost, Doubted, Back or Nothing.
+type Verdict interface{ verdict() }
+
+// Lost says that the endpoint is lost.
+type Lost struct {
+	at, till time.Time
+}
+
+// At returns when the sign was met: what comes from the endpoint later disproves it.
+func (l Lost) At() time.Time { return l.at }
+
+// Till returns until when the reports count.
+func (l Lost) Till() time.Time { return l.till }
+
+// Doubted says that one entry found the endpoint silent.
+type Doubted struct{}
+
+// Back says that an endpoint that was doubted or lost works.
+type Back struct{}
+
+// Nothing says that the report changes nothing.
+type Nothing struct{}
+
+func (Lost) verdict()    {}
+func (Doubted) verdict() {}
+func (Back) verdict()    {}
+func (Nothing) verdict() {}
+
+// Book keeps the reports that count. The zero value is empty.
+type Book struct {
+	pages map[string]*page // by endpoint ID
+}
+
+// page is what is reported of one endpoint.
+type page struct {
+	lost    bool
+	silent  map[string]bool // the witnesses who found it silent
+	latest  time.Time       // of the signs
+	expires time.Time
+}
+
+// Take takes a report while so many endpoints are known, and returns what it changes.
+func (b *Book) Take(r Report, known int, now time.Time) Verdict {
+	b.expire(now)
+	if now.Sub(r.at) > KeptFor || r.at.After(now) {
+		return Nothing{}
+	}
+	p := b.pages[r.endpoint]
+	if r.sign == protocol.LossAnswered {
+		return b.back(r, p)
+	}
+	if p == nil {
+		if float64(len(b.pages)) >= max(fewest, partMost*float64(known)) {
+			return Nothing{}
+		}
+		p = b.open(r.endpoint)
+	}
+	return p.take(r, now)
+}
+
+// back forgets what was reported before the endpoint answered.
+func (b *Book) back(r Report, p *page) Verdict {
+	if p == nil || !r.at.After(p.latest) {
+		return Nothing{}
+	}
+	delete(b.pages, r.endpoint)
+	return Back{}
+}
+
+func (b *Book) open(endpoint string) *page {
+	if b.pages == nil {
+		b.pages = make(map[string]*page)
+	}
+	p := &page{silent: make(map[string]bool)}
+	b.pages[endpoint] = p
+	return p
+}
+
+func (b *Book) expire(now time.Time) {
+	for id, p := range b.pages {
+		if now.After(p.expires) {
+			delete(b.pages, id)
+		}
+	}
+}
+
+func (p *page) take(r Report, now time.Time) Verdict {
+	if p.lost || r.sign == protocol.LossSilent && p.silent[r.witness] {
+		return Nothing{}
+	}
+	if r.at.After(p.latest) {
+		p.latest = r.at
+	}
+	p.expires = now.Add(KeptFor)
+	if r.sign == protocol.LossSilent {
+		p.silent[r.witness] = true
+	}
+	if r.sign == protocol.LossRefused || len(p.silent) >= witnesses {
+		p.lost = true
+		return Lost{at: p.latest, till: p.expires}
+	}
+	return Doubted{}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -45,6 +45,7 @@
 	EndpointGone       = Event{3008, "endpoint gone", slog.LevelInfo}
 	EndpointIgnored    = Event{3009, "endpoint ignored", slog.LevelWarn}
 	LayersChanged      = Event{3010, "layers changed", slog.LevelInfo}
+	LossTold           = Event{3011, "loss told", slog.LevelWarn}
 	ConfigInForce      = Event{4001, "configuration in force", slog.LevelInfo}
 	ConfigIgnored      = Event{4002, "configuration ignored", slog.LevelWarn}
 	PlatformUnreached  = Event{5001, "platform unreached", slog.LevelWarn}
@@ -80,7 +81,7 @@
 		RequestRefused, RequestRetried, RequestSent, RequestAnswered, SilenceSuspected, AttemptBroken,
 		StreamCut, CallerLeft, CallerUnbounded, AttemptNotRun, HoldEnded, HoldBegun,
 		RunnerConnected, RunnerLost, RunnerEjected, FrameBroken, ReportIgnored,
-		EndpointJoined, EndpointLeaving, EndpointGone, EndpointIgnored, LayersChanged,
+		EndpointJoined, EndpointLeaving, EndpointGone, EndpointIgnored, LayersChanged, LossTold,
 		ConfigInForce, ConfigIgnored,
 		PlatformUnreached, PlatformBack, PlatformCalled,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -103,6 +103,7 @@
 	for _, m := range []any{
 		protocol.RelayHello{Name: "e1", Known: []protocol.RelayMark{{Kind: "k", At: 3}}},
 		protocol.RelayAsk{Number: 7, HoldMS: 400},
+		protocol.RelayAsk{Losses: []protocol.RelayLoss{{Endpoint: "e", Witness: "w", Sign: protocol.LossSilent, AgoMS: 3}}},
 		protocol.RelayFrame{
 			Runs:   []protocol.RelayRun{{Kind: "k", After: 3, At: 9, Changes: []protocol.RelayChange{{Name: "o", Version: 4, Value: []byte("{}")}}}},
 			Answer: &protocol.RelayAnswer{Number: 7, ConfirmedMS: 3.5, HeldMS: 120, Version: 4}, FailedMS: -1,
--- a/protocol/relay.go
+++ b/protocol/relay.go
@@ -33,11 +33,13 @@
 }
 
 // RelayAsk asks how fresh the answering entry's knowledge is. The answer may wait for
-// news of that, up to HoldMS milliseconds.
+// news of that, up to HoldMS milliseconds. Losses are what the asking entry has to tell;
+// with the number 0 that is all, and nothing is asked.
 type RelayAsk struct {
 	_      struct{} `cbor:",toarray"`
 	Number uint64
 	HoldMS float64
+	Losses []RelayLoss
 }
 
 // RelayFrame is what the followed entry sends: changes as they come, and an answer
@@ -49,6 +51,7 @@
 	// FailedMS is how long ago the platform last failed to answer the sender, in
 	// milliseconds, or -1 when it never did.
 	FailedMS int64
+	Losses   []RelayLoss
 }
 
 // RelayRun takes whoever knows a kind as it was at After to At; if it is the
@@ -119,7 +122,7 @@
 	if err := decodeFrame("relay ask", b, &a); err != nil {
 		return RelayAsk{}, err
 	}
-	if !(a.HoldMS >= 0) {
+	if !(a.HoldMS >= 0) || !soundLosses(a.Losses) {
 		return RelayAsk{}, &BrokenFrame{what: "relay ask"}
 	}
 	return a, nil
@@ -137,6 +140,9 @@
 			return RelayFrame{}, &BrokenFrame{what: "relay"}
 		}
 	}
+	if !soundLosses(f.Losses) {
+		return RelayFrame{}, &BrokenFrame{what: "relay"}
+	}
 	if a := f.Answer; a != nil && (!(a.ConfirmedMS >= 0 || a.ConfirmedMS == -1) || !(a.HeldMS >= 0)) {
 		return RelayFrame{}, &BrokenFrame{what: "relay"}
 	}
--- a/state/fleet/ejection.go
+++ b/state/fleet/ejection.go
@@ -18,6 +18,10 @@
 	// lostAfter is how many failures in a row, without a sign that the runner works,
 	// make it likely that it won't come back.
 	lostAfter = 2
+	// underWay is for how long after a sign of a runner's loss something may still come
+	// that it sent before: entries with a fifth of a core read late while all their streams
+	// break.
+	underWay = time.Second
 )
 
 // Failed leaves the runner out for a time that doubles with each failure in a
@@ -71,13 +75,34 @@
 	}
 }
 
+// Lose notes that entries found the runner lost, by signs of a time. It gets no new work
+// until the signs count no longer, unless it is heard.
+func (r *Runner) Lose(at, till time.Time) {
+	r.lostAt.Store(at.UnixNano())
+	r.lostTill.Store(till.UnixNano())
+}
+
+// Return takes back that the runner is lost.
+func (r *Runner) Return() { r.lostTill.Store(0) }
+
+// Returns takes it that something came from the runner, and reports whether that disproves
+// that it is lost.
+func (r *Runner) Returns(now time.Time) bool {
+	if r.lostTill.Load() == 0 || now.UnixNano() < r.lostAt.Load()+int64(underWay) {
+		return false
+	}
+	return r.lostTill.Swap(0) > now.UnixNano()
+}
+
 // Lost reports whether the runner is likely to be dead, although it is still
 // listed: a record goes only after several missed heartbeats.
-func (r *Runner) Lost() bool { return r.failures.Load() >= lostAfter }
+func (r *Runner) Lost(now time.Time) bool {
+	return r.failures.Load() >= lostAfter || now.UnixNano() < r.lostTill.Load()
+}
 
 // Usable reports whether new work may be sent to the runner.
 func (r *Runner) Usable(now time.Time) bool {
-	return !r.Leaving() && now.UnixNano() >= max(r.ejectedTill.Load(), r.suspectTill.Load())
+	return !r.Leaving() && now.UnixNano() >= max(r.ejectedTill.Load(), r.suspectTill.Load(), r.lostTill.Load())
 }
 
 // EjectedTill returns until when the runner is left out.
--- a/state/fleet/room_test.go
+++ b/state/fleet/room_test.go
@@ -57,16 +57,34 @@
 	require.False(t, r.Usable(now))
 	r.Works()
 	require.True(t, r.Usable(now))
-	require.False(t, r.Lost())
+	require.False(t, r.Lost(now))
 	r.Failed(now)
-	require.False(t, r.Lost(), "one failure may be anything")
+	require.False(t, r.Lost(now), "one failure may be anything")
 	r.Failed(now)
-	require.True(t, r.Lost())
+	require.True(t, r.Lost(now))
 	r.Works()
-	require.False(t, r.Lost())
+	require.False(t, r.Lost(now))
 	require.True(t, r.Usable(now))
 }
 
+// TestWhatOthersFoundLostIsLeftOutUntilItIsHeard: what was under way when the sign was met
+// disproves nothing.
+func TestWhatOthersFoundLostIsLeftOutUntilItIsHeard(t *testing.T) {
+	r, now := roomy().Runner("a"), time.Unix(100, 0)
+	r.Lose(now, now.Add(4*time.Second))
+	require.True(t, r.Lost(now))
+	require.False(t, r.Usable(now))
+	r.Works()
+	require.False(t, r.Returns(now.Add(500*time.Millisecond)))
+	require.False(t, r.Usable(now.Add(500*time.Millisecond)))
+	require.True(t, r.Returns(now.Add(1500*time.Millisecond)))
+	require.True(t, r.Usable(now.Add(1500*time.Millisecond)))
+	require.False(t, r.Returns(now.Add(1600*time.Millisecond)), "that is known")
+	r.Lose(now, now.Add(4*time.Second))
+	require.True(t, r.Usable(now.Add(4*time.Second)), "the signs count no longer")
+	require.False(t, r.Returns(now.Add(5*time.Second)), "nobody takes it as lost any more")
+}
+
 // fillOf returns which part of a runner's room is taken.
 func fillOf(r *fleet.Runner, now time.Time) float64 { return r.Fill(now, 0) }
 
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -39,6 +39,8 @@
 	usedTill    atomic.Int64  // unix nanoseconds until when that is believed
 	ejectedTill atomic.Int64  // unix nanoseconds
 	suspectTill atomic.Int64  // unix nanoseconds
+	lostAt      atomic.Int64  // unix nanoseconds of the signs by which others took it as lost
+	lostTill    atomic.Int64  // unix nanoseconds until when they count, 0 for none
 	failures    atomic.Int64
 	refusals    atomic.Int64
 	leaving     atomic.Bool // by the configuration, or by the engine's own word
--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -90,6 +90,7 @@
 	// unanswered is how many calls for the lease in a row had no answer.
 	unanswered int
 	mutex      sync.Mutex
+	woken      bool               // an engine was found lost, or back
 	heard      *heard             // of the lease, not taken into account yet
 	hearing    bool               // whether the lease was ever heard of
 	ordered    map[string]order   // by endpoint ID, still in doubt
@@ -131,6 +132,9 @@
 // look works out the wanted moves and, holding the lease, orders them.
 func (d *Director) look(now time.Time) {
 	d.hear()
+	if d.wasWoken() {
+		d.again = now
+	}
 	b := basis{table: d.Routing.Current(), endpoints: d.Roster.Changes()}
 	if b == d.basis && now.Before(d.again) {
 		d.release(now)
@@ -170,6 +174,22 @@
 	d.improve = time.Now().Add(improveEvery)
 }
 
+// Wake makes the director look at its next turn, because an engine was found lost, or
+// back: what it holds has not changed, but who counts on it has.
+func (d *Director) Wake() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.woken = true
+}
+
+func (d *Director) wasWoken() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	was := d.woken
+	d.woken = false
+	return was
+}
+
 // following reports whether this entry learns through a peer. Then the entry that asks
 // the platform for all works improvements out; holes everybody does.
 func (d *Director) following() bool { return d.Following != nil && d.Following() }
--- a/transport/director/moves.go
+++ b/transport/director/moves.go
@@ -73,7 +73,7 @@
 		addresses[e.ID] = e.Address
 		q.Engines = append(q.Engines, place.Engine{
 			ID: e.ID, DataCenter: e.DataCenter, Accelerator: e.Accelerator, Held: held, Serving: e.Layers,
-			Leaving: e.Leaving || view.Runner(e.ID) != nil && view.Runner(e.ID).Lost(),
+			Leaving: e.Leaving || view.Runner(e.ID) != nil && view.Runner(e.ID).Lost(now),
 		})
 	}
 	if len(q.Engines) == 0 || d.starting(s.Name, q.Engines, now) || d.incomplete(q.Engines, now) {
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -227,11 +227,9 @@
 }
 
 // heard notes that every runner of the attempt's path works.
-func (a *attempt) heard(now time.Time) {
+func (x *exchange) heard(a *attempt, now time.Time) {
 	for i := range a.path.Len() {
-		r := a.path.Runner(i)
-		r.Heard(now)
-		r.Works()
+		x.forwarder.works(a.path.Runner(i), now)
 	}
 }
 
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -49,6 +49,8 @@
 	Budget retry.Budget
 	// TrustKeys returns until when keys confirmed then are accepted.
 	TrustKeys func(confirmed time.Time) time.Time
+	// Tell tells the other entries that this one met a sign of an endpoint, nil for nobody.
+	Tell func(endpoint string, sign protocol.LossSign, at time.Time)
 
 	done     part.Done
 	spending sync.Mutex // guards Budget and the next two
@@ -58,6 +60,7 @@
 	suspects suspects
 	lines    lines
 	poller   poller
+	heardAt  atomic.Int64 // unix nanoseconds, when anything last came from an endpoint
 	open     atomic.Int64
 	entries  atomic.Int64
 	refusing atomic.Bool
--- /dev/null
+++ b/transport/forward/news.go
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"syscall"
+	"time"
+
+	"pinerun.example/pinerun/coordination/loss"
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/fleet"
+)
+
+// met tells the other entries what a failed connection or question to a runner, begun at
+// a time, says about it. One engine of 85 that was lost met 120 connections of 47 entries
+// in 3.7 s while each found out for itself (log of a day of 48 s, 73 entries).
+func (f *Forwarder) met(r *fleet.Runner, cause error, since, now time.Time) {
+	sign, certain := signOf(cause)
+	if !certain && !f.reaches(r, since) {
+		return // this entry, or its way to the runner, may be at fault
+	}
+	if sign != 0 {
+		f.tell(r, sign, now)
+	}
+}
+
+// signOf returns what an error says of the endpoint, 0 for nothing, and whether that is
+// certain whatever else this entry hears.
+func signOf(cause error) (sign protocol.LossSign, certain bool) {
+	var n net.Error
+	switch {
+	case errors.Is(cause, syscall.ECONNREFUSED):
+		return protocol.LossRefused, true
+	case errors.Is(cause, context.DeadlineExceeded), errors.As(cause, &n) && n.Timeout():
+		return protocol.LossSilent, false
+	default:
+		return 0, false
+	}
+}
+
+// reaches reports whether this entry has heard other endpoints since a time, and not this
+// one.
+func (f *Forwarder) reaches(r *fleet.Runner, since time.Time) bool {
+	return f.heardAt.Load() > since.UnixNano() && !r.HeardAt().After(since)
+}
+
+// works notes that something came from a runner, and tells the others if it was taken as
+// lost.
+func (f *Forwarder) works(r *fleet.Runner, now time.Time) {
+	f.heardAt.Store(now.UnixNano())
+	r.Heard(now)
+	r.Works()
+	if r.Returns(now) {
+		f.tell(r, protocol.LossAnswered, now)
+	}
+}
+
+func (f *Forwarder) tell(r *fleet.Runner, sign protocol.LossSign, now time.Time) {
+	if f.Tell != nil {
+		f.Tell(r.Name(), sign, now)
+	}
+}
+
+// Judged takes what a report of an endpoint changes, and reports whether it may matter to
+// who gives orders.
+func (f *Forwarder) Judged(report loss.Report, v loss.Verdict) bool {
+	r := f.Roster.View().Runner(report.Endpoint())
+	if r == nil {
+		return false
+	}
+	now := time.Now()
+	switch v := v.(type) {
+	case loss.Lost:
+		r.Lose(v.At(), v.Till())
+		f.Counters.Add(metric.RunnersEjected, 1)
+	case loss.Doubted:
+		r.Suspect(now.Add(suspectFor))
+	case loss.Back:
+		r.Return()
+	default:
+		return false
+	}
+	f.log(event.LossTold, slog.String("runner", r.Name()), slog.String("witness", report.Witness()),
+		slog.String("sign", report.Sign().String()), slog.Int64("age_ms", now.Sub(report.At()).Milliseconds()),
+		slog.Bool("lost", r.Lost(now)))
+	return true
+}
--- a/transport/forward/poll.go
+++ b/transport/forward/poll.go
@@ -96,8 +96,10 @@
 
 func (p *poll) run() {
 	f := p.forwarder
+	asked := time.Now()
 	report, err := f.report(p.runner)
 	if err != nil {
+		f.met(p.runner, err, asked, time.Now())
 		f.log(event.ReportIgnored, slog.String("runner", p.runner.Name()), slog.String("cause", err.Error()))
 		return
 	}
--- a/transport/forward/suspects.go
+++ b/transport/forward/suspects.go
@@ -66,9 +66,11 @@
 func (q *question) run() {
 	f := q.suspects.forwarder
 	first := q.path.Runner(0)
+	asked := time.Now()
 	report, err := f.report(first)
 	now := time.Now()
 	if err != nil {
+		f.met(first, err, asked, now)
 		q.eject(first, "does not report: "+err.Error(), now)
 		return
 	}
@@ -109,11 +111,14 @@
 
 func (p *probe) run() {
 	f := p.forwarder
-	if _, err := f.report(p.runner); err == nil {
+	asked := time.Now()
+	_, err := f.report(p.runner)
+	if err == nil {
 		p.runner.Answers()
 		return
 	}
 	now := time.Now()
+	f.met(p.runner, err, asked, now)
 	till := p.runner.Failed(now)
 	f.Counters.Add(metric.RunnersEjected, 1)
 	f.log(event.RunnerEjected, slog.String("runner", p.runner.Name()), slog.String("reason", "does not answer"),
--- a/transport/forward/take.go
+++ b/transport/forward/take.go
@@ -45,7 +45,7 @@
 		x.drop(other)
 	}
 	now := time.Now()
-	m.attempt.heard(now)
+	x.heard(m.attempt, now)
 	x.rhythm.event(now)
 	if m.attempt.first() {
 		m.attempt.accepted()
@@ -86,7 +86,7 @@
 		// Only the endpoint's own word says that a request did not run.
 		x.decide(a, retry.Broken, &m)
 	default:
-		a.heard(now)
+		x.heard(a, now)
 		x.deliver(&m)
 	}
 }
@@ -97,10 +97,11 @@
 	x.drop(a)
 	switch {
 	case m.cause == nil:
-		a.heard(now)
+		x.heard(a, now)
 		x.endStream()
 	case m.unsent:
 		x.notReached(a)
+		x.forwarder.met(a.endpoint, m.cause, a.sentAt, now)
 		x.blame(a, a.endpoint.Spec().Address, now)
 		x.ended(a, retry.NeverSent, m.cause)
 	case m.stale:
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pinerun.example/pinerun/coordination/census"
+	"pinerun.example/pinerun/coordination/loss"
 	"pinerun.example/pinerun/coordination/retry"
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/metric"
@@ -86,7 +87,7 @@
 		Home: home, Routing: &f.routing, Roster: &f.roster, Headers: f.Outside.Headers, Reporter: f.Outside.Engines,
 		Counters: f.Counters, Logger: f.Logger,
 		Budget:    retry.Budget{Share: s.RetryShare * shareKept},
-		TrustKeys: s.KeyTrust,
+		TrustKeys: s.KeyTrust, Tell: f.source.Tell,
 	}
 	f.forwarder.OpenBudget(census.Least, s.RetrySlack, s.RetryWindow(time.Now()))
 	f.director = director.Director{
@@ -98,6 +99,14 @@
 		Self:     protocol.EntryRecord{Name: s.Name, DataCenter: s.DataCenter, MemoryMB: s.MemoryMB},
 		Kinds:    []string{f.Outside.RoutingKind, f.Outside.EndpointKind, entryKind, leaseKind}, Kind: f.Outside.RoutingKind, Name: f.Outside.RoutingName,
 		Counters: f.Counters, Logger: f.Logger, Failed: f.roster.Outage,
+		Endpoints: func() int { return len(f.roster.Endpoints()) }, Judged: f.judged,
+	}
+}
+
+// judged takes what a report of an endpoint changes.
+func (f *Front) judged(r loss.Report, v loss.Verdict) {
+	if f.forwarder.Judged(r, v) {
+		f.director.Wake()
 	}
 }
 
--- a/transport/relay/follower.go
+++ b/transport/relay/follower.go
@@ -17,6 +17,7 @@
 // follower is one entry that follows this one.
 type follower struct {
 	source *Source
+	name   string
 	packer *packer
 	socket *websocket.Conn
 	known  []protocol.RelayMark // what it was told
@@ -27,10 +28,11 @@
 	askedAt  time.Time
 	heldTill time.Time // when it is answered at the latest
 	toldAt   time.Time // the confirmation that was told last
+	news     uint64    // number of the last news of losses that it was told
 	ahead    uint64    // version of the confirmed object that an answer told
 }
 
-// run reads the follower's questions.
+// run reads the follower's questions and news.
 func (f *follower) run(ctx context.Context) {
 	for {
 		_, b, err := f.socket.Read(ctx)
@@ -43,6 +45,10 @@
 			f.left <- err
 			return
 		}
+		f.source.hearAll(a.Losses, f.name)
+		if a.Number == 0 {
+			continue // it had only news to tell
+		}
 		select {
 		case f.asks <- a:
 		case <-ctx.Done():
@@ -60,6 +66,7 @@
 	for first := true; ; first = false {
 		changed := f.source.mirror.Changed()
 		confirmed := f.source.confirmedChanges()
+		news := f.source.news.awaited()
 		// What came before an answer is written with it: the answer speaks of it.
 		frame := protocol.RelayFrame{Answer: f.answer(time.Now())}
 		if err := f.fill(&frame); err != nil {
@@ -68,7 +75,8 @@
 		if err := f.addAhead(frame.Answer); err != nil {
 			return err
 		}
-		if first || len(frame.Runs) > 0 || frame.Answer != nil {
+		frame.Losses, f.news = f.source.news.since(f.news, f.name, time.Now())
+		if first || len(frame.Runs) > 0 || len(frame.Losses) > 0 || frame.Answer != nil {
 			if err := f.write(ctx, &frame); err != nil {
 				return err
 			}
@@ -77,6 +85,7 @@
 		select {
 		case <-changed:
 		case <-confirmed:
+		case <-news:
 		case <-held.C:
 		case a := <-f.asks:
 			now := time.Now()
--- a/transport/relay/link.go
+++ b/transport/relay/link.go
@@ -179,6 +179,7 @@
 	if f.FailedMS >= 0 && l.source.Failed != nil {
 		l.source.Failed(time.Now().Add(-time.Duration(f.FailedMS) * time.Millisecond))
 	}
+	l.source.hearAll(f.Losses, l.peer.Name)
 	for i := range f.Runs {
 		if err := l.takeRun(&f.Runs[i]); err != nil {
 			return err
--- a/transport/relay/seeker.go
+++ b/transport/relay/seeker.go
@@ -96,6 +96,7 @@
 		}
 		if s.source.follow(l) {
 			go l.run()
+			go (&upward{link: l}).run()
 		}
 		return false
 	}
--- a/transport/relay/server.go
+++ b/transport/relay/server.go
@@ -79,7 +79,7 @@
 	source.tookFollower()
 	defer source.followers.Add(-1)
 	f := &follower{
-		source: source, packer: &s.packer, socket: socket, known: hello.Known,
+		source: source, name: hello.Name, packer: &s.packer, socket: socket, known: hello.Known,
 		asks: make(chan protocol.RelayAsk, asksWaiting), left: make(chan error, 1),
 	}
 	go f.run(ctx)
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -24,6 +24,7 @@
 	"sync/atomic"
 	"time"
 
+	"pinerun.example/pinerun/coordination/loss"
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/internal/part"
@@ -53,11 +54,16 @@
 	// Failed is told when the platform did not answer the peer that is followed, and
 	// when.
 	Failed func(at time.Time)
+	// Endpoints returns how many endpoints are known, nil for none, and Judged is told what
+	// a report of a lost endpoint changes.
+	Endpoints func() int
+	Judged    func(r loss.Report, v loss.Verdict)
 	// Dial connects to a peer's address, nil for TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	done      part.Done
 	mirror    mirror.Mirror
+	news      news
 	seeker    seeker
 	followers atomic.Int64
 	mutex     sync.Mutex
