forward, retry: bound further sends by the window that counts, act on news of a loss

Cause: an entry's credit for further sends was a bucket as small as its part of the slack (73 entries: 3 sends), whatever it had not used before; after a loss 297 of 611 silences ended with the budget spent while all entries together had used a third of what they may. And a stream whose engine was told lost waited for its own silence all the same.

Change: the budget is a window as long as the one that counts, for each service as it is counted: what first tries of that time paid for and the slack, less what was spent in it. A stream acts at once when a runner of its path is told lost, and ends what waits for it. Ruled out: a credit shared by all entries along the road.

--- a/coordination/retry/resend.go
+++ b/coordination/retry/resend.go
@@ -55,7 +55,7 @@
 // Resend decides on a forwarded request after a send without a good answer. A
 // request that may not be repeated is sent again only if it is certain that it
 // has not run. Each further endpoint that it is sent to is taken from the budget.
-func (b *Budget) Resend(f Forwarded) Next {
+func (w *Window) Resend(f Forwarded) Next {
 	if !f.Now.Before(f.Deadline) {
 		return Expire
 	}
@@ -64,7 +64,7 @@
 		if f.Ready && f.Result == NeverSent && f.Unsent <= maxUnsent {
 			return Again
 		}
-		if f.Ready && f.Result != NeverSent && b.Take() {
+		if f.Ready && f.Result != NeverSent && w.Take(f.Now) {
 			return Again
 		}
 		if f.Now.Before(f.Hope) {
--- a/coordination/retry/resend_test.go
+++ b/coordination/retry/resend_test.go
@@ -27,7 +27,7 @@
 			Now:       now,
 			Deadline:  now.Add(time.Duration(rapid.IntRange(-1, 1).Draw(t, "left")) * time.Second),
 		}
-		b := retry.Budget{Share: 0.2, Most: float64(rapid.IntRange(0, 2).Draw(t, "budget"))}
+		b := retry.Window{Share: 0.2, Slack: float64(rapid.IntRange(0, 2).Draw(t, "budget")), Ends: ends}
 		mayHaveRun := q.MayHave || q.Result == retry.Failed || q.Result == retry.Broken
 		next := b.Resend(q)
 		switch next {
@@ -49,8 +49,7 @@
 }
 
 func TestFurtherSendsAreBoundedByTheBudget(t *testing.T) {
-	b := retry.Budget{Share: 0.25}
-	b.Open(3, 3)
+	b := retry.Window{Share: 0.25, Slack: 3, Ends: ends}
 	now := time.Unix(100, 0)
 	q := retry.Forwarded{Result: retry.NotRun, MayRepeat: true, Allowed: true, Ready: true, Now: now, Deadline: now.Add(time.Second)}
 	for range 3 {
@@ -58,55 +57,8 @@
 	}
 	require.Equal(t, retry.Refuse, b.Resend(q))
 	for range 4 {
-		b.First()
+		b.First(now)
 	}
 	require.Equal(t, retry.Again, b.Resend(q))
 	require.Equal(t, retry.Refuse, b.Resend(q))
 }
-
-// TestRestartsSpendNoMoreThanTheShare lives several lives in one window: each has
-// the credit to begin with, and only what requests pay for comes on top.
-func TestRestartsSpendNoMoreThanTheShare(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		const share, most, first = 0.2, 14.0, 3.0
-		spent, requests := 0, 0
-		lives := rapid.IntRange(1, 3).Draw(t, "lives")
-		for life := range lives {
-			b := retry.Budget{Share: share}
-			b.Open(most, first)
-			if life == 0 {
-				b.Open(most, most) // the window opens on a full budget
-			}
-			for _, send := range rapid.SliceOf(rapid.Bool()).Draw(t, "events") {
-				switch {
-				case !send:
-					b.First()
-					requests++
-				case b.Take():
-					spent++
-				}
-			}
-			b.SetMost(most * rapid.Float64Range(0.5, 2).Draw(t, "entries"))
-		}
-		require.LessOrEqual(t, float64(spent), share*float64(requests)+most+first*float64(lives-1)+1e-9)
-	})
-}
-
-func TestAChangeOfTheMostGivesNothing(t *testing.T) {
-	var b retry.Budget
-	b.Open(10, 4)
-	b.SetMost(40)
-	require.InDelta(t, 4, b.Left(), 1e-9)
-	b.SetMost(2)
-	require.InDelta(t, 2, b.Left(), 1e-9)
-}
-
-func TestFillGivesWhatWasNotSpent(t *testing.T) {
-	var b retry.Budget
-	b.Open(10, 2)
-	require.True(t, b.Take())
-	b.Fill(1)
-	require.InDelta(t, 9, b.Left(), 1e-9)
-	b.Fill(1)
-	require.InDelta(t, 9, b.Left(), 1e-9)
-}
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -33,53 +33,18 @@
 	backoffMost = 200 * time.Millisecond
 )
 
-// Budget counts what first tries have paid for. The zero value is a fresh one
-// with the usual share and credit. Where the platform bounds further tries of
-// all entries together, Share is what a first try pays for and Most the credit
-// that is this entry's part of the common slack; see Open. It is not safe for use
-// by several goroutines at once.
+// Budget counts what first tries have paid for. The zero value is a fresh one. It is not
+// safe for use by several goroutines at once. See Window for the bound of a platform.
 type Budget struct {
-	Share float64
-	Most  float64
-
 	spent float64
 }
 
 // First notes a first try.
-func (b *Budget) First() {
-	if b.Most > 0 {
-		b.spent = max(0, b.spent-b.Share)
-		return
-	}
-	b.spent = max(initial-most, b.spent-share)
-}
-
-// Open sets the most credit and the credit to begin with. A process that is
-// restarted has a new budget while what the old one spent still counts: so the
-// most of one life and the beginning of the next together must fit the bound.
-func (b *Budget) Open(most, credit float64) {
-	b.Most = most
-	b.spent = most - min(credit, most)
-}
-
-// Fill gives the whole credit, once what a process before may have spent counts no
-// longer. What was spent since Open must be given, so that it isn't given twice.
-func (b *Budget) Fill(spent float64) { b.Open(b.Most, max(b.Left(), b.Most-spent)) }
-
-// SetMost changes the most credit; the credit at hand stays, as far as it fits.
-func (b *Budget) SetMost(most float64) { b.Open(most, b.Left()) }
-
-// Left returns the credit for further tries.
-func (b *Budget) Left() float64 {
-	if b.Most > 0 {
-		return b.Most - b.spent
-	}
-	return initial - b.spent
-}
+func (b *Budget) First() { b.spent = max(initial-most, b.spent-share) }
 
 // Take takes one further try from the budget, and reports whether there was one.
 func (b *Budget) Take() bool {
-	if b.Left() < 1 {
+	if initial-b.spent < 1 {
 		return false
 	}
 	b.spent++
--- a/transport/forward/budget.go
+++ b/transport/forward/budget.go
@@ -3,6 +3,7 @@
 package forward
 
 import (
+	"sync"
 	"time"
 
 	"pinerun.example/pinerun/coordination/retry"
@@ -10,44 +11,99 @@
 
 const (
 	// mostPart and firstPart are the parts of an entry's share of the slack that it
-	// holds at most and begins with. An entry that is restarted, even twice in a
-	// window, then spends no more than its share.
+	// has, and that it begins with. An entry that is restarted, even twice in a window,
+	// then spends no more than its share.
 	mostPart  = 0.7
 	firstPart = 0.15
 )
 
-// OpenBudget begins the budget of further sends with this entry's part of a slack
-// among that many entries. From fillAt on, what the process before it may have spent
-// counts no longer.
-func (f *Forwarder) OpenBudget(entries int, slack float64, fillAt time.Time) {
-	f.entries.Store(int64(entries))
-	f.spending.Lock()
-	defer f.spending.Unlock()
-	f.fillAt = fillAt
-	each := slack / float64(entries)
-	f.Budget.Open(max(1, mostPart*each), max(1, firstPart*each))
+// Retries is the platform's bound on further sends: of the requests for a service within
+// some time, so large a share may be sent again and so many beside, by all entries
+// together. Ends returns the end of that time for its beginning.
+type Retries struct {
+	Share float64
+	Slack float64
+	Ends  func(begin time.Time) time.Time
+}
+
+// budgets is this entry's part of the bound for each service.
+type budgets struct {
+	bound Retries
+
+	mutex   sync.Mutex
+	entries float64
+	fillAt  time.Time // from when what the process before spent counts no longer
+	windows map[string]*retry.Window
 }
 
-// fillBudget gives the whole credit once the process before counts no longer.
-func (f *Forwarder) fillBudget(now time.Time) {
-	f.spending.Lock()
-	defer f.spending.Unlock()
-	if f.fillAt.IsZero() || now.Before(f.fillAt) {
-		return
+// open begins among that many entries.
+func (b *budgets) open(r Retries, entries int, now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.bound = r
+	b.entries = float64(max(1, entries))
+	b.fillAt = r.Ends(now)
+}
+
+// setEntries tells how many entries there are now.
+func (b *budgets) setEntries(n int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.entries = float64(max(1, n))
+}
+
+// first notes a request for a service.
+func (b *budgets) first(service string, now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.of(service, now).First(now)
+}
+
+// take takes one further send of a request for a service.
+func (b *budgets) take(service string, now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.of(service, now).Take(now)
+}
+
+// resend asks what to do with a request for a service after a send without a good answer.
+func (b *budgets) resend(service string, q retry.Forwarded) retry.Next {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.of(service, q.Now).Resend(q)
+}
+
+// of returns the budget of a service with the slack that it has now. The mutex is held.
+func (b *budgets) of(service string, now time.Time) *retry.Window {
+	w := b.windows[service]
+	if w == nil {
+		if b.windows == nil {
+			b.windows = make(map[string]*retry.Window)
+		}
+		w = &retry.Window{Share: b.bound.Share, Ends: b.bound.Ends}
+		b.windows[service] = w
+	}
+	part := firstPart
+	if !now.Before(b.fillAt) {
+		part = mostPart
 	}
-	f.fillAt = time.Time{}
-	f.Budget.Fill(f.spent)
+	w.Slack = part * b.bound.Slack / b.entries
+	return w
+}
+
+// OpenBudget begins the budget of further sends among that many entries.
+func (f *Forwarder) OpenBudget(r Retries, entries int, now time.Time) {
+	f.entries.Store(int64(entries))
+	f.budgets.open(r, entries, now)
 }
 
 // Entries returns how many entries there may be.
 func (f *Forwarder) Entries() int { return int(f.entries.Load()) }
 
 // SetEntries tells how many entries there are now.
-func (f *Forwarder) SetEntries(entries int, slack float64) {
+func (f *Forwarder) SetEntries(entries int) {
 	f.entries.Store(int64(entries))
-	f.spending.Lock()
-	defer f.spending.Unlock()
-	f.Budget.SetMost(max(1, mostPart*slack/float64(entries)))
+	f.budgets.setEntries(entries)
 }
 
 // sharers returns how many entries send to the engines of one data center: about
@@ -55,30 +111,3 @@
 func (f *Forwarder) sharers(service string) float64 {
 	return max(1, float64(f.entries.Load())/float64(max(1, len(f.Roster.Centers(service)))))
 }
-
-func (f *Forwarder) noteFirst() {
-	f.spending.Lock()
-	defer f.spending.Unlock()
-	f.Budget.First()
-}
-
-// resend asks the retry budget about a request.
-func (f *Forwarder) resend(q retry.Forwarded) retry.Next {
-	f.spending.Lock()
-	defer f.spending.Unlock()
-	before := f.Budget.Left()
-	next := f.Budget.Resend(q)
-	f.spent += before - f.Budget.Left()
-	return next
-}
-
-// takeSend takes one further send from the budget.
-func (f *Forwarder) takeSend() bool {
-	f.spending.Lock()
-	defer f.spending.Unlock()
-	taken := f.Budget.Take()
-	if taken {
-		f.spent++
-	}
-	return taken
-}
--- a/transport/forward/decide.go
+++ b/transport/forward/decide.go
@@ -35,7 +35,7 @@
 	}
 	p, ready := x.pickNext(now)
 	hope := x.hopeTill()
-	next := x.forwarder.resend(retry.Forwarded{
+	next := x.forwarder.budgets.resend(x.service.Name, retry.Forwarded{
 		Result: r, MayRepeat: x.route.MayRepeat(), MayHave: x.mayHave,
 		Allowed: x.mayReachMore(), Ready: ready && x.mayReach(&p), Unsent: x.unsent, Now: now, Deadline: x.deadline, Hope: hope,
 	})
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -35,6 +35,7 @@
 	deadline time.Time
 
 	messages chan message
+	losses   <-chan struct{} // closes when a runner is found lost
 	live     []*attempt      // open, the oldest first
 	avoid    []*fleet.Runner // that failed, refused or fell silent under it
 	draw     *rand.Rand
@@ -55,18 +56,22 @@
 // run sends the request and serves its answer to the end.
 func (x *exchange) run() {
 	f := x.forwarder
-	f.noteFirst()
+	f.budgets.first(x.service.Name, x.begun)
 	x.messages = make(chan message, messageRoom)
 	x.draw = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	x.lastEvent = x.terms.LastEvent
 	defer x.stopAll()
 	defer x.unhold()
+	x.losses = f.losses.awaited()
 	x.rhythm.begin(x.route, x.service, x.begun)
 	x.begin(x.begun)
 	timer := time.NewTimer(time.Until(x.wakeAt()))
 	defer timer.Stop()
 	for !x.finished {
 		select {
+		case <-x.losses:
+			x.losses = f.losses.awaited()
+			x.lossTold(time.Now())
 		case m := <-x.messages:
 			x.take(m)
 		case after := <-x.turns():
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -6,11 +6,9 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"pinerun.example/pinerun/coordination/retry"
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/internal/part"
@@ -44,22 +42,18 @@
 	Reporter Reporter
 	Counters *metric.Set
 	Logger   *slog.Logger
-	// Budget bounds further sends; it is this entry's part of what all entries
-	// may spend together.
-	Budget retry.Budget
 	// TrustKeys returns until when keys confirmed then are accepted.
 	TrustKeys func(confirmed time.Time) time.Time
 	// Tell tells the other entries that this one met a sign of an endpoint, nil for nobody.
 	Tell func(endpoint string, sign protocol.LossSign, at time.Time)
 
 	done     part.Done
-	spending sync.Mutex // guards Budget and the next two
-	fillAt   time.Time  // when the budget is filled, zero once it was
-	spent    float64    // further sends so far
+	budgets  budgets
 	pool     pool
 	suspects suspects
 	lines    lines
 	poller   poller
+	losses   losses
 	heardAt  atomic.Int64 // unix nanoseconds, when anything last came from an endpoint
 	open     atomic.Int64
 	entries  atomic.Int64
@@ -95,7 +89,6 @@
 		select {
 		case now := <-t.C:
 			f.pool.sweep(now)
-			f.fillBudget(now)
 		case now := <-turns.C:
 			f.lines.turn(now)
 		case now := <-polls.C:
--- a/transport/forward/hold.go
+++ b/transport/forward/hold.go
@@ -235,7 +235,7 @@
 	if !ready || !x.mayReach(&p) {
 		return false
 	}
-	if h.failed != nil && h.result != retry.NeverSent && !x.forwarder.takeSend() {
+	if h.failed != nil && h.result != retry.NeverSent && !x.forwarder.budgets.take(x.service.Name, now) {
 		return false
 	}
 	x.unhold()
--- /dev/null
+++ b/transport/forward/news_test.go
@@ -0,0 +1,161 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/coordination/loss"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/fleet"
+	"pinerun.example/pinerun/state/roster"
+	"pinerun.example/pinerun/state/routing"
+)
+
+// plainHeaders says nothing on the wire.
+type plainHeaders struct{}
+
+func (plainHeaders) Terms(http.Header, time.Time) protocol.CallerTerms    { return protocol.CallerTerms{} }
+func (plainHeaders) Mark(http.Header, *protocol.SendTerms, time.Time)     {}
+func (plainHeaders) Answer(int, http.Header) (terms protocol.AnswerTerms) { return terms }
+
+// told is a report as the forwarder tells it.
+type told struct {
+	endpoint string
+	sign     protocol.LossSign
+}
+
+// engines returns a forwarder before engines that hold the whole model each, and an
+// exchange of a stream that was sent to the first it chose.
+func engines(t *testing.T, n int, tells *[]told) (*Forwarder, *exchange) {
+	s := protocol.RoutedService{Name: "llm", Engine: &protocol.EngineFacts{
+		Layers: 10, LayerMB: 100, TokenLayerMB: 0.1, UsualPrompt: 10, UsualAnswer: 10, StepMS: 1, ReadPerSecond: 1e6,
+		Accelerators: []protocol.AcceleratorFacts{{Name: "t4", MemoryMB: 2000, StepFactor: 1, ReadFactor: 1}},
+	}}
+	f := &Forwarder{
+		Home: fleet.Home{Name: "one", DataCenter: "a"}, Roster: &roster.Roster{Home: fleet.Home{Name: "one", DataCenter: "a"}},
+		Headers: plainHeaders{}, Counters: &metric.Set{},
+	}
+	f.suspects.forwarder = f
+	if tells != nil {
+		f.Tell = func(endpoint string, sign protocol.LossSign, _ time.Time) {
+			*tells = append(*tells, told{endpoint, sign})
+		}
+	}
+	f.OpenBudget(Retries{Share: 0.2, Slack: 1000, Ends: func(at time.Time) time.Time { return at.Add(10 * time.Second) }}, 1, time.Now())
+	f.Roster.Services([]protocol.RoutedService{s})
+	var list []protocol.Endpoint
+	for i := range n {
+		list = append(list, protocol.Endpoint{
+			ID: string(rune('a' + i)), Service: "llm", Address: "127.0.0.1:1", DataCenter: "a", Accelerator: "t4",
+			Layers: protocol.Span{From: 0, To: 10},
+		})
+	}
+	f.Roster.Replace(list, time.Now())
+	table, err := routing.Build(protocol.Routing{Version: 1, Services: []protocol.RoutedService{s}})
+	require.NoError(t, err)
+	x := &exchange{
+		forwarder: f, table: table, writer: httptest.NewRecorder(), request: httptest.NewRequest(http.MethodPost, "/", nil), begun: time.Now(),
+		service: &s, route: &protocol.Route{Repeat: protocol.Stream, Resumable: true, MaxTries: 3}, deadline: time.Now().Add(time.Minute),
+		messages: make(chan message, 100), draw: rand.New(rand.NewPCG(1, 2)),
+	}
+	p, found := x.pick(time.Now())
+	require.True(t, found)
+	x.send(&p)
+	t.Cleanup(x.stopAll)
+	return f, x
+}
+
+// lose has everybody take a runner as lost.
+func lose(f *Forwarder, r *fleet.Runner) {
+	var b loss.Book
+	now := time.Now()
+	report := loss.NewReport(r.Name(), "another", protocol.LossRefused, now)
+	f.Judged(report, b.Take(report, 10, now))
+}
+
+// TestAStreamGoesOnAtOnceWhenItsEngineIsToldLost: it need not fall silent first.
+func TestAStreamGoesOnAtOnceWhenItsEngineIsToldLost(t *testing.T) {
+	f, x := engines(t, 4, nil)
+	first := x.live[0].endpoint
+	news := f.losses.awaited()
+	lose(f, first)
+	<-news
+	x.lossTold(time.Now())
+	require.Len(t, x.live, 2)
+	second := x.live[1].endpoint
+	require.NotEqual(t, first, second)
+
+	x.lossTold(time.Now())
+	require.Equal(t, 2, x.tries, "one that may live is open")
+	require.Len(t, x.live, 1, "what waits for the lost one is ended")
+
+	lose(f, second)
+	x.lossTold(time.Now())
+	require.Equal(t, 3, x.tries)
+	require.NotContains(t, []*fleet.Runner{first, second}, x.live[len(x.live)-1].endpoint)
+}
+
+// TestALossElsewhereChangesNothing for streams that do not pass the lost engine.
+func TestALossElsewhereChangesNothing(t *testing.T) {
+	f, x := engines(t, 3, nil)
+	for _, r := range f.Roster.View().Runners() {
+		if r != x.live[0].endpoint {
+			lose(f, r)
+		}
+	}
+	x.lossTold(time.Now())
+	require.Equal(t, 1, x.tries)
+}
+
+// TestWhatMayNotRunTwiceWaits for the engine itself, whatever is told.
+func TestWhatMayNotRunTwiceWaits(t *testing.T) {
+	f, x := engines(t, 3, nil)
+	x.route = &protocol.Route{Repeat: protocol.Stream, MaxTries: 3}
+	lose(f, x.live[0].endpoint)
+	x.lossTold(time.Now())
+	require.Equal(t, 1, x.tries)
+}
+
+// TestWhatIsToldOfAFailure: a refused connection is certain; silence says something only
+// while this entry hears others, and not that one.
+func TestWhatIsToldOfAFailure(t *testing.T) {
+	var tells []told
+	f, x := engines(t, 2, &tells)
+	r, begun := x.live[0].endpoint, time.Now()
+	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	f.met(r, refused, begun, begun)
+	require.Equal(t, []told{{r.Name(), protocol.LossRefused}}, tells)
+
+	tells = nil
+	f.met(r, context.DeadlineExceeded, begun, begun.Add(time.Second))
+	require.Empty(t, tells, "this entry hears nobody")
+	var other *fleet.Runner
+	for _, o := range f.Roster.View().Runners() {
+		if o != r {
+			other = o
+		}
+	}
+	f.works(other, begun.Add(time.Millisecond))
+	f.met(r, errors.New("spoilt"), begun, begun.Add(time.Second))
+	require.Empty(t, tells, "that may be anything")
+	f.met(r, context.DeadlineExceeded, begun, begun.Add(time.Second))
+	require.Equal(t, []told{{r.Name(), protocol.LossSilent}}, tells)
+
+	tells = nil
+	lose(f, r)
+	f.works(r, time.Now().Add(2*time.Second))
+	require.Equal(t, []told{{r.Name(), protocol.LossAnswered}}, tells)
+	require.True(t, r.Usable(time.Now()))
+}
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -4,6 +4,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"pinerun.example/pinerun/internal/event"
@@ -48,7 +49,37 @@
 		return
 	}
 	silent := x.live[0]
-	quiet := x.forwarder.suspects.silent(silent, x.rhythm.last, now)
+	quiet := lostOf(silent, now)
+	if len(quiet) == 0 {
+		quiet = x.forwarder.suspects.silent(silent, x.rhythm.last, now)
+	}
+	x.act(silent, quiet, now)
+}
+
+// lossTold acts on the news that some runner is lost: what an open attempt waits for won't
+// come if its path leads there, so it need not fall silent first.
+func (x *exchange) lossTold(now time.Time) {
+	for _, a := range x.live {
+		if lost := lostOf(a, now); len(lost) > 0 {
+			x.act(a, lost, now)
+			return
+		}
+	}
+}
+
+// lostOf returns the runners of an attempt's path that are lost.
+func lostOf(a *attempt, now time.Time) []*fleet.Runner {
+	var lost []*fleet.Runner
+	for i := range a.path.Len() {
+		if r := a.path.Runner(i); r.Lost(now) {
+			lost = append(lost, r)
+		}
+	}
+	return lost
+}
+
+// act does what can be done about an attempt that waits for some runners.
+func (x *exchange) act(silent *attempt, quiet []*fleet.Runner, now time.Time) {
 	action := x.hedge(quiet, now)
 	if action == x.silence {
 		return // one line for each turn of a silence, not for each look at it
@@ -58,11 +89,22 @@
 		slog.Int64("silent_ms", now.Sub(x.rhythm.last).Milliseconds()), slog.Int("quiet", len(quiet)), slog.String("action", string(action)))
 }
 
+// replaces ends the open attempts but one that wait for a lost runner, and reports whether
+// another is of use: not while one is open whose runners may all live.
+func (x *exchange) replaces(now time.Time) bool {
+	for _, a := range slices.Clone(x.live) {
+		if len(x.live) > 1 && len(lostOf(a, now)) > 0 {
+			x.drop(a)
+		}
+	}
+	return len(x.live) == 1 && len(lostOf(x.live[0], now)) > 0
+}
+
 // hedge asks for the answer elsewhere, without the runners that have fallen
 // silent, while the silent attempt stays open. It returns what was done.
 func (x *exchange) hedge(quiet []*fleet.Runner, now time.Time) silenceAction {
 	switch {
-	case len(x.live) >= liveMost:
+	case len(x.live) >= liveMost && !x.replaces(now):
 		return silenceAsked
 	case len(quiet) == 0:
 		return silenceBusy
@@ -78,7 +120,7 @@
 		action = silenceNoPath
 	case !x.mayReach(&p):
 		action = silenceSends
-	case !x.forwarder.takeSend():
+	case !x.forwarder.budgets.take(x.service.Name, now):
 		action = silenceNoBudget
 	}
 	if action != silenceElsewhere {
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -11,7 +11,6 @@
 
 	"pinerun.example/pinerun/coordination/census"
 	"pinerun.example/pinerun/coordination/loss"
-	"pinerun.example/pinerun/coordination/retry"
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/internal/part"
@@ -86,10 +85,9 @@
 	f.forwarder = forward.Forwarder{
 		Home: home, Routing: &f.routing, Roster: &f.roster, Headers: f.Outside.Headers, Reporter: f.Outside.Engines,
 		Counters: f.Counters, Logger: f.Logger,
-		Budget:    retry.Budget{Share: s.RetryShare * shareKept},
 		TrustKeys: s.KeyTrust, Tell: f.source.Tell,
 	}
-	f.forwarder.OpenBudget(census.Least, s.RetrySlack, s.RetryWindow(time.Now()))
+	f.forwarder.OpenBudget(forward.Retries{Share: s.RetryShare * shareKept, Slack: s.RetrySlack, Ends: s.RetryWindow}, census.Least, time.Now())
 	f.director = director.Director{
 		Self: s.Name, LeaseKind: leaseKind, Routing: &f.routing, Roster: &f.roster, Engines: f.Outside.Engines,
 		Objects: f.Outside.Objects, Entries: f.watching, Following: f.source.Following, Followed: f.source.Followed, Counters: f.Counters, Logger: f.Logger,
