path: spread streams that go on elsewhere over the data centers

The other data centers had room and read nothing.

Change: a stream that goes on elsewhere takes any data center that holds the model as its first; new requests stay at home.

--- a/transport/forward/candidate.go
+++ b/transport/forward/candidate.go
@@ -32,21 +32,21 @@
 	fill  float64 // the part of the room that is taken at the fullest runner
 }
 
-// choose finds a path for a service. The entry's own data center comes first, as long as
+// choose finds a path for a service. The first data center comes first, as long as
 // it has room and no other has much more; then the emptiest other one with room; then
 // whatever there is.
-func (f *Forwarder) choose(s *protocol.RoutedService, q *path.Query, into *path.Path) bool {
+func (f *Forwarder) choose(s *protocol.RoutedService, q *path.Query, first string, into *path.Path) bool {
 	view := f.Roster.View()
 	if s.Engine == nil {
 		return path.Into(view.Model(roster.ModelName(s.Name, "")), q, into) < 0
 	}
-	best, found := candidateIn(view, s.Name, f.Home.DataCenter, q)
+	best, found := candidateIn(view, s.Name, first, q)
 	if found && best.ready && best.sound && best.fill < homeFull {
 		*into = best.path
 		return true
 	}
 	for _, center := range f.Roster.Centers(s.Name) {
-		if center == f.Home.DataCenter {
+		if center == first {
 			continue
 		}
 		other, ok := candidateIn(view, s.Name, center, q)
--- a/transport/forward/hold.go
+++ b/transport/forward/hold.go
@@ -166,7 +166,7 @@
 func (x *exchange) pickReady(now time.Time) (path.Path, bool) {
 	var p path.Path
 	q := x.query(now)
-	found := x.forwarder.choose(x.service, &q, &p)
+	found := x.forwarder.choose(x.service, &q, x.firstCenter(), &p)
 	return p, found && ready(&p, &q)
 }
 
--- a/transport/forward/send.go
+++ b/transport/forward/send.go
@@ -55,7 +55,13 @@
 func (x *exchange) pick(now time.Time) (path.Path, bool) {
 	var p path.Path
 	q := x.query(now)
-	return p, x.forwarder.choose(x.service, &q, &p)
+	return p, x.forwarder.choose(x.service, &q, x.firstCenter(), &p)
+}
+
+// firstCenter returns the data center whose engines come first.
+func (x *exchange) firstCenter() string {
+	f := x.forwarder
+	return path.FirstCenter(f.Home.DataCenter, f.Roster.Centers(x.service.Name), x.headSent, x.draw)
 }
 
 // query is what the choice of a path depends on.
