forward, front: let callers that come right after a start wait until the entry is open

Cause: an entry that has just started has its table and endpoints after 0.13 s (median of 73 that start at once), and refused what came meanwhile.

Change: requests wait for the first table and list, half a second after the start at most, and not once the platform is known not to answer. The entry lets them wait from before it listens. Ruled out: that entries call themselves ready too early (when none is in, callers are sent to all of them).

Tried and reverted: callers whose keys can't be confirmed were told to come back after as long as the outage has lasted, up to 5 and up to 8 s, in place of 0.3 s.

--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -49,6 +49,7 @@
 
 	done     part.Done
 	budgets  budgets
+	opening  opening
 	pool     pool
 	suspects suspects
 	lines    lines
@@ -65,6 +66,7 @@
 	f.pool.opened = func() { f.Counters.Add(metric.EndpointConnections, 1) }
 	f.suspects.forwarder = f
 	f.poller.forwarder = f
+	f.opening.begin(time.Now())
 	go f.run()
 }
 
@@ -105,6 +107,7 @@
 	defer f.open.Add(-1)
 	f.Counters.Add(metric.Requests, 1)
 	x := &exchange{forwarder: f, writer: w, request: r, begun: time.Now()}
+	f.opening.wait(r.Context())
 	if refusal := x.admit(); refusal != nil {
 		x.refuse(refusal)
 		return
--- a/transport/front/endpoint_sink.go
+++ b/transport/front/endpoint_sink.go
@@ -35,6 +35,7 @@
 	for _, e := range f.roster.Replace(list, now) {
 		event.EndpointGone.Log(f.Logger, slog.String("endpoint", e.ID), slog.String("reason", "not in the list"))
 	}
+	f.learned()
 }
 
 // Changed takes one endpoint that came, changed or went.
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -62,10 +62,11 @@
 // Start begins to serve.
 func (f *Front) Start() error {
 	f.assemble()
+	f.forwarder.Start() // before the first caller: from now on requests wait for the entry to open
 	if err := f.listen(); err != nil {
+		f.forwarder.Close()
 		return err
 	}
-	f.forwarder.Start()
 	f.director.Start()
 	f.watch()
 	f.register.front = f
@@ -214,6 +215,13 @@
 		now.Before(f.Settings.KeyTrust(f.routing.ConfirmedAt()))
 }
 
+// learned notes that a table or endpoints came: with both, requests are served.
+func (f *Front) learned() {
+	if f.routing.Current() != nil && f.roster.Known() {
+		f.forwarder.Opened()
+	}
+}
+
 // watchFailed notes that the platform did not answer a watcher or a confirmer. Endpoints'
 // records lapse meanwhile, whatever was asked for, and the watch of endpoints may rest for
 // longer than those are believed in afterwards.
@@ -225,6 +233,7 @@
 // platformFailed tells once that the platform does not answer.
 func (f *Front) platformFailed(what string, err error) {
 	f.Counters.Add(metric.PlatformFaults, 1)
+	f.forwarder.Opened() // what is needed to serve may not come soon
 	if f.reached.Swap(false) {
 		event.PlatformUnreached.Log(f.Logger, slog.String("for", what), slog.String("cause", err.Error()))
 	}
--- a/transport/front/routing_sink.go
+++ b/transport/front/routing_sink.go
@@ -63,6 +63,7 @@
 	s.seen = o.Version
 	err := s.use(o)
 	s.wrong = err != nil
+	f.learned()
 	if err != nil {
 		f.Counters.Add(metric.ConfigIgnored, 1)
 		event.ConfigIgnored.Log(f.Logger, slog.Uint64("revision", o.Version), slog.String("cause", err.Error()))
