--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -17,6 +17,7 @@
 	"strings"
 	"sync"
 
+	"pinerun.example/pinerun/internal/part"
 	"pinerun.example/pinerun/protocol"
 )
 
@@ -52,7 +53,7 @@
 type Mirror struct {
 	mutex   sync.Mutex
 	kinds   map[string]*kind
-	changed chan struct{} // closed at the next change
+	changed part.Signal
 }
 
 // kind is the objects of one kind.
@@ -86,14 +87,7 @@
 }
 
 // Changed returns a channel that closes at the next change of any kind.
-func (m *Mirror) Changed() <-chan struct{} {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	if m.changed == nil {
-		m.changed = make(chan struct{})
-	}
-	return m.changed
-}
+func (m *Mirror) Changed() <-chan struct{} { return m.changed.Awaited() }
 
 // Listed takes a whole list. What it changes is remembered as a run, so that those
 // who learn from here need no list of their own.
@@ -111,7 +105,7 @@
 		for _, o := range l.Objects {
 			k.objects[o.Name] = o
 		}
-		m.wake()
+		m.changed.Tell()
 		return
 	}
 	if l.At <= k.at {
@@ -119,7 +113,7 @@
 	}
 	k.append(k.difference(l))
 	k.at = l.At
-	m.wake()
+	m.changed.Tell()
 }
 
 // All returns every object of a kind, and whether it was ever listed.
@@ -153,7 +147,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	delete(m.kinds, name)
-	m.wake()
+	m.changed.Tell()
 }
 
 // Took takes a run of changes, and reports whether it goes on from what is known.
@@ -175,7 +169,7 @@
 	r.After = k.at
 	k.append(r)
 	k.at = r.At
-	m.wake()
+	m.changed.Tell()
 	return true
 }
 
@@ -238,14 +232,6 @@
 	return k
 }
 
-// wake tells those who wait for a change.
-func (m *Mirror) wake() {
-	if m.changed != nil {
-		close(m.changed)
-		m.changed = nil
-	}
-}
-
 // difference returns the run from what is known to a list.
 func (k *kind) difference(l protocol.Listing) Run {
 	r := Run{After: k.at, At: l.At, Difference: true}
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -62,7 +62,7 @@
 	x.lastEvent = x.terms.LastEvent
 	defer x.stopAll()
 	defer x.unhold()
-	x.losses = f.losses.awaited()
+	x.losses = f.losses.Awaited()
 	x.rhythm.begin(x.route, x.service, x.begun)
 	x.begin(x.begun)
 	timer := time.NewTimer(time.Until(x.wakeAt()))
@@ -70,7 +70,7 @@
 	for !x.finished {
 		select {
 		case <-x.losses:
-			x.losses = f.losses.awaited()
+			x.losses = f.losses.Awaited()
 			x.lossTold(time.Now())
 		case m := <-x.messages:
 			x.take(m)
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -54,7 +54,7 @@
 	suspects suspects
 	lines    lines
 	poller   poller
-	losses   losses
+	losses   part.Signal  // told when a runner is found lost
 	heardAt  atomic.Int64 // unix nanoseconds, when anything last came from an endpoint
 	open     atomic.Int64
 	entries  atomic.Int64
--- a/transport/forward/news.go
+++ b/transport/forward/news.go
@@ -7,7 +7,6 @@
 	"errors"
 	"log/slog"
 	"net"
-	"sync"
 	"syscall"
 	"time"
 
@@ -80,7 +79,7 @@
 	case loss.Lost:
 		r.Lose(v.At(), v.Till())
 		f.Counters.Add(metric.RunnersEjected, 1)
-		f.losses.tell()
+		f.losses.Tell()
 	case loss.Doubted:
 		r.Suspect(now.Add(suspectFor))
 	case loss.Back:
@@ -93,29 +92,3 @@
 		slog.Bool("lost", r.Lost(now)))
 	return true
 }
-
-// losses tells the requests that are open when a runner is found lost. The zero value has
-// nothing to tell.
-type losses struct {
-	mutex sync.Mutex
-	next  chan struct{}
-}
-
-// awaited returns a channel that closes when a runner is found lost.
-func (l *losses) awaited() <-chan struct{} {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.next == nil {
-		l.next = make(chan struct{})
-	}
-	return l.next
-}
-
-func (l *losses) tell() {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.next != nil {
-		close(l.next)
-		l.next = nil
-	}
-}
--- a/transport/forward/news_test.go
+++ b/transport/forward/news_test.go
@@ -89,7 +89,7 @@
 func TestAStreamGoesOnAtOnceWhenItsEngineIsToldLost(t *testing.T) {
 	f, x := engines(t, 4, nil)
 	first := x.live[0].endpoint
-	news := f.losses.awaited()
+	news := f.losses.Awaited()
 	lose(f, first)
 	<-news
 	x.lossTold(time.Now())
--- a/transport/relay/followed.go
+++ b/transport/relay/followed.go
@@ -82,10 +82,7 @@
 		return
 	}
 	s.confirmed = confirmation{at: asked, object: o}
-	if s.renewed != nil {
-		close(s.renewed)
-		s.renewed = nil
-	}
+	s.renewed.Tell()
 }
 
 // latest returns the confirmed object as it is known here: the platform's watch may bring
@@ -99,14 +96,7 @@
 }
 
 // confirmedChanges returns a channel that closes when something was confirmed.
-func (s *Source) confirmedChanges() <-chan struct{} {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.renewed == nil {
-		s.renewed = make(chan struct{})
-	}
-	return s.renewed
-}
+func (s *Source) confirmedChanges() <-chan struct{} { return s.renewed.Awaited() }
 
 func (s *Source) passedOn() passedOn {
 	s.mutex.Lock()
--- a/transport/relay/follower.go
+++ b/transport/relay/follower.go
@@ -66,7 +66,7 @@
 	for first := true; ; first = false {
 		changed := f.source.mirror.Changed()
 		confirmed := f.source.confirmedChanges()
-		news := f.source.news.awaited()
+		news := f.source.news.changed.Awaited()
 		// What came before an answer is written with it: the answer speaks of it.
 		frame := protocol.RelayFrame{Answer: f.answer(time.Now())}
 		if err := f.fill(&frame); err != nil {
--- a/transport/relay/news.go
+++ b/transport/relay/news.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pinerun.example/pinerun/coordination/loss"
+	"pinerun.example/pinerun/internal/part"
 	"pinerun.example/pinerun/protocol"
 )
 
@@ -22,7 +23,7 @@
 	book    loss.Book
 	items   []newsItem // in order of number
 	numbers uint64
-	changed chan struct{} // closed when an item comes
+	changed part.Signal
 }
 
 // newsItem is a report and the peer that told it, "" for this entry.
@@ -71,10 +72,7 @@
 	n.forget(now)
 	n.numbers++
 	n.items = append(n.items, newsItem{number: n.numbers, report: r, via: via})
-	if n.changed != nil {
-		close(n.changed)
-		n.changed = nil
-	}
+	n.changed.Tell()
 	return v
 }
 
@@ -104,16 +102,6 @@
 	return all, n.numbers
 }
 
-// awaited returns a channel that closes when an item comes.
-func (n *news) awaited() <-chan struct{} {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	if n.changed == nil {
-		n.changed = make(chan struct{})
-	}
-	return n.changed
-}
-
 // upward tells the peer that is followed the news as they come.
 type upward struct {
 	link *link
@@ -125,7 +113,7 @@
 	ctx, cancel := l.done.Context()
 	defer cancel()
 	for {
-		more := l.source.news.awaited()
+		more := l.source.news.changed.Awaited()
 		if err := u.tell(ctx); err != nil {
 			l.broke(err)
 			return
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -72,9 +72,9 @@
 	askedAt   time.Time     // of the platform, because the peer could not confirm
 	failures  int           // calls of reads without an answer, in a row
 	confirmed confirmation
-	failedAt  time.Time     // when a call of this entry last failed
-	renewed   chan struct{} // closed when what is confirmed may have changed
-	anew      atomic.Bool   // the next peer is told that nothing is known here
+	failedAt  time.Time   // when a call of this entry last failed
+	renewed   part.Signal // told when what is confirmed may have changed
+	anew      atomic.Bool // the next peer is told that nothing is known here
 }
 
 // Start begins to look for a peer to follow. Until it is known whether there is one,
