loss: keep an answer, so that older signs that come later count for nothing

Cause (read, not met): an answer deleted what was known of an endpoint, and a refusal met before it, which took a longer way, made the endpoint lost again for four seconds. TestWhatWasMetBeforeAnAnswerStaysDisproved fails on the code before.

--- a/coordination/loss/loss.go
+++ b/coordination/loss/loss.go
@@ -95,12 +95,16 @@
 
 // page is what is reported of one endpoint.
 type page struct {
-	lost    bool
-	silent  map[string]bool // the witnesses who found it silent
-	latest  time.Time       // of the signs
-	expires time.Time
+	lost     bool
+	silent   map[string]bool // the witnesses who found it silent
+	latest   time.Time       // of the signs
+	answered time.Time       // when it last answered: what was met before is disproved
+	expires  time.Time
 }
 
+// believed reports whether the endpoint is doubted or lost.
+func (p *page) believed() bool { return p.lost || len(p.silent) > 0 }
+
 // Take takes a report while so many endpoints are known, and returns what it changes.
 func (b *Book) Take(r Report, known int, now time.Time) Verdict {
 	b.expire(now)
@@ -109,23 +113,37 @@
 	}
 	p := b.pages[r.endpoint]
 	if r.sign == protocol.LossAnswered {
-		return b.back(r, p)
+		return p.back(r, now)
+	}
+	if (p == nil || !p.believed()) && b.full(known) {
+		return Nothing{}
 	}
 	if p == nil {
-		if float64(len(b.pages)) >= max(fewest, partMost*float64(known)) {
-			return Nothing{}
-		}
 		p = b.open(r.endpoint)
 	}
 	return p.take(r, now)
 }
 
-// back forgets what was reported before the endpoint answered.
-func (b *Book) back(r Report, p *page) Verdict {
-	if p == nil || !r.at.After(p.latest) {
+// full reports whether as many of so many endpoints are believed lost as may be.
+func (b *Book) full(known int) bool {
+	n := 0
+	for _, p := range b.pages {
+		if p.believed() {
+			n++
+		}
+	}
+	return float64(n) >= max(fewest, partMost*float64(known))
+}
+
+// back takes it that an endpoint answered. Nothing is known of most.
+func (p *page) back(r Report, now time.Time) Verdict {
+	if p == nil || !p.believed() || !r.at.After(p.latest) {
 		return Nothing{}
 	}
-	delete(b.pages, r.endpoint)
+	p.lost = false
+	clear(p.silent)
+	p.answered = r.at
+	p.expires = now.Add(KeptFor)
 	return Back{}
 }
 
@@ -147,7 +165,7 @@
 }
 
 func (p *page) take(r Report, now time.Time) Verdict {
-	if p.lost || r.sign == protocol.LossSilent && p.silent[r.witness] {
+	if p.lost || r.sign == protocol.LossSilent && p.silent[r.witness] || !r.at.After(p.answered) {
 		return Nothing{}
 	}
 	if r.at.After(p.latest) {
--- a/coordination/loss/loss_test.go
+++ b/coordination/loss/loss_test.go
@@ -44,6 +44,15 @@
 	require.Equal(t, loss.Nothing{}, b.Take(loss.NewReport("e", "c", protocol.LossAnswered, at(250)), 80, at(300)), "nothing is said of it any more")
 }
 
+// TestWhatWasMetBeforeAnAnswerStaysDisproved: reports take ways of different lengths.
+func TestWhatWasMetBeforeAnAnswerStaysDisproved(t *testing.T) {
+	var b loss.Book
+	b.Take(loss.NewReport("e", "a", protocol.LossRefused, at(0)), 80, at(0))
+	require.Equal(t, loss.Back{}, b.Take(loss.NewReport("e", "c", protocol.LossAnswered, at(150)), 80, at(200)))
+	require.Equal(t, loss.Nothing{}, b.Take(loss.NewReport("e", "b", protocol.LossRefused, at(100)), 80, at(250)), "met before the answer")
+	require.IsType(t, loss.Lost{}, b.Take(loss.NewReport("e", "b", protocol.LossRefused, at(300)), 80, at(300)), "met after it")
+}
+
 func TestOldAndFutureReportsCountForNothing(t *testing.T) {
 	var b loss.Book
 	late := at(0).Add(loss.KeptFor + time.Millisecond)
