--- a/protocol/forward.go
+++ b/protocol/forward.go
@@ -39,6 +39,9 @@
 	Signed    bool   // the answer is the endpoint's own
 	NotRun    bool   // the request did not run there and never will
 	AtFault   string // address of the engine of the path that could not run it
+	// EndpointID is the ID of the endpoint that answered, "" if it does not tell. It differs
+	// from the one asked for when another process has its address.
+	EndpointID string
 }
 
 // PlaceOrder tells an engine to hold a span of layers. Orders is how many orders
--- a/protocol/routing.go
+++ b/protocol/routing.go
@@ -132,8 +132,8 @@
 // IdleBy returns when a connection that rests from then is closed.
 func (c *CallerLimits) IdleBy(from time.Time) time.Time { return from.Add(fromMS(c.IdleMS)) }
 
-// Endpoint is one live endpoint as it recorded itself in the platform. Every
-// start of an endpoint has a new ID.
+// Endpoint is one live endpoint as it recorded itself in the platform. It may start again
+// under the ID that it had, and then holds nothing of before.
 type Endpoint struct {
 	ID          string
 	Service     string
@@ -144,6 +144,8 @@
 	Leaving     bool
 	Layers      Span // held by an engine; empty when it holds none
 	Model       string
+	Lifetime    Lifetime
+	Orders      int // taken since it started
 }
 
 // EngineReport is what an engine tells of itself when asked.
@@ -153,6 +155,10 @@
 	Layers  Span
 	Waiting int
 	Running int
+	// Lifetime is the engine's own life, unknown if it does not tell.
+	Lifetime Lifetime
+	// Pace is how many times longer than usual its work takes, 0 if it does not tell.
+	Pace float64
 	// RoomUsed is the part of the memory for requests that they hold; RoomKnown says
 	// whether the engine told it.
 	RoomUsed  float64
