--- a/coordination/admit/admit.go
+++ b/coordination/admit/admit.go
@@ -97,44 +97,6 @@
 	sequence uint64
 }
 
-// team is one team's waiting requests and its place in virtual time.
-type team struct {
-	share   float64
-	pass    float64
-	running int
-	line    line
-}
-
-// waiter is a request that waits.
-type waiter struct {
-	request Request
-	since   time.Time
-	order   uint64
-}
-
-// line is a heap of waiters by deadline, then by arrival.
-type line []waiter
-
-func (l line) Len() int { return len(l) }
-func (l line) Less(i, j int) bool {
-	if !l[i].request.Deadline.Equal(l[j].request.Deadline) {
-		return l[i].request.Deadline.Before(l[j].request.Deadline)
-	}
-	return l[i].order < l[j].order
-}
-func (l line) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
-
-// Push is for container/heap.
-func (l *line) Push(x any) { *l = append(*l, x.(waiter)) }
-
-// Pop is for container/heap.
-func (l *line) Pop() any {
-	last := len(*l) - 1
-	w := (*l)[last]
-	*l = (*l)[:last]
-	return w
-}
-
 // Resize sets how many requests may run at once.
 func (q *Queue) Resize(capacity int) { q.capacity = capacity }
 
@@ -259,20 +221,6 @@
 	return best
 }
 
-func (t *team) before(o *team) bool {
-	if t.pass != o.pass {
-		return t.pass < o.pass
-	}
-	return t.line[0].order < o.line[0].order
-}
-
-// urgency returns the priority of the team's first request less one for each
-// ageStep that it has waited.
-func (t *team) urgency(now time.Time) int {
-	w := &t.line[0]
-	return max(0, int(w.request.Priority)-int(now.Sub(w.since)/ageStep))
-}
-
 // service returns how long a request is expected to run.
 func (q *Queue) service() time.Duration { return time.Duration(q.mean * float64(time.Second)) }
 
@@ -334,8 +282,6 @@
 	return q.refuse(w.request.Ticket, protocol.QueueFull, now)
 }
 
-func (t *team) excess() float64 { return float64(len(t.line)) / t.share }
-
 func (q *Queue) refuse(ticket Ticket, k protocol.Kind, now time.Time) Refuse {
 	drain := time.Duration(float64(q.waiting) * q.mean / float64(max(1, q.capacity)) * float64(time.Second))
 	return Refuse{ticket: ticket, kind: k, again: now.Add(max(minAgain, drain))}
--- /dev/null
+++ b/transport/claims/shard_store.go
@@ -0,0 +1,103 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package claims
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"pinerun.example/pinerun/coordination/claim"
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/transport/platform"
+)
+
+func (s *shard) load(ctx context.Context) {
+	objects, err := s.keeper.Platform.List(ctx, s.kind())
+	if err != nil {
+		s.failed()
+		return
+	}
+	stored := make([]claim.Stored, 0, len(objects))
+	for _, o := range objects {
+		if one, err := storedOf(o); err == nil {
+			stored = append(stored, one)
+		}
+	}
+	s.pause = 0
+	s.mutex.Lock()
+	loaded := s.log.Loaded(stored)
+	keys := s.log.Keys()
+	s.mutex.Unlock()
+	if !loaded {
+		s.failed()
+		return
+	}
+	event.ClaimShardLoaded.Log(s.keeper.Logger, slog.Int("shard", s.number), slog.Int("keys", keys))
+}
+
+func storedOf(o protocol.Object) (claim.Stored, error) {
+	slot, err := strconv.Atoi(o.Name)
+	if err != nil {
+		return claim.Stored{}, err
+	}
+	batch, err := protocol.DecodeClaims(o.Value)
+	return claim.Stored{Slot: slot, Version: o.Version, Batch: batch}, err
+}
+
+func (s *shard) read(ctx context.Context, a claim.Read) {
+	o, err := s.keeper.Platform.Get(ctx, s.kind(), strconv.Itoa(a.Slot()))
+	var missing *platform.NotFound
+	if err != nil && !errors.As(err, &missing) {
+		s.failed()
+		return
+	}
+	found := claim.Stored{Slot: a.Slot()}
+	if err == nil {
+		if found, err = storedOf(o); err != nil {
+			s.failed()
+			return
+		}
+	}
+	s.pause = 0
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.log.Found(found)
+}
+
+func (s *shard) write(ctx context.Context, w claim.Write) {
+	s.sleep(time.Until(s.nextWrite))
+	value, err := protocol.EncodeClaims(w.Batch())
+	if err != nil {
+		s.failed()
+		return
+	}
+	s.keeper.Counters.Add(metric.ClaimWrites, 1)
+	version, err := s.keeper.Platform.Put(ctx, s.kind(), strconv.Itoa(w.Slot()), w.Known(), value)
+	s.nextWrite = time.Now().Add(writeEvery)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var conflict *platform.Conflict
+	var uncertain *platform.Uncertain
+	switch {
+	case err == nil:
+		s.pause = 0
+		s.log.Wrote(version)
+	case errors.As(err, &conflict):
+		s.pause = 0
+		s.keeper.Counters.Retried(metric.ClaimRace)
+		event.ClaimWriteRaced.Log(s.keeper.Logger, slog.Int("shard", s.number))
+		s.log.Doubt()
+	case errors.As(err, &uncertain):
+		s.keeper.Counters.Retried(metric.ClaimLost)
+		event.ClaimAnswerLost.Log(s.keeper.Logger, slog.Int("shard", s.number), slog.Any("cause", err))
+		s.log.Doubt()
+	default:
+		s.failed()
+		s.log.Unwritten()
+	}
+}
--- a/transport/peer/mesh.go
+++ b/transport/peer/mesh.go
@@ -13,10 +13,8 @@
 package peer
 
 import (
-	"cmp"
 	"crypto/tls"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -117,89 +115,6 @@
 	m.Broadcast(protocol.PeerFrame{Beat: &beat})
 }
 
-// Learn takes a list of entries.
-func (m *Mesh) Learn(listed []protocol.Member) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	now := time.Now()
-	m.table.Learn(listed, now)
-	if m.links != nil {
-		m.dialMissing(now)
-	}
-}
-
-// Known returns every entry known.
-func (m *Mesh) Known() []protocol.Member {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	return m.table.Known()
-}
-
-// Gone reports whether an entry's life is over: it has another life by now, or
-// can't be reached.
-func (m *Mesh) Gone(name string, incarnation uint64) bool {
-	if name == m.Self.Name {
-		return incarnation != m.Self.Incarnation
-	}
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	now := time.Now()
-	return now.After(m.knowsFrom) && m.table.Gone(name, incarnation, now)
-}
-
-// CountAlive returns how many entries are not suspected.
-func (m *Mesh) CountAlive() int {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	return m.table.CountAlive(time.Now())
-}
-
-// IsRelay reports whether this entry watches the platform for its data center.
-func (m *Mesh) IsRelay() bool {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	return m.table.IsRelay(m.Self, time.Now())
-}
-
-// RelayCount returns how many entries are relays.
-func (m *Mesh) RelayCount() int {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	return m.table.RelayCount(time.Now())
-}
-
-// First returns the name of the entry that ranks first for a piece of work,
-// this one's if it knows nobody.
-func (m *Mesh) First(work string) string {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	first, ok := m.table.First(work, time.Now())
-	if !ok {
-		return m.Self.Name
-	}
-	return first.Name
-}
-
-// Told is the configuration version that a linked peer last told.
-type Told struct {
-	Name    string
-	Version uint64
-}
-
-// Versions returns what every linked peer last told, in order of name.
-func (m *Mesh) Versions() []Told {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	all := make([]Told, 0, len(m.links))
-	for name, l := range m.links {
-		if l.isOpen() {
-			all = append(all, Told{Name: name, Version: l.told.Load()})
-		}
-	}
-	slices.SortFunc(all, func(a, b Told) int { return cmp.Compare(a.Name, b.Name) })
-	return all
-}
-
 // Send gives a frame to a peer's link and reports whether there is one. If
 // there is none it is opened for the next time.
 func (m *Mesh) Send(to string, f protocol.PeerFrame) bool {
