soak: restart endpoints at their address, write foreign records

A series of its own restarts endpoints under their ID or another one, with the old record standing beside the new one and coming back late, and writes records that another program could write, of nobody and in place of an endpoint's own.

--- a/soak/endpoint_test.go
+++ b/soak/endpoint_test.go
@@ -18,6 +18,7 @@
 	service string
 	center  string
 	engine  bool
+	born    int64 // Unix milliseconds of its start, 0 where it does not tell
 
 	mutex   sync.Mutex
 	span    [2]int
@@ -27,18 +28,37 @@
 
 // addEndpoint starts an endpoint and records it.
 func (w *world) addEndpoint(engine bool, center string) {
+	w.begin(&endpoint{center: center, engine: engine}, w.nextID())
+}
+
+// nextID returns the ID of an endpoint that is new.
+func (w *world) nextID() string {
 	w.mutex.Lock()
-	id := fmt.Sprint("p-", w.made)
+	defer w.mutex.Unlock()
 	w.made++
-	w.mutex.Unlock()
-	e := &endpoint{center: center, service: "plain", engine: engine}
-	if engine {
+	return fmt.Sprint("p-", w.made)
+}
+
+// startAgain starts the process of an endpoint that has crashed anew, at its address and
+// with nothing in its memory, under an ID.
+func (w *world) startAgain(old *endpoint, id string) {
+	w.begin(&endpoint{center: old.center, engine: old.engine, link: old.link, born: time.Now().UnixMilli()}, id)
+}
+
+// begin starts the process of an endpoint and records it.
+func (w *world) begin(e *endpoint, id string) {
+	e.service = "plain"
+	if e.engine {
 		e.service = "llm"
 		e.Endpoint = platformtest.NewEngine(w.t, id)
 	} else {
 		e.Endpoint = platformtest.NewService(w.t, id)
 	}
-	e.link = newProxy(w.t, e.Address())
+	if e.link == nil {
+		e.link = newProxy(w.t, e.Address())
+	} else {
+		e.link.aim(e.Address())
+	}
 	e.OnSpan(func(from, to int) { w.hold(e, from, to) })
 	w.record(e, "ready")
 	w.mutex.Lock()
@@ -69,10 +89,29 @@
 	e.mutex.Lock()
 	span := e.span
 	e.mutex.Unlock()
-	w.store.Put("servers", e.ID, map[string]any{
+	record := map[string]any{
 		"service": e.service, "address": e.link.address(), "zone": e.center, "slots": 8, "state": state, "route_type": "t4",
 		"layers": map[string]int{"from": span[0], "target_version": span[1]},
-	})
+	}
+	if e.born > 0 {
+		record["born"] = e.born
+	}
+	w.store.Put("servers", e.ID, record)
+}
+
+// rewrite makes an endpoint write its record once more, as it does with each heartbeat.
+func (w *world) rewrite(e *endpoint) {
+	e.mutex.Lock()
+	gone, leaving := e.gone, !e.leaving.IsZero()
+	e.mutex.Unlock()
+	switch {
+	case gone:
+		w.store.Delete("servers", e.ID)
+	case leaving:
+		w.record(e, "draining")
+	default:
+		w.record(e, "ready")
+	}
 }
 
 // leave makes an endpoint say that it is leaving.
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -25,14 +25,14 @@
 
 // proxy passes connections on to a target and disturbs them.
 type proxy struct {
-	target   string
 	listener net.Listener
 
-	mutex sync.Mutex
-	state linkState
-	moved chan struct{} // closed when the state changes
-	conns map[net.Conn]bool
-	done  bool
+	mutex  sync.Mutex
+	target string
+	state  linkState
+	moved  chan struct{} // closed when the state changes
+	conns  map[net.Conn]bool
+	done   bool
 }
 
 func newProxy(t testing.TB, target string) *proxy {
@@ -53,6 +53,19 @@
 	p.moved = make(chan struct{})
 }
 
+// aim passes new connections on to another target.
+func (p *proxy) aim(target string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.target = target
+}
+
+func (p *proxy) aimed() string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.target
+}
+
 // reset breaks every open connection off.
 func (p *proxy) reset() {
 	p.mutex.Lock()
@@ -77,7 +90,7 @@
 		if err != nil {
 			return
 		}
-		out, err := net.Dial("tcp", p.target)
+		out, err := net.Dial("tcp", p.aimed())
 		if err != nil {
 			abort(in) // as a dead port does
 			continue
--- a/soak/storm_test.go
+++ b/soak/storm_test.go
@@ -22,15 +22,18 @@
 type series struct {
 	storm *storm
 	draw  *rand.Rand
+	// ofRecords says that its faults are those of endpoints' records. They have a series of
+	// their own, so that the others play a seed as they did before there was one.
+	ofRecords bool
 }
 
-// run injects faults until till, in that many series side by side, and returns when
-// all of them are over.
+// run injects faults until till, in that many series side by side and one of records'
+// faults, and returns when all of them are over.
 func (s *storm) run(draw *rand.Rand, beside int) {
 	s.begun = time.Now()
-	for range beside {
+	for i := range beside + 1 {
 		s.wait.Add(1)
-		go (&series{storm: s, draw: rand.New(rand.NewPCG(draw.Uint64(), 2))}).run()
+		go (&series{storm: s, draw: rand.New(rand.NewPCG(draw.Uint64(), 2)), ofRecords: i == beside}).run()
 	}
 	s.wait.Wait()
 }
@@ -98,5 +101,8 @@
 		s.disturbStore, s.disturbStoreWay, s.disturbCallers, s.disturbEndpointWay,
 		s.failEndpoint, s.replaceEndpoint, s.crashEndpoint, s.changeTable, s.withdrawUnheard,
 	}
+	if s.ofRecords {
+		faults = []func(){s.restartEndpoint, s.writeForeign}
+	}
 	faults[s.draw.IntN(len(faults))]()
 }
