front, command: show operators what an entry believes of the endpoints

Cause: an operator of a front saw counters and events, not which engine holds which layers and why one gets no work; `pinerun status` is for the product's own interface only. The metrics address serves /fleet, `pinerun fleet` prints it as a table or JSON.

--- a/command/command.go
+++ b/command/command.go
@@ -56,7 +56,7 @@
 func Main(args []string, out, errs io.Writer) int {
 	o := &output{out: out, err: errs}
 	verbs := []verb{
-		&demoVerb{}, &entryVerb{}, &frontVerb{}, &standinVerb{}, &loadVerb{}, &checkVerb{}, &statusVerb{},
+		&demoVerb{}, &entryVerb{}, &frontVerb{}, &standinVerb{}, &loadVerb{}, &checkVerb{}, &statusVerb{}, &fleetVerb{},
 		&intentVerb{}, &plansVerb{}, &capacityVerb{}, &boundVerb{}, &explainVerb{},
 		&endVerb{name: "confirm", description: "Accept a plan; it may be repeated"},
 		&endVerb{name: "withdraw", description: "Take an open plan back"},
--- /dev/null
+++ b/command/fleet.go
@@ -0,0 +1,134 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package command
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+// fleetCallLimit bounds the call to an entry, which answers from memory.
+const fleetCallLimit = 5 * time.Second
+
+// fleetVerb prints what one entry before engines believes of the endpoints.
+type fleetVerb struct {
+	entry  string
+	asJSON bool
+}
+
+func (v *fleetVerb) define() *flaggy.Subcommand {
+	s := flaggy.NewSubcommand("fleet")
+	s.Description = "Print which endpoints an entry knows, the layers that they hold and why one gets no work"
+	v.entry = "http://127.0.0.1:9464"
+	s.String(&v.entry, "e", "entry", "URL of the entry's metrics address")
+	s.Bool(&v.asJSON, "j", "json", "print JSON instead of a table")
+	return s
+}
+
+func (v *fleetVerb) run(ctx context.Context, o *output) int {
+	content, err := v.ask(ctx)
+	if err != nil {
+		return o.fail(exitFailed, err)
+	}
+	if v.asJSON {
+		fmt.Fprintln(o.out, string(content))
+		return exitGood
+	}
+	var s protocol.FleetStatus
+	if err := json.Unmarshal(content, &s); err != nil {
+		return o.fail(exitFailed, fmt.Errorf("the answer can't be read: %w; is -entry the metrics address of a front?", err))
+	}
+	if err := writeFleet(o.out, &s); err != nil {
+		return o.fail(exitFailed, err)
+	}
+	return exitGood
+}
+
+// ask returns the entry's answer.
+func (v *fleetVerb) ask(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, fleetCallLimit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, v.entry+"/fleet", nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w; give -entry a URL", err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("the entry does not answer: %w; check -entry", err)
+	}
+	defer res.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(res.Body, maxOperatorAnswer))
+	if err != nil {
+		return nil, fmt.Errorf("the answer was cut off: %w; ask again", err)
+	}
+	if res.StatusCode != http.StatusOK {
+		return nil, errors.New("the entry answers " + res.Status + "; is -entry the metrics address of a front?")
+	}
+	return content, nil
+}
+
+// writeFleet writes a table for each service and data center: first a sum, then a line for
+// each endpoint in order of the layers that it holds.
+func writeFleet(w io.Writer, s *protocol.FleetStatus) error {
+	fmt.Fprintf(w, "entry %s in %s, routing table %d\n", s.Entry, s.DataCenter, s.Routing)
+	all := slices.Clone(s.Endpoints)
+	slices.SortFunc(all, func(a, b protocol.EndpointStatus) int {
+		return cmp.Or(
+			cmp.Compare(a.Service, b.Service), cmp.Compare(a.DataCenter, b.DataCenter),
+			cmp.Compare(a.From, b.From), cmp.Compare(a.To, b.To), cmp.Compare(a.ID, b.ID),
+		)
+	})
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for i := range all {
+		e := &all[i]
+		if i == 0 || e.Service != all[i-1].Service || e.DataCenter != all[i-1].DataCenter {
+			writeSum(t, all[i:])
+		}
+		fmt.Fprintf(t, "  %s\t%s\t%s\t%s\t%s\t%3.0f %%\t%s\n",
+			e.ID, e.Address, e.Accelerator, layersOf(e), e.State, 100*e.Fill, startOf(e))
+	}
+	return t.Flush()
+}
+
+// writeSum writes how many of the endpoints of the first one's service and data center are
+// in which state.
+func writeSum(w io.Writer, rest []protocol.EndpointStatus) {
+	first := &rest[0]
+	serve, n := 0, 0
+	for i := range rest {
+		if rest[i].Service != first.Service || rest[i].DataCenter != first.DataCenter {
+			break
+		}
+		n++
+		if rest[i].State == protocol.EndpointServes {
+			serve++
+		}
+	}
+	fmt.Fprintf(w, "\n%s in %s: %d of %d serve\n", first.Service, first.DataCenter, serve, n)
+}
+
+func layersOf(e *protocol.EndpointStatus) string {
+	if e.To <= e.From {
+		return "-"
+	}
+	return protocol.Span{From: e.From, To: e.To}.String()
+}
+
+func startOf(e *protocol.EndpointStatus) string {
+	if e.StartedMS == 0 {
+		return ""
+	}
+	return "since " + time.UnixMilli(e.StartedMS).UTC().Format(time.DateTime)
+}
--- /dev/null
+++ b/command/fleet_test.go
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package command
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+var status = protocol.FleetStatus{
+	Entry: "front-1", DataCenter: "a", Routing: 7,
+	Endpoints: []protocol.EndpointStatus{
+		{ID: "e-1", Service: "llm", DataCenter: "b", Address: "10.0.0.1:80", Accelerator: "t4", From: 5, To: 10, State: protocol.EndpointServes, Fill: 0.25},
+		{ID: "e-2", Service: "llm", DataCenter: "a", Address: "10.0.0.2:80", Accelerator: "l4", From: 4, To: 10, State: protocol.EndpointLost, StartedMS: 1000},
+		{ID: "e-3", Service: "llm", DataCenter: "a", Address: "10.0.0.3:80", Accelerator: "l4", From: 0, To: 4, State: protocol.EndpointServes},
+		{ID: "p-1", Service: "plain", DataCenter: "a", Address: "10.0.0.4:80", State: protocol.EndpointRests},
+	},
+}
+
+const table = `entry front-1 in a, routing table 7
+
+llm in a: 1 of 2 serve
+  e-3  10.0.0.3:80  l4  [0,4)   serves    0 %  
+  e-2  10.0.0.2:80  l4  [4,10)  lost      0 %  since 1970-01-01 00:00:01
+
+llm in b: 1 of 1 serve
+  e-1  10.0.0.1:80  t4  [5,10)  serves   25 %  
+
+plain in a: 0 of 1 serve
+  p-1  10.0.0.4:80    -  rests    0 %  
+`
+
+func TestAFleetIsPrintedByServiceAndDataCenterInOrderOfLayers(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		require.Equal(t, "/fleet", r.URL.Path)
+		require.NoError(t, json.NewEncoder(w).Encode(status))
+	}))
+	defer s.Close()
+	var out, errs bytes.Buffer
+	require.Equal(t, exitGood, Main([]string{"fleet", "-entry", s.URL}, &out, &errs))
+	require.Equal(t, table, out.String())
+	out.Reset()
+	require.Equal(t, exitGood, Main([]string{"fleet", "-entry", s.URL, "-json"}, &out, &errs))
+	var again protocol.FleetStatus
+	require.NoError(t, json.Unmarshal(out.Bytes(), &again))
+	require.Equal(t, status, again)
+}
+
+func TestAnAddressThatIsNoFrontsIsToldWithARemedy(t *testing.T) {
+	s := httptest.NewServer(http.NotFoundHandler())
+	var out, errs bytes.Buffer
+	require.Equal(t, exitFailed, Main([]string{"fleet", "-entry", s.URL}, &out, &errs))
+	require.Contains(t, errs.String(), "is -entry the metrics address of a front?")
+	s.Close()
+	require.Equal(t, exitFailed, Main([]string{"fleet", "-entry", s.URL}, &out, &errs))
+	require.Contains(t, errs.String(), "check -entry")
+	require.Empty(t, out.String())
+}
--- /dev/null
+++ b/protocol/status.go
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package protocol
+
+// FleetStatus is what one entry believes of the endpoints, for an operator to read.
+type FleetStatus struct {
+	Entry      string           `json:"entry"`
+	DataCenter string           `json:"data_center"`
+	Routing    uint64           `json:"routing_version"` // 0 before the first table
+	Endpoints  []EndpointStatus `json:"endpoints"`       // in order of ID
+}
+
+// EndpointStatus is what an entry believes of one endpoint.
+type EndpointStatus struct {
+	ID          string        `json:"id"`
+	Service     string        `json:"service"`
+	DataCenter  string        `json:"data_center"`
+	Address     string        `json:"address"`
+	Accelerator string        `json:"accelerator,omitempty"`
+	From        int           `json:"from"` // the layers held, none if To is not above
+	To          int           `json:"to"`
+	StartedMS   int64         `json:"started_ms,omitempty"` // Unix time of its start, if it tells
+	State       EndpointState `json:"state"`
+	Fill        float64       `json:"fill"` // part of its room for requests that is taken, as far as known
+	Open        int64         `json:"open"` // layer passes of this entry's requests under way there
+}
+
+// EndpointState is why an endpoint does or does not get new work.
+type EndpointState string
+
+// The states of an endpoint.
+const (
+	EndpointServes  EndpointState = "serves"
+	EndpointEmpty   EndpointState = "empty"   // it holds no layers
+	EndpointLeaves  EndpointState = "leaves"  // it said so
+	EndpointLost    EndpointState = "lost"    // it failed, or others found it dead
+	EndpointRests   EndpointState = "rests"   // left out for a moment after a failure or refusal
+	EndpointUnknown EndpointState = "unnamed" // no route leads to its service
+)
--- a/transport/front/side.go
+++ b/transport/front/side.go
@@ -21,7 +21,8 @@
 	return e
 }
 
-// metricsHandler serves the counters and latencies as text.
+// metricsHandler serves the counters and latencies as text, and what is believed of the
+// endpoints as JSON.
 func (f *Front) metricsHandler() http.Handler {
 	e := echo.New()
 	e.GET("/metrics", func(c echo.Context) error {
@@ -29,5 +30,8 @@
 		c.Response().WriteHeader(http.StatusOK)
 		return f.Counters.WriteText(c.Response())
 	})
+	e.GET("/fleet", func(c echo.Context) error {
+		return c.JSON(http.StatusOK, f.fleetStatus(time.Now()))
+	})
 	return e
 }
