--- a/docs_test.go
+++ b/docs_test.go
@@ -125,6 +125,16 @@
 	}
 }
 
+// TestEveryPackageHasItsRow looks each folder with Go files up in docs/design/packages.md.
+func TestEveryPackageHasItsRow(t *testing.T) {
+	page := read(t, "docs/design/packages.md")
+	for _, file := range walk(t, ".go") {
+		if folder := filepath.ToSlash(filepath.Dir(file)); folder != "." && folder != "tools" {
+			require.Contains(t, page, "`"+folder+"`")
+		}
+	}
+}
+
 // TestEveryFileNamesItsLicence looks for the SPDX line.
 func TestEveryFileNamesItsLicence(t *testing.T) {
 	for _, file := range walk(t, ".go") {
