lease, director: outlive late writes of an earlier life and leases of another form

Marks of writes began at 1 in each life of a process. A write of the life before that took effect late could be taken for the own one, which was sent later than others began to count: two holders for up to a second. Marks now begin at a number drawn for each life. The drawn world of TestOneHolderAtATime gained late writes and restarts.

A lease that can't be read, or names no epoch or one above its revision, held everybody up for as long as it stood. It now lasts as that of an unknown holder, and the next epoch is its revision and one: each epoch takes a write, so none that was given is higher. Ruled out: taking it at once (its holder may live), and epoch 1 (engines that check refuse it).

Taking either change out fails TestALateWriteOfAnEarlierLifeIsNotTakenForOurs, or TestALeaseOfAnotherFormLastsAsAnyOther and ...HoldsNobodyUpForGood.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -43,8 +43,7 @@
 type Record struct {
 	Holder string `json:"holder"` // empty when it was given up
 	Epoch  uint64 `json:"epoch"`
-	// Nonce differs in each write of one life of a process, so that every renewal has
-	// its own mark.
+	// Nonce differs in each write, so that every renewal has its own mark.
 	Nonce uint64 `json:"nonce"`
 }
 
@@ -79,6 +78,9 @@
 // Lease is one entry's view of a lease. Set Self before use.
 type Lease struct {
 	Self string
+	// Life is drawn anew by each life of the process. A write of an earlier life that
+	// takes effect late is not taken for a write of this one.
+	Life uint64
 
 	seen      bool
 	doubt     bool // of the effect of the last write
@@ -158,7 +160,7 @@
 // write returns the write of a record, which gets a mark of its own.
 func (l *Lease) write(r Record, now time.Time) Write {
 	l.writes++
-	r.Nonce = l.writes
+	r.Nonce = l.Life + l.writes
 	l.asking = r
 	l.askedAt = now
 	return Write{known: l.version, record: r}
@@ -194,6 +196,9 @@
 	l.seen = true
 	l.doubt = false
 	l.readAt = now
+	if version != 0 && (r.Epoch == 0 || r.Epoch > version) {
+		r = foreign(version)
+	}
 	if version != 0 && r == l.asking && version != l.version {
 		if r.Holder == "" {
 			l.Released(version)
@@ -212,6 +217,15 @@
 	l.record = r
 }
 
+// stranger stands for the holder that a record of another form names. No entry has that
+// name.
+const stranger = "\x00"
+
+// foreign returns the record in place of one that no entry wrote: who holds the lease is
+// not known, so it lasts as any other. Each epoch took a write, so none that was given
+// before is above the version.
+func foreign(version uint64) Record { return Record{Holder: stranger, Epoch: version} }
+
 // Epoch returns the epoch to put into an order, and whether this entry may give
 // one now.
 func (l *Lease) Epoch(now time.Time) (uint64, bool) {
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -34,9 +34,11 @@
 	record  lease.Record
 	past    []lease.Record // by version, from 1 on
 	entries []*entry
-	fence   uint64 // the highest epoch that the endpoint has seen
-	stale   bool   // the endpoint took an order of a holder that was deposed
-	both    bool   // two entries believed to hold the lease at one moment
+	late    []lease.Write // sent and not answered; each may yet take effect
+	lives   uint64        // of processes so far
+	fence   uint64        // the highest epoch that the endpoint has seen
+	stale   bool          // the endpoint took an order of a holder that was deposed
+	both    bool          // two entries believed to hold the lease at one moment
 }
 
 type entry struct {
@@ -95,6 +97,39 @@
 	e.gives = false
 }
 
+// lag ends a write in flight without an answer: it takes effect later, if ever.
+func (w *world) lag(i int) {
+	e := w.entries[i]
+	write, ok := e.flight.(lease.Write)
+	if !ok || e.paused {
+		return
+	}
+	w.late = append(w.late, write)
+	e.flight, e.gives = nil, false
+	e.lease.Doubt()
+}
+
+// land lets a late write take effect if its condition still holds.
+func (w *world) land(i int) {
+	write := w.late[i]
+	w.late = append(w.late[:i:i], w.late[i+1:]...)
+	if write.Known() == w.version {
+		w.version++
+		w.record = write.Record()
+		w.past = append(w.past, w.record)
+	}
+}
+
+// restart ends an entry's process and starts it anew under its name.
+func (w *world) restart(i int) {
+	e := w.entries[i]
+	if write, ok := e.flight.(lease.Write); ok {
+		w.late = append(w.late, write)
+	}
+	w.lives++
+	*e = entry{lease: lease.Lease{Self: e.lease.Self, Life: w.lives << 32}, skew: e.skew}
+}
+
 // hear tells an entry how the lease stood at some time, the latest or long ago.
 func (w *world) hear(i int, version uint64) {
 	e := w.entries[i]
@@ -174,6 +209,13 @@
 		"hear": func(t *rapid.T) {
 			w.hear(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry"), uint64(rapid.IntRange(0, len(w.past)).Draw(t, "version")))
 		},
+		"lag":     func(t *rapid.T) { w.lag(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry")) },
+		"restart": func(t *rapid.T) { w.restart(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry")) },
+		"land": func(t *rapid.T) {
+			if len(w.late) > 0 {
+				w.land(rapid.IntRange(0, len(w.late)-1).Draw(t, "write"))
+			}
+		},
 		"release": func(t *rapid.T) { w.release(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry")) },
 		"decide":  func(t *rapid.T) { w.decide(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry")) },
 		"send":    func(t *rapid.T) { w.send(rapid.IntRange(0, len(w.entries)-1).Draw(t, "entry")) },
@@ -308,3 +350,63 @@
 	_, holds := l.Epoch(start.Add(4 * time.Second))
 	require.False(t, holds)
 }
+
+// TestALateWriteOfAnEarlierLifeIsNotTakenForOurs has an entry end with a write under way
+// and start anew under its name. The write takes effect, others see it, and a second later
+// the new life writes the same: it must not believe that this is its own write, which it
+// sent later than others began to count.
+func TestALateWriteOfAnEarlierLifeIsNotTakenForOurs(t *testing.T) {
+	held := lease.Record{Holder: "other", Epoch: 2, Nonce: 1}
+	lapsed := start.Add(lease.Length + time.Millisecond)
+	before := lease.Lease{Self: "me", Life: 1000}
+	before.Heard(3, held, start)
+	late := before.Next(lapsed).(lease.Write)
+	now := lease.Lease{Self: "me", Life: 2000}
+	now.Heard(3, held, start)
+	again := now.Next(lapsed.Add(time.Second)).(lease.Write)
+	require.Equal(t, late.Known(), again.Known())
+	now.Doubt() // the late write came between
+	now.Seen(4, late.Record(), lapsed.Add(time.Second))
+	_, holds := now.Epoch(lapsed.Add(time.Second))
+	require.False(t, holds)
+	require.IsType(t, lease.Rest{}, now.Next(lapsed.Add(time.Second)), "it lasts as the lease of another")
+	require.EqualValues(t, 4, now.Next(lapsed.Add(time.Second+lease.Length+time.Millisecond)).(lease.Write).Record().Epoch)
+}
+
+// TestALateWriteOfTheHolderUndoesNothing lets each write of a lease take effect after a
+// later one did: to take it, to renew it, and to give it up.
+func TestALateWriteOfTheHolderUndoesNothing(t *testing.T) {
+	w := newWorld(sound, 2)
+	e := w.entries[0]
+	for _, begin := range []func(){
+		func() { w.step(0, false); w.step(0, false); w.step(0, false) },         // read, and begin to take
+		func() { w.now = w.now.Add(1100 * time.Millisecond); w.step(0, false) }, // begin to renew
+		func() { w.release(0) },
+	} {
+		begin()
+		require.IsType(t, lease.Write{}, e.flight)
+		w.lag(0)
+		w.now = w.now.Add(lease.Length + time.Millisecond)
+		require.True(t, w.takes(0), "a write of its own that came to nothing keeps it from nothing")
+		version, record := w.version, w.record
+		w.land(0)
+		require.Equal(t, version, w.version)
+		require.Equal(t, record, w.record)
+	}
+	require.False(t, w.takes(1))
+}
+
+// TestALeaseOfAnotherFormLastsAsAnyOther has an entry meet records that no entry wrote.
+func TestALeaseOfAnotherFormLastsAsAnyOther(t *testing.T) {
+	for _, foreign := range []lease.Record{{}, {Holder: "me"}, {Holder: "other", Epoch: 1 << 63}} {
+		l := lease.Lease{Self: "me"}
+		l.Seen(40, foreign, start)
+		_, holds := l.Epoch(start)
+		require.False(t, holds)
+		_, writes := l.Next(start).(lease.Write)
+		require.False(t, writes, "its holder may live")
+		write := l.Next(start.Add(lease.Length + time.Millisecond)).(lease.Write)
+		require.EqualValues(t, 40, write.Known())
+		require.EqualValues(t, 41, write.Record().Epoch, "above any epoch that was given before")
+	}
+}
--- a/transport/director/director_test.go
+++ b/transport/director/director_test.go
@@ -251,6 +251,20 @@
 	require.Equal(t, 2, w.orders())
 }
 
+// TestALeaseOfAnotherFormHoldsNobodyUpForGood has other writers leave something where the
+// lease is kept.
+func TestALeaseOfAnotherFormHoldsNobodyUpForGood(t *testing.T) {
+	for _, foreign := range []string{`"mine"`, `{}`, `{"holder":7}`, `{"holder":"x","epoch":-1}`, "\xff", `{"holder":"x","epoch":1,"orders":"none"}`} {
+		w := newWorld(2)
+		w.object = protocol.Object{Version: 7, Value: []byte(foreign)}
+		play(t, w, 2, 12*time.Second)
+		require.Equal(t, 2, w.orders(), foreign)
+		for _, e := range w.engines {
+			require.Greater(t, e.orders[0].Epoch, uint64(6), foreign)
+		}
+	}
+}
+
 func TestNobodyGivesOrdersWhileThePlatformIsDown(t *testing.T) {
 	w := newWorld(2)
 	w.down = true
--- a/transport/director/lease.go
+++ b/transport/director/lease.go
@@ -36,6 +36,9 @@
 	// leaseSteps is how many steps one try at the lease takes at most: read, write,
 	// and read again after a doubt.
 	leaseSteps = 3
+	// leaseLives is the range from which the mark of a life is drawn. It stays exact where
+	// numbers are kept as fractions.
+	leaseLives = 1 << 52
 )
 
 // hold takes or keeps the lease as far as it can now, and reports whether this
@@ -141,20 +144,28 @@
 		d.lease.Seen(0, lease.Record{}, time.Now())
 		return true
 	}
-	var r record
-	if err == nil {
-		err = json.Unmarshal(o.Value, &r)
-	}
 	if err != nil {
 		event.PlatformUnreached.Log(d.Logger, slog.String("for", "lease"), slog.String("cause", err.Error()))
 		return false
 	}
+	r := d.decodeLease(o.Value)
 	now := time.Now()
 	d.lease.Seen(o.Version, r.Record, now)
 	d.learn(&r, now, doubtFor)
 	return true
 }
 
+// decodeLease reads the lease's content. Of another form it is the zero record, which
+// names no holder and no epoch.
+func (d *Director) decodeLease(value []byte) record {
+	var r record
+	if err := json.Unmarshal(value, &r); err != nil {
+		event.LeaseUnsure.Log(d.Logger, slog.String("lease", LeaseName), slog.String("cause", err.Error()))
+		return record{}
+	}
+	return r
+}
+
 // writeLease writes the lease and reports whether the platform answered, be it that
 // another entry was faster.
 func (d *Director) writeLease(ctx context.Context, w lease.Write) bool {
--- a/transport/director/record.go
+++ b/transport/director/record.go
@@ -3,14 +3,11 @@
 package director
 
 import (
-	"encoding/json"
-	"log/slog"
 	"slices"
 	"strings"
 	"time"
 
 	"pinerun.example/pinerun/coordination/lease"
-	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/protocol"
 )
 
@@ -59,10 +56,7 @@
 	}
 	var r record
 	if h.version != 0 {
-		if err := json.Unmarshal(h.value, &r); err != nil {
-			event.LeaseUnsure.Log(d.Logger, slog.String("lease", LeaseName), slog.String("cause", err.Error()))
-			return
-		}
+		r = d.decodeLease(h.value)
 	}
 	d.lease.Heard(h.version, r.Record, h.at)
 	most := doubtFor
