platform, roster, front: use no record that names no endpoint, and keep all others

A record of another writer was used with whatever it said, one that could not be read left the endpoint's earlier record in use, and one item of a page that is no JSON failed the whole list.

- DecodeEndpoint checks each field that is used, and returns a typed fault;
- the roster leaves out who does not fit the services in force or the setting data_centers, worked out anew with each table, since a record may come first;
- an unusable record takes its endpoint out at once, also in an outage.
Each change of a record's fault is told once (events 3014, 3015, which replace 3009) and counted.

--- a/deployed_test.go
+++ b/deployed_test.go
@@ -41,7 +41,7 @@
 	t.Helper()
 	m := &machine{t: t, binary: binary, address: platformtest.FreeAddress(), ready: platformtest.FreeAddress()}
 	text := platformtest.Settings(t, ".", map[string]any{
-		"node_name": name, "zone": "a", "ip": "127.0.0.1", "listen.front": m.address, "listen.readiness": m.ready,
+		"node_name": name, "zone": "a", "zones": map[string]string{"a": "east"}, "ip": "127.0.0.1", "listen.front": m.address, "listen.readiness": m.ready,
 		"platform.address": store, "bounds.grace_s": 8, "bounds.revoke_ms": 5000, "bounds.retry_budget_ratio": 0.2,
 		"bounds.retry_budget_slack": 200, "bounds.budget_window_s": 10, "limits.memory_mb": 284, "internal_ports.0": platformtest.FreePort(),
 	})
--- a/docs_test.go
+++ b/docs_test.go
@@ -54,6 +54,9 @@
 	for _, k := range protocol.Kinds() {
 		require.Contains(t, page, "`refused."+string(k)+"`")
 	}
+	for _, f := range protocol.RecordFaults() {
+		require.Contains(t, page, "`records_unusable."+string(f)+"`")
+	}
 }
 
 // TestEveryLinkInTheDocsLeadsSomewhere checks the relative links of all pages.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -43,9 +43,10 @@
 	EndpointJoined     = Event{3006, "endpoint joined", slog.LevelInfo}
 	EndpointLeaving    = Event{3007, "endpoint leaving", slog.LevelInfo}
 	EndpointGone       = Event{3008, "endpoint gone", slog.LevelInfo}
-	EndpointIgnored    = Event{3009, "endpoint ignored", slog.LevelWarn}
 	LayersChanged      = Event{3010, "layers changed", slog.LevelInfo}
 	LossTold           = Event{3011, "loss told", slog.LevelWarn}
+	RecordUnusable     = Event{3014, "record unusable", slog.LevelWarn}
+	RecordUsable       = Event{3015, "record usable", slog.LevelInfo}
 	ConfigInForce      = Event{4001, "configuration in force", slog.LevelInfo}
 	ConfigIgnored      = Event{4002, "configuration ignored", slog.LevelWarn}
 	PlatformUnreached  = Event{5001, "platform unreached", slog.LevelWarn}
@@ -81,7 +82,8 @@
 		RequestRefused, RequestRetried, RequestSent, RequestAnswered, SilenceSuspected, AttemptBroken,
 		StreamCut, CallerLeft, CallerUnbounded, AttemptNotRun, HoldEnded, HoldBegun,
 		RunnerConnected, RunnerLost, RunnerEjected, FrameBroken, ReportIgnored,
-		EndpointJoined, EndpointLeaving, EndpointGone, EndpointIgnored, LayersChanged, LossTold,
+		EndpointJoined, EndpointLeaving, EndpointGone, LayersChanged, LossTold,
+		RecordUnusable, RecordUsable,
 		ConfigInForce, ConfigIgnored,
 		PlatformUnreached, PlatformBack, PlatformCalled,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -125,6 +125,10 @@
 // Retried counts a further try for that reason.
 func (s *Set) Retried(r Reason) { s.counters.Add("retried."+string(r), 1) }
 
+// Unusable counts a record that was found to name no endpoint to use, for a reason that
+// it did not have before.
+func (s *Set) Unusable(f protocol.RecordFault) { s.counters.Add("records_unusable."+string(f), 1) }
+
 // Called counts a call to the platform for objects of a kind.
 func (s *Set) Called(what Call, kind string) {
 	s.Add(PlatformCalls, 1)
--- a/settings/front.go
+++ b/settings/front.go
@@ -7,11 +7,14 @@
 // Front is the settings of one entry that forwards to endpoints which answer
 // HTTP themselves. All addresses are IP:port; times are milliseconds.
 type Front struct {
-	Name       string      `json:"name" validate:"required"`
-	DataCenter string      `json:"data_center" validate:"required"`
-	Listen     FrontListen `json:"listen"`
-	Store      string      `json:"store" validate:"required,hostname_port"`
-	LogLevel   string      `json:"log_level" validate:"omitempty,oneof=debug info warn error"`
+	Name       string `json:"name" validate:"required"`
+	DataCenter string `json:"data_center" validate:"required"`
+	// DataCenters are all that there are. A record that names another one is not used;
+	// empty when they are not known.
+	DataCenters []string    `json:"data_centers" validate:"unique,dive,required"`
+	Listen      FrontListen `json:"listen"`
+	Store       string      `json:"store" validate:"required,hostname_port"`
+	LogLevel    string      `json:"log_level" validate:"omitempty,oneof=debug info warn error"`
 	// StopWithinMS is how long after SIGTERM the process is killed.
 	StopWithinMS float64 `json:"stop_within_ms" validate:"gt=0"`
 	// KeyWithdrawnMS is how long after its withdrawal a key may still be used.
--- a/settings/read_test.go
+++ b/settings/read_test.go
@@ -5,6 +5,8 @@
 import (
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"pinerun.example/pinerun/settings"
 )
 
@@ -24,3 +26,12 @@
 		}
 	})
 }
+
+// TestDataCentersAreNamesOnceEach reads the settings of a front with lists of data centers.
+func TestDataCentersAreNamesOnceEach(t *testing.T) {
+	for list, mistakes := range map[string]int{`[]`: 0, `["a","b"]`: 0, `["a","a"]`: 1, `["a",""]`: 1, `[7]`: 1} {
+		_, found := settings.Read([]byte(`{"front":{"name":"f","data_center":"a","data_centers":` + list + `,"listen":{"callers":"127.0.0.1:1",
+"readiness":"127.0.0.1:2","metrics":"127.0.0.1:3"},"store":"127.0.0.1:4","stop_within_ms":1,"key_withdrawn_ms":1}}`))
+		require.Len(t, found, mistakes, "%s: %v", list, found)
+	}
+}
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -38,9 +38,11 @@
 // in a data center. Plain services have one model for all data centers, "".
 func ModelName(service, dataCenter string) string { return service + "@" + dataCenter }
 
-// Roster holds the live endpoints. Set Home before use.
+// Roster holds the live endpoints. Set the exported fields before use.
 type Roster struct {
 	Home fleet.Home
+	// DataCenters are those in which an endpoint may be; empty when they are not known.
+	DataCenters []string
 
 	mutex     sync.Mutex
 	endpoints map[string]protocol.Endpoint
@@ -52,6 +54,7 @@
 	changes   atomic.Uint64
 	view      atomic.Pointer[fleet.View]
 	list      atomic.Pointer[[]protocol.Endpoint]
+	misfits   atomic.Pointer[[]Misfit]
 	centers   atomic.Pointer[map[string][]string] // by service
 }
 
@@ -77,7 +80,7 @@
 	return nil
 }
 
-// Endpoints returns every endpoint in order of ID. The caller must not change
+// Endpoints returns every endpoint that can be used, in order of ID. The caller must not change
 // the slice.
 func (r *Roster) Endpoints() []protocol.Endpoint {
 	r.derive()
@@ -214,12 +217,10 @@
 // rebuild derives the view and the list anew. Measurements of runners that did
 // not change are kept.
 func (r *Roster) rebuild() {
-	list := make([]protocol.Endpoint, 0, len(r.endpoints))
-	for _, e := range r.endpoints {
-		list = append(list, e)
-	}
+	list, misfits := r.usable()
 	slices.SortFunc(list, func(a, b protocol.Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	r.list.Store(&list)
+	r.misfits.Store(&misfits)
 	centers := make(map[string][]string)
 	var models []protocol.Model
 	var runners []protocol.Runner
--- /dev/null
+++ b/state/roster/usable_test.go
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/fleet"
+	"pinerun.example/pinerun/state/roster"
+)
+
+// TestAnEndpointThatDoesNotFitIsLeftOut has records name what the table and the settings
+// do not know.
+func TestAnEndpointThatDoesNotFitIsLeftOut(t *testing.T) {
+	r := newRoster()
+	r.DataCenters = []string{"b", "c"}
+	plain := protocol.Endpoint{ID: "plain", Service: "plain", DataCenter: "b"}
+	whole := engine("whole", "c", 0, 10)
+	outside := engine("outside", "b", 5, 11)
+	nowhere := engine("nowhere", "z", 0, 10)
+	unknown := engine("unknown", "b", 0, 10)
+	unknown.Accelerator = "abacus"
+	untold := engine("untold", "b", 0, 10)
+	untold.Accelerator = ""
+	stranger := protocol.Endpoint{ID: "stranger", Service: "another", DataCenter: "b"}
+	layered := protocol.Endpoint{ID: "layered", Service: "plain", DataCenter: "b", Layers: protocol.Span{From: 0, To: 1}}
+	home := engine("home", "a", 0, 10)
+	r.Replace([]protocol.Endpoint{plain, whole, outside, nowhere, unknown, untold, stranger, layered, home}, time.Unix(100, 0))
+	require.Equal(t, []string{"home", "plain", "untold", "whole"}, ids(r.Endpoints()))
+	faults := map[string]protocol.RecordFault{}
+	for _, m := range r.Misfits() {
+		faults[m.Endpoint().ID] = m.Fault()
+	}
+	require.Equal(t, map[string]protocol.RecordFault{
+		"outside": protocol.RecordLayersOutside, "nowhere": protocol.RecordDataCenterUnknown,
+		"unknown": protocol.RecordAcceleratorUnknown, "stranger": protocol.RecordServiceUnknown,
+		"layered": protocol.RecordLayersOutside,
+	}, faults)
+	require.Nil(t, r.View().Runner("outside"))
+	r.Services(append(services, protocol.RoutedService{Name: "another"}))
+	require.Contains(t, ids(r.Endpoints()), "stranger", "a later table names its service")
+}
+
+// TestWhoeverIsUsedFits: whatever records say, an endpoint in use has a service of the
+// table, a data center that there is, and layers of its model; and whoever fits is used.
+func TestWhoeverIsUsedFits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &roster.Roster{Home: fleet.Home{Name: "e1", DataCenter: "a"}, DataCenters: []string{"a", "b"}}
+		r.Services(services)
+		id := rapid.SampledFrom([]string{"e1", "e2", "e3"})
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				r.Put(protocol.Endpoint{
+					ID: id.Draw(t, "id"), Service: rapid.SampledFrom([]string{"plain", "llm", "other"}).Draw(t, "service"),
+					DataCenter:  rapid.SampledFrom([]string{"a", "b", "z"}).Draw(t, "center"),
+					Accelerator: rapid.SampledFrom([]string{"t4", "abacus"}).Draw(t, "accelerator"),
+					Layers:      protocol.Span{From: rapid.IntRange(-2, 12).Draw(t, "from"), To: rapid.IntRange(-2, 12).Draw(t, "to")},
+				})
+			},
+			"discard": func(t *rapid.T) {
+				gone := id.Draw(t, "id")
+				r.Discard(gone)
+				for _, e := range r.Endpoints() {
+					require.NotEqual(t, gone, e.ID)
+				}
+			},
+			"": func(t *rapid.T) {
+				for _, e := range r.Endpoints() {
+					require.Contains(t, []string{"a", "b"}, e.DataCenter)
+					switch e.Service {
+					case "plain":
+						require.LessOrEqual(t, e.Layers.Layers(), 0)
+					case "llm":
+						require.Equal(t, "t4", e.Accelerator)
+						require.True(t, 0 <= e.Layers.From && e.Layers.From <= e.Layers.To && e.Layers.To <= 10, "%v", e.Layers)
+					default:
+						t.Fatalf("service %s", e.Service)
+					}
+				}
+			},
+		})
+	})
+}
--- a/transport/front/endpoint_sink.go
+++ b/transport/front/endpoint_sink.go
@@ -21,6 +21,10 @@
 	for _, e := range f.roster.Endpoints() {
 		known[e.ID] = true
 	}
+	for _, m := range f.roster.Misfits() {
+		known[m.Endpoint().ID] = true
+	}
+	f.records.only(objects)
 	list := make([]protocol.Endpoint, 0, len(objects))
 	for _, o := range objects {
 		e, ok := s.decode(o)
@@ -42,6 +46,7 @@
 func (s *endpointSink) Changed(c protocol.Change, now time.Time) {
 	f := s.front
 	if c.Gone {
+		f.records.gone(c.Object.Name)
 		if f.roster.Remove(c.Object.Name, now) {
 			event.EndpointGone.Log(f.Logger, slog.String("endpoint", c.Object.Name), slog.String("reason", "record gone"),
 				slog.Uint64("revision", c.Object.Version))
@@ -77,12 +82,19 @@
 // Failed notes that the platform did not answer.
 func (s *endpointSink) Failed(err error, now time.Time) { s.front.watchFailed("endpoints", err, now) }
 
-// decode reads a record, or tells that it can't be read.
+// decode reads a record. One that names no endpoint to use takes that out of use whose
+// record it replaced.
 func (s *endpointSink) decode(o protocol.Object) (protocol.Endpoint, bool) {
-	e, err := s.front.Outside.Decoder.Endpoint(o)
-	if err != nil {
-		event.EndpointIgnored.Log(s.front.Logger, slog.String("endpoint", o.Name), slog.String("cause", err.Error()))
-		return protocol.Endpoint{}, false
+	f := s.front
+	e, err := f.Outside.Decoder.Endpoint(o)
+	if err == nil {
+		f.records.sound(o)
+		return e, true
+	}
+	f.records.unusable(o, err)
+	if f.roster.Discard(o.Name) {
+		event.EndpointGone.Log(f.Logger, slog.String("endpoint", o.Name), slog.String("reason", "record unusable"),
+			slog.Uint64("revision", o.Version))
 	}
-	return e, true
+	return protocol.Endpoint{}, false
 }
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -45,6 +45,7 @@
 	done      part.Done
 	routing   routing.Store
 	roster    roster.Roster
+	records   records
 	forwarder forward.Forwarder
 	director  director.Director
 	source    relay.Source
@@ -83,6 +84,8 @@
 	s := &f.Settings
 	home := fleet.Home{Name: s.Name, DataCenter: s.DataCenter}
 	f.roster.Home = home
+	f.roster.DataCenters = s.DataCenters
+	f.records = records{counters: f.Counters, logger: f.Logger}
 	f.forwarder = forward.Forwarder{
 		Home: home, Routing: &f.routing, Roster: &f.roster, Headers: f.Outside.Headers, Reporter: f.Outside.Engines,
 		Counters: f.Counters, Logger: f.Logger,
@@ -201,6 +204,7 @@
 			for _, e := range f.roster.Sweep(now) {
 				event.EndpointGone.Log(f.Logger, slog.String("endpoint", e.ID), slog.String("reason", "did not come back after the platform did"))
 			}
+			f.records.judge(&f.roster)
 			f.callers.sweep(now)
 		case <-f.done.Done():
 			return
--- /dev/null
+++ b/transport/front/records.go
@@ -0,0 +1,150 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package front
+
+import (
+	"errors"
+	"log/slog"
+	"sync"
+
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/roster"
+)
+
+// recordsKept bounds the unusable records whose fault is remembered, so that somebody who
+// writes under ever new names does not take the memory: twice the endpoints of the largest
+// deployment, at some 100 bytes each. What is beyond is counted at each write.
+const recordsKept = 8192
+
+// records remembers what is wrong with endpoints' records, so that each change of that is
+// told once. The zero value knows of none; a nil logger and nil counters take nothing.
+type records struct {
+	counters *metric.Set
+	logger   *slog.Logger
+
+	mutex  sync.Mutex
+	faults map[string]protocol.RecordFault // of records that can't be decoded
+	misfit map[string]protocol.RecordFault // of those that don't fit the table in force
+	judged uint64                          // change of the roster that was looked at last
+}
+
+// unusable notes that a record can't be decoded.
+func (r *records) unusable(o protocol.Object, err error) {
+	fault := protocol.RecordUnreadable
+	var told *protocol.UnusableRecord
+	if errors.As(err, &told) {
+		fault = told.Fault()
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.faults == nil {
+		r.faults = make(map[string]protocol.RecordFault)
+	}
+	if r.note(r.faults, o.Name, fault) {
+		event.RecordUnusable.Log(r.logger, slog.String("endpoint", o.Name), slog.String("reason", string(fault)),
+			slog.Uint64("revision", o.Version), slog.String("cause", err.Error()))
+	}
+}
+
+// note remembers a fault, and counts it and reports whether to tell it if it is another
+// than before.
+func (r *records) note(known map[string]protocol.RecordFault, id string, fault protocol.RecordFault) bool {
+	if known[id] == fault {
+		return false
+	}
+	if r.counters != nil {
+		r.counters.Unusable(fault)
+	}
+	if _, there := known[id]; !there && len(known) >= recordsKept {
+		return false
+	}
+	known[id] = fault
+	return true
+}
+
+// sound notes that a record can be decoded.
+func (r *records) sound(o protocol.Object) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if before, there := r.faults[o.Name]; there {
+		delete(r.faults, o.Name)
+		r.usable(o.Name, before)
+	}
+}
+
+func (r *records) usable(id string, before protocol.RecordFault) {
+	event.RecordUsable.Log(r.logger, slog.String("endpoint", id), slog.String("before", string(before)))
+}
+
+// gone notes that a record is there no more.
+func (r *records) gone(id string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.faults, id)
+}
+
+// only notes that a whole list holds these records.
+func (r *records) only(objects []protocol.Object) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if len(r.faults) == 0 {
+		return
+	}
+	listed := make(map[string]bool, len(objects))
+	for _, o := range objects {
+		listed[o.Name] = true
+	}
+	for id := range r.faults {
+		if !listed[id] {
+			delete(r.faults, id)
+		}
+	}
+}
+
+// judge tells which records fit the table in force no more, or again.
+func (r *records) judge(endpoints *roster.Roster) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	at := endpoints.Changes()
+	if at == r.judged {
+		return
+	}
+	r.judged = at
+	misfits := endpoints.Misfits()
+	if len(misfits) == 0 && len(r.misfit) == 0 {
+		return
+	}
+	if r.misfit == nil {
+		r.misfit = make(map[string]protocol.RecordFault)
+	}
+	now := make(map[string]bool, len(misfits))
+	for _, m := range misfits {
+		e := m.Endpoint()
+		now[e.ID] = true
+		if r.note(r.misfit, e.ID, m.Fault()) {
+			event.RecordUnusable.Log(r.logger, slog.String("endpoint", e.ID), slog.String("reason", string(m.Fault())),
+				slog.String("service", e.Service), slog.String("data_center", e.DataCenter),
+				slog.String("accelerator", e.Accelerator), slog.String("layers", e.Layers.String()))
+		}
+	}
+	r.fitting(endpoints, now)
+}
+
+// fitting tells of the records that fit again, and forgets those that are gone.
+func (r *records) fitting(endpoints *roster.Roster, misfits map[string]bool) {
+	used := make(map[string]bool)
+	for _, e := range endpoints.Endpoints() {
+		used[e.ID] = true
+	}
+	for id, before := range r.misfit {
+		if misfits[id] {
+			continue
+		}
+		delete(r.misfit, id)
+		if used[id] {
+			r.usable(id, before)
+		}
+	}
+}
--- /dev/null
+++ b/transport/relay/unreadable_test.go
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package relay
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/mirror"
+)
+
+// TestValuesThatCantBeReadArePassedOnAsTheyAre sends a run of them, short and packed.
+func TestValuesThatCantBeReadArePassedOnAsTheyAre(t *testing.T) {
+	for _, long := range []int{0, 4 * packFrom} {
+		sent := mirror.Run{After: 3, At: 9}
+		for i, value := range [][]byte{[]byte("too long"), []byte("\xff\xfe\x00"), []byte(`{"service":`), nil, bytes.Repeat([]byte{0xc3}, long)} {
+			o := protocol.Object{Kind: "servers", Name: string(rune('a' + i)), Version: 9, Value: value}
+			sent.Changes = append(sent.Changes, protocol.Change{Object: o})
+		}
+		var p packer
+		run, err := p.encode("servers", sent)
+		require.NoError(t, err)
+		b, err := protocol.EncodeRelay(protocol.RelayFrame{Runs: []protocol.RelayRun{run}})
+		require.NoError(t, err)
+		frame, err := protocol.DecodeRelayFrame(b)
+		require.NoError(t, err)
+		got, err := decode(&frame.Runs[0])
+		require.NoError(t, err)
+		require.Len(t, got.Changes, len(sent.Changes))
+		for i, c := range got.Changes {
+			require.Equal(t, sent.Changes[i].Object.Name, c.Object.Name)
+			require.True(t, bytes.Equal(sent.Changes[i].Object.Value, c.Object.Value), "%d", i)
+		}
+	}
+}
