--- a/soak/endpoint_test.go
+++ b/soak/endpoint_test.go
@@ -53,15 +53,25 @@
 	}
 	e.mutex.Lock()
 	e.span = [2]int{from, to}
+	e.mutex.Unlock()
+	w.rewrite(e)
+}
+
+// rewrite writes an endpoint's record as it stands. One that is gone has none, whoever
+// wrote it.
+func (w *world) rewrite(e *endpoint) {
+	e.mutex.Lock()
 	state := "ready"
 	if !e.leaving.IsZero() {
 		state = "draining"
 	}
 	gone := e.gone
 	e.mutex.Unlock()
-	if !gone {
-		w.record(e, state)
+	if gone {
+		w.store.Delete("servers", e.ID)
+		return
 	}
+	w.record(e, state)
 }
 
 // record writes what an endpoint says of itself.
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	"strings"
 	"syscall"
 	"time"
 
@@ -181,6 +182,34 @@
 	w.remove(old)
 }
 
+// writeForeignRecord leaves something of another writer among the endpoints' records, under
+// a name of its own or in place of an endpoint's, which writes its own again later.
+func (s *series) writeForeignRecord() {
+	w := s.storm.world
+	e := s.endpoint()
+	sound := map[string]any{
+		"service": e.service, "address": e.link.address(), "zone": e.center, "slots": 8, "state": "ready", "route_type": "t4",
+		"layers": map[string]int{"from": 0, "target_version": 0},
+	}
+	// None of these is sound in any of the fields.
+	wrong := []any{"", true, -1, 0.5, "exploded", map[string]int{"from": 9, "target_version": 3}, strings.Repeat("x", 100_000)}
+	fields := []string{"service", "address", "zone", "slots", "state", "layers"}
+	field := fields[s.draw.IntN(len(fields))]
+	sound[field] = wrong[s.draw.IntN(len(wrong))]
+	name := "foreign-" + e.ID
+	if s.draw.IntN(2) == 0 {
+		name = e.ID
+	}
+	s.storm.tell("foreign record of " + name + ", its " + field)
+	w.store.Put("servers", name, sound)
+	s.pause(10, 500)
+	if name != e.ID {
+		w.store.Delete("servers", name)
+		return
+	}
+	w.rewrite(e)
+}
+
 // crashEndpoint ends an endpoint without a word; its record goes later.
 func (s *series) crashEndpoint() {
 	w := s.storm.world
--- a/soak/storm_test.go
+++ b/soak/storm_test.go
@@ -97,6 +97,7 @@
 		s.killEntry, s.stopEntry, s.pauseEntry, s.hangUp, s.killMany,
 		s.disturbStore, s.disturbStoreWay, s.disturbCallers, s.disturbEndpointWay,
 		s.failEndpoint, s.replaceEndpoint, s.crashEndpoint, s.changeTable, s.withdrawUnheard,
+		s.writeForeignRecord,
 	}
 	faults[s.draw.IntN(len(faults))]()
 }
