--- a/protocol/routing.go
+++ b/protocol/routing.go
@@ -145,7 +145,9 @@
 	Layers      Span // held by an engine; empty when it holds none
 	Model       string
 	Lifetime    Lifetime
-	Orders      int // taken since it started
+	// Beats is how often it has written its record since it started. A record is not new for
+	// that alone, so it is the count as of the last change of anything else.
+	Beats int
 }
 
 // EngineReport is what an engine tells of itself when asked.
--- a/soak/endpoint_test.go
+++ b/soak/endpoint_test.go
@@ -73,15 +73,25 @@
 	}
 	e.mutex.Lock()
 	e.span = [2]int{from, to}
+	e.mutex.Unlock()
+	w.rewrite(e)
+}
+
+// rewrite writes an endpoint's record as it stands. One that is gone has none, whoever
+// wrote it.
+func (w *world) rewrite(e *endpoint) {
+	e.mutex.Lock()
 	state := "ready"
 	if !e.leaving.IsZero() {
 		state = "draining"
 	}
 	gone := e.gone
 	e.mutex.Unlock()
-	if !gone {
-		w.record(e, state)
+	if gone {
+		w.store.Delete("servers", e.ID)
+		return
 	}
+	w.record(e, state)
 }
 
 // record writes what an endpoint says of itself.
@@ -99,21 +109,6 @@
 	w.store.Put("servers", e.ID, record)
 }
 
-// rewrite makes an endpoint write its record once more, as it does with each heartbeat.
-func (w *world) rewrite(e *endpoint) {
-	e.mutex.Lock()
-	gone, leaving := e.gone, !e.leaving.IsZero()
-	e.mutex.Unlock()
-	switch {
-	case gone:
-		w.store.Delete("servers", e.ID)
-	case leaving:
-		w.record(e, "draining")
-	default:
-		w.record(e, "ready")
-	}
-}
-
 // leave makes an endpoint say that it is leaving.
 func (w *world) leave(e *endpoint) {
 	w.record(e, "draining")
--- a/transport/front/fleet.go
+++ b/transport/front/fleet.go
@@ -3,6 +3,8 @@
 package front
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"pinerun.example/pinerun/protocol"
@@ -12,39 +14,43 @@
 // fleetStatus returns what this entry believes of the endpoints.
 func (f *Front) fleetStatus(now time.Time) protocol.FleetStatus {
 	s := protocol.FleetStatus{Entry: f.Settings.Name, DataCenter: f.Settings.DataCenter}
-	engines := make(map[string]bool)
 	if t := f.routing.Current(); t != nil {
 		s.Routing = t.Version()
-		for _, v := range t.Services() {
-			engines[v.Name] = v.Engine != nil
-		}
 	}
 	view := f.roster.View()
 	for _, e := range f.roster.Endpoints() {
-		isEngine, routed := engines[e.Service]
-		s.Endpoints = append(s.Endpoints, endpointStatus(&e, view.Runner(e.ID), isEngine, routed, now))
+		s.Endpoints = append(s.Endpoints, f.endpointStatus(&e, view.Runner(e.ID), now))
 	}
+	for _, m := range f.roster.Misfits() {
+		e := m.Endpoint()
+		d := described(&e)
+		d.State, d.Reason = protocol.EndpointMisfit, m.Fault()
+		s.Endpoints = append(s.Endpoints, d)
+	}
+	slices.SortFunc(s.Endpoints, func(a, b protocol.EndpointStatus) int { return strings.Compare(a.ID, b.ID) })
 	return s
 }
 
-// endpointStatus describes an endpoint, with what was measured of it if it can serve.
-func endpointStatus(e *protocol.Endpoint, r *fleet.Runner, isEngine, routed bool, now time.Time) protocol.EndpointStatus {
-	s := protocol.EndpointStatus{
+// described returns what an endpoint's record says.
+func described(e *protocol.Endpoint) protocol.EndpointStatus {
+	return protocol.EndpointStatus{
 		ID: e.ID, Service: e.Service, DataCenter: e.DataCenter, Address: e.Address, Accelerator: e.Accelerator,
 		From: e.Layers.From, To: e.Layers.To, StartedMS: int64(e.Lifetime), State: protocol.EndpointServes,
 	}
+}
+
+// endpointStatus describes an endpoint, with what was measured of it if it can serve.
+func (f *Front) endpointStatus(e *protocol.Endpoint, r *fleet.Runner, now time.Time) protocol.EndpointStatus {
+	s := described(e)
 	if r != nil {
 		s.Fill = r.Fill(now, 0)
 		s.Open = r.Outstanding()
 	}
 	switch {
-	case !routed:
-		s.State = protocol.EndpointUnknown
 	case e.Leaving:
 		s.State = protocol.EndpointLeaves
-	case isEngine && e.Layers.Layers() <= 0:
-		s.State = protocol.EndpointEmpty
 	case r == nil:
+		s.State = protocol.EndpointEmpty
 	case r.Lost(now):
 		s.State = protocol.EndpointLost
 	case !r.Usable(now):
