--- /dev/null
+++ b/coordination/loss/located.go
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package loss
+
+import (
+	"time"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+// locatedAgain is how long the same news of an address is not passed on again: every request
+// that was under way there when it came up meets the same sign.
+const locatedAgain = time.Second
+
+// Located says who answers at an endpoint's address: itself, another process, or a process
+// without the layers of the endpoint's record. It was met in an answer, so that one witness
+// suffices, and any number of endpoints may be told of: who reaches nobody meets none.
+type Located struct{}
+
+func (Located) verdict() {}
+
+// located is the latest news of who answers at an endpoint's address.
+type located struct {
+	sign     protocol.LossSign
+	occupant string
+	at       time.Time
+}
+
+// locates reports whether a report tells who answers at the endpoint's address.
+func (r *Report) locates() bool {
+	return r.sign == protocol.LossMisplaced || r.sign == protocol.LossAnswered && r.occupant != ""
+}
+
+// locate takes a report of who answers at an endpoint's address.
+func (b *Book) locate(r Report, p *page, now time.Time) Verdict {
+	if p == nil {
+		p = b.open(&r)
+	}
+	news := located{sign: r.sign, occupant: r.occupant, at: r.at}
+	if !p.located.newer(&news) {
+		return Nothing{}
+	}
+	p.located = news
+	if till := now.Add(KeptFor); till.After(p.expires) {
+		p.expires = till
+	}
+	return Located{}
+}
+
+// newer reports whether news say something that these don't.
+func (l *located) newer(news *located) bool {
+	if l.sign == news.sign && l.occupant == news.occupant {
+		return news.at.After(l.at.Add(locatedAgain))
+	}
+	return news.at.After(l.at)
+}
--- a/coordination/loss/loss.go
+++ b/coordination/loss/loss.go
@@ -10,6 +10,7 @@
 //	case loss.Lost:    // no work for it until v.Till(); tell the others
 //	case loss.Doubted: // no work for a moment; tell the others
 //	case loss.Back:    // it works after all; tell the others
+//	case loss.Located: // who answers at its address; tell the others
 //	case loss.Nothing: // known already, or not to be believed
 //	}
 package loss
@@ -41,6 +42,8 @@
 	witness  string
 	sign     protocol.LossSign
 	at       time.Time
+	life     protocol.Lifetime
+	occupant string
 }
 
 // NewReport returns the report of a witness.
@@ -60,7 +63,25 @@
 // At returns when, by the clock of the entry that holds the report.
 func (r Report) At() time.Time { return r.at }
 
-// Verdict is what a report changes: Lost, Doubted, Back or Nothing.
+// In returns the report as one of a life of the endpoint.
+func (r Report) In(life protocol.Lifetime) Report {
+	r.life = life
+	return r
+}
+
+// Naming returns the report with the ID of what answers at the endpoint's address.
+func (r Report) Naming(occupant string) Report {
+	r.occupant = occupant
+	return r
+}
+
+// Lifetime returns the life of the endpoint that the sign belongs to, if it is known.
+func (r Report) Lifetime() protocol.Lifetime { return r.life }
+
+// Occupant returns the ID of what answers at the endpoint's address, "" if it is not known.
+func (r Report) Occupant() string { return r.occupant }
+
+// Verdict is what a report changes: Lost, Doubted, Back, Located or Nothing.
 type Verdict interface{ verdict() }
 
 // Lost says that the endpoint is lost.
@@ -100,6 +121,8 @@
 	latest   time.Time       // of the signs
 	answered time.Time       // when it last answered: what was met before is disproved
 	expires  time.Time
+	life     protocol.Lifetime // that the page is of, if it is known
+	located  located
 }
 
 // believed reports whether the endpoint is doubted or lost.
@@ -111,7 +134,13 @@
 	if now.Sub(r.at) > KeptFor || r.at.After(now) {
 		return Nothing{}
 	}
-	p := b.pages[r.endpoint]
+	p := b.pageOf(&r)
+	if p != nil && r.life.Before(p.life) {
+		return Nothing{} // of an earlier life
+	}
+	if r.locates() {
+		return b.locate(r, p, now)
+	}
 	if r.sign == protocol.LossAnswered {
 		return p.back(r, now)
 	}
@@ -119,11 +148,22 @@
 		return Nothing{}
 	}
 	if p == nil {
-		p = b.open(r.endpoint)
+		p = b.open(&r)
 	}
 	return p.take(r, now)
 }
 
+// pageOf returns what is reported of the life that a report is of, or nil: what was reported
+// of an earlier one is forgotten.
+func (b *Book) pageOf(r *Report) *page {
+	p := b.pages[r.endpoint]
+	if p != nil && p.life.Before(r.life) {
+		delete(b.pages, r.endpoint)
+		return nil
+	}
+	return p
+}
+
 // full reports whether as many of so many endpoints are believed lost as may be.
 func (b *Book) full(known int) bool {
 	n := 0
@@ -147,12 +187,12 @@
 	return Back{}
 }
 
-func (b *Book) open(endpoint string) *page {
+func (b *Book) open(r *Report) *page {
 	if b.pages == nil {
 		b.pages = make(map[string]*page)
 	}
-	p := &page{silent: make(map[string]bool)}
-	b.pages[endpoint] = p
+	p := &page{silent: make(map[string]bool), life: r.life}
+	b.pages[r.endpoint] = p
 	return p
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -45,6 +45,9 @@
 	EndpointGone       = Event{3008, "endpoint gone", slog.LevelInfo}
 	LayersChanged      = Event{3010, "layers changed", slog.LevelInfo}
 	LossTold           = Event{3011, "loss told", slog.LevelWarn}
+	RecordSuperseded   = Event{3012, "record superseded", slog.LevelWarn}
+	RecordDisproved    = Event{3013, "record disproved", slog.LevelWarn}
+	EndpointRestarted  = Event{3018, "endpoint restarted", slog.LevelInfo}
 	RecordUnusable     = Event{3014, "record unusable", slog.LevelWarn}
 	RecordUsable       = Event{3015, "record usable", slog.LevelInfo}
 	ConfigInForce      = Event{4001, "configuration in force", slog.LevelInfo}
@@ -83,7 +86,7 @@
 		StreamCut, CallerLeft, CallerUnbounded, AttemptNotRun, HoldEnded, HoldBegun,
 		RunnerConnected, RunnerLost, RunnerEjected, FrameBroken, ReportIgnored,
 		EndpointJoined, EndpointLeaving, EndpointGone, LayersChanged, LossTold,
-		RecordUnusable, RecordUsable,
+		RecordSuperseded, RecordDisproved, RecordUnusable, RecordUsable, EndpointRestarted,
 		ConfigInForce, ConfigIgnored,
 		PlatformUnreached, PlatformBack, PlatformCalled,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -75,6 +75,9 @@
 	OrdersGiven         Name = "orders_given"
 	LinesDropped        Name = "log_lines_dropped"
 	RequestsHeld        Name = "requests_held"
+	RecordsSuperseded   Name = "records_superseded"
+	RecordsDisproved    Name = "records_disproved"
+	RestartsSeen        Name = "restarts_seen"
 )
 
 // Names returns every counter that is neither a refusal nor a retry.
@@ -85,6 +88,7 @@
 		ClaimsGranted, ClaimsReplayed, ClaimWrites, ConfigAccepted, ConfigIgnored,
 		RunnersEjected, PeerConnections, PeerFrames, PeerBytes,
 		EndpointConnections, ReportsAsked, PlansWorkedOut, OrdersGiven, LinesDropped, RequestsHeld,
+		RecordsSuperseded, RecordsDisproved, RestartsSeen,
 	}
 }
 
--- a/protocol/config.go
+++ b/protocol/config.go
@@ -114,6 +114,9 @@
 	Step float64 `json:"step,omitempty" validate:"gte=0"`
 	// Room is how many tokens of requests fit beside the layers; 0 is unknown.
 	Room float64 `json:"room,omitempty" validate:"gte=0"`
+	// Restarts is how often the endpoint is known to have started again under its name. What
+	// was measured of an earlier life says nothing of the present one.
+	Restarts int `json:"-"`
 }
 
 // Fleet lists the runners of one data center.
--- a/protocol/loss.go
+++ b/protocol/loss.go
@@ -40,6 +40,8 @@
 	Witness  string
 	Sign     LossSign
 	AgoMS    float64
+	// Occupant is the ID of what answers at the endpoint's address, "" if that is not known.
+	Occupant string
 }
 
 // sound reports whether the news has the shape that it may have.
--- a/protocol/routing.go
+++ b/protocol/routing.go
@@ -145,20 +145,24 @@
 	Layers      Span // held by an engine; empty when it holds none
 	Model       string
 	Lifetime    Lifetime
-	// Beats is how often it has written its record since it started. A record is not new for
-	// that alone, so it is the count as of the last change of anything else.
+	// Beats is how often it has written its record since it started, 0 if it does not tell. It
+	// falls back when it starts again.
 	Beats int
 }
 
 // EngineReport is what an engine tells of itself when asked.
 type EngineReport struct {
-	Busy    bool // an order is under way
-	Orders  int  // taken since the engine started
-	Layers  Span
-	Waiting int
-	Running int
+	Busy   bool // an order is under way
+	Orders int  // taken since the engine started
+	Layers Span
+	// LayersKnown says whether the engine told which layers it holds.
+	LayersKnown bool
+	Waiting     int
+	Running     int
 	// Lifetime is the engine's own life, unknown if it does not tell.
 	Lifetime Lifetime
+	// Accelerator is the kind that the engine runs on, "" if it does not tell.
+	Accelerator string
 	// Pace is how many times longer than usual its work takes, 0 if it does not tell.
 	Pace float64
 	// RoomUsed is the part of the memory for requests that they hold; RoomKnown says
--- a/protocol/status.go
+++ b/protocol/status.go
@@ -21,9 +21,10 @@
 	To          int           `json:"to"`
 	StartedMS   int64         `json:"started_ms,omitempty"` // Unix time of its start, if it tells
 	State       EndpointState `json:"state"`
-	Reason      RecordFault   `json:"reason,omitempty"` // why its record can't be used
-	Fill        float64       `json:"fill"`             // part of its room for requests that is taken, as far as known
-	Open        int64         `json:"open"`             // layer passes of this entry's requests under way there
+	Reason      RecordFault   `json:"reason,omitempty"`   // why its record can't be used
+	Occupant    string        `json:"occupant,omitempty"` // who has its address instead
+	Fill        float64       `json:"fill"`               // part of its room for requests that is taken, as far as known
+	Open        int64         `json:"open"`               // layer passes of this entry's requests under way there
 }
 
 // EndpointState is why an endpoint does or does not get new work.
@@ -37,4 +38,6 @@
 	EndpointLost   EndpointState = "lost"     // it failed, or others found it dead
 	EndpointRests  EndpointState = "rests"    // left out for a moment after a failure or refusal
 	EndpointMisfit EndpointState = "unusable" // its record names no endpoint to use
+	// EndpointSuperseded says that another process has its address.
+	EndpointSuperseded EndpointState = "superseded"
 )
--- /dev/null
+++ b/state/occupant/occupant.go
@@ -0,0 +1,229 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package occupant decides which of several records of an address is that of the process
+// which has the address.
+//
+// An endpoint that dies leaves its record behind, and a write of its that was under way may
+// bring it back after the next process at that address has recorded itself. A Ledger holds
+// every claim to an address, weighs the evidence for each and names one occupant at most:
+//
+//	l.Next()
+//	l.Record(occupant.Claim{Endpoint: "x", Address: a}, now)
+//	l.Next()
+//	l.Record(occupant.Claim{Endpoint: "y", Address: a}, now) // x is superseded
+//	l.Gone("x", now)
+//	l.Record(occupant.Claim{Endpoint: "x", Address: a}, now) // and stays so
+//	l.Answered(a, "x", 0, now)                               // until it answers itself
+//
+// What counts, the later before the earlier: an answer from the address that names its
+// process; the starts that two claims tell; which of them was seen first.
+package occupant
+
+import (
+	"slices"
+	"time"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+// Remembered is how long a claim counts after its record has gone. A write without an answer
+// is done seconds later; records that came back did so 3.5 s after they had lapsed.
+const Remembered = time.Minute
+
+// AskEvery is how often an address is asked whose records are all out of use. It bounds how
+// long an endpoint that lives is left out because its record looked like an earlier one's.
+const AskEvery = time.Second
+
+// Claim is what a record says of who has an address.
+type Claim struct {
+	Endpoint string
+	Address  string
+	Lifetime protocol.Lifetime
+	// Holds says that the record promises layers. Of claims that nothing else tells apart
+	// the one that promises nothing is the safer.
+	Holds bool
+}
+
+// Ledger holds the claims to all addresses. The zero value is empty.
+type Ledger struct {
+	sites    map[string]*site
+	address  map[string]string // by endpoint, of its latest record
+	departed []departure       // in the order in which they are forgotten
+	number   uint64
+}
+
+// departure is a claim without a record.
+type departure struct{ endpoint, address string }
+
+// Next says that the records to come are news of their own. Those of one list come without
+// another Next between them: in which order they were written is not known.
+func (l *Ledger) Next() { l.number++ }
+
+// Record takes one record. One without an address contends with no other.
+func (l *Ledger) Record(c Claim, now time.Time) {
+	if c.Address == "" {
+		c.Address = c.Endpoint
+	}
+	if old, ok := l.address[c.Endpoint]; ok && old != c.Address {
+		l.Gone(c.Endpoint, now)
+	}
+	s := l.site(c.Address)
+	k := s.claimOf(c.Endpoint)
+	switch {
+	case k == nil:
+		k = &claim{Claim: c, number: l.number, seen: now}
+		s.claims = append(s.claims, k)
+		s.changed = now
+	case k.Lifetime.Before(c.Lifetime):
+		*k = claim{Claim: c, number: l.number, seen: now}
+		s.changed = now
+	case !k.recorded:
+		s.changed = now
+	}
+	k.recorded = true
+	k.Holds = c.Holds
+	if !k.Lifetime.Known() {
+		k.Lifetime = c.Lifetime
+	}
+	l.address[c.Endpoint] = c.Address
+}
+
+// Gone takes it that a record is gone.
+func (l *Ledger) Gone(endpoint string, now time.Time) {
+	if k := l.claimOf(endpoint); k != nil && k.recorded {
+		k.recorded = false
+		l.depart(k, now)
+	}
+}
+
+// depart remembers a claim without a record for a while.
+func (l *Ledger) depart(k *claim, now time.Time) {
+	k.till = now.Add(Remembered)
+	l.departed = append(l.departed, departure{endpoint: k.Endpoint, address: k.Address})
+}
+
+// Answered takes it that the process at an address named itself, in its present life or an
+// unknown one.
+func (l *Ledger) Answered(address, endpoint string, life protocol.Lifetime, now time.Time) {
+	s := l.site(address)
+	k := s.claimOf(endpoint)
+	if k == nil {
+		l.number++
+		k = &claim{Claim: Claim{Endpoint: endpoint, Address: address, Lifetime: life}, number: l.number, seen: now}
+		s.claims = append(s.claims, k)
+		l.depart(k, now)
+	}
+	if life.Before(k.Lifetime) || now.Before(k.proven) {
+		return // an answer that was under way for long
+	}
+	if life.Known() {
+		k.Lifetime = life
+	}
+	k.proven = now
+	s.asked = now
+}
+
+// InUse reports whether an endpoint is the occupant of its address.
+func (l *Ledger) InUse(endpoint string) bool {
+	s := l.sites[l.address[endpoint]]
+	if s == nil {
+		return false
+	}
+	o := s.occupant()
+	return o != nil && o.Endpoint == endpoint && o.recorded
+}
+
+// Occupant returns the ID of the endpoint that has an endpoint's address, as far as is known.
+func (l *Ledger) Occupant(endpoint string) string {
+	s := l.sites[l.address[endpoint]]
+	if s == nil {
+		return ""
+	}
+	if o := s.occupant(); o != nil {
+		return o.Endpoint
+	}
+	return ""
+}
+
+// Lifetime returns the latest life of an endpoint that is known.
+func (l *Ledger) Lifetime(endpoint string) protocol.Lifetime {
+	if k := l.claimOf(endpoint); k != nil {
+		return k.Lifetime
+	}
+	return 0
+}
+
+// Question returns whether the address of an endpoint should be asked now who has it, and
+// notes that it is: more than one record names it and nothing has answered since the last of
+// them came, or none of those that name it is in use. Patience is how long it is left to
+// others to ask.
+func (l *Ledger) Question(endpoint string, patience time.Duration, now time.Time) bool {
+	s := l.sites[l.address[endpoint]]
+	if s == nil || !s.unclear(now) || now.Before(s.changed.Add(patience)) || now.Before(s.asked.Add(patience)) {
+		return false
+	}
+	s.asked = now
+	return true
+}
+
+// Due reports whether the address of an endpoint was not asked for AskEvery, nor while it is
+// left to others, and notes that it is now.
+func (l *Ledger) Due(endpoint string, patience time.Duration, now time.Time) bool {
+	s := l.sites[l.address[endpoint]]
+	if s == nil || now.Before(s.asked.Add(max(AskEvery, patience))) {
+		return false
+	}
+	s.asked = now
+	return true
+}
+
+// Sweep forgets claims whose records went long ago.
+func (l *Ledger) Sweep(now time.Time) {
+	for len(l.departed) > 0 {
+		d := l.departed[0]
+		s := l.sites[d.address]
+		var k *claim
+		if s != nil {
+			k = s.claimOf(d.endpoint)
+		}
+		if k != nil && !k.recorded && now.Before(k.till) {
+			return
+		}
+		l.departed = l.departed[1:]
+		if k != nil && !k.recorded {
+			l.drop(s, k)
+		}
+	}
+}
+
+// drop forgets a claim.
+func (l *Ledger) drop(s *site, k *claim) {
+	s.claims = slices.DeleteFunc(s.claims, func(o *claim) bool { return o == k })
+	if l.address[k.Endpoint] == k.Address {
+		delete(l.address, k.Endpoint)
+	}
+	if len(s.claims) == 0 {
+		delete(l.sites, k.Address)
+	}
+}
+
+func (l *Ledger) site(address string) *site {
+	if l.sites == nil {
+		l.sites = make(map[string]*site)
+		l.address = make(map[string]string)
+	}
+	s := l.sites[address]
+	if s == nil {
+		s = &site{}
+		l.sites[address] = s
+	}
+	return s
+}
+
+// claimOf returns the claim that the latest record of an endpoint makes, or nil.
+func (l *Ledger) claimOf(endpoint string) *claim {
+	if s := l.sites[l.address[endpoint]]; s != nil {
+		return s.claimOf(endpoint)
+	}
+	return nil
+}
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -22,6 +22,7 @@
 
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/fleet"
+	"pinerun.example/pinerun/state/occupant"
 )
 
 // settle is how long endpoints that vanish right after an outage of the platform
@@ -44,18 +45,25 @@
 	// DataCenters are those in which an endpoint may be; empty when they are not known.
 	DataCenters []string
 
-	mutex     sync.Mutex
-	endpoints map[string]protocol.Endpoint
-	vanished  map[string]time.Time // gone from the list, until when still believed in
-	outage    time.Time            // when the platform was last known not to answer
-	services  []protocol.RoutedService
-	known     atomic.Bool
-	stale     atomic.Bool // what is derived does not hold the latest changes yet
-	changes   atomic.Uint64
-	view      atomic.Pointer[fleet.View]
-	list      atomic.Pointer[[]protocol.Endpoint]
-	misfits   atomic.Pointer[[]Misfit]
-	centers   atomic.Pointer[map[string][]string] // by service
+	mutex      sync.Mutex
+	endpoints  map[string]protocol.Endpoint
+	vanished   map[string]time.Time // gone from the list, until when still believed in
+	outage     time.Time            // when the platform was last known not to answer
+	services   []protocol.RoutedService
+	known      atomic.Bool
+	stale      atomic.Bool // what is derived does not hold the latest changes yet
+	occupants  occupant.Ledger
+	beliefs    map[string]belief // of endpoints whose record is not believed as it stands
+	changedAt  map[string]time.Time
+	unused     map[string]bool // records out of use when it was last derived
+	notices    []Notice
+	unrecorded map[string]unrecorded
+	anew       []protocol.Endpoint // that a report showed to have started again, not told yet
+	changes    atomic.Uint64
+	view       atomic.Pointer[fleet.View]
+	list       atomic.Pointer[[]protocol.Endpoint]
+	misfits    atomic.Pointer[[]Misfit]
+	centers    atomic.Pointer[map[string][]string] // by service
 }
 
 // View returns the runners of all models, or nil before the first list.
@@ -80,8 +88,8 @@
 	return nil
 }
 
-// Endpoints returns every endpoint that can be used, in order of ID. The caller must not change
-// the slice.
+// Endpoints returns every endpoint that can be used, in order of ID, with the layers that it is
+// believed to hold: one an address. The caller must not change the slice.
 func (r *Roster) Endpoints() []protocol.Endpoint {
 	r.derive()
 	if l := r.list.Load(); l != nil {
@@ -113,15 +121,19 @@
 	defer r.mutex.Unlock()
 	before := r.endpoints
 	r.endpoints = make(map[string]protocol.Endpoint, len(list))
+	r.occupants.Next()
 	for _, e := range list {
-		r.endpoints[e.ID] = e
-		delete(r.vanished, e.ID)
+		if old, there := before[e.ID]; there {
+			r.endpoints[e.ID] = old
+		}
+		r.put(e, now)
 	}
 	var gone []protocol.Endpoint
 	for id, e := range before {
 		if _, there := r.endpoints[id]; there || r.keep(e, now) {
 			continue
 		}
+		r.forget(id, now)
 		gone = append(gone, e)
 	}
 	r.known.Store(true)
@@ -130,17 +142,26 @@
 }
 
 // Put takes one new or changed endpoint, and reports whether it was unknown.
-func (r *Roster) Put(e protocol.Endpoint) bool {
+func (r *Roster) Put(e protocol.Endpoint) bool { return r.Take(e, time.Now()) == Joined }
+
+// Take takes one new or changed endpoint.
+func (r *Roster) Take(e protocol.Endpoint, now time.Time) Taken {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.endpoints == nil {
-		r.endpoints = make(map[string]protocol.Endpoint)
+	r.occupants.Next()
+	t := r.put(e, now)
+	if t != Stale {
+		r.changed()
 	}
-	_, there := r.endpoints[e.ID]
-	r.endpoints[e.ID] = e
-	delete(r.vanished, e.ID)
-	r.changed()
-	return !there
+	return t
+}
+
+// Has reports whether the record of an endpoint is known, in use or not.
+func (r *Roster) Has(id string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_, there := r.endpoints[id]
+	return there
 }
 
 // Remove takes the news that an endpoint's record is gone. It reports whether
@@ -153,6 +174,7 @@
 		return false
 	}
 	delete(r.endpoints, id)
+	r.forget(id, now)
 	r.changed()
 	return true
 }
@@ -170,7 +192,9 @@
 		gone = append(gone, r.endpoints[id])
 		delete(r.vanished, id)
 		delete(r.endpoints, id)
+		r.forget(id, now)
 	}
+	r.occupants.Sweep(now)
 	if len(gone) > 0 {
 		r.changed()
 	}
@@ -231,6 +255,7 @@
 			if !ok {
 				continue
 			}
+			spec.Restarts = r.beliefs[e.ID].restarts
 			runners = append(runners, spec)
 			if !hasModel(models, spec.Model) {
 				models = append(models, protocol.Model{Name: spec.Model, Layers: layersOf(s)})
--- a/state/roster/roster_test.go
+++ b/state/roster/roster_test.go
@@ -118,6 +118,132 @@
 	require.Nil(t, r.View().Runner("x"))
 }
 
+// atX returns a record of an engine at address x.
+func atX(id string, life protocol.Lifetime, beats int, to int) protocol.Endpoint {
+	e := engine(id, "a", 0, to)
+	e.Address, e.Lifetime, e.Beats = "x:1", life, beats
+	return e
+}
+
+func TestARestartForgetsWhatWasMeasuredOfTheEarlierLife(t *testing.T) {
+	now := time.Unix(100, 0)
+	for _, c := range []struct {
+		name          string
+		before, after protocol.Endpoint
+		restarted     bool
+	}{
+		{"a later start", atX("x", 10, 3, 5), atX("x", 20, 3, 5), true},
+		{"the same start", atX("x", 10, 3, 5), atX("x", 10, 2, 5), false},
+		{"records counted anew", atX("x", 0, 3, 5), atX("x", 0, 1, 5), true},
+		{"a start told for the first time", atX("x", 0, 3, 5), atX("x", 10, 3, 5), false},
+	} {
+		r := newRoster()
+		require.Equal(t, roster.Joined, r.Take(c.before, now), c.name)
+		runner := r.View().Runner("x")
+		runner.Failed(now)
+		runner.Lose(now, now.Add(time.Hour))
+		require.Equal(t, c.restarted, r.Take(c.after, now) == roster.Restarted, c.name)
+		require.Equal(t, c.restarted, r.View().Runner("x") != runner, c.name)
+		require.Equal(t, c.restarted, r.View().Runner("x").Usable(now), c.name)
+	}
+}
+
+func TestARecordOfAnEarlierLifeChangesNothing(t *testing.T) {
+	r := newRoster()
+	now := time.Unix(100, 0)
+	r.Take(atX("x", 20, 1, 3), now)
+	x := r.View().Runner("x")
+	require.Equal(t, roster.Stale, r.Take(atX("x", 10, 9, 10), now))
+	r.Replace([]protocol.Endpoint{atX("x", 10, 9, 10)}, now)
+	require.Same(t, x, r.View().Runner("x"))
+	require.True(t, r.Remove("x", now))
+	require.Equal(t, roster.Stale, r.Take(atX("x", 10, 9, 10), now), "nor after the later one's has gone")
+	require.Empty(t, r.Endpoints())
+	report := protocol.EngineReport{Lifetime: 10, LayersKnown: true}
+	r.Take(atX("x", 20, 1, 3), now)
+	require.Equal(t, roster.Silent, r.Report("x", &report, now.Add(time.Minute)), "nor does a report of that life")
+	require.False(t, r.Denied("x", 10, now.Add(time.Minute)), "nor an answer")
+	require.Len(t, r.Centers("llm"), 1)
+}
+
+func TestAnEngineThatLacksItsLayersCountsAsEmpty(t *testing.T) {
+	r := newRoster()
+	now := time.Unix(100, 0)
+	r.Take(atX("x", 0, 2, 5), now)
+	require.False(t, r.Denied("x", 0, now.Add(-time.Second)), "its record has told more since")
+	require.True(t, r.Denied("x", 0, now.Add(time.Second)))
+	require.False(t, r.Denied("x", 0, now.Add(2*time.Second)), "it is known")
+	require.Nil(t, r.View().Runner("x"))
+	require.Equal(t, protocol.Span{}, r.Endpoints()[0].Layers, "it can be given layers")
+	r.Take(atX("x", 0, 2, 5), now.Add(3*time.Second))
+	require.Nil(t, r.View().Runner("x"), "its record says what it said")
+	r.Take(atX("x", 0, 3, 7), now.Add(4*time.Second))
+	require.NotNil(t, r.View().Runner("x"))
+}
+
+func TestWhatAReportSaysOfARecord(t *testing.T) {
+	now := time.Unix(100, 0)
+	span := protocol.Span{From: 0, To: 5}
+	for _, c := range []struct {
+		name   string
+		report protocol.EngineReport
+		after  time.Duration
+		says   roster.Reported
+		layers protocol.Span
+		anew   bool
+	}{
+		{"the same", protocol.EngineReport{Layers: span, LayersKnown: true, Orders: 2}, time.Second, roster.Agrees, span, false},
+		{"nothing of layers", protocol.EngineReport{Orders: 2}, time.Second, roster.Silent, span, false},
+		{"none", protocol.EngineReport{LayersKnown: true, Orders: 2}, time.Second, roster.Differs, protocol.Span{}, false},
+		{"none, from before the record changed", protocol.EngineReport{LayersKnown: true, Orders: 2}, 100 * time.Millisecond, roster.Silent, span, false},
+		{"orders counted anew", protocol.EngineReport{LayersKnown: true, Orders: 1}, 100 * time.Millisecond, roster.Differs, protocol.Span{}, true},
+		{"a later start", protocol.EngineReport{LayersKnown: true, Orders: 2, Lifetime: 20}, 100 * time.Millisecond, roster.Differs, protocol.Span{}, true},
+	} {
+		r := newRoster()
+		r.Take(atX("x", 10, 7, 5), now)
+		r.Report("x", &protocol.EngineReport{Layers: span, LayersKnown: true, Orders: 2}, now)
+		require.Equal(t, c.says, r.Report("x", &c.report, now.Add(c.after)), c.name)
+		require.Equal(t, c.layers, r.Endpoints()[0].Layers, c.name)
+		require.Equal(t, c.anew, len(r.StartedAgain()) == 1, c.name)
+		require.Empty(t, r.StartedAgain())
+	}
+}
+
+func TestWhoAnswersWithoutARecordIsKnownUntilItHasOne(t *testing.T) {
+	r := newRoster()
+	now := time.Unix(100, 0)
+	r.Take(atX("old", 0, 0, 5), now)
+	r.Located("old", "next", 0, now.Add(time.Second))
+	known := r.Unrecorded(now.Add(2 * time.Second))
+	require.Len(t, known, 1)
+	require.Equal(t, atX("next", 0, 0, 0), known[0], "what it is, is taken from the record, but not its layers")
+	require.Empty(t, r.Endpoints(), "it serves nothing")
+	r.Remove("old", now.Add(3*time.Second))
+	require.Len(t, r.Unrecorded(now.Add(4*time.Second)), 1, "the other one's record is not needed any more")
+	r.Take(atX("next", 0, 0, 0), now.Add(5*time.Second))
+	require.Empty(t, r.Unrecorded(now.Add(5*time.Second)))
+	r.Located("next", "third", 0, now.Add(6*time.Second))
+	require.Empty(t, r.Unrecorded(now.Add(time.Minute)), "one that is never recorded is forgotten")
+}
+
+func TestEveryRecordThatGoesOutOfUseIsTold(t *testing.T) {
+	r := newRoster()
+	now := time.Unix(100, 0)
+	r.Take(atX("old", 0, 0, 5), now)
+	r.Take(atX("new", 0, 0, 0), now)
+	require.Equal(t, []string{"new"}, ids(r.Endpoints()))
+	told := r.Notices()
+	require.Len(t, told, 1)
+	require.Equal(t, "old", told[0].Endpoint())
+	require.Equal(t, "new", told[0].Occupant())
+	require.False(t, told[0].Used())
+	require.Empty(t, r.Notices())
+	require.True(t, r.Located("old", "old", 0, now.Add(time.Second)))
+	require.Equal(t, []string{"old"}, ids(r.Endpoints()))
+	require.Len(t, r.Notices(), 2)
+	require.True(t, r.Has("new"))
+}
+
 // BenchmarkStart takes a fleet that starts, endpoint by endpoint, and looks once.
 func BenchmarkStart(b *testing.B) {
 	for _, n := range []int{40, 400, 3000} {
--- /dev/null
+++ b/state/roster/unrecorded.go
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package roster
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+// unrecordedFor is how long an endpoint is known that answered but has not recorded itself. Cut
+// off from the platform it may take some seconds.
+const unrecordedFor = 10 * time.Second
+
+// unrecorded is an endpoint without a record, until when it is believed in.
+type unrecorded struct {
+	endpoint protocol.Endpoint
+	till     time.Time
+}
+
+// Unrecorded returns the endpoints that answered at the address of another one's record and have
+// none yet. They are given layers, so that they hold them when their records come, but serve
+// nothing before. What they are is taken from the other's record: who orders something checks
+// it.
+func (r *Roster) Unrecorded(now time.Time) []protocol.Endpoint {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var all []protocol.Endpoint
+	for id, u := range r.unrecorded {
+		if now.After(u.till) {
+			delete(r.unrecorded, id)
+			continue
+		}
+		all = append(all, u.endpoint)
+	}
+	slices.SortFunc(all, func(a, b protocol.Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	return all
+}
+
+// answers notes an endpoint that answered at the address of another one's record.
+func (r *Roster) answers(id string, in protocol.Endpoint, at time.Time) {
+	if _, there := r.endpoints[id]; there {
+		return
+	}
+	if r.unrecorded == nil {
+		r.unrecorded = make(map[string]unrecorded)
+	}
+	r.unrecorded[id] = unrecorded{till: at.Add(unrecordedFor), endpoint: protocol.Endpoint{
+		ID: id, Service: in.Service, Address: in.Address, DataCenter: in.DataCenter, Accelerator: in.Accelerator, Model: in.Model,
+	}}
+}
+
+// Probe returns the question who has the address of an endpoint that may be lost, if it was
+// not asked lately.
+func (r *Roster) Probe(id string, now time.Time) (Question, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if _, there := r.endpoints[id]; !there || !r.occupants.Due(id, 0, now) {
+		return Question{}, false
+	}
+	return r.ask(id), true
+}
--- a/state/roster/usable.go
+++ b/state/roster/usable.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"pinerun.example/pinerun/protocol"
 )
@@ -40,6 +41,7 @@
 	}
 	delete(r.endpoints, id)
 	delete(r.vanished, id)
+	r.forget(id, time.Now())
 	r.changed()
 	return true
 }
@@ -57,7 +59,9 @@
 			misfits = append(misfits, Misfit{endpoint: e, fault: fault})
 			continue
 		}
-		list = append(list, e)
+		if r.inUse(e) {
+			list = append(list, r.believed(e))
+		}
 	}
 	return list, misfits
 }
--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -73,6 +73,8 @@
 	Followed  func() bool // whether others learn through this entry, nil for never
 	Counters  *metric.Set
 	Logger    *slog.Logger
+	// Misdirected is told that another process took an order to an endpoint, nil for nobody.
+	Misdirected func(endpoint string, by *Misdirected)
 
 	done     part.Done
 	lease    lease.Lease
@@ -183,6 +185,15 @@
 	d.woken = true
 }
 
+// Restarted takes it that an engine has started again: orders to its earlier life have no
+// effect, and it takes new ones.
+func (d *Director) Restarted(endpoint string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	delete(d.ordered, endpoint)
+	delete(d.resting, endpoint)
+}
+
 func (d *Director) wasWoken() bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/transport/director/director_test.go
+++ b/transport/director/director_test.go
@@ -43,6 +43,9 @@
 	loads   time.Duration // how long after an order is taken its effect shows
 	loses   int           // that many next orders are lost
 	late    time.Duration // orders are not answered and are carried out so much later
+	told    bool          // whether it tells its layers, which it lacks
+	other   string        // who answers in its place
+	kind    string        // accelerator that it reports
 }
 
 func (w *world) Get(context.Context, string, string) (protocol.Object, error) {
@@ -103,7 +106,7 @@
 	if e.silent {
 		return protocol.EngineReport{}, errors.New("silent")
 	}
-	return protocol.EngineReport{Orders: len(e.orders)}, nil
+	return protocol.EngineReport{Orders: len(e.orders), LayersKnown: e.told, Accelerator: e.kind}, nil
 }
 
 func (w *world) Place(_ context.Context, o protocol.PlaceOrder) (protocol.OrderAnswer, error) {
@@ -111,6 +114,8 @@
 	defer w.mutex.Unlock()
 	e := w.engines[o.Address]
 	switch {
+	case e.other != "":
+		return protocol.OrderRefused, &director.Misdirected{Address: o.Address, Occupant: e.other}
 	case e.loses > 0:
 		e.loses--
 		return protocol.OrderUnanswered, errors.New("lost")
@@ -540,3 +545,99 @@
 	require.Greater(t, plans[false], int64(50))
 	require.LessOrEqual(t, plans[true], int64(7))
 }
+
+// TestNoOrderRestsOnLayersThatAnEngineLacks plans for two engines of which one says, when it
+// is asked before its order, that it holds nothing of what its record tells: it gets no order
+// until a plan is worked out without those layers.
+func TestNoOrderRestsOnLayersThatAnEngineLacks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(2)
+		w.engines["e1"].told = true
+		d := w.director(t, "one")
+		d.Roster.Put(record("e0", protocol.Span{From: 0, To: 5}))
+		d.Roster.Put(record("e1", protocol.Span{From: 5, To: 7})) // nobody has [7,10)
+		time.Sleep(time.Second)
+		d.Start()
+		time.Sleep(5 * time.Second)
+		d.Close()
+		synctest.Wait()
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		require.NotEmpty(t, w.engines["e1"].orders)
+		require.Equal(t, 1+len(w.engines["e1"].orders), w.engines["e1"].reports, "the first answer led to another plan")
+		require.Equal(t, protocol.Span{From: 5, To: 10}, w.engines["e1"].orders[0].Layers)
+	})
+}
+
+// TestWhoTakesAnOrderInAnEnginesPlaceIsTold: the answer names another process.
+func TestWhoTakesAnOrderInAnEnginesPlaceIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(2)
+		w.engines["e1"].other = "next"
+		d := w.director(t, "one")
+		var told []string
+		d.Misdirected = func(endpoint string, by *director.Misdirected) {
+			told = append(told, endpoint+" "+by.Occupant)
+			d.Roster.Located(endpoint, by.Occupant, 0, time.Now())
+		}
+		d.Roster.Put(record("e0", protocol.Span{From: 0, To: 5}))
+		d.Roster.Put(record("e1", protocol.Span{}))
+		d.Start()
+		time.Sleep(10 * time.Second)
+		d.Close()
+		synctest.Wait()
+		require.Equal(t, []string{"e1 next"}, told, "it is not ordered again")
+	})
+}
+
+// TestAnEngineThatStartedAgainIsOrderedAtOnce lets an engine start again while its order is
+// under way: it is forgotten there, and the next one does not wait for its effect.
+func TestAnEngineThatStartedAgainIsOrderedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(2)
+		w.engines["e1"].loads = time.Hour
+		d := w.director(t, "one")
+		d.Roster.Put(record("e0", protocol.Span{From: 0, To: 5}))
+		d.Roster.Put(record("e1", protocol.Span{}))
+		d.Start()
+		time.Sleep(4 * time.Second) // the list of engines is whole by then
+		require.Equal(t, 1, w.orders())
+		w.mutex.Lock()
+		w.engines["e1"].orders = nil
+		w.mutex.Unlock()
+		d.Restarted("e1")
+		d.Wake()
+		time.Sleep(time.Second)
+		require.Equal(t, 1, w.orders())
+		d.Close()
+		synctest.Wait()
+	})
+}
+
+// TestAnEngineWithoutARecordIsGivenLayersIfItIsOne: it answered at the address of a dead one.
+func TestAnEngineWithoutARecordIsGivenLayersIfItIsOne(t *testing.T) {
+	for kind, orders := range map[string]int{"t4": 1, "l4": 0, "": 0} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(2)
+			w.engines["e1"].told, w.engines["e1"].kind = true, kind
+			w.engines["e1"].loads = time.Hour
+			d := w.director(t, "one")
+			d.Roster.Put(record("e0", protocol.Span{From: 0, To: 5}))
+			d.Roster.Put(record("e1", protocol.Span{From: 5, To: 10}))
+			d.Start()
+			time.Sleep(4 * time.Second) // the list of engines is whole by then
+			require.Zero(t, w.orders())
+			d.Roster.Located("e1", "next", 0, time.Now())
+			time.Sleep(time.Second)
+			d.Close()
+			synctest.Wait()
+			w.mutex.Lock()
+			defer w.mutex.Unlock()
+			require.Len(t, w.engines["e1"].orders, orders, kind)
+			for _, o := range w.engines["e1"].orders {
+				require.Equal(t, "next", o.EndpointID)
+				require.Equal(t, protocol.Span{From: 5, To: 10}, o.Layers)
+			}
+		})
+	}
+}
--- a/transport/director/moves.go
+++ b/transport/director/moves.go
@@ -30,6 +30,7 @@
 	place.Move
 
 	address string
+	kind    string // accelerator that an engine without a record has to have, "" for one with one
 }
 
 // moves returns the wanted moves of all services whose endpoints are engines, with those
@@ -43,23 +44,43 @@
 		d.knownAt = now
 	}
 	endpoints := d.Roster.Endpoints()
-	d.forget(endpoints, now)
+	unrecorded := d.unrecorded(table.Services(), now)
+	d.forget(slices.Concat(endpoints, unrecorded), now)
 	var moves []move
 	services := table.Services()
 	for i := range services {
 		if services[i].Engine != nil {
-			moves = append(moves, d.movesOf(&services[i], endpoints, now, improving)...)
+			moves = append(moves, d.movesOf(&services[i], endpoints, unrecorded, now, improving)...)
 		}
 	}
 	return moves
 }
 
+// unrecorded returns the engines that live but have no record yet. Where several services have
+// engines, it is not known whose they are.
+func (d *Director) unrecorded(services []protocol.RoutedService, now time.Time) []protocol.Endpoint {
+	engines := 0
+	for i := range services {
+		if services[i].Engine != nil {
+			engines++
+		}
+	}
+	if engines != 1 {
+		return nil
+	}
+	return d.Roster.Unrecorded(now)
+}
+
 // movesOf returns the wanted moves of one service, but none of engines that rest.
-func (d *Director) movesOf(s *protocol.RoutedService, endpoints []protocol.Endpoint, now time.Time, improving bool) []move {
+func (d *Director) movesOf(s *protocol.RoutedService, endpoints, unrecorded []protocol.Endpoint, now time.Time, improving bool) []move {
 	q := place.Query{Facts: s.Engine, Urgent: !improving}
 	addresses := make(map[string]string)
+	kinds := make(map[string]string) // accelerators of the unrecorded
+	for _, e := range unrecorded {
+		kinds[e.ID] = e.Accelerator
+	}
 	view := d.Roster.View()
-	for _, e := range endpoints {
+	for _, e := range slices.Concat(endpoints, unrecorded) {
 		if e.Service != s.Name {
 			continue
 		}
@@ -84,7 +105,7 @@
 		if now.Before(d.restOf(m.Engine())) {
 			continue
 		}
-		moves = append(moves, move{Move: m, address: addresses[m.Engine()]})
+		moves = append(moves, move{Move: m, address: addresses[m.Engine()], kind: kinds[m.Engine()]})
 	}
 	return moves
 }
--- a/transport/director/order.go
+++ b/transport/director/order.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/roster"
 )
 
 const (
@@ -26,6 +28,9 @@
 	ordersAtOnce = 8
 )
 
+// errNoEngine says that what has an engine's address is not such an engine.
+var errNoEngine = errors.New("what answers there is no such engine; wait for its record")
+
 // order is an order whose effect has not been seen yet.
 type order struct {
 	span protocol.Span
@@ -77,6 +82,14 @@
 		g.failed(err)
 		return
 	}
+	if d.Roster.Report(g.move.Engine(), &report, time.Now()) == roster.Differs {
+		g.differs() // the plan counts on what it does not hold
+		return
+	}
+	if g.move.kind != "" && (!report.LayersKnown || report.Accelerator != g.move.kind) {
+		g.failed(errNoEngine) // the address was another service's before
+		return
+	}
 	if report.Busy {
 		g.doubt() // another order is being carried out; its effect will show
 		return
@@ -90,6 +103,7 @@
 		Cut: g.move.Cut(),
 	})
 	if err != nil {
+		g.misdirected(err)
 		g.failed(err)
 	}
 	if answer != protocol.OrderRefused {
@@ -108,6 +122,24 @@
 	delete(d.resting, g.move.Engine())
 }
 
+// differs takes it that the engine is not as its record says: what it was ordered to do was
+// an earlier life's, and a plan for what it holds is worked out at the next look.
+func (g *giving) differs() {
+	d := g.director
+	d.Restarted(g.move.Engine())
+	d.Wake()
+	event.OrderFailed.Log(d.Logger, slog.String("runner", g.move.Engine()),
+		slog.String("layers", g.move.Span().String()), slog.String("cause", "it is not as its record says"))
+}
+
+// misdirected tells that another process than the engine answered.
+func (g *giving) misdirected(err error) {
+	var other *Misdirected
+	if d := g.director; d.Misdirected != nil && errors.As(err, &other) {
+		d.Misdirected(g.move.Engine(), other)
+	}
+}
+
 // failed leaves the engine alone for a while.
 func (g *giving) failed(err error) {
 	d := g.director
--- a/transport/director/record.go
+++ b/transport/director/record.go
@@ -25,9 +25,11 @@
 // written, it may take effect.
 type orderRecord struct {
 	Endpoint string `json:"endpoint"`
-	From     int    `json:"from"`
-	To       int    `json:"to"`
-	LeftMS   int64  `json:"left_ms"`
+	// Lifetime is the engine's life that the order was given to, if it is known.
+	Lifetime protocol.Lifetime `json:"lifetime,omitempty"`
+	From     int               `json:"from"`
+	To       int               `json:"to"`
+	LeftMS   int64             `json:"left_ms"`
 }
 
 // heard is the lease as another entry told it.
@@ -75,6 +77,9 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, o := range r.Orders {
+		if o.Lifetime.Before(d.Roster.Lifetime(o.Endpoint)) {
+			continue // that life is over
+		}
 		left := min(most, time.Duration(o.LeftMS)*time.Millisecond)
 		if own, ok := d.ordered[o.Endpoint]; ok && own.till.After(now.Add(left)) {
 			continue // this entry has ordered since
@@ -90,7 +95,7 @@
 	var all []orderRecord
 	for id, o := range d.ordered {
 		if left := o.till.Sub(now); left > 0 {
-			all = append(all, orderRecord{Endpoint: id, From: o.span.From, To: o.span.To, LeftMS: left.Milliseconds()})
+			all = append(all, orderRecord{Endpoint: id, Lifetime: d.Roster.Lifetime(id), From: o.span.From, To: o.span.To, LeftMS: left.Milliseconds()})
 		}
 	}
 	slices.SortFunc(all, func(a, b orderRecord) int { return strings.Compare(a.Endpoint, b.Endpoint) })
--- a/transport/forward/blame.go
+++ b/transport/forward/blame.go
@@ -35,14 +35,23 @@
 
 // refused leaves out for a moment the runner that did not run a request, which is
 // the first of the path when it names no other.
-func (x *exchange) refused(a *attempt, address string, now time.Time) {
+func (x *exchange) refused(m *wholeCame, now time.Time) {
+	a, address := m.attempt, m.terms.AtFault
 	x.forwarder.log(event.AttemptNotRun, x.id(), slog.Int("attempt", a.number), slog.String("endpoint", a.endpoint.Name()),
-		slog.String("at_fault", address))
+		slog.Int("status", m.head.StatusCode), slog.String("at_fault", address), slog.String("by", m.terms.EndpointID))
 	for i := range a.path.Len() {
 		if r := a.path.Runner(i); r.Spec().Address == address || address == "" && i == 0 {
 			r.Refused(now)
-			r.RefusedForRoom(now)
 			x.avoid = append(x.avoid, r)
 		}
 	}
 }
+
+// leaveRoom takes the runner that did not run a request as full for a moment.
+func (x *exchange) leaveRoom(a *attempt, address string, now time.Time) {
+	for i := range a.path.Len() {
+		if r := a.path.Runner(i); r.Spec().Address == address || address == "" && i == 0 {
+			r.RefusedForRoom(now)
+		}
+	}
+}
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -46,6 +46,9 @@
 	TrustKeys func(confirmed time.Time) time.Time
 	// Tell tells the other entries that this one met a sign of an endpoint, nil for nobody.
 	Tell func(endpoint string, sign protocol.LossSign, at time.Time)
+	// Locate tells them which process answers at an endpoint's address, nil for nobody: "" is
+	// one that does not hold the layers of the endpoint's record.
+	Locate func(endpoint, occupant string, at time.Time)
 
 	done     part.Done
 	budgets  budgets
--- /dev/null
+++ b/transport/forward/misplaced.go
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"log/slog"
+	"time"
+
+	"pinerun.example/pinerun/coordination/loss"
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/state/fleet"
+)
+
+// misplaced takes it that a request was sent where it can't run: another process has the
+// address of a runner of its path, or that runner does not hold its layers. Unlike a refusal
+// for want of room this does not pass, so that all entries are told. 15 of 98 engines that
+// had crashed and started again gave twelve entries 344 such answers while each found out for
+// itself, again and again; all 36 entries met 7 since (logs of a day of 34 s, one play each).
+func (x *exchange) misplaced(m *wholeCame, now time.Time) {
+	f, a, terms := x.forwarder, m.attempt, &m.terms
+	x.refused(m, now)
+	for i := range a.path.Len() {
+		r := a.path.Runner(i)
+		if r.Spec().Address != terms.AtFault && (terms.AtFault != "" || i > 0) {
+			continue
+		}
+		occupant := ""
+		if i == 0 && terms.EndpointID != r.Name() {
+			occupant = terms.EndpointID
+		}
+		f.locate(r, occupant, a.sentAt)
+	}
+}
+
+// locate takes it, and tells the others, that the process which answers at a runner's address
+// is the occupant, "" for one that does not hold the runner's layers. The time is that of the
+// question: what the runner's record told later stands.
+func (f *Forwarder) locate(r *fleet.Runner, occupant string, at time.Time) {
+	f.Counters.Add(metric.RecordsDisproved, 1)
+	if f.Locate != nil {
+		f.Locate(r.Name(), occupant, at)
+	}
+}
+
+// located takes a report of who answers at an endpoint's address, and reports whether it
+// changes which record is used, and how.
+func (f *Forwarder) located(report *loss.Report) bool {
+	id, occupant := report.Endpoint(), report.Occupant()
+	var news bool
+	switch occupant {
+	case "":
+		news = f.Roster.Denied(id, report.Lifetime(), report.At())
+	case id:
+		moved := f.Roster.Located(id, occupant, report.Lifetime(), report.At())
+		news = f.Roster.Holds(id) || moved
+	default:
+		news = f.Roster.Located(id, occupant, report.Lifetime(), report.At())
+	}
+	if news {
+		f.log(event.RecordDisproved, slog.String("endpoint", id), slog.String("occupant", occupant),
+			slog.String("sign", report.Sign().String()), slog.String("witness", report.Witness()),
+			slog.Int64("age_ms", time.Since(report.At()).Milliseconds()))
+	}
+	return news
+}
--- a/transport/forward/news.go
+++ b/transport/forward/news.go
@@ -70,6 +70,9 @@
 // Judged takes what a report of an endpoint changes, and reports whether it may matter to
 // who gives orders.
 func (f *Forwarder) Judged(report loss.Report, v loss.Verdict) bool {
+	if _, ok := v.(loss.Located); ok {
+		return f.located(&report)
+	}
 	r := f.Roster.View().Runner(report.Endpoint())
 	if r == nil {
 		return false
--- a/transport/forward/news_test.go
+++ b/transport/forward/news_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -58,7 +59,7 @@
 	var list []protocol.Endpoint
 	for i := range n {
 		list = append(list, protocol.Endpoint{
-			ID: string(rune('a' + i)), Service: "llm", Address: "127.0.0.1:1", DataCenter: "a", Accelerator: "t4",
+			ID: string(rune('a' + i)), Service: "llm", Address: fmt.Sprintf("127.0.0.%d:1", i+1), DataCenter: "a", Accelerator: "t4",
 			Layers: protocol.Span{From: 0, To: 10},
 		})
 	}
--- a/transport/forward/take.go
+++ b/transport/forward/take.go
@@ -73,8 +73,12 @@
 	a := m.attempt
 	x.drop(a)
 	switch {
+	case m.head.StatusCode == http.StatusMisdirectedRequest:
+		x.misplaced(&m, now)
+		x.decide(a, retry.NotRun, &m)
 	case m.terms.NotRun:
-		x.refused(a, m.terms.AtFault, now)
+		x.refused(&m, now)
+		x.leaveRoom(a, m.terms.AtFault, now)
 		x.decide(a, retry.NotRun, &m)
 	case x.headSent:
 		// The caller has the head of a stream, and this is no part of one, whether
--- a/transport/front/endpoint_sink.go
+++ b/transport/front/endpoint_sink.go
@@ -8,6 +8,7 @@
 
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/roster"
 )
 
 // endpointSink keeps the roster of endpoints.
@@ -17,13 +18,6 @@
 func (s *endpointSink) Listed(objects []protocol.Object, now time.Time) {
 	f := s.front
 	f.platformAnswered()
-	known := make(map[string]bool)
-	for _, e := range f.roster.Endpoints() {
-		known[e.ID] = true
-	}
-	for _, m := range f.roster.Misfits() {
-		known[m.Endpoint().ID] = true
-	}
 	f.records.only(objects)
 	list := make([]protocol.Endpoint, 0, len(objects))
 	for _, o := range objects {
@@ -32,7 +26,7 @@
 			continue
 		}
 		list = append(list, e)
-		if !known[e.ID] {
+		if !f.roster.Has(e.ID) {
 			s.joined(e, o.Version)
 		}
 	}
@@ -57,9 +51,15 @@
 	if !ok {
 		return
 	}
-	if f.roster.Put(e) {
+	switch f.roster.Take(e, now) {
+	case roster.Joined:
 		s.joined(e, c.Object.Version)
 		return
+	case roster.Restarted:
+		f.restarted(e, c.Object.Version)
+		return
+	case roster.Stale:
+		return
 	}
 	if e.Leaving {
 		event.EndpointLeaving.Log(f.Logger, slog.String("endpoint", e.ID), slog.Uint64("revision", c.Object.Version))
--- a/transport/front/fleet.go
+++ b/transport/front/fleet.go
@@ -27,6 +27,11 @@
 		d.State, d.Reason = protocol.EndpointMisfit, m.Fault()
 		s.Endpoints = append(s.Endpoints, d)
 	}
+	for _, n := range f.roster.Superseded() {
+		s.Endpoints = append(s.Endpoints, protocol.EndpointStatus{
+			ID: n.Endpoint(), Address: n.Address(), Occupant: n.Occupant(), State: protocol.EndpointSuperseded,
+		})
+	}
 	slices.SortFunc(s.Endpoints, func(a, b protocol.EndpointStatus) int { return strings.Compare(a.ID, b.ID) })
 	return s
 }
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -89,19 +89,20 @@
 	f.forwarder = forward.Forwarder{
 		Home: home, Routing: &f.routing, Roster: &f.roster, Headers: f.Outside.Headers, Reporter: f.Outside.Engines,
 		Counters: f.Counters, Logger: f.Logger,
-		TrustKeys: s.KeyTrust, Tell: f.source.Tell,
+		TrustKeys: s.KeyTrust, Tell: f.source.Tell, Locate: f.source.Locate,
 	}
 	f.forwarder.OpenBudget(forward.Retries{Share: s.RetryShare * shareKept, Slack: s.RetrySlack, Ends: s.RetryWindow}, census.Least, time.Now())
 	f.director = director.Director{
 		Self: s.Name, LeaseKind: leaseKind, Routing: &f.routing, Roster: &f.roster, Engines: f.Outside.Engines,
 		Objects: f.Outside.Objects, Entries: f.watching, Following: f.source.Following, Followed: f.source.Followed, Counters: f.Counters, Logger: f.Logger,
+		Misdirected: f.misdirected,
 	}
 	f.source = relay.Source{
 		Platform: f.Outside.Objects,
 		Self:     protocol.EntryRecord{Name: s.Name, DataCenter: s.DataCenter, MemoryMB: s.MemoryMB},
 		Kinds:    []string{f.Outside.RoutingKind, f.Outside.EndpointKind, entryKind, leaseKind}, Kind: f.Outside.RoutingKind, Name: f.Outside.RoutingName,
 		Counters: f.Counters, Logger: f.Logger, Failed: f.roster.Outage,
-		Endpoints: func() int { return len(f.roster.Endpoints()) }, Judged: f.judged,
+		Endpoints: func() int { return len(f.roster.Endpoints()) }, Judged: f.judged, Lifetime: f.roster.Lifetime,
 	}
 }
 
@@ -204,6 +205,7 @@
 			for _, e := range f.roster.Sweep(now) {
 				event.EndpointGone.Log(f.Logger, slog.String("endpoint", e.ID), slog.String("reason", "did not come back after the platform did"))
 			}
+			f.lookAtRecords(now)
 			f.records.judge(&f.roster)
 			f.callers.sweep(now)
 		case <-f.done.Done():
--- /dev/null
+++ b/transport/front/occupants.go
@@ -0,0 +1,122 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package front
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/roster"
+	"pinerun.example/pinerun/transport/director"
+)
+
+// inquiryLimit bounds what an address is asked: two questions that take some ms each.
+const inquiryLimit = 600 * time.Millisecond
+
+// lookAtRecords tells which records went out of use or came back into it, and asks where it
+// is unclear who has an address. The entry that follows no other asks at once; the others hear
+// of it.
+func (f *Front) lookAtRecords(now time.Time) {
+	for _, n := range f.roster.Notices() {
+		if !n.Used() {
+			f.Counters.Add(metric.RecordsSuperseded, 1)
+		}
+		event.RecordSuperseded.Log(f.Logger, slog.String("endpoint", n.Endpoint()), slog.String("address", n.Address()),
+			slog.String("occupant", n.Occupant()), slog.Bool("used", n.Used()))
+	}
+	for _, e := range f.roster.StartedAgain() {
+		f.restarted(e, 0)
+	}
+	for _, q := range f.roster.Questions(f.source.Following(), now) {
+		go (&inquiry{front: f, question: q}).run()
+	}
+	if !f.source.Following() {
+		f.probeLost(now)
+	}
+}
+
+// probeLost asks the addresses of engines that were found lost who has them: one that starts
+// again there can be given layers before it has recorded itself.
+func (f *Front) probeLost(now time.Time) {
+	for id, r := range f.roster.View().Runners() {
+		if !r.Lost(now) {
+			continue
+		}
+		if q, due := f.roster.Probe(id, now); due {
+			go (&inquiry{front: f, question: q}).run()
+		}
+	}
+}
+
+// misdirected takes it that another process took an order to an endpoint. Not all name
+// themselves in that answer.
+func (f *Front) misdirected(endpoint string, by *director.Misdirected) {
+	if by.Occupant != "" {
+		f.source.Locate(endpoint, by.Occupant, time.Now())
+		return
+	}
+	if q, there := f.roster.Ask(endpoint); there {
+		go (&inquiry{front: f, question: q}).run()
+	}
+}
+
+// restarted takes it that an endpoint started again under its ID, as its record says at a
+// revision, or its report at 0.
+func (f *Front) restarted(e protocol.Endpoint, revision uint64) {
+	f.director.Restarted(e.ID)
+	f.Counters.Add(metric.RestartsSeen, 1)
+	event.EndpointRestarted.Log(f.Logger, slog.String("endpoint", e.ID), slog.Int64("lifetime", int64(e.Lifetime)),
+		slog.String("layers", e.Layers.String()), slog.Uint64("revision", revision))
+}
+
+// inquiry asks an address who has it, and an engine whose layers are in doubt what it holds.
+type inquiry struct {
+	front    *Front
+	question roster.Question
+}
+
+func (i *inquiry) run() {
+	f, q := i.front, i.question
+	ctx, cancel := context.WithTimeout(context.Background(), inquiryLimit)
+	defer cancel()
+	asked := time.Now()
+	occupant := i.occupant(ctx)
+	if occupant == "" {
+		return // asked again soon
+	}
+	if occupant == q.Endpoint() && q.Layers() && !i.holds(ctx) {
+		return
+	}
+	f.source.Locate(q.Endpoint(), occupant, asked)
+}
+
+// occupant returns who has the address, "" if that is not known.
+func (i *inquiry) occupant(ctx context.Context) string {
+	f, q := i.front, i.question
+	table := f.routing.Current()
+	if table == nil {
+		return ""
+	}
+	s := table.Service(q.Service())
+	if s == nil || s.HealthPath == "" {
+		return ""
+	}
+	f.Counters.Add(metric.ReportsAsked, 1)
+	id, err := f.Outside.Engines.Identify(ctx, q.Address(), s.HealthPath)
+	if err != nil {
+		return ""
+	}
+	return id
+}
+
+// holds reports whether the engine says that it holds what its record says.
+func (i *inquiry) holds(ctx context.Context) bool {
+	f, q := i.front, i.question
+	f.Counters.Add(metric.ReportsAsked, 1)
+	report, err := f.Outside.Engines.Report(ctx, q.Address())
+	return err == nil && f.roster.Report(q.Endpoint(), &report, time.Now()) == roster.Agrees
+}
--- a/transport/front/outside.go
+++ b/transport/front/outside.go
@@ -34,6 +34,9 @@
 type Engines interface {
 	forward.Reporter
 	director.Engines
+	// Identify asks which endpoint has an address, at the path of its service for that, and
+	// returns "" if what answers does not tell.
+	Identify(ctx context.Context, address, path string) (string, error)
 }
 
 // Decoder decodes the objects of the platform.
--- a/transport/front/sinks_test.go
+++ b/transport/front/sinks_test.go
@@ -63,3 +63,24 @@
 	endpoints.Listed(nil, began.Add(3500*time.Millisecond))
 	require.Len(t, f.roster.Endpoints(), 1, "its record lapsed while the platform was away")
 }
+
+// lived decodes an object's content as the life that the endpoint tells.
+type lived struct{ fixed }
+
+func (lived) Endpoint(o protocol.Object) (protocol.Endpoint, error) {
+	return protocol.Endpoint{ID: o.Name, Service: "plain", Address: o.Name, Lifetime: protocol.Lifetime(len(o.Value))}, nil
+}
+
+// TestAnEndpointThatStartsAgainIsCountedOnce: its record tells a later start, and then one of
+// its earlier life is written late.
+func TestAnEndpointThatStartsAgainIsCountedOnce(t *testing.T) {
+	f := &Front{Counters: &metric.Set{}, Outside: Outside{RoutingName: "main", Decoder: lived{}}}
+	s := &endpointSink{front: f}
+	now := time.Now()
+	for i, life := range []int{1, 2, 1, 2} {
+		o := protocol.Object{Name: "e", Version: uint64(i + 1), Value: make([]byte, life)}
+		s.Changed(protocol.Change{Object: o}, now.Add(time.Duration(i)*time.Second))
+	}
+	require.EqualValues(t, 1, f.Counters.Value(string(metric.RestartsSeen)))
+	require.EqualValues(t, 2, f.roster.Endpoints()[0].Lifetime)
+}
--- a/transport/relay/news.go
+++ b/transport/relay/news.go
@@ -35,7 +35,25 @@
 
 // Tell passes on that this entry met a sign of an endpoint.
 func (s *Source) Tell(endpoint string, sign protocol.LossSign, at time.Time) {
-	s.hear(loss.NewReport(endpoint, s.Self.Name, sign, at), "")
+	s.hear(loss.NewReport(endpoint, s.Self.Name, sign, at).In(s.lifeOf(endpoint)), "")
+}
+
+// Locate passes on which process answers at an endpoint's address: occupant is "" for one
+// that does not hold the layers of the endpoint's record.
+func (s *Source) Locate(endpoint, occupant string, at time.Time) {
+	sign := protocol.LossMisplaced
+	if occupant == endpoint {
+		sign = protocol.LossAnswered
+	}
+	s.hear(loss.NewReport(endpoint, s.Self.Name, sign, at).In(s.lifeOf(endpoint)).Naming(occupant), "")
+}
+
+// lifeOf returns the life of an endpoint that this entry knows of.
+func (s *Source) lifeOf(endpoint string) protocol.Lifetime {
+	if s.Lifetime == nil {
+		return 0
+	}
+	return s.Lifetime(endpoint)
 }
 
 // hear judges a report and passes it on if it changes anything.
@@ -57,7 +75,7 @@
 	now := time.Now()
 	for _, l := range all {
 		at := now.Add(-time.Duration(l.AgoMS * float64(time.Millisecond)))
-		s.hear(loss.NewReport(l.Endpoint, l.Witness, l.Sign, at), via)
+		s.hear(loss.NewReport(l.Endpoint, l.Witness, l.Sign, at).In(l.Lifetime).Naming(l.Occupant), via)
 	}
 }
 
@@ -96,7 +114,8 @@
 			continue
 		}
 		all = append(all, protocol.RelayLoss{
-			Endpoint: i.report.Endpoint(), Witness: i.report.Witness(), Sign: i.report.Sign(), AgoMS: max(0, milliseconds(ago)),
+			Endpoint: i.report.Endpoint(), Lifetime: i.report.Lifetime(), Witness: i.report.Witness(), Sign: i.report.Sign(),
+			AgoMS: max(0, milliseconds(ago)), Occupant: i.report.Occupant(),
 		})
 	}
 	return all, n.numbers
--- a/transport/relay/news_test.go
+++ b/transport/relay/news_test.go
@@ -111,3 +111,39 @@
 		require.Zero(t, nothing.count(), "old news count for nothing")
 	})
 }
+
+// TestWhoHasAnAddressIsKnownToAllAtOnce has one entry of thirty meet another process at an
+// endpoint's address: all are told once, with its ID and the life that the endpoint had.
+func TestWhoHasAnAddressIsKnownToAllAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put(table, "one")
+		all := newEntries(t, s, 30)
+		var mutex sync.Mutex
+		heard := make(map[string][]loss.Report)
+		for _, e := range all {
+			e.source.Lifetime = func(string) protocol.Lifetime { return 7 }
+			e.source.Judged = func(r loss.Report, _ loss.Verdict) {
+				mutex.Lock()
+				defer mutex.Unlock()
+				heard[e.outside.name] = append(heard[e.outside.name], r)
+			}
+		}
+		met := time.Now()
+		all[17].source.Locate("engine", "other", met)
+		time.Sleep(50 * time.Millisecond)
+		for i := range 10 {
+			all[i].source.Locate("engine", "other", time.Now())
+		}
+		time.Sleep(500 * time.Millisecond)
+		mutex.Lock()
+		defer mutex.Unlock()
+		require.Len(t, heard, len(all))
+		for name, reports := range heard {
+			require.Len(t, reports, 1, name)
+			require.Equal(t, "other", reports[0].Occupant())
+			require.Equal(t, protocol.LossMisplaced, reports[0].Sign())
+			require.Equal(t, protocol.Lifetime(7), reports[0].Lifetime())
+		}
+	})
+}
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -58,6 +58,8 @@
 	// a report of a lost endpoint changes.
 	Endpoints func() int
 	Judged    func(r loss.Report, v loss.Verdict)
+	// Lifetime returns the life of an endpoint that is known, nil for none ever.
+	Lifetime func(endpoint string) protocol.Lifetime
 	// Dial connects to a peer's address, nil for TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
