pressure, backlog, forward, front: bound what is held for callers who read slowly

Cause: the exchange wrote to its caller in its own loop, so a caller that does not read stopped the reading of its engine until the deadline, and nothing summed what all callers hold.

Bodies, heads and idle connections are bounded; an entry near its budget says so to its balancer. A body that comes too late is refused with 408, which is true: it has not run (400 before, which callers do not repeat).

Partial: no bound for each caller (they share addresses), peers are not told, the bound of bytes in flight to an engine learns from broken connections only.

--- a/command/front.go
+++ b/command/front.go
@@ -18,13 +18,8 @@
 	"pinerun.example/pinerun/transport/front"
 )
 
-const (
-	// logsBy is how long the last lines may take to be written.
-	logsBy = 200 * time.Millisecond
-	// heapShare is the part of the memory limit at which the collector works
-	// harder; the rest is for stacks and for bytes that wait in sockets.
-	heapShare = 0.6
-)
+// logsBy is how long the last lines may take to be written.
+const logsBy = 200 * time.Millisecond
 
 // frontVerb runs one entry of a deployed system until it is told to stop.
 type frontVerb struct{ file string }
@@ -46,7 +41,9 @@
 		return o.fail(exitUsage, errors.New(`the settings have no section "front"; add it`))
 	}
 	s := *file.Front
-	debug.SetMemoryLimit(int64(s.MemoryMB * heapShare * (1 << 20)))
+	if limit := s.HeapBytes(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	counters := &metric.Set{}
 	writer := &logs.Writer{Out: o.out, Counters: counters}
 	writer.Start()
--- /dev/null
+++ b/coordination/pressure/inflight.go
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package pressure
+
+const (
+	// inflightFirst is how many bytes of requests an endpoint is given before anything is
+	// known of it: some of the largest bodies that routing tables allow.
+	inflightFirst = 32 << 20
+	// inflightLeast is the least that it is given however often it fell over: one large
+	// request, or hundreds of usual ones.
+	inflightLeast = 1 << 20
+	// inflightFall is the part of what it held that an endpoint is given after it fell over,
+	// and inflightGrowth by how much of each answered request the bound grows.
+	inflightFall, inflightGrowth = 0.5, 0.1
+)
+
+// Inflight bounds the bytes of requests that an endpoint holds of this entry, whose memory
+// nobody tells: it halves when the endpoint breaks connections off while it holds many, and
+// grows with what it answers. The zero value is an endpoint of which nothing is known.
+type Inflight struct {
+	limit int64 // 0 for inflightFirst
+	bytes int64
+}
+
+// Limit returns the bound in bytes.
+func (f *Inflight) Limit() int64 {
+	if f.limit == 0 {
+		return inflightFirst
+	}
+	return f.limit
+}
+
+// Bytes returns how many bytes are in flight.
+func (f *Inflight) Bytes() int64 { return f.bytes }
+
+// Room reports whether a request of n bytes may be sent. One alone always may.
+func (f *Inflight) Room(n int64) bool { return f.bytes == 0 || f.bytes+n <= f.Limit() }
+
+// Sent notes a request of n bytes.
+func (f *Inflight) Sent(n int64) { f.bytes += n }
+
+// Ended notes that the endpoint does not hold a request of n bytes any more. Fell says that
+// it broke the connection off.
+func (f *Inflight) Ended(n int64, fell bool) {
+	held := f.bytes
+	f.bytes -= n
+	switch {
+	case !fell:
+		f.limit = min(inflightFirst, f.Limit()+int64(inflightGrowth*float64(n)))
+	case held > inflightLeast:
+		f.limit = min(f.Limit(), max(inflightLeast, int64(inflightFall*float64(held))))
+	}
+}
--- a/deployed_test.go
+++ b/deployed_test.go
@@ -38,12 +38,18 @@
 }
 
 func newMachine(t *testing.T, binary, name, store string) *machine {
+	t.Helper()
+	return newMachineOf(t, binary, name, store, 284)
+}
+
+// newMachineOf is newMachine with that much memory.
+func newMachineOf(t *testing.T, binary, name, store string, memoryMB int) *machine {
 	t.Helper()
 	m := &machine{t: t, binary: binary, address: platformtest.FreeAddress(), ready: platformtest.FreeAddress()}
 	text := platformtest.Settings(t, ".", map[string]any{
 		"node_name": name, "zone": "a", "zones": map[string]string{"a": "east"}, "ip": "127.0.0.1", "listen.front": m.address, "listen.readiness": m.ready,
 		"platform.address": store, "bounds.grace_s": 8, "bounds.revoke_ms": 5000, "bounds.retry_budget_ratio": 0.2,
-		"bounds.retry_budget_slack": 200, "bounds.budget_window_s": 10, "limits.memory_mb": 284, "internal_ports.0": platformtest.FreePort(),
+		"bounds.retry_budget_slack": 200, "bounds.budget_window_s": 10, "limits.memory_mb": memoryMB, "limits.max_fds": 8192, "internal_ports.0": platformtest.FreePort(),
 	})
 	text = strings.Replace(text, "127.0.0.1:9464", platformtest.FreeAddress(), 1) // both stand on this machine
 	m.file = filepath.Join(t.TempDir(), name+".jsonc")
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -35,6 +35,8 @@
 	CallerUnbounded    = Event{2009, "caller unbounded", slog.LevelWarn}
 	HoldEnded          = Event{2011, "waited in vain", slog.LevelInfo}
 	HoldBegun          = Event{2012, "waits for room", slog.LevelInfo}
+	AnswerStopped      = Event{2013, "caller reads slowly", slog.LevelInfo}
+	AnswerEnded        = Event{2014, "answer ended for room", slog.LevelWarn}
 	RunnerConnected    = Event{3001, "runner connected", slog.LevelInfo}
 	RunnerLost         = Event{3002, "runner lost", slog.LevelWarn}
 	RunnerEjected      = Event{3003, "runner ejected", slog.LevelWarn}
@@ -83,7 +85,7 @@
 	return []Event{
 		EntryReady, EntryStopping, EntryStopped, SettingsRead, SettingsIgnored,
 		RequestRefused, RequestRetried, RequestSent, RequestAnswered, SilenceSuspected, AttemptBroken,
-		StreamCut, CallerLeft, CallerUnbounded, AttemptNotRun, HoldEnded, HoldBegun,
+		StreamCut, CallerLeft, CallerUnbounded, AttemptNotRun, HoldEnded, HoldBegun, AnswerStopped, AnswerEnded,
 		RunnerConnected, RunnerLost, RunnerEjected, FrameBroken, ReportIgnored,
 		EndpointJoined, EndpointLeaving, EndpointGone, LayersChanged, LossTold,
 		RecordSuperseded, RecordDisproved, RecordUnusable, RecordUsable, EndpointRestarted,
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -78,6 +78,12 @@
 	RecordsSuperseded   Name = "records_superseded"
 	RecordsDisproved    Name = "records_disproved"
 	RestartsSeen        Name = "restarts_seen"
+	HeldAnswerBytes     Name = "held_answer_bytes"
+	HeldBodyBytes       Name = "held_body_bytes"
+	PressureStopped     Name = "pressure_stopped"
+	PressureDropped     Name = "pressure_dropped"
+	PressureEnded       Name = "pressure_ended"
+	ConnectionsClosed   Name = "connections_closed"
 )
 
 // Names returns every counter that is neither a refusal nor a retry.
@@ -89,6 +95,7 @@
 		RunnersEjected, PeerConnections, PeerFrames, PeerBytes,
 		EndpointConnections, ReportsAsked, PlansWorkedOut, OrdersGiven, LinesDropped, RequestsHeld,
 		RecordsSuperseded, RecordsDisproved, RestartsSeen,
+		HeldAnswerBytes, HeldBodyBytes, PressureStopped, PressureDropped, PressureEnded, ConnectionsClosed,
 	}
 }
 
--- a/protocol/kind.go
+++ b/protocol/kind.go
@@ -11,6 +11,7 @@
 // The kinds of refusals, as callers read them in the field "kind".
 const (
 	MalformedRequest    Kind = "malformed_request"
+	RequestLate         Kind = "request_late"
 	BodyTooLarge        Kind = "body_too_large"
 	HeadTooLarge        Kind = "head_too_large"
 	WrongKey            Kind = "wrong_key"
@@ -51,6 +52,7 @@
 
 var kinds = map[Kind]kindInfo{
 	MalformedRequest:    {http.StatusBadRequest, "mend the request as the message says and send it again"},
+	RequestLate:         {http.StatusRequestTimeout, "send the request again; its body did not come in time, so it has not run"},
 	BodyTooLarge:        {http.StatusRequestEntityTooLarge, "send a shorter body; the limit is in the message"},
 	HeadTooLarge:        {http.StatusRequestHeaderFieldsTooLarge, "send fewer or shorter headers; the limit is in the message"},
 	WrongKey:            {http.StatusUnauthorized, "send a valid key as 'Authorization: Bearer KEY'"},
--- a/protocol/routing.go
+++ b/protocol/routing.go
@@ -129,6 +129,9 @@
 	IdleMS      float64
 }
 
+// HeaderBy returns until when a head must have come whose first byte came then.
+func (c *CallerLimits) HeaderBy(from time.Time) time.Time { return from.Add(fromMS(c.HeaderMS)) }
+
 // IdleBy returns when a connection that rests from then is closed.
 func (c *CallerLimits) IdleBy(from time.Time) time.Time { return from.Add(fromMS(c.IdleMS)) }
 
--- a/settings/front.go
+++ b/settings/front.go
@@ -25,8 +25,11 @@
 	RetrySlack float64 `json:"retry_slack" validate:"gte=0"`
 	// RetryWindowMS is the time over which the bound counts.
 	RetryWindowMS float64 `json:"retry_window_ms" validate:"gte=0"`
-	// MemoryMB is what the process may use.
+	// MemoryMB is what the process may use, bytes in its sockets included.
 	MemoryMB float64 `json:"memory_mb" validate:"gte=0"`
+	// Descriptors is how many files and sockets the process may have open, 0 if that is
+	// not known.
+	Descriptors int `json:"descriptors" validate:"gte=0"`
 }
 
 // FrontListen is where a front serves callers, the balancer's questions whether
@@ -54,6 +57,50 @@
 	return confirmed.Add(fractions(f.KeyWithdrawnMS * keyTrustShare))
 }
 
+const (
+	// heapShare is the part of the memory at which the collector works harder; the rest
+	// is for stacks and for bytes that wait in sockets.
+	heapShare = 0.6
+	// heldShare is the part of the memory that may be held for callers who read slowly and
+	// of requests, their sockets included.
+	heldShare = 0.25
+	// connectionKB is what a caller's connection takes at rest: two goroutines' stacks, two
+	// buffers and the system's own.
+	connectionKB = 24
+	// connectionShare is the part of the memory that callers' connections may take.
+	connectionShare = 0.4
+	// callerDescriptors is the part of the descriptors for callers: each of their requests
+	// may need one to an endpoint too.
+	callerDescriptors = 0.45
+	// connectionsLeast is how many callers' connections there may be whatever the settings
+	// say.
+	connectionsLeast = 64
+)
+
+// HeapBytes returns the size of the heap from which the collector works harder, 0 if the
+// memory is not known.
+func (f *Front) HeapBytes() int64 { return int64(f.MemoryMB * heapShare * (1 << 20)) }
+
+// HeldBytes returns how much may be held for callers and of requests, 0 if the memory is
+// not known.
+func (f *Front) HeldBytes() int64 { return int64(f.MemoryMB * heldShare * (1 << 20)) }
+
+// Connections returns how many connections callers may have open together, 0 for any
+// number.
+func (f *Front) Connections() int {
+	most := 0.0
+	if f.MemoryMB > 0 {
+		most = f.MemoryMB * connectionShare * (1 << 10) / connectionKB
+	}
+	if n := float64(f.Descriptors) * callerDescriptors; n > 0 && (most == 0 || n < most) {
+		most = n
+	}
+	if most == 0 {
+		return 0
+	}
+	return max(connectionsLeast, int(most))
+}
+
 // keyTrustShare is the part of the bound on withdrawn keys that an entry uses:
 // the rest covers the time in which a request is read and sent on.
 const keyTrustShare = 0.9
--- /dev/null
+++ b/transport/backlog/budget.go
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package backlog holds what callers do not read yet, apart from the goroutines that make
+// it, and bounds it for the whole entry. While a caller reads, a write goes straight to its
+// socket; only the first write that would block starts a goroutine for its connection.
+//
+//	var b backlog.Budget
+//	l := b.Listen(socket)      // give l to the HTTP server,
+//	server.ConnContext = backlog.NewContext
+//	c := backlog.FromContext(r.Context())
+//	c.Look(now)                // after each write: how to go on
+package backlog
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"pinerun.example/pinerun/coordination/pressure"
+	"pinerun.example/pinerun/internal/metric"
+)
+
+// Budget is the entry's budget of bytes that are held. Set the fields before use; the zero
+// value has pressure.DefaultLimit and tells nobody.
+type Budget struct {
+	Counters *metric.Set
+	Logger   *slog.Logger
+
+	mutex sync.Mutex
+	pure  pressure.Budget
+	conns map[*pressure.Account]*Conn // that hold something
+}
+
+// Limit sets the budget in bytes.
+func (b *Budget) Limit(bytes int64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.pure.Limit(bytes)
+}
+
+// Near reports whether the entry is near the end of its budget.
+func (b *Budget) Near() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.pure.Near()
+}
+
+// Body takes room for n bytes of a request, or gives back -n, and reports whether there is
+// room.
+func (b *Budget) Body(n int64) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	ok := b.pure.Body(n)
+	if ok {
+		b.count(metric.HeldBodyBytes, n)
+	}
+	return ok
+}
+
+// Held returns the bytes that are held for callers.
+func (b *Budget) Held() int64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.pure.Held()
+}
+
+func (b *Budget) count(n metric.Name, delta int64) {
+	if b.Counters != nil {
+		b.Counters.Add(n, delta)
+	}
+}
+
+// hold takes room for n bytes more of a connection. Those that are ended for it are broken
+// off by a goroutine of theirs: the caller of hold has a connection locked.
+func (b *Budget) hold(c *Conn, n int64, now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	before := b.pure.Held()
+	b.pure.Serve(&c.account, c.team, c.rank, c.resumable)
+	ended, ok := b.pure.Hold(&c.account, n, now)
+	for _, a := range ended {
+		if v := b.conns[a]; v != nil {
+			b.count(metric.PressureEnded, 1)
+			delete(b.conns, a)
+			go v.runEnd()
+		}
+	}
+	if ok {
+		if b.conns == nil {
+			b.conns = make(map[*pressure.Account]*Conn)
+		}
+		b.conns[&c.account] = c
+	}
+	b.count(metric.HeldAnswerBytes, b.pure.Held()-before)
+	return ok
+}
+
+// release gives back n bytes that the caller of a connection took.
+func (b *Budget) release(c *Conn, n int64, now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	before := b.pure.Held()
+	b.pure.Release(&c.account, n, now)
+	b.settle(c, before)
+}
+
+// close gives back all that a connection holds.
+func (b *Budget) close(c *Conn) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	before := b.pure.Held()
+	b.pure.Close(&c.account)
+	b.settle(c, before)
+}
+
+func (b *Budget) settle(c *Conn, before int64) {
+	if c.account.Held() == 0 {
+		delete(b.conns, &c.account)
+	}
+	b.count(metric.HeldAnswerBytes, b.pure.Held()-before)
+}
+
+func (b *Budget) look(c *Conn, now time.Time) pressure.Decision {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.pure.Look(&c.account, now)
+}
--- a/transport/forward/admit.go
+++ b/transport/forward/admit.go
@@ -3,7 +3,6 @@
 package forward
 
 import (
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -92,18 +91,3 @@
 	x.team = team
 	return nil
 }
-
-func (x *exchange) readBody(most int64) *protocol.Refusal {
-	if most <= 0 {
-		most = maxWholeBytes
-	}
-	body, err := io.ReadAll(io.LimitReader(x.request.Body, most+1))
-	if err != nil {
-		return protocol.Refuse(protocol.MalformedRequest, "the body did not come whole").Because(err)
-	}
-	if int64(len(body)) > most {
-		return protocol.Refuse(protocol.BodyTooLarge, "the body is longer than the limit")
-	}
-	x.body = body
-	return nil
-}
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -3,7 +3,6 @@
 package forward
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -26,6 +25,9 @@
 // request sent there.
 var errWrongAnswer = errors.New("the endpoint sent something that is not the answer to this request")
 
+// errLongAnswer says that an answer is longer than any endpoint sends.
+var errLongAnswer = errors.New("the endpoint's answer is too long")
+
 // attempt is one send of a request to an endpoint. Its goroutine reads and
 // writes; the exchange decides.
 type attempt struct {
@@ -40,11 +42,14 @@
 	headers     Headers
 	pool        *pool
 	out         chan<- message
+	room        *room // of the request
 	sentAt      time.Time
 	newEndpoint bool           // the request had not been sent there before; the exchange's
 	spoke       bool           // an event came; the exchange's
+	fell        bool           // the endpoint broke the connection off; the exchange's
 	answer      *http.Response // head of the stream, once it came; the exchange's
 
+	released  bool // the connection rests, or was closed at rest; of run
 	cancelled context.Context
 	cancel    context.CancelFunc
 	mutex     sync.Mutex
@@ -58,10 +63,13 @@
 		a.post(attemptEnded{attempt: a, cause: err, unsent: true})
 		return
 	}
+	defer a.giveBack(c)
 	if !a.hold(c) {
 		return
 	}
-	if n, err := c.Write(a.request); err != nil {
+	n, err := c.Write(a.request)
+	a.request = nil // the answer may take long
+	if err != nil {
 		a.drop()
 		a.post(attemptEnded{attempt: a, cause: err, unsent: n == 0, stale: c.reused})
 		return
@@ -105,6 +113,13 @@
 	}
 }
 
+// giveBack takes the connection's buffer for others to use, unless the connection rests.
+func (a *attempt) giveBack(c *conn) {
+	if !a.released {
+		a.pool.readers.put(c.reader)
+	}
+}
+
 // release lets the connection rest after a whole answer.
 func (a *attempt) release(head *http.Response) {
 	a.mutex.Lock()
@@ -115,6 +130,7 @@
 	if head.Close {
 		_ = a.conn.Close()
 	} else {
+		a.released = true
 		a.pool.put(a.conn, head.Header, time.Now())
 	}
 	a.conn = nil
@@ -178,7 +194,8 @@
 		return
 	}
 	a.post(headCame{attempt: a, head: head, terms: terms})
-	r := bufio.NewReaderSize(head.Body, readBuffer)
+	r := a.pool.readers.get(head.Body)
+	defer a.pool.readers.put(r)
 	for {
 		e, err := readEvent(r)
 		if errors.Is(err, io.EOF) {
@@ -191,15 +208,15 @@
 			a.post(attemptEnded{attempt: a, cause: err})
 			return
 		}
+		if n := len(e.content); n > smallBytes && !a.room.await(int64(n), a.cancelled.Done()) {
+			return
+		}
 		a.post(eventCame{attempt: a, event: e})
 	}
 }
 
 func (a *attempt) readWhole(head *http.Response, terms protocol.AnswerTerms) {
-	body, err := io.ReadAll(io.LimitReader(head.Body, maxWholeBytes+1))
-	if err == nil && len(body) > maxWholeBytes {
-		err = errors.New("the endpoint's answer is too long")
-	}
+	body, err := a.readAnswer(head)
 	if err == nil {
 		err = unfit(head, terms)
 	}
@@ -212,6 +229,35 @@
 	a.post(wholeCame{attempt: a, head: head, body: body, terms: terms})
 }
 
+// readAnswer reads the body of a whole answer, as the entry has room for it.
+func (a *attempt) readAnswer(head *http.Response) ([]byte, error) {
+	if head.Body == http.NoBody {
+		return nil, nil
+	}
+	body := make([]byte, 0, smallBytes)
+	if n := head.ContentLength; n >= 0 && n < smallBytes {
+		body = make([]byte, 0, n+1) // one more, to see the end
+	}
+	for {
+		n, err := head.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		case len(body) > maxWholeBytes:
+			return nil, errLongAnswer
+		case len(body) < cap(body):
+			continue
+		}
+		if !a.room.await(int64(cap(body)), a.cancelled.Done()) {
+			return nil, a.cancelled.Err()
+		}
+		body = append(make([]byte, 0, 2*cap(body)), body...)
+	}
+}
+
 // unfit returns why a success is not the endpoint's own answer, or nil.
 func unfit(head *http.Response, terms protocol.AnswerTerms) error {
 	if head.StatusCode >= http.StatusMultipleChoices {
--- /dev/null
+++ b/transport/forward/body.go
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+const (
+	// bodyMost is how long a request's body may take to come. A body of some MB over a slow
+	// link takes a second; one that trickles in holds a connection and its room.
+	bodyMost = 10 * time.Second
+	// bodyCopies is how often a body is held: as it came, and as it is sent.
+	bodyCopies = 2
+	// againHeld is when to come back to an entry that holds too many bytes: bodies are sent
+	// on within some tens of ms.
+	againHeld = 200 * time.Millisecond
+)
+
+// readBody reads the request's body, as far as the limit and the entry's budget allow.
+func (x *exchange) readBody(most int64) *protocol.Refusal {
+	if x.request.ContentLength == 0 {
+		return nil
+	}
+	if most <= 0 {
+		most = maxWholeBytes
+	}
+	if x.request.ContentLength > most {
+		return tooLong()
+	}
+	rc := http.NewResponseController(x.writer)
+	_ = rc.SetReadDeadline(x.bodyBy()) // a connection that can't be bounded is one of a test
+	body := make([]byte, 0, smallBytes)
+	if n := x.request.ContentLength; n > 0 && n < smallBytes {
+		body = make([]byte, 0, n+1) // one more, to see the end
+	}
+	for {
+		n, err := x.request.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > most:
+			return tooLong()
+		case errors.Is(err, io.EOF):
+			x.body = body
+			_ = rc.SetReadDeadline(time.Time{}) // reading on is how the caller's leaving is noticed
+			return nil
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return protocol.Refuse(protocol.RequestLate, "the body did not come in time")
+		case err != nil:
+			return protocol.Refuse(protocol.MalformedRequest, "the body did not come whole").Because(err)
+		}
+		if len(body) == cap(body) {
+			if body = x.grown(body, most); body == nil {
+				return protocol.Refuse(protocol.TooManyOpen, "the entry holds too many bytes of requests").Again(time.Now().Add(againHeld))
+			}
+		}
+	}
+}
+
+// bodyBy returns until when the body must have come.
+func (x *exchange) bodyBy() time.Time {
+	by := x.begun.Add(bodyMost)
+	if x.deadline.Before(by) {
+		return x.deadline
+	}
+	return by
+}
+
+// grown returns the body with room for more, or nil if the entry has none.
+func (x *exchange) grown(body []byte, most int64) []byte {
+	size := min(2*int64(cap(body)), most+1)
+	if !x.room.take(bodyCopies * (size - int64(cap(body)))) {
+		return nil
+	}
+	return append(make([]byte, 0, size), body...)
+}
+
+func tooLong() *protocol.Refusal {
+	return protocol.Refuse(protocol.BodyTooLarge, "the body is longer than the limit")
+}
--- a/transport/forward/conn.go
+++ b/transport/forward/conn.go
@@ -12,14 +12,14 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"pinerun.example/pinerun/transport/backlog"
 )
 
 const (
 	// dialLimit is how long an endpoint may take to accept a connection. It is
 	// within a millisecond away; a lost packet would be sent again after a second.
 	dialLimit = 300 * time.Millisecond
-	// readBuffer holds one head, or a few events of a stream.
-	readBuffer = 4 << 10
 	// restMost is how long a connection rests at most when the endpoint names no
 	// time of its own.
 	restMost = 5 * time.Second
@@ -44,6 +44,7 @@
 	mutex   sync.Mutex
 	resting map[string][]*conn
 	opened  func()
+	readers readers
 }
 
 // get returns a resting connection, or opens one. Fresh asks for a new one.
@@ -56,12 +57,12 @@
 	if p.opened != nil {
 		p.opened()
 	}
-	d := net.Dialer{Timeout: dialLimit, KeepAlive: -1}
+	d := net.Dialer{Timeout: dialLimit, KeepAlive: -1, Control: backlog.BoundEngine}
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), endpoint: endpoint}, nil
+	return &conn{Conn: raw, reader: p.readers.get(raw), endpoint: endpoint}, nil
 }
 
 func (p *pool) take(endpoint string, now time.Time) *conn {
@@ -112,6 +113,7 @@
 				continue
 			}
 			_ = c.Close()
+			p.readers.put(c.reader)
 		}
 		if len(kept) == 0 {
 			delete(p.resting, endpoint)
--- a/transport/forward/decide.go
+++ b/transport/forward/decide.go
@@ -33,6 +33,11 @@
 	if a.path.Len() == 1 {
 		x.avoid = append(x.avoid, a.endpoint)
 	}
+	x.goOn(a, r, whole, now)
+}
+
+// goOn decides what follows the last of all sends.
+func (x *exchange) goOn(a *attempt, r retry.Result, whole *wholeCame, now time.Time) {
 	p, ready := x.pickNext(now)
 	hope := x.hopeTill()
 	next := x.forwarder.budgets.resend(x.service.Name, retry.Forwarded{
@@ -57,7 +62,8 @@
 // plain service's endpoints take it whenever there are any.
 func (x *exchange) pickNext(now time.Time) (path.Path, bool) {
 	if x.service.Engine == nil {
-		return x.pick(now)
+		p, found := x.pick(now)
+		return p, found && x.fits(&p)
 	}
 	return x.pickReady(now)
 }
--- a/transport/forward/event.go
+++ b/transport/forward/event.go
@@ -12,6 +12,10 @@
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
+// usualEvent is the size in bytes for which an event's memory is taken at once: growing line
+// by line takes it three times.
+const usualEvent = 128
+
 // errCutEvent says that a stream ended inside an event.
 var errCutEvent = errors.New("the stream ended inside an event")
 
@@ -27,7 +31,7 @@
 // readEvent returns the next whole event. The error is io.EOF only between two
 // events.
 func readEvent(r *bufio.Reader) (streamEvent, error) {
-	var e streamEvent
+	e := streamEvent{content: make([]byte, 0, usualEvent)}
 	for {
 		line, err := r.ReadSlice('\n')
 		e.content = append(e.content, line...)
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -13,11 +13,13 @@
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/fleet"
 	"pinerun.example/pinerun/state/routing"
+	"pinerun.example/pinerun/transport/backlog"
 )
 
 // messageRoom is how many messages wait for the exchange before an attempt
-// stops reading, so that a caller who does not read holds up only itself.
-const messageRoom = 16
+// stops reading: enough that neither waits for the other's turn on the processor, and no
+// more, since each may be an event that is held.
+const messageRoom = 4
 
 // exchange is one request of a caller from its coming in to its end.
 type exchange struct {
@@ -51,6 +53,12 @@
 	rhythm    rhythm
 	silence   silenceAction // the last that was done
 	held      *hold         // while it waits for room
+
+	caller *backlog.Conn // holds what the caller does not read, nil if writes wait for it
+	slow   bool          // the caller does not read: nothing is taken from attempts
+	lookAt time.Time     // when to look at a slow caller again
+	parked *attempt      // that was ended while the caller did not read
+	room   room          // of the entry's budget that the request takes
 }
 
 // run sends the request and serves its answer to the end.
@@ -71,9 +79,13 @@
 		select {
 		case <-x.losses:
 			x.losses = f.losses.Awaited()
-			x.lossTold(time.Now())
-		case m := <-x.messages:
+			if !x.slow { // who reads again looks at its attempts itself
+				x.lossTold(time.Now())
+			}
+		case m := <-x.incoming():
 			x.take(m)
+		case <-x.callerNews():
+			x.heed(time.Now())
 		case after := <-x.turns():
 			x.takeTurn(after, time.Now())
 		case <-timer.C:
@@ -90,8 +102,11 @@
 
 // wakeAt returns when to look at the request although no attempt tells anything.
 func (x *exchange) wakeAt() time.Time {
-	if x.held != nil {
+	switch {
+	case x.held != nil:
 		return x.held.till
+	case x.slow:
+		return x.lookAt
 	}
 	if at := x.rhythm.overdueAt(); at.Before(x.deadline) {
 		return at
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -16,6 +16,7 @@
 	"pinerun.example/pinerun/state/fleet"
 	"pinerun.example/pinerun/state/roster"
 	"pinerun.example/pinerun/state/routing"
+	"pinerun.example/pinerun/transport/backlog"
 )
 
 // Headers translates between headers and what they say.
@@ -44,6 +45,8 @@
 	Logger   *slog.Logger
 	// TrustKeys returns until when keys confirmed then are accepted.
 	TrustKeys func(confirmed time.Time) time.Time
+	// Held bounds what is held for callers and of requests.
+	Held *backlog.Budget
 	// Tell tells the other entries that this one met a sign of an endpoint, nil for nobody.
 	Tell func(endpoint string, sign protocol.LossSign, at time.Time)
 	// Locate tells them which process answers at an endpoint's address, nil for nobody: "" is
@@ -54,6 +57,7 @@
 	budgets  budgets
 	opening  opening
 	pool     pool
+	inflight inflight
 	suspects suspects
 	lines    lines
 	poller   poller
@@ -94,6 +98,7 @@
 		select {
 		case now := <-t.C:
 			f.pool.sweep(now)
+			f.inflight.sweep(f.Roster.View())
 		case now := <-turns.C:
 			f.lines.turn(now)
 		case now := <-polls.C:
@@ -111,10 +116,13 @@
 	f.Counters.Add(metric.Requests, 1)
 	x := &exchange{forwarder: f, writer: w, request: r, begun: time.Now()}
 	f.opening.wait(r.Context())
+	x.room.budget = f.Held
+	defer x.room.close()
 	if refusal := x.admit(); refusal != nil {
 		x.refuse(refusal)
 		return
 	}
+	x.serve(backlog.FromContext(r.Context()))
 	x.run()
 }
 
--- a/transport/forward/hold.go
+++ b/transport/forward/hold.go
@@ -141,10 +141,19 @@
 func (x *exchange) begin(now time.Time) {
 	if x.service.Engine == nil {
 		p, found := x.pick(now)
-		if !found {
+		if found && !x.fits(&p) {
+			x.avoid = append(x.avoid, p.Runner(0))
+			p, found = x.pick(now)
+		}
+		switch {
+		case !found:
 			x.refuse(noPath())
 			x.finished = true
 			return
+		case !x.fits(&p):
+			x.refuse(noRoom(now.Add(againFull)))
+			x.finished = true
+			return
 		}
 		x.send(&p)
 		return
@@ -167,7 +176,7 @@
 	var p path.Path
 	q := x.query(now)
 	found := x.forwarder.choose(x.service, &q, x.firstCenter(), &p)
-	return p, found && ready(&p, &q)
+	return p, found && ready(&p, &q) && x.fits(&p)
 }
 
 // hopeTill returns until when it is of use to begin: after that the caller leaves before
--- /dev/null
+++ b/transport/forward/inflight.go
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"sync"
+
+	"pinerun.example/pinerun/coordination/path"
+	"pinerun.example/pinerun/coordination/pressure"
+	"pinerun.example/pinerun/state/fleet"
+)
+
+// inflight is the bytes of large requests at each endpoint, by ID. Requests up to smallBytes
+// are bounded by their number. The zero value is empty.
+type inflight struct {
+	mutex sync.Mutex
+	at    map[string]*pressure.Inflight
+}
+
+// room reports whether an endpoint may be sent a request of n bytes.
+func (f *inflight) room(endpoint string, n int) bool {
+	if n <= smallBytes {
+		return true
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	at := f.at[endpoint]
+	return at == nil || at.Room(int64(n))
+}
+
+// sent notes a request of n bytes.
+func (f *inflight) sent(endpoint string, n int) {
+	if n <= smallBytes {
+		return
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.at == nil {
+		f.at = make(map[string]*pressure.Inflight)
+	}
+	if f.at[endpoint] == nil {
+		f.at[endpoint] = &pressure.Inflight{}
+	}
+	f.at[endpoint].Sent(int64(n))
+}
+
+// ended notes that a request of n bytes is no longer there.
+func (f *inflight) ended(endpoint string, n int, fell bool) {
+	if n <= smallBytes {
+		return
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if at := f.at[endpoint]; at != nil {
+		at.Ended(int64(n), fell)
+	}
+}
+
+// sweep forgets endpoints that are gone.
+func (f *inflight) sweep(v *fleet.View) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for id, at := range f.at {
+		if at.Bytes() == 0 && v.Runner(id) == nil {
+			delete(f.at, id)
+		}
+	}
+}
+
+// fits reports whether the first engine of a path has room for the request's bytes.
+func (x *exchange) fits(p *path.Path) bool {
+	return x.forwarder.inflight.room(p.Runner(0).Name(), len(x.body))
+}
--- a/transport/forward/reply.go
+++ b/transport/forward/reply.go
@@ -39,7 +39,7 @@
 	}
 	x.limitWrite()
 	x.writer.WriteHeader(m.head.StatusCode)
-	if _, err := x.writer.Write(m.body); err != nil {
+	if !x.pour(m.body) {
 		x.callerLeft()
 		return
 	}
@@ -63,9 +63,8 @@
 }
 
 func (x *exchange) flush() {
-	if err := http.NewResponseController(x.writer).Flush(); err != nil {
-		x.callerLeft()
-		x.finished = true
+	if err := http.NewResponseController(x.writer).Flush(); err != nil && !x.finished {
+		x.writeFailed()
 	}
 }
 
@@ -76,6 +75,10 @@
 		x.finish(protocol.Uncertain(protocol.StageFailed, "the stream had no event"))
 		return
 	}
+	if !x.drained() {
+		x.callerLeft()
+		return
+	}
 	x.answered(http.StatusOK)
 }
 
@@ -99,6 +102,7 @@
 	if x.headSent {
 		x.stopAll()
 		x.flush() // the events that came are the caller's
+		x.drained()
 		x.forwarder.Counters.Refused(r.Kind())
 		x.forwarder.log(event.StreamCut, x.id(), slog.String("kind", string(r.Kind())), slog.Int("events", x.events),
 			slog.Int64("took_ms", time.Since(x.begun).Milliseconds()), slog.Int("sends", x.tries))
--- /dev/null
+++ b/transport/forward/room.go
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"pinerun.example/pinerun/transport/backlog"
+)
+
+const (
+	// smallBytes is up to which size a body, an answer or an event counts with its
+	// connection, in bytes: most are smaller, and need no look at the budget.
+	smallBytes = 4 << 10
+	// roomEvery is how often an answer that finds no room is tried again. Engines bear some
+	// seconds of it.
+	roomEvery = 20 * time.Millisecond
+)
+
+// room is what one request takes of the entry's budget beside what waits for its caller:
+// its body, and what its engines sent that is not passed on yet. The zero value is bounded
+// by nothing.
+type room struct {
+	budget *backlog.Budget
+
+	mutex  sync.Mutex
+	bytes  int64
+	closed bool
+}
+
+// take takes room for n bytes more, or gives back -n, and reports whether there is any.
+func (r *room) take(n int64) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.budget == nil || r.closed {
+		return true
+	}
+	if !r.budget.Body(n) {
+		return false
+	}
+	r.bytes += n
+	return true
+}
+
+// await waits for room for n bytes more, and reports whether it came before the end.
+func (r *room) await(n int64, end <-chan struct{}) bool {
+	if r.take(n) {
+		return true
+	}
+	t := time.NewTicker(roomEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			if r.take(n) {
+				return true
+			}
+		case <-end:
+			return false
+		}
+	}
+}
+
+// close gives everything back. What is taken later counts no more.
+func (r *room) close() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.closed = true
+	if r.bytes != 0 {
+		r.budget.Body(-r.bytes)
+	}
+}
--- a/transport/forward/send.go
+++ b/transport/forward/send.go
@@ -30,6 +30,7 @@
 		fresh:    !x.route.MayRepeat(),
 		headers:  x.forwarder.Headers,
 		pool:     &x.forwarder.pool,
+		room:     &x.room,
 		out:      x.messages,
 		sentAt:   time.Now(),
 	}
@@ -41,6 +42,7 @@
 	for i := range a.path.Len() {
 		a.path.Runner(i).Sent(a.passes * int64(a.path.Span(i).Layers()))
 	}
+	x.forwarder.inflight.sent(a.endpoint.Name(), len(x.body))
 	a.newEndpoint = !slices.Contains(x.reached, a.endpoint)
 	if a.newEndpoint {
 		x.reached = append(x.reached, a.endpoint)
@@ -96,6 +98,7 @@
 // settle ends an attempt and takes its work off its path.
 func (x *exchange) settle(a *attempt) {
 	a.stop()
+	x.forwarder.inflight.ended(a.endpoint.Name(), len(x.body), a.fell)
 	for i := range a.path.Len() {
 		a.path.Runner(i).Settled(a.passes * int64(a.path.Span(i).Layers()))
 	}
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -41,6 +41,10 @@
 		x.finish(expired())
 		return
 	}
+	if x.slow {
+		x.heed(now)
+		return
+	}
 	if now.Before(x.rhythm.overdueAt()) {
 		return
 	}
--- /dev/null
+++ b/transport/forward/slow_caller.go
@@ -0,0 +1,176 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"errors"
+	"log/slog"
+	"time"
+
+	"pinerun.example/pinerun/coordination/pressure"
+	"pinerun.example/pinerun/coordination/retry"
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/transport/backlog"
+)
+
+// pourBytes is how much of a whole answer is written before it is looked whether its caller
+// reads, so that no more than twice as much waits for it, in bytes.
+const pourBytes = 32 << 10
+
+// incoming returns the channel of what attempts tell, unless the caller does not read.
+func (x *exchange) incoming() <-chan message {
+	if x.slow {
+		return nil
+	}
+	return x.messages
+}
+
+// callerNews returns the channel on which comes that the caller read or that its connection
+// failed.
+func (x *exchange) callerNews() <-chan struct{} {
+	if x.caller == nil {
+		return nil
+	}
+	return x.caller.Told()
+}
+
+// heed looks whether the caller keeps up with its stream. What may wait before the stream has
+// begun is of the answer before.
+func (x *exchange) heed(now time.Time) {
+	if x.finished || !x.headSent {
+		return
+	}
+	if x.caller.Err() != nil {
+		x.writeFailed()
+		return
+	}
+	d := x.caller.Look(now)
+	if x.parked != nil {
+		x.heedParked(d, now)
+		return
+	}
+	switch d := d.(type) {
+	case pressure.GoOn:
+		x.readOn(now)
+	case pressure.Stop:
+		x.stopReading(d, now)
+	case pressure.Drop:
+		x.park(now)
+	case pressure.End:
+		x.endForRoom()
+	}
+}
+
+// readOn takes again what attempts tell.
+func (x *exchange) readOn(now time.Time) {
+	if !x.slow {
+		return
+	}
+	x.slow = false
+	x.rhythm.last = now // the silence was this entry's
+	x.rhythm.restart(now)
+}
+
+// stopReading leaves what attempts tell untaken, so that they stop reading.
+func (x *exchange) stopReading(d pressure.Stop, now time.Time) {
+	if !x.slow {
+		x.slow = true
+		x.flush()
+		x.forwarder.Counters.Add(metric.PressureStopped, 1)
+		x.forwarder.log(event.AnswerStopped, x.id(), slog.Int64("waiting_bytes", x.caller.Held()), slog.Int("events", x.events))
+	}
+	x.lookAt = x.deadline
+	if d.Till().After(now) && d.Till().Before(x.deadline) {
+		x.lookAt = d.Till()
+	}
+}
+
+// park ends what is open before the engine cuts it off. The stream goes on elsewhere after
+// the last event that was written, once the caller has read it.
+func (x *exchange) park(now time.Time) {
+	if len(x.live) == 0 {
+		x.lookAt = x.deadline
+		return
+	}
+	x.parked = x.live[0]
+	x.stopAll()
+	x.lookAt = x.deadline
+	x.forwarder.Counters.Add(metric.PressureDropped, 1)
+	x.heed(now)
+}
+
+// heedParked goes on elsewhere once the caller has read everything: a send reads the prompt
+// anew, which would be in vain for a caller that takes one event now and then.
+func (x *exchange) heedParked(d pressure.Decision, now time.Time) {
+	if _, ended := d.(pressure.End); ended {
+		x.endForRoom()
+		return
+	}
+	if _, free := d.(pressure.GoOn); !free || x.caller.Held() > 0 {
+		return
+	}
+	a := x.parked
+	x.parked = nil
+	x.readOn(now)
+	x.mayHave = true
+	x.goOn(a, retry.Broken, nil, now)
+}
+
+// writeFailed ends a stream whose caller's connection can't be written to any more.
+func (x *exchange) writeFailed() {
+	if x.caller != nil && errors.Is(x.caller.Err(), backlog.ErrEnded) {
+		x.endForRoom()
+		return
+	}
+	x.callerLeft()
+	x.finished = true
+}
+
+// endForRoom breaks the answer off, because its room was needed.
+func (x *exchange) endForRoom() {
+	x.finish(protocol.Uncertain(protocol.CallerGone, "the caller did not read its answer, and its room was needed"))
+}
+
+// pour writes a whole answer at the pace of its caller, and reports whether it took it.
+func (x *exchange) pour(body []byte) bool {
+	for len(body) > pourBytes {
+		if _, err := x.writer.Write(body[:pourBytes]); err != nil {
+			return false
+		}
+		body = body[pourBytes:]
+		if !x.drained() {
+			return false
+		}
+	}
+	if _, err := x.writer.Write(body); err != nil {
+		return false
+	}
+	return x.drained()
+}
+
+// drained waits until the caller has taken what waits for it, and reports whether it did.
+// The write deadline bounds the wait.
+func (x *exchange) drained() bool {
+	if x.caller == nil || x.caller.Held() == 0 {
+		return true
+	}
+	x.flush()
+	for x.caller.Held() > 0 && x.caller.Err() == nil {
+		select {
+		case <-x.caller.Told():
+		case <-x.request.Context().Done():
+			return false
+		}
+	}
+	return x.caller.Err() == nil
+}
+
+// serve notes the caller's connection and whose answer it carries.
+func (x *exchange) serve(c *backlog.Conn) {
+	x.caller = c
+	if c != nil {
+		c.Serve(x.teamName(), x.urgency(), x.route.Resumable && x.route.MayRepeat())
+	}
+}
--- a/transport/forward/take.go
+++ b/transport/forward/take.go
@@ -59,13 +59,18 @@
 		x.lastEvent = m.event.id
 	}
 	if _, err := x.writer.Write(m.event.content); err != nil {
-		x.callerLeft()
-		x.finished = true
+		x.writeFailed()
 		return
 	}
+	if n := len(m.event.content); n > smallBytes {
+		x.room.take(int64(-n))
+	}
 	if len(x.messages) == 0 {
 		x.flush()
 	}
+	if x.caller != nil && x.caller.Held() > 0 {
+		x.heed(now)
+	}
 }
 
 func (x *exchange) takeWhole(m wholeCame) {
@@ -98,6 +103,7 @@
 func (x *exchange) takeEnd(m attemptEnded) {
 	a := m.attempt
 	now := time.Now()
+	a.fell = m.cause != nil && !m.unsent && !m.stale
 	x.drop(a)
 	switch {
 	case m.cause == nil:
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -19,6 +19,7 @@
 	"pinerun.example/pinerun/state/fleet"
 	"pinerun.example/pinerun/state/roster"
 	"pinerun.example/pinerun/state/routing"
+	"pinerun.example/pinerun/transport/backlog"
 	"pinerun.example/pinerun/transport/director"
 	"pinerun.example/pinerun/transport/forward"
 	"pinerun.example/pinerun/transport/relay"
@@ -53,6 +54,7 @@
 	confirmer watch.Confirmer
 	register  register
 	callers   callers
+	held      backlog.Budget
 	ready     listener
 	metrics   listener
 	peers     listener
@@ -86,10 +88,12 @@
 	f.roster.Home = home
 	f.roster.DataCenters = s.DataCenters
 	f.records = records{counters: f.Counters, logger: f.Logger}
+	f.held.Counters, f.held.Logger = f.Counters, f.Logger
+	f.held.Limit(s.HeldBytes())
 	f.forwarder = forward.Forwarder{
 		Home: home, Routing: &f.routing, Roster: &f.roster, Headers: f.Outside.Headers, Reporter: f.Outside.Engines,
 		Counters: f.Counters, Logger: f.Logger,
-		TrustKeys: s.KeyTrust, Tell: f.source.Tell, Locate: f.source.Locate,
+		TrustKeys: s.KeyTrust, Tell: f.source.Tell, Locate: f.source.Locate, Held: &f.held,
 	}
 	f.forwarder.OpenBudget(forward.Retries{Share: s.RetryShare * shareKept, Slack: s.RetrySlack, Ends: s.RetryWindow}, census.Least, time.Now())
 	f.director = director.Director{
@@ -149,7 +153,10 @@
 func (f *Front) listen() error {
 	l := &f.Settings.Listen
 	f.callers.limits = f.callerLimits
-	if err := f.callers.open(l.Callers, &f.forwarder); err != nil {
+	f.callers.held = &f.held
+	f.callers.most = f.Settings.Connections()
+	f.callers.counters = f.Counters
+	if err := f.callers.listen(l.Callers, &f.forwarder); err != nil {
 		return err
 	}
 	if err := f.ready.open(l.Readiness, f.readinessHandler()); err != nil {
@@ -215,9 +222,10 @@
 }
 
 // isReady reports whether new callers should come here: everything is known, the
-// entry does not stop, and keys can still be confirmed.
+// entry does not stop, has room for what it holds, and keys can still be confirmed.
+// Where most entries have no room left, the balancer uses all of them, as before.
 func (f *Front) isReady(now time.Time) bool {
-	return !f.stopping.Load() && f.routing.Current() != nil && f.roster.Known() &&
+	return !f.stopping.Load() && !f.held.Near() && f.routing.Current() != nil && f.roster.Known() &&
 		now.Before(f.Settings.KeyTrust(f.routing.ConfirmedAt()))
 }
 
--- a/transport/front/stop.go
+++ b/transport/front/stop.go
@@ -32,7 +32,7 @@
 	for now.Before(end) {
 		if now.After(last) {
 			f.forwarder.RefuseNew()
-			if f.forwarder.Open() == 0 {
+			if f.forwarder.Open() == 0 && f.held.Held() == 0 {
 				break
 			}
 		}
