repath, path, forward: replace the lost stage of a running stream

Cause: a stream whose stage died was sent again elsewhere: all engines of the new path read the prompt, a send of the budget and of the route's few is spent, and what may run once was lost. No stream ever changed its path.

Change: the first engine of the path is ordered to run the request over one with the same first stage and the living ones kept. A pure decision compares reading again at the new stages with asking elsewhere and waiting; one order at a time, two at most; nothing is sent elsewhere while one is in doubt. Stages that are merely silent are replaced only where nothing but waiting is left.

A lost first stage can't be replaced: the pages keep it.

--- a/coordination/path/parts.go
+++ b/coordination/path/parts.go
@@ -30,19 +30,22 @@
 		return 0
 	}
 	var s search
-	s.prepare(m)
-	if s.run(m, q, false) && s.collect(m.Layers(), p) {
+	p.length, p.cost = 0, 0
+	s.prepare(m, protocol.Span{From: 0, To: m.Layers()})
+	if s.run(m, q, false) && s.collect(p) {
 		return -1
 	}
-	reached := s.furthest(m.Layers())
-	if s.run(m, q, true) && s.collect(m.Layers(), p) {
+	reached := s.furthest()
+	if s.run(m, q, true) && s.collect(p) {
 		return -1
 	}
-	return max(reached, s.furthest(m.Layers()))
+	return max(reached, s.furthest())
 }
 
-// search is the state of one search over the layers.
+// search is the state of one search over the layers of a span.
 type search struct {
+	span   protocol.Span
+	kept   *Path              // its runners can't run a further stage, nil for none
 	bounds [MaxLayers + 1]int // where spans begin or end, in order
 	count  int
 	best   [MaxLayers + 1]float64
@@ -51,18 +54,18 @@
 	stages [MaxLayers + 1]int
 }
 
-// prepare lists the layers at which a stage may begin or end.
-func (s *search) prepare(m *fleet.Model) {
+// prepare lists the layers of a span at which a stage may begin or end.
+func (s *search) prepare(m *fleet.Model, over protocol.Span) {
 	var marks [MaxLayers + 1]bool
-	marks[0], marks[m.Layers()] = true, true
+	marks[over.From], marks[over.To] = true, true
 	groups := m.Groups()
 	for i := range groups {
 		if span := groups[i].Span(); span.Valid(m.Layers()) {
 			marks[span.From], marks[span.To] = true, true
 		}
 	}
-	s.count = 0
-	for l := 0; l <= m.Layers(); l++ {
+	s.span, s.count = over, 0
+	for l := over.From; l <= over.To; l++ {
 		if marks[l] {
 			s.bounds[s.count] = l
 			s.count++
@@ -70,13 +73,13 @@
 	}
 }
 
-// run finds the cheapest way to each bound, and reports whether the last layer
+// run finds the cheapest way to each bound, and reports whether the end of the span
 // is reached. Desperate lets runners in that should be left out.
 func (s *search) run(m *fleet.Model, q *Query, desperate bool) bool {
 	for i := range s.count {
 		s.best[s.bounds[i]] = math.Inf(1)
 	}
-	s.best[0], s.stages[0] = 0, 0
+	s.best[s.span.From], s.stages[s.span.From] = 0, 0
 	groups := m.Groups()
 	for i := range s.count {
 		at := s.bounds[i]
@@ -89,7 +92,7 @@
 			}
 		}
 	}
-	return !math.IsInf(s.best[m.Layers()], 1)
+	return !math.IsInf(s.best[s.span.To], 1)
 }
 
 // extend tries the runners of a group for the stages that begin at a bound.
@@ -97,7 +100,7 @@
 	at := s.bounds[begin]
 	for _, r := range g.Runners() {
 		penalty, ok := penaltyOf(r, q, desperate)
-		if !ok {
+		if !ok || s.kept != nil && s.kept.Holds(r) {
 			continue
 		}
 		fixed, layer := r.Parts(q.Now, q.Positions, q.Write, q.Sharers)
@@ -124,34 +127,36 @@
 }
 
 // furthest returns the last bound before the end that a path reaches.
-func (s *search) furthest(layers int) int {
+func (s *search) furthest() int {
 	for i := s.count - 1; i > 0; i-- {
-		if at := s.bounds[i]; at < layers && !math.IsInf(s.best[at], 1) {
+		if at := s.bounds[i]; at < s.span.To && !math.IsInf(s.best[at], 1) {
 			return at
 		}
 	}
 	return 0
 }
 
-// collect writes the path down. A runner that would stand in it twice, which
-// engines refuse, makes it void.
-func (s *search) collect(layers int, p *Path) bool {
-	n := s.stages[layers]
-	if n > MaxStages {
+// collect adds the stages found to a path. A runner that would stand in it twice, which
+// engines refuse, makes them void.
+func (s *search) collect(p *Path) bool {
+	begin, end := p.length, p.length+s.stages[s.span.To]
+	if end > MaxStages {
 		return false
 	}
-	p.length, p.cost = n, s.best[layers]
-	for at := layers; at > 0; at = s.from[at] {
+	n := end
+	for at := s.span.To; at > s.span.From; at = s.from[at] {
 		n--
 		p.runners[n] = s.via[at]
 		p.spans[n] = protocol.Span{From: s.from[at], To: at}
 	}
-	for i := 1; i < p.length; i++ {
-		for j := range i {
+	for i := begin + 1; i < end; i++ {
+		for j := begin; j < i; j++ {
 			if p.runners[i] == p.runners[j] {
 				return false
 			}
 		}
 	}
+	p.length = end
+	p.cost += s.best[s.span.To]
 	return true
 }
--- /dev/null
+++ b/coordination/repath/repath_test.go
@@ -0,0 +1,190 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package repath_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pinerun.example/pinerun/coordination/path"
+	"pinerun.example/pinerun/coordination/repath"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/fleet"
+)
+
+const model = "m"
+
+var now = time.Unix(100, 0)
+
+// gather returns the view of runners a, b, c and so on that hold the spans.
+func gather(layers int, spans ...protocol.Span) *fleet.View {
+	runners := make([]protocol.Runner, len(spans))
+	for i, s := range spans {
+		runners[i] = protocol.Runner{
+			Name: name(i), Model: model, From: s.From, To: s.To, Speed: 1e6, Step: 1e-5, Room: 1e4, Address: name(i),
+		}
+	}
+	return fleet.Gather(nil, []protocol.Model{{Name: model, Layers: layers}}, runners, fleet.Home{Name: "e1"})
+}
+
+func name(i int) string { return fmt.Sprint("r", i) }
+
+func search() path.Query {
+	return path.Query{Now: now, Positions: 800, Write: 200, Sharers: 1, Draw: rand.New(rand.NewPCG(1, 2))}
+}
+
+// whole returns the cheapest path through the view.
+func whole(t require.TestingT, v *fleet.View, avoid ...*fleet.Runner) path.Path {
+	var p path.Path
+	q := search()
+	q.Avoid = avoid
+	require.Negative(t, path.Parts(v.Model(model), &q, &p))
+	return p
+}
+
+func choose(v *fleet.View, q *repath.Query) repath.Decision {
+	q.Search = search()
+	return repath.Choose([]*fleet.Model{v.Model(model)}, q)
+}
+
+func TestOnlyTheLostStageIsReplaced(t *testing.T) {
+	v := gather(9, protocol.Span{From: 0, To: 3}, protocol.Span{From: 3, To: 6}, protocol.Span{From: 6, To: 9})
+	p := whole(t, v)
+	require.Equal(t, repath.Wait{}, choose(v, &repath.Query{Path: p, Lost: []*fleet.Runner{v.Runner("r1")}}), "nobody else holds its layers")
+
+	v = gather(9, protocol.Span{From: 0, To: 3}, protocol.Span{From: 3, To: 6}, protocol.Span{From: 6, To: 9}, protocol.Span{From: 2, To: 7})
+	p = whole(t, v, v.Runner("r3"))
+	d, ok := choose(v, &repath.Query{Path: p, Lost: []*fleet.Runner{v.Runner("r1")}, Tokens: 900, Left: 100}).(*repath.Change)
+	require.True(t, ok)
+	require.Equal(t, 3, d.Path().Len())
+	require.True(t, d.Path().Has(v.Runner("r0"), protocol.Span{From: 0, To: 3}))
+	require.True(t, d.Path().Has(v.Runner("r3"), protocol.Span{From: 3, To: 6}))
+	require.True(t, d.Path().Has(v.Runner("r2"), protocol.Span{From: 6, To: 9}))
+}
+
+func TestALostFirstStageCantBeReplaced(t *testing.T) {
+	v := gather(4, protocol.Span{From: 0, To: 2}, protocol.Span{From: 2, To: 4}, protocol.Span{From: 0, To: 2})
+	p := whole(t, v, v.Runner("r2"))
+	lost := []*fleet.Runner{v.Runner("r0")}
+	require.Equal(t, repath.Wait{}, choose(v, &repath.Query{Path: p, Lost: lost}))
+	other := whole(t, v, lost...)
+	require.Equal(t, repath.Elsewhere{}, choose(v, &repath.Query{Path: p, Lost: lost, Elsewhere: &other}))
+}
+
+// TestAllAfterTheFirstStageIsReplacedWhereNoEngineFitsTheHole: the only other holder of the
+// lost layers runs a stage of the path already, and takes both.
+func TestAllAfterTheFirstStageIsReplacedWhereNoEngineFitsTheHole(t *testing.T) {
+	v := gather(6, protocol.Span{From: 0, To: 2}, protocol.Span{From: 2, To: 4}, protocol.Span{From: 2, To: 6}, protocol.Span{From: 4, To: 6})
+	three := whole(t, v, v.Runner("r2"))
+	var p path.Path
+	q := search()
+	q.Avoid = []*fleet.Runner{v.Runner("r3")}
+	require.True(t, path.Replace(v.Model(model), &q, &three, q.Avoid, &p))
+	require.True(t, p.Has(v.Runner("r2"), protocol.Span{From: 4, To: 6}))
+	v.Runner("r3").MarkLeaving()
+	d, ok := choose(v, &repath.Query{Path: p, Lost: []*fleet.Runner{v.Runner("r1")}}).(*repath.Change)
+	require.True(t, ok)
+	require.Equal(t, 2, d.Path().Len())
+	require.True(t, d.Path().Has(v.Runner("r2"), protocol.Span{From: 2, To: 6}))
+}
+
+// TestASlowReplacementIsNotTaken where the whole request is done sooner elsewhere.
+func TestASlowReplacementIsNotTaken(t *testing.T) {
+	v := gather(4, protocol.Span{From: 0, To: 2}, protocol.Span{From: 2, To: 4}, protocol.Span{From: 2, To: 4}, protocol.Span{From: 0, To: 4})
+	p := whole(t, v, v.Runner("r2"), v.Runner("r3"))
+	lost := []*fleet.Runner{v.Runner("r1")}
+	other := whole(t, v, v.Runner("r0"), v.Runner("r1"), v.Runner("r2"))
+	query := func() *repath.Query {
+		return &repath.Query{Path: p, Lost: lost, Tokens: 800, Left: 200, Elsewhere: &other}
+	}
+	require.IsType(t, &repath.Change{}, choose(v, query()))
+	for range 40 {
+		v.Runner("r2").Measured(time.Second, 0.01, now)
+	}
+	v.Runner("r3").Suspect(now.Add(time.Second)) // not for the hole either
+	require.Equal(t, repath.Elsewhere{}, choose(v, query()))
+}
+
+// TestAFullRunnerIsNoReplacement, since an order that finds no room was in vain.
+func TestAFullRunnerIsNoReplacement(t *testing.T) {
+	v := gather(4, protocol.Span{From: 0, To: 2}, protocol.Span{From: 2, To: 4}, protocol.Span{From: 2, To: 4})
+	p := whole(t, v, v.Runner("r2"))
+	v.Runner("r2").ReportUsed(0.95, now)
+	require.Equal(t, repath.Wait{}, choose(v, &repath.Query{Path: p, Lost: []*fleet.Runner{v.Runner("r1")}, Tokens: 800}))
+}
+
+// TestAChangedPathIsWhole draws holders and losses: a changed path runs every layer once
+// and in order, keeps its first stage, names no runner twice and none that is lost, left
+// out or leaving.
+func TestAChangedPathIsWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		layers := rapid.IntRange(2, 24).Draw(t, "layers")
+		spans := []protocol.Span{{From: 0, To: layers}}
+		for range rapid.IntRange(1, 16).Draw(t, "runners") {
+			from := rapid.IntRange(0, layers-1).Draw(t, "from")
+			spans = append(spans, protocol.Span{From: from, To: rapid.IntRange(from+1, layers).Draw(t, "to")})
+		}
+		v := gather(layers, spans...)
+		v.Runner("r0").LeaveOut(now.Add(time.Second)) // it would be the whole path
+		p := whole(t, v)
+		v.Runner("r0").Works()
+		q := &repath.Query{Path: p, Tokens: 800, Left: 100}
+		for i := range p.Len() {
+			if rapid.Bool().Draw(t, "lost") {
+				q.Lost = append(q.Lost, p.Runner(i))
+				p.Runner(i).Lose(now, now.Add(time.Second))
+			}
+		}
+		for i := range spans {
+			if rapid.IntRange(0, 5).Draw(t, "leaving") == 0 {
+				v.Runner(name(i)).MarkLeaving()
+			}
+		}
+		d, ok := choose(v, q).(*repath.Change)
+		if !ok {
+			return
+		}
+		at := 0
+		seen := map[*fleet.Runner]bool{}
+		for i := range d.Path().Len() {
+			r, span := d.Path().Runner(i), d.Path().Span(i)
+			require.Equal(t, at, span.From)
+			require.True(t, r.Span().From <= span.From && span.To <= r.Span().To && span.Layers() > 0)
+			require.False(t, seen[r], "named twice")
+			require.NotContains(t, q.Lost, r)
+			require.True(t, p.Has(r, span) || r.Usable(now), "new work for a runner that takes none")
+			seen[r], at = true, span.To
+		}
+		require.Equal(t, layers, at)
+		require.Equal(t, p.Runner(0), d.Path().Runner(0))
+		require.Equal(t, p.Span(0), d.Path().Span(0))
+	})
+}
+
+// BenchmarkChoose measures the decision for a path of which the fourth stage is lost,
+// among engines that hold 75 different spans.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{98, 600} {
+		var spans []protocol.Span
+		for i := range n {
+			from := i * 7 % 75
+			spans = append(spans, protocol.Span{From: from, To: min(80, from+10)})
+		}
+		v := gather(80, spans...)
+		p := whole(b, v)
+		other := whole(b, v, p.Runner(0))
+		q := &repath.Query{Path: p, Lost: []*fleet.Runner{p.Runner(3)}, Tokens: 900, Left: 100, Elsewhere: &other, Search: search()}
+		models := []*fleet.Model{v.Model(model)}
+		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				repath.Choose(models, q)
+			}
+		})
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -37,6 +37,8 @@
 	HoldBegun          = Event{2012, "waits for room", slog.LevelInfo}
 	AnswerStopped      = Event{2013, "caller reads slowly", slog.LevelInfo}
 	AnswerEnded        = Event{2014, "answer ended for room", slog.LevelWarn}
+	PathOrdered        = Event{2015, "change of path ordered", slog.LevelInfo}
+	PathAnswered       = Event{2016, "change of path answered", slog.LevelInfo}
 	RunnerConnected    = Event{3001, "runner connected", slog.LevelInfo}
 	RunnerLost         = Event{3002, "runner lost", slog.LevelWarn}
 	RunnerEjected      = Event{3003, "runner ejected", slog.LevelWarn}
@@ -88,6 +90,7 @@
 		EntryReady, EntryStopping, EntryStopped, SettingsRead, SettingsIgnored,
 		RequestRefused, RequestRetried, RequestSent, RequestAnswered, SilenceSuspected, AttemptBroken,
 		StreamCut, CallerLeft, CallerUnbounded, AttemptNotRun, HoldEnded, HoldBegun, AnswerStopped, AnswerEnded,
+		PathOrdered, PathAnswered,
 		RunnerConnected, RunnerLost, RunnerEjected, FrameBroken, ReportIgnored,
 		EndpointJoined, EndpointLeaving, EndpointGone, LayersChanged, LossTold,
 		RecordSuperseded, RecordDisproved, RecordUnusable, RecordUsable, EndpointSlow, EndpointFast, EndpointRestarted,
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -86,6 +86,7 @@
 	ConnectionsClosed   Name = "connections_closed"
 	EndpointsSlow       Name = "endpoints_slow"
 	SlowNews            Name = "slow_news"
+	PathOrders          Name = "path_orders"
 )
 
 // Names returns every counter that is neither a refusal nor a retry.
@@ -98,7 +99,7 @@
 		EndpointConnections, ReportsAsked, PlansWorkedOut, OrdersGiven, LinesDropped, RequestsHeld,
 		RecordsSuperseded, RecordsDisproved, RestartsSeen,
 		HeldAnswerBytes, HeldBodyBytes, PressureStopped, PressureDropped, PressureEnded, ConnectionsClosed,
-		EndpointsSlow, SlowNews,
+		EndpointsSlow, SlowNews, PathOrders,
 	}
 }
 
--- a/internal/metric/times.go
+++ b/internal/metric/times.go
@@ -46,7 +46,8 @@
 // FirstEvent and WholeAnswer are counted from when a request came in; Pause is the
 // longest between two events of a stream; Detection is how long a stream was silent
 // when it was asked for elsewhere; StoreCall and EngineCall are calls to the platform
-// (watches left out, which wait) and to engines.
+// (watches left out, which wait) and to engines; PathChange is the pause of a stream whose
+// path changed.
 const (
 	FirstEvent  Timed = "first_event"
 	WholeAnswer Timed = "whole_answer"
@@ -55,11 +56,12 @@
 	StoreCall   Timed = "store_call"
 	EngineCall  Timed = "engine_call"
 	Held        Timed = "held"
+	PathChange  Timed = "path_change"
 )
 
 // AllTimed returns everything that a Set records the time of.
 func AllTimed() []Timed {
-	return []Timed{FirstEvent, WholeAnswer, Pause, Detection, StoreCall, EngineCall, Held}
+	return []Timed{FirstEvent, WholeAnswer, Pause, Detection, StoreCall, EngineCall, Held, PathChange}
 }
 
 // Summary is a snapshot in milliseconds.
--- a/protocol/forward.go
+++ b/protocol/forward.go
@@ -65,3 +65,39 @@
 	OrderHolds
 	OrderRefused
 )
+
+// PathOrder tells the first engine of a path to run a request over another path from now
+// on, with the same first stage. Stages that both paths have keep what they hold of the
+// request, the others read it.
+type PathOrder struct {
+	EndpointID string // of the first engine
+	Address    string // of the first engine
+	RequestID  string
+	Path       []PathStage
+}
+
+// PathAnswer is what became of an order to change a path: PathTaken, PathUnknown,
+// PathUnfit, PathRefused or PathUnanswered.
+type PathAnswer interface{ pathAnswer() }
+
+// PathTaken says that the request runs over the new path from now on.
+type PathTaken struct{}
+
+// PathUnknown says that the engine has no such request.
+type PathUnknown struct{}
+
+// PathUnfit says that a stage can't take the request: it does not hold its layers or has
+// no room. Address is the stage's, "" if it is not told.
+type PathUnfit struct{ Address string }
+
+// PathRefused says that the engine did not take the order for another reason.
+type PathRefused struct{ Cause error }
+
+// PathUnanswered says that the order may have been taken, or may be yet.
+type PathUnanswered struct{ Cause error }
+
+func (PathTaken) pathAnswer()      {}
+func (PathUnknown) pathAnswer()    {}
+func (PathUnfit) pathAnswer()      {}
+func (PathRefused) pathAnswer()    {}
+func (PathUnanswered) pathAnswer() {}
--- a/settings/front.go
+++ b/settings/front.go
@@ -25,6 +25,8 @@
 	RetrySlack float64 `json:"retry_slack" validate:"gte=0"`
 	// RetryWindowMS is the time over which the bound counts.
 	RetryWindowMS float64 `json:"retry_window_ms" validate:"gte=0"`
+	// ChangePaths has running requests go on over another path when a stage is lost.
+	ChangePaths bool `json:"change_paths"`
 	// MemoryMB is what the process may use, bytes in its sockets included.
 	MemoryMB float64 `json:"memory_mb" validate:"gte=0"`
 	// Descriptors is how many files and sockets the process may have open, 0 if that is
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -109,7 +110,7 @@
 				w.checkKey(c, &a)
 			}
 			if a.endpoint.engine {
-				w.checkPath(c, &a)
+				w.checkPath(c.id, a.endpoint, a.request.Path)
 			}
 		}
 		if c.runsOnce() && runs > 1 {
@@ -145,22 +146,35 @@
 	}
 }
 
-// checkPath checks that a path runs every layer once and in order.
-func (w *world) checkPath(c *call, a *arrival) {
+// checkMoves checks that orders to change a path concern requests that callers sent.
+func (w *world) checkMoves(calls []*call) {
+	for _, e := range w.all() {
+		for _, m := range e.Moves() {
+			w.checkPath(m.ID, e, m.Path)
+			if !slices.ContainsFunc(calls, func(c *call) bool { return c.id == m.ID }) {
+				w.problem("%q was asked by nobody and ordered over the path %q at %s", m.ID, m.Path, e.ID)
+			}
+		}
+	}
+}
+
+// checkPath checks that a path runs every layer once and in order, the first ones at the
+// engine that was told of it.
+func (w *world) checkPath(id string, first *endpoint, path string) {
 	next := 0
-	for i, part := range strings.Split(a.request.Path, ",") {
+	for i, part := range strings.Split(path, ",") {
 		address, span, _ := strings.Cut(part, "=")
 		from, to, _ := strings.Cut(span, "-")
 		begin, err1 := strconv.Atoi(from)
 		end, err2 := strconv.Atoi(to)
-		if err1 != nil || err2 != nil || begin != next || end <= begin || i == 0 && address != a.endpoint.link.address() {
-			w.problem("%s was sent over the path %q", c.id, a.request.Path)
+		if err1 != nil || err2 != nil || begin != next || end <= begin || i == 0 && address != first.link.address() {
+			w.problem("%s was sent over the path %q", id, path)
 			return
 		}
 		next = end
 	}
 	if next != platformtest.TableLayers {
-		w.problem("%s was sent over the path %q", c.id, a.request.Path)
+		w.problem("%s was sent over the path %q", id, path)
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -93,6 +93,7 @@
 	calls := append(cs.all(), c.calls...)
 	w.checkAnswers(cs.all())
 	w.checkRuns(calls)
+	w.checkMoves(calls)
 	w.checkBudget(calls)
 	w.checkLogs()
 	if len(w.problems) == 0 {
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"pinerun.example/pinerun/coordination/path"
+	"pinerun.example/pinerun/coordination/repath"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/fleet"
 )
@@ -48,6 +49,9 @@
 	spoke       bool           // an event came; the exchange's
 	fell        bool           // the endpoint broke the connection off; the exchange's
 	overdue     bool           // it was told that its endpoint is slow; the exchange's
+	course      repath.Course  // orders to change its path; the exchange's
+	quietTill   time.Time      // until when a change of path may hold it up; the exchange's
+	movedAt     time.Time      // when its path changed, until an event comes; the exchange's
 	answer      *http.Response // head of the stream, once it came; the exchange's
 
 	released  bool // the connection rests, or was closed at rest; of run
@@ -273,10 +277,12 @@
 	return nil
 }
 
-// heard notes that every runner of the attempt's path works.
+// heard notes that every runner of the attempt's path works, as far as it is surely in use.
 func (x *exchange) heard(a *attempt, now time.Time) {
 	for i := range a.path.Len() {
-		x.forwarder.works(a.path.Runner(i), now)
+		if a.speaks(i) {
+			x.forwarder.works(a.path.Runner(i), now)
+		}
 	}
 }
 
--- a/transport/forward/doc.go
+++ b/transport/forward/doc.go
@@ -9,7 +9,8 @@
 // and alone decides. Each send to an endpoint is an attempt, a goroutine that only
 // reads and writes its connection and tells the exchange what comes. A stream that
 // falls silent is asked for elsewhere, after its last whole event, while the
-// silent attempt stays open; the first to speak goes on.
+// silent attempt stays open; the first to speak goes on. Before that, where stages of its
+// path are lost, its first engine is ordered to replace them.
 //
 // Connections are the package's own: a request leaves on one connection and is
 // never repeated by a library.
--- a/transport/forward/encode.go
+++ b/transport/forward/encode.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"pinerun.example/pinerun/coordination/path"
 	"pinerun.example/pinerun/protocol"
 )
 
@@ -59,13 +60,19 @@
 	}
 	s.Urgent = true
 	s.Urgency = x.urgency()
-	s.Path = make([]protocol.PathStage, a.path.Len())
-	for i := range s.Path {
-		s.Path[i] = protocol.PathStage{Address: a.path.Runner(i).Spec().Address, Layers: a.path.Span(i)}
-	}
+	s.Path = stagesOf(&a.path)
 	return s
 }
 
+// stagesOf returns a path as engines are told it.
+func stagesOf(p *path.Path) []protocol.PathStage {
+	stages := make([]protocol.PathStage, p.Len())
+	for i := range stages {
+		stages[i] = protocol.PathStage{Address: p.Runner(i).Spec().Address, Layers: p.Span(i)}
+	}
+	return stages
+}
+
 // urgency ranks by team first, then by route.
 func (x *exchange) urgency() int {
 	rank := min(x.route.Priority, teamRanks-1)
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -41,6 +41,8 @@
 	Roster   *roster.Roster
 	Headers  Headers
 	Reporter Reporter
+	// Changer changes the paths of running requests, nil to leave them as they are.
+	Changer  Changer
 	Counters *metric.Set
 	Logger   *slog.Logger
 	// TrustKeys returns until when keys confirmed then are accepted.
--- a/transport/forward/message.go
+++ b/transport/forward/message.go
@@ -8,8 +8,8 @@
 	"pinerun.example/pinerun/protocol"
 )
 
-// message is what an attempt tells its exchange: headCame, eventCame, wholeCame
-// or attemptEnded.
+// message is what an attempt tells its exchange: headCame, eventCame, wholeCame,
+// attemptEnded, pathAnswered or waitReported.
 type message interface{ from() *attempt }
 
 // headCame is the head of a stream.
--- a/transport/forward/rhythm.go
+++ b/transport/forward/rhythm.go
@@ -87,6 +87,13 @@
 	r.overdue = now.Add(max(r.firstBy/2, pauseLeast))
 }
 
+// expect puts the next look off until a time: what holds the stream up is known.
+func (r *rhythm) expect(till time.Time) {
+	if till.After(r.overdue) {
+		r.overdue = till
+	}
+}
+
 // askAgain puts the next look off.
 func (r *rhythm) askAgain(now time.Time) { r.overdue = now.Add(lookEvery) }
 
--- a/transport/forward/send.go
+++ b/transport/forward/send.go
@@ -41,7 +41,7 @@
 	a.cancelled, a.cancel = context.WithCancel(context.Background())
 	a.request = x.encode(a)
 	for i := range a.path.Len() {
-		a.path.Runner(i).Sent(a.passes * int64(a.path.Span(i).Layers()))
+		a.path.Runner(i).Sent(a.work(a.path.Span(i)))
 	}
 	x.forwarder.inflight.sent(a.endpoint.Name(), len(x.body))
 	a.newEndpoint = !slices.Contains(x.reached, a.endpoint)
@@ -101,8 +101,9 @@
 	a.stop()
 	x.forwarder.inflight.ended(a.endpoint.Name(), len(x.body), a.fell)
 	for i := range a.path.Len() {
-		a.path.Runner(i).Settled(a.passes * int64(a.path.Span(i).Layers()))
+		a.path.Runner(i).Settled(a.work(a.path.Span(i)))
 	}
+	a.loadNext(-1)
 }
 
 // describe returns a path as endpoint IDs with their layers.
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -3,6 +3,7 @@
 package forward
 
 import (
+	"cmp"
 	"log/slog"
 	"slices"
 	"time"
@@ -29,8 +30,14 @@
 	silenceElsewhere silenceAction = "ask elsewhere"
 	silenceNoGain    silenceAction = "slow, and no path is enough faster: wait"
 	silenceTooLate   silenceAction = "slow, and late already: wait"
+	silenceChanging  silenceAction = "change its path"
 )
 
+// inVain reports whether a silent request can't be sent elsewhere.
+func (s silenceAction) inVain() bool {
+	return s == silenceOnce || s == silenceSends || s == silenceNoPath || s == silenceNoBudget
+}
+
 // wake acts when the deadline has come or an event is overdue.
 func (x *exchange) wake(now time.Time) {
 	if x.held != nil {
@@ -95,7 +102,14 @@
 
 // act does what can be done about an attempt that waits for some runners.
 func (x *exchange) act(silent *attempt, quiet []*fleet.Runner, now time.Time) {
-	x.noteSilence(silent, quiet, x.hedge(quiet, now), now)
+	action := x.replace(silent, now)
+	if action == "" {
+		action = x.hedge(quiet, now)
+	}
+	if action.inVain() {
+		action = cmp.Or(x.replaceQuiet(silent, quiet, now), action)
+	}
+	x.noteSilence(silent, quiet, action, now)
 }
 
 // noteSilence logs what was done about a silence.
@@ -148,6 +162,7 @@
 	}
 	x.forwarder.Counters.Retried(metric.Silence)
 	x.forwarder.Counters.Took(metric.Detection, now.Sub(x.rhythm.last))
+	x.endDoubted()
 	x.send(&p)
 	return action
 }
--- a/transport/forward/take.go
+++ b/transport/forward/take.go
@@ -25,6 +25,10 @@
 		x.takeWhole(m)
 	case attemptEnded:
 		x.takeEnd(m)
+	case pathAnswered:
+		x.takePathAnswer(m, time.Now())
+	case waitReported:
+		x.takeWaitReport(m, time.Now())
 	}
 }
 
@@ -45,6 +49,7 @@
 		x.drop(other)
 	}
 	now := time.Now()
+	x.spoke(m.attempt, now)
 	x.heard(m.attempt, now)
 	if x.rhythm.first {
 		x.paced(m.attempt, now.Sub(x.rhythm.last), now)
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -96,6 +96,9 @@
 		Counters: f.Counters, Logger: f.Logger,
 		TrustKeys: s.KeyTrust, Tell: f.source.Tell, Locate: f.source.Locate, Held: &f.held, TellPace: f.source.TellPace,
 	}
+	if s.ChangePaths {
+		f.forwarder.Changer = f.Outside.Engines
+	}
 	f.forwarder.OpenBudget(forward.Retries{Share: s.RetryShare * shareKept, Slack: s.RetrySlack, Ends: s.RetryWindow}, census.Least, time.Now())
 	f.director = director.Director{
 		Self: s.Name, LeaseKind: leaseKind, Routing: &f.routing, Roster: &f.roster, Engines: f.Outside.Engines,
--- a/transport/front/outside.go
+++ b/transport/front/outside.go
@@ -33,6 +33,7 @@
 // Engines is the way to model engines.
 type Engines interface {
 	forward.Reporter
+	forward.Changer
 	director.Engines
 	// Identify asks which endpoint has an address, at the path of its service for that, and
 	// returns "" if what answers does not tell.
