occupant: ask again who has an address when no answer came

An address that two records name was asked once. A question that got no answer, as of a machine that was frozen or a lossy link, counted as put, so the record of another writer stayed in the place of a living endpoint's until a request or an order happened to go there.

It is asked once a second until an answer from after the last record came. The line of TestWhatIsUnclearIsAsked that held for 3 s without an answer asserted the fault; it now bounds the questions to one in AskEvery and asks for the next, which fails without the change.

--- a/state/occupant/occupant.go
+++ b/state/occupant/occupant.go
@@ -121,6 +121,7 @@
 	}
 	k.proven = now
 	s.asked = now
+	s.answered = now
 }
 
 // InUse reports whether an endpoint is the occupant of its address.
--- a/state/occupant/site.go
+++ b/state/occupant/site.go
@@ -59,9 +59,10 @@
 
 // site is an address with its claims.
 type site struct {
-	claims  []*claim
-	changed time.Time // when a record last came, came back or told another life
-	asked   time.Time // when it was last asked, or answered
+	claims   []*claim
+	changed  time.Time // when a record last came, came back or told another life
+	asked    time.Time // when it was last asked, or answered
+	answered time.Time
 }
 
 // claimOf returns the claim of an endpoint, or nil.
@@ -100,12 +101,13 @@
 			records++
 		}
 	}
+	again := !now.Before(s.asked.Add(AskEvery))
 	switch o := s.occupant(); {
 	case records == 0:
 		return false
 	case o == nil || !o.recorded:
-		return !now.Before(s.asked.Add(AskEvery))
+		return again
 	default:
-		return records > 1 && s.asked.Before(s.changed)
+		return records > 1 && s.answered.Before(s.changed) && (again || s.asked.Before(s.changed))
 	}
 }
