roster: take no report of the same life for a restart

Of two reports of an engine that are asked for side by side, as by the director before an order and by an inquiry, the earlier one may be taken last. It counts fewer orders, so the engine was taken to have started again: its measurements were dropped, its orders forgotten, and the layers of the earlier report believed. Where both tell the same start it changes nothing now. The new case of TestWhatAReportSaysOfARecord fails without.

--- a/state/roster/belief.go
+++ b/state/roster/belief.go
@@ -281,10 +281,13 @@
 		return Silent
 	}
 	b := r.beliefs[id]
-	if e.Lifetime.Before(p.Lifetime) || p.Orders < b.orders {
+	sameLife := e.Lifetime.Known() && e.Lifetime == p.Lifetime
+	switch {
+	case p.Orders < b.orders && sameLife:
+		return Silent // two were asked for at a time, and this one came last
+	case p.Orders < b.orders, e.Lifetime.Before(p.Lifetime):
 		return r.startedAgain(e, p, now)
-	}
-	if p.Orders > b.orders {
+	case p.Orders > b.orders:
 		b.orders = p.Orders
 		r.believe(id, b)
 	}
--- a/state/roster/roster_test.go
+++ b/state/roster/roster_test.go
@@ -197,6 +197,7 @@
 		{"none", protocol.EngineReport{LayersKnown: true, Orders: 2}, time.Second, roster.Differs, protocol.Span{}, false},
 		{"none, from before the record changed", protocol.EngineReport{LayersKnown: true, Orders: 2}, 100 * time.Millisecond, roster.Silent, span, false},
 		{"orders counted anew", protocol.EngineReport{LayersKnown: true, Orders: 1}, 100 * time.Millisecond, roster.Differs, protocol.Span{}, true},
+		{"fewer orders of the same life, which is late", protocol.EngineReport{LayersKnown: true, Orders: 1, Lifetime: 10}, time.Second, roster.Silent, span, false},
 		{"a later start", protocol.EngineReport{LayersKnown: true, Orders: 2, Lifetime: 20}, 100 * time.Millisecond, roster.Differs, protocol.Span{}, true},
 	} {
 		r := newRoster()
