roster: tell of restarts that a list shows

A list is what makes good for changes that were missed, as after an outage, when most engines start again. Who had started again by it was another runner in the roster, but the director was not told: orders to the earlier life counted as under way for their time, and were written into the lease as the later one's. TestAnEndpointThatStartsAgainIsCountedInAListToo counts 0 restarts without.

--- a/state/roster/belief.go
+++ b/state/roster/belief.go
@@ -325,8 +325,8 @@
 	return Differs
 }
 
-// StartedAgain returns the endpoints whose reports showed since the last call that they have
-// started again.
+// StartedAgain returns the endpoints of which a report or a list showed since the last call that
+// they have started again.
 func (r *Roster) StartedAgain() []protocol.Endpoint {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -58,7 +58,7 @@
 	unused     map[string]bool // records out of use when it was last derived
 	notices    []Notice
 	unrecorded map[string]unrecorded
-	anew       []protocol.Endpoint // that a report showed to have started again, not told yet
+	anew       []protocol.Endpoint // that have started again, not told yet
 	changes    atomic.Uint64
 	view       atomic.Pointer[fleet.View]
 	list       atomic.Pointer[[]protocol.Endpoint]
@@ -126,7 +126,9 @@
 		if old, there := before[e.ID]; there {
 			r.endpoints[e.ID] = old
 		}
-		r.put(e, now)
+		if r.put(e, now) == Restarted {
+			r.anew = append(r.anew, e)
+		}
 	}
 	var gone []protocol.Endpoint
 	for id, e := range before {
--- a/transport/front/occupants.go
+++ b/transport/front/occupants.go
@@ -65,7 +65,7 @@
 }
 
 // restarted takes it that an endpoint started again under its ID, as its record says at a
-// revision, or its report at 0.
+// revision, or its report or a list at 0.
 func (f *Front) restarted(e protocol.Endpoint, revision uint64) {
 	f.director.Restarted(e.ID)
 	f.Counters.Add(metric.RestartsSeen, 1)
--- a/transport/front/sinks_test.go
+++ b/transport/front/sinks_test.go
@@ -84,3 +84,17 @@
 	require.EqualValues(t, 1, f.Counters.Value(string(metric.RestartsSeen)))
 	require.EqualValues(t, 2, f.roster.Endpoints()[0].Lifetime)
 }
+
+// TestAnEndpointThatStartsAgainIsCountedInAListToo: changes that are missed are made good by a list.
+func TestAnEndpointThatStartsAgainIsCountedInAListToo(t *testing.T) {
+	f := &Front{Counters: &metric.Set{}, Outside: Outside{RoutingName: "main", Decoder: lived{}}}
+	s := &endpointSink{front: f}
+	now := time.Now()
+	for i, life := range []int{1, 2, 1, 2} {
+		o := protocol.Object{Name: "e", Version: uint64(i + 1), Value: make([]byte, life)}
+		s.Listed([]protocol.Object{o}, now.Add(time.Duration(i)*time.Second))
+		f.lookAtRecords(now.Add(time.Duration(i) * time.Second))
+	}
+	require.EqualValues(t, 1, f.Counters.Value(string(metric.RestartsSeen)))
+	require.EqualValues(t, 2, f.roster.Endpoints()[0].Lifetime)
+}
