roster: believe a record of an earlier start that stands

A record that tells an earlier start than was known of its ID changed nothing, without a bound: the store sends it once, and each later one of that process is refused as well. So an engine whose machine's clock had been set back between two of its lives was left out for good, as was one under whose ID somebody else had recorded a later start, or to which the report of the next process at its address had been attributed.

A process that lives writes over a late write of its dead predecessor within a heartbeat. What stands for roster.Patience is believed now, not while the store fails, when nobody can write over it.

TestALifeWhoseRecordStandsIsNotOver fails without. So does the property of TestEnginesThatLiveAreUsedAndOnlyThose with clocks that are set back, which it now draws: after 168 cases. It allows such a process roster.Patience before the bound of all others, which is as it was: without that, one run of 5,000 met an address that a dead engine's later start claimed too, which is asked only then. 60,000 cases pass.

--- a/state/occupant/occupant.go
+++ b/state/occupant/occupant.go
@@ -96,6 +96,13 @@
 	}
 }
 
+// Forget takes back all that is known of the claim of an endpoint.
+func (l *Ledger) Forget(endpoint string) {
+	if k := l.claimOf(endpoint); k != nil {
+		l.drop(l.sites[k.Address], k)
+	}
+}
+
 // depart remembers a claim without a record for a while.
 func (l *Ledger) depart(k *claim, now time.Time) {
 	k.till = now.Add(Remembered)
--- a/state/roster/lives_test.go
+++ b/state/roster/lives_test.go
@@ -62,6 +62,7 @@
 	t       *rapid.T
 	now     time.Time
 	tells   bool // whether engines tell their starts
+	setBack bool // whether the clock of one was
 	alive   map[string]*process
 	used    []string // IDs
 	written []protocol.Endpoint
@@ -109,12 +110,19 @@
 	return protocol.Span{From: from, To: from + rapid.IntRange(1, 5).Draw(w.t, "layers")}
 }
 
+// setBack is how far the clock of an engine's machine may be behind that of an earlier life's.
+const setBack = 100 * time.Second
+
 // begin starts an engine at an address, in place of the one that is there.
 func (w *fleetWorld) begin(address, id string) {
 	p := &process{id: id, address: address}
 	w.now = w.now.Add(time.Millisecond) // no two lives of an ID start at the same time
 	if w.tells {
 		p.life = protocol.Lifetime(w.now.UnixMilli())
+		if rapid.Bool().Draw(w.t, "clock set back") {
+			p.life -= protocol.Lifetime(setBack.Milliseconds())
+			w.setBack = true
+		}
 	}
 	w.alive[address] = p
 	if !slices.Contains(w.used, id) {
@@ -347,6 +355,9 @@
 			"lapse": w.lapse, "see": w.see, "publish": w.publish, "hear": w.hear, "send": w.send, "ask": w.ask, "pass": w.pass,
 			"": w.check,
 		})
+		if w.setBack {
+			w.calm(roster.Patience) // until a record that stands is believed
+		}
 		w.calm(leftOut)
 		var living []string
 		for _, p := range w.alive {
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -58,7 +58,8 @@
 	unused     map[string]bool // records out of use when it was last derived
 	notices    []Notice
 	unrecorded map[string]unrecorded
-	anew       []protocol.Endpoint // that have started again, not told yet
+	lates      map[string]lateRecord // not believed, but the latest of their endpoints
+	anew       []protocol.Endpoint   // that have started again, not told yet
 	changes    atomic.Uint64
 	view       atomic.Pointer[fleet.View]
 	list       atomic.Pointer[[]protocol.Endpoint]
@@ -130,6 +131,7 @@
 			r.anew = append(r.anew, e)
 		}
 	}
+	r.keepLate(list)
 	var gone []protocol.Endpoint
 	for id, e := range before {
 		if _, there := r.endpoints[id]; there || r.keep(e, now) {
@@ -171,6 +173,7 @@
 func (r *Roster) Remove(id string, now time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	delete(r.lates, id)
 	e, there := r.endpoints[id]
 	if !there || r.keep(e, now) {
 		return false
@@ -197,6 +200,7 @@
 		r.forget(id, now)
 	}
 	r.occupants.Sweep(now)
+	r.believeLate(now)
 	if len(gone) > 0 {
 		r.changed()
 	}
@@ -206,7 +210,7 @@
 // keep decides whether a vanished endpoint is still believed in, and holds on to
 // it. One that said that it is leaving is not.
 func (r *Roster) keep(e protocol.Endpoint, now time.Time) bool {
-	if e.Leaving || r.outage.IsZero() || now.Sub(r.outage) > settle {
+	if e.Leaving || !r.unsettled(now) {
 		return false
 	}
 	if r.vanished == nil {
@@ -219,6 +223,11 @@
 	return true
 }
 
+// unsettled reports whether the platform did not answer lately.
+func (r *Roster) unsettled(now time.Time) bool {
+	return !r.outage.IsZero() && now.Sub(r.outage) <= settle
+}
+
 // changed notes that what is derived is stale. Changes come many at a time, with the
 // start of a fleet thousands of them, and deriving takes as long as there are
 // endpoints: so it waits until somebody looks. The mutex is held.
--- a/state/roster/roster_test.go
+++ b/state/roster/roster_test.go
@@ -166,6 +166,50 @@
 	require.Len(t, r.Centers("llm"), 1)
 }
 
+// TestALifeWhoseRecordStandsIsNotOver: a process that lives writes over what an earlier life of it
+// wrote late. One whose clock was set back, or whose ID somebody else recorded with a later
+// start, looks like an earlier life and is not.
+func TestALifeWhoseRecordStandsIsNotOver(t *testing.T) {
+	now := time.Unix(100, 0)
+	stands := now.Add(roster.Patience)
+	later, earlier := atX("x", 20, 1, 3), atX("x", 10, 1, 10)
+	for _, c := range []struct {
+		name     string
+		meantime func(r *roster.Roster)
+		life     protocol.Lifetime
+	}{
+		{"it stands", func(*roster.Roster) {}, 10},
+		{"it is listed again", func(r *roster.Roster) { r.Replace([]protocol.Endpoint{earlier}, stands.Add(-1)) }, 10},
+		{"the later one's record has gone before", func(r *roster.Roster) { r.Take(earlier, now) }, 10},
+		{"it is written over", func(r *roster.Roster) { r.Take(later, now) }, 20},
+		{"it is not in a list", func(r *roster.Roster) { r.Replace([]protocol.Endpoint{later}, now) }, 20},
+		{"it goes", func(r *roster.Roster) { r.Remove("x", now) }, 0},
+		{"it is replaced by one that can't be used", func(r *roster.Roster) { r.Discard("x") }, 0},
+		{"who lives can't write", func(r *roster.Roster) { r.Outage(stands) }, 20},
+	} {
+		r := newRoster()
+		r.Take(later, now)
+		runner := r.View().Runner("x")
+		if c.name == "the later one's record has gone before" {
+			r.Remove("x", now)
+		}
+		require.Equal(t, roster.Stale, r.Take(earlier, now), c.name)
+		c.meantime(r)
+		r.Sweep(stands.Add(-time.Millisecond))
+		require.Empty(t, r.StartedAgain(), c.name)
+		r.Sweep(stands)
+		if c.life == 0 {
+			require.Empty(t, r.Endpoints(), c.name)
+			continue
+		}
+		require.Len(t, r.Endpoints(), 1, c.name)
+		require.Equal(t, c.life, r.Endpoints()[0].Lifetime, c.name)
+		require.Equal(t, c.life == 10, r.View().Runner("x") != runner, c.name)
+		require.Equal(t, c.life == 10, len(r.StartedAgain()) == 1, c.name)
+		require.Equal(t, c.life == 10, r.Report("x", &protocol.EngineReport{Lifetime: 10, LayersKnown: true}, stands.Add(time.Minute)) == roster.Differs, c.name)
+	}
+}
+
 func TestAnEngineThatLacksItsLayersCountsAsEmpty(t *testing.T) {
 	r := newRoster()
 	now := time.Unix(100, 0)
