roster: let a denial stand against what was asked before, and forget unrecorded engines

Three faults around what is believed against a record: - News that an endpoint has its own address settled a denial of its layers, also where only the address had been asked, as of an engine found lost that started again under its ID, and where it was asked before the denial. Every question now asks for denied layers too, and Holds is dated. - Engines without a record were forgotten by Unrecorded only, which the director calls where it may order and one service has engines. Elsewhere each ID that ever answered stayed.

TestADenialOutlastsWhatWasAskedBefore and TestAnswersOfManyNamesAreForgottenByWhoNeverOrders fail without.

--- a/state/roster/belief.go
+++ b/state/roster/belief.go
@@ -250,12 +250,12 @@
 	return true
 }
 
-// Holds takes it that an engine holds what its record says after all, and reports whether
-// that was news.
-func (r *Roster) Holds(id string) bool {
+// Holds takes it that an engine held what its record says after all when it was asked, and
+// reports whether that was news.
+func (r *Roster) Holds(id string, at time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if !r.beliefs[id].denied {
+	if b := r.beliefs[id]; !b.denied || at.Before(b.since) {
 		return false
 	}
 	r.settle(id)
@@ -355,7 +355,7 @@
 
 func (r *Roster) ask(id string) Question {
 	e := r.endpoints[id]
-	return Question{endpoint: id, address: e.Address, service: e.Service}
+	return Question{endpoint: id, address: e.Address, service: e.Service, layers: r.beliefs[id].denied}
 }
 
 // Service returns the service that the record names.
@@ -388,9 +388,7 @@
 	}
 	for id, b := range r.beliefs {
 		if b.denied && !r.unused[id] && !now.Before(b.since.Add(patience)) && r.occupants.Due(id, patience, now) {
-			q := r.ask(id)
-			q.layers = true
-			all = append(all, q)
+			all = append(all, r.ask(id))
 		}
 	}
 	return all
--- a/state/roster/lives_test.go
+++ b/state/roster/lives_test.go
@@ -236,7 +236,7 @@
 		r.roster.Denied(n.endpoint, n.life, n.at)
 	case n.endpoint:
 		r.roster.Located(n.endpoint, n.occupant, n.life, n.at)
-		r.roster.Holds(n.endpoint)
+		r.roster.Holds(n.endpoint, n.at)
 	default:
 		r.roster.Located(n.endpoint, n.occupant, n.life, n.at)
 	}
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -200,6 +200,7 @@
 		r.forget(id, now)
 	}
 	r.occupants.Sweep(now)
+	r.sweepUnrecorded(now)
 	r.believeLate(now)
 	if len(gone) > 0 {
 		r.changed()
--- a/state/roster/roster_test.go
+++ b/state/roster/roster_test.go
@@ -271,6 +271,30 @@
 	require.Empty(t, r.Unrecorded(now.Add(time.Minute)), "one that is never recorded is forgotten")
 }
 
+func TestAnswersOfManyNamesAreForgottenByWhoNeverOrders(t *testing.T) {
+	r := newRoster()
+	now := time.Unix(100, 0)
+	r.Take(atX("old", 0, 0, 5), now)
+	r.Located("old", "next", 0, now)
+	r.Sweep(now.Add(time.Minute))
+	require.Empty(t, r.Unrecorded(now), "nobody looked at it before")
+}
+
+// TestADenialOutlastsWhatWasAskedBefore: who has an address says nothing of the layers there.
+func TestADenialOutlastsWhatWasAskedBefore(t *testing.T) {
+	r := newRoster()
+	now := time.Unix(100, 0)
+	r.Take(atX("x", 0, 2, 5), now)
+	require.True(t, r.Denied("x", 0, now.Add(2*time.Second)))
+	require.False(t, r.Holds("x", now.Add(time.Second)), "it was asked before")
+	q, there := r.Probe("x", now.Add(3*time.Second))
+	require.True(t, there)
+	require.True(t, q.Layers(), "its layers are in doubt as well")
+	require.True(t, r.Holds("x", now.Add(4*time.Second)))
+	q, _ = r.Ask("x")
+	require.False(t, q.Layers())
+}
+
 func TestEveryRecordThatGoesOutOfUseIsTold(t *testing.T) {
 	r := newRoster()
 	now := time.Unix(100, 0)
--- a/state/roster/unrecorded.go
+++ b/state/roster/unrecorded.go
@@ -3,6 +3,7 @@
 package roster
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -27,18 +28,20 @@
 func (r *Roster) Unrecorded(now time.Time) []protocol.Endpoint {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.sweepUnrecorded(now)
 	var all []protocol.Endpoint
-	for id, u := range r.unrecorded {
-		if now.After(u.till) {
-			delete(r.unrecorded, id)
-			continue
-		}
+	for _, u := range r.unrecorded {
 		all = append(all, u.endpoint)
 	}
 	slices.SortFunc(all, func(a, b protocol.Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	return all
 }
 
+// sweepUnrecorded forgets who has not answered for long.
+func (r *Roster) sweepUnrecorded(now time.Time) {
+	maps.DeleteFunc(r.unrecorded, func(_ string, u unrecorded) bool { return now.After(u.till) })
+}
+
 // answers notes an endpoint that answered at the address of another one's record.
 func (r *Roster) answers(id string, in protocol.Endpoint, at time.Time) {
 	if _, there := r.endpoints[id]; there {
--- a/transport/forward/misplaced.go
+++ b/transport/forward/misplaced.go
@@ -53,7 +53,7 @@
 		news = f.Roster.Denied(id, report.Lifetime(), report.At())
 	case id:
 		moved := f.Roster.Located(id, occupant, report.Lifetime(), report.At())
-		news = f.Roster.Holds(id) || moved
+		news = f.Roster.Holds(id, report.At()) || moved
 	default:
 		news = f.Roster.Located(id, occupant, report.Lifetime(), report.At())
 	}
