roster, front: count endpoints without deriving the view anew

Each report of a loss, and now each of who has an address, asks how many endpoints there are. That derived the view whenever the report before it had changed something: 8.2 ms and 5.2 MB each with 4,900 endpoints (a benchmark that lets a record change and looks, not kept), as many times as news come in a frame. TestEndpointsAreCountedAsOfTheLatestLook fails where the list is derived.

--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -116,6 +116,15 @@
 	}
 }
 
+// Count returns how many endpoints could be used when somebody last looked. It derives nothing:
+// of 4,900 endpoints that takes 8 ms, and news come many at a time (a benchmark).
+func (r *Roster) Count() int {
+	if l := r.list.Load(); l != nil {
+		return len(*l)
+	}
+	return 0
+}
+
 // Replace takes a whole list. It returns the endpoints that are gone.
 func (r *Roster) Replace(list []protocol.Endpoint, now time.Time) []protocol.Endpoint {
 	r.mutex.Lock()
--- a/state/roster/roster_test.go
+++ b/state/roster/roster_test.go
@@ -295,6 +295,18 @@
 	require.False(t, q.Layers())
 }
 
+func TestEndpointsAreCountedAsOfTheLatestLook(t *testing.T) {
+	r := newRoster()
+	now := time.Unix(100, 0)
+	require.Zero(t, r.Count())
+	r.Replace([]protocol.Endpoint{engine("x", "a", 0, 5)}, now)
+	require.Len(t, r.Endpoints(), 1)
+	r.Take(engine("y", "a", 5, 10), now)
+	require.Equal(t, 1, r.Count(), "counting derives nothing")
+	require.Len(t, r.Endpoints(), 2)
+	require.Equal(t, 2, r.Count())
+}
+
 func TestEveryRecordThatGoesOutOfUseIsTold(t *testing.T) {
 	r := newRoster()
 	now := time.Unix(100, 0)
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -102,7 +102,7 @@
 		Self:     protocol.EntryRecord{Name: s.Name, DataCenter: s.DataCenter, MemoryMB: s.MemoryMB},
 		Kinds:    []string{f.Outside.RoutingKind, f.Outside.EndpointKind, entryKind, leaseKind}, Kind: f.Outside.RoutingKind, Name: f.Outside.RoutingName,
 		Counters: f.Counters, Logger: f.Logger, Failed: f.roster.Outage,
-		Endpoints: func() int { return len(f.roster.Endpoints()) }, Judged: f.judged, Lifetime: f.roster.Lifetime,
+		Endpoints: f.roster.Count, Judged: f.judged, Lifetime: f.roster.Lifetime,
 	}
 }
 
