front: believe an engine that tells nothing of its layers

An engine whose layers were denied, and whose report does not tell layers, could never be believed again until its record changed: no answer to the question settled it. It is used again now, and a further 421 denies it anew.

--- a/transport/front/occupants.go
+++ b/transport/front/occupants.go
@@ -113,10 +113,14 @@
 	return id
 }
 
-// holds reports whether the engine says that it holds what its record says.
+// holds reports whether the engine says that it holds what its record says, or tells nothing of
+// layers: requests find out then, as there is nobody else to ask.
 func (i *inquiry) holds(ctx context.Context) bool {
 	f, q := i.front, i.question
 	f.Counters.Add(metric.ReportsAsked, 1)
 	report, err := f.Outside.Engines.Report(ctx, q.Address())
-	return err == nil && f.roster.Report(q.Endpoint(), &report, time.Now()) == roster.Agrees
+	if err != nil {
+		return false
+	}
+	return f.roster.Report(q.Endpoint(), &report, time.Now()) == roster.Agrees || !report.LayersKnown
 }
