forward, pressure: wait for refusals to be taken, end nobody more urgent for room

Cause: a refusal was held and the next request of its connection looked at at once, so one caller that sends requests without a key one behind the other and reads nothing had the budget to itself; its account was rank 0 (nobody's answers), so it gave way after teams' streams. And a crowd that just came, of whom nobody has been quiet for a second yet, ended the more urgent who had been.

Change: a refusal is awaited like a whole answer, 10 s at most; what is not admitted is the least urgent; who needs room ends nobody more urgent than itself (its write waits instead).

--- a/coordination/pressure/pressure.go
+++ b/coordination/pressure/pressure.go
@@ -141,11 +141,11 @@
 func (b *Budget) free() int64 { return b.most() - b.held - b.bodies }
 
 // Hold takes room for n bytes more, where needed by ending accounts whose callers have read
-// nothing for a while; the ended hold nothing from now on. Without room it changes nothing
+// nothing for a while, none more urgent than a; the ended hold nothing from now on. Without room it changes nothing
 // but those, and reports false.
 func (b *Budget) Hold(a *Account, n int64, now time.Time) (ended []*Account, ok bool) {
 	for !a.ended && n <= b.most() && b.free() < n {
-		v := b.slowest(now)
+		v := b.slowest(a, now)
 		if v == nil {
 			return ended, false
 		}
@@ -199,10 +199,11 @@
 	b.slow[a] = struct{}{}
 }
 
-// slowest returns who gives way first, or nil if all have read lately: the least urgent,
-// then who loses time only, then the team that holds most, and of it who holds most for as
-// long as it has read nothing.
-func (b *Budget) slowest(now time.Time) *Account {
+// slowest returns who gives way first to an account, or nil if all have read lately: the
+// least urgent, then who loses time only, then the team that holds most, and of it who holds
+// most for as long as it has read nothing. Who is more urgent does not give way: a crowd of
+// others that just came, of whom none has been quiet for long, would end it.
+func (b *Budget) slowest(to *Account, now time.Time) *Account {
 	if now.Before(b.search) {
 		return nil
 	}
@@ -212,8 +213,11 @@
 			worst = a
 		}
 	}
-	if worst == nil {
+	switch {
+	case worst == nil:
 		b.search = now.Add(searchEvery)
+	case worst.rank < to.rank:
+		return nil
 	}
 	return worst
 }
--- a/coordination/pressure/pressure_test.go
+++ b/coordination/pressure/pressure_test.go
@@ -251,3 +251,23 @@
 		p.Hold(a, 4096, late)
 	}
 }
+
+// TestWhoIsMoreUrgentDoesNotGiveWay to a crowd that just came, also when nobody else has been
+// quiet for long.
+func TestWhoIsMoreUrgentDoesNotGiveWay(t *testing.T) {
+	var b pressure.Budget
+	b.Limit(limit)
+	urgent := holding(t, &b, "a", 1, true, limit/2)
+	var crowd, equal pressure.Account
+	b.Serve(&crowd, "b", 2, true)
+	ended, ok := b.Hold(&crowd, limit/2, late)
+	require.True(t, ok)
+	require.Empty(t, ended)
+	ended, ok = b.Hold(&crowd, 1, late)
+	require.False(t, ok)
+	require.Empty(t, ended)
+	b.Serve(&equal, "c", 1, true)
+	ended, ok = b.Hold(&equal, 1, late)
+	require.True(t, ok)
+	require.Equal(t, []*pressure.Account{urgent}, ended)
+}
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -114,15 +114,16 @@
 	f.open.Add(1)
 	defer f.open.Add(-1)
 	f.Counters.Add(metric.Requests, 1)
-	x := &exchange{forwarder: f, writer: w, request: r, begun: time.Now()}
+	x := &exchange{forwarder: f, writer: w, request: r, begun: time.Now(), caller: backlog.FromContext(r.Context())}
 	f.opening.wait(r.Context())
 	x.room.budget = f.Held
 	defer x.room.close()
-	if refusal := x.admit(); refusal != nil {
+	refusal := x.admit()
+	x.serve(refusal == nil)
+	if refusal != nil {
 		x.refuse(refusal)
 		return
 	}
-	x.serve(backlog.FromContext(r.Context()))
 	x.run()
 }
 
--- a/transport/forward/reply.go
+++ b/transport/forward/reply.go
@@ -138,6 +138,12 @@
 	if _, err := x.writer.Write(body); err != nil {
 		x.callerLeft()
 	}
+	x.logRefusal(r)
+	x.awaitTaken()
+}
+
+func (x *exchange) logRefusal(r *protocol.Refusal) {
+	f := x.forwarder
 	details := []slog.Attr{
 		x.id(), slog.String("kind", string(r.Kind())), slog.Int("status", r.Status()), slog.String("outcome", r.Outcome().String()),
 		slog.String("message", r.Message()), slog.Int("sends", x.tries), slog.Int64("took_ms", time.Since(x.begun).Milliseconds()),
--- a/transport/forward/slow_caller.go
+++ b/transport/forward/slow_caller.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"log/slog"
+	"net/http"
 	"time"
 
 	"pinerun.example/pinerun/coordination/pressure"
@@ -19,6 +20,10 @@
 // reads, so that no more than twice as much waits for it, in bytes.
 const pourBytes = 32 << 10
 
+// refusalMost is how long a refusal waits for a caller that does not read. It is short, so
+// only those wait whose callers have left answers before it unread.
+const refusalMost = 10 * time.Second
+
 // incoming returns the channel of what attempts tell, unless the caller does not read.
 func (x *exchange) incoming() <-chan message {
 	if x.slow {
@@ -167,10 +172,27 @@
 	return x.caller.Err() == nil
 }
 
-// serve notes the caller's connection and whose answer it carries.
-func (x *exchange) serve(c *backlog.Conn) {
-	x.caller = c
-	if c != nil {
-		c.Serve(x.teamName(), x.urgency(), x.route.Resumable && x.route.MayRepeat())
+// serve tells the caller's connection whose answer it carries. One that is not admitted is
+// nobody's, and gives way first: else callers without a key would displace those with one.
+func (x *exchange) serve(admitted bool) {
+	switch {
+	case x.caller == nil:
+	case admitted:
+		x.caller.Serve(x.teamName(), x.urgency(), x.route.Resumable && x.route.MayRepeat())
+	default:
+		x.caller.Serve("", mostUrgency, true)
+	}
+}
+
+// awaitTaken waits until the caller has taken a refusal. Otherwise who sends requests one
+// behind the other and reads nothing has a refusal of each held, as much as the budget is.
+func (x *exchange) awaitTaken() {
+	if x.caller == nil {
+		return
+	}
+	rc := http.NewResponseController(x.writer)
+	_ = rc.SetWriteDeadline(time.Now().Add(refusalMost)) // fails only once the connection has
+	if rc.Flush() == nil {
+		x.drained()
 	}
 }
