soak: let some callers read slowly, always

Cause: all callers of the soak read at once and streams were 150 bytes, so nothing was ever held.

Change: one more caller of each entry asks for streams of 0.5 MB, by the ending of its request's ID, and reads in pieces, stops midway and comes back, or never reads; it draws apart from the rest, so that a seed's faults are as before. Proxies' sockets are small. Each entry's VmHWM may not pass its memory setting (read each 0.1 s; not judged with -soak.race), and some long stream must come whole.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -48,6 +47,7 @@
 	body   string
 	broken error // why the answer did not come whole
 	left   bool  // the caller gave up early
+	pace   pace  // at which the answer is read
 }
 
 // runsOnce reports whether the request must not run twice.
@@ -178,17 +178,19 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	q.status, q.header = res.StatusCode, res.Header
-	body, err := io.ReadAll(res.Body)
+	body, err := q.pace.readAll(res.Body)
 	q.body, q.broken = string(body), err
 }
 
 func bodyOf(id string) string { return "body of " + id }
 
 // whole is a stream as it has to come.
-func whole() string {
+func whole() string { return streamOf(platformtest.StreamEvents, 0) }
+
+func streamOf(events, size int) string {
 	var all strings.Builder
-	for n := range platformtest.StreamEvents {
-		all.WriteString(platformtest.Event(n + 1))
+	for n := range events {
+		all.WriteString(platformtest.LongEvent(n+1, size))
 	}
 	return all.String()
 }
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -43,10 +43,10 @@
 	}
 	want := "answer of " + signer
 	if c.kind == stream {
-		want = whole()
+		want = wholeOf(c.id)
 	}
 	if c.broken == nil && c.body != want || !strings.HasPrefix(want, c.body) {
-		w.problem("%s %s: not the endpoint's answer: %q (%v)", c.kind, c.id, c.body, c.broken)
+		w.problem("%s %s: not the endpoint's answer: %d bytes, %.300q (%v)", c.kind, c.id, len(c.body), c.body, c.broken)
 	}
 }
 
--- a/soak/endpoint_test.go
+++ b/soak/endpoint_test.go
@@ -54,6 +54,7 @@
 	} else {
 		e.Endpoint = platformtest.NewService(w.t, id)
 	}
+	e.LengthenOnly(longEnding, longEvents, longFilling)
 	if e.link == nil {
 		e.link = newProxy(w.t, e.Address())
 	} else {
--- a/soak/entry_test.go
+++ b/soak/entry_test.go
@@ -33,6 +33,7 @@
 	ended   chan struct{} // closed when the process has ended
 	wanted  bool          // an end is expected: it was told to, or killed
 	paused  time.Time     // when it was last paused or went on
+	peakMB  int           // the most memory that a process of it took
 }
 
 func (w *world) newEntry(dir, name, center string) *entry {
@@ -43,7 +44,7 @@
 		"node_name": name, "zone": center, "zones": map[string]string{"a": "east", "b": "west"}, "ip": "127.0.0.1", "listen.front": callers, "listen.readiness": e.ready,
 		"platform.address": e.store.address(), "bounds.grace_s": stopWithin.Seconds(), "bounds.revoke_ms": keyWithdrawn.Milliseconds(),
 		"bounds.retry_budget_ratio": retryShare, "bounds.retry_budget_slack": retrySlack,
-		"bounds.budget_window_s": retryWindow.Seconds(), "limits.memory_mb": 284, "limits.max_fds": 8192, "internal_ports.0": platformtest.FreePort(),
+		"bounds.budget_window_s": retryWindow.Seconds(), "limits.memory_mb": memoryMB, "limits.max_fds": 8192, "internal_ports.0": platformtest.FreePort(),
 	})
 	text = strings.Replace(text, "127.0.0.1:9464", platformtest.FreeAddress(), 1) // all stand on this machine
 	e.file, e.log = filepath.Join(dir, name+".jsonc"), filepath.Join(dir, name+".log")
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -13,7 +13,7 @@
 	"pinerun.example/pinerun/platform/platformtest"
 )
 
-// pieceBytes is how much a proxy passes on at once; an answer of the stand-ins is shorter.
+// pieceBytes is how much a proxy passes on at once; a usual answer of the stand-ins is shorter.
 const pieceBytes = 16 << 10
 
 // linkState is what a proxy does to the bytes of its connections.
@@ -103,7 +103,8 @@
 	}
 }
 
-// keep holds both ends where reset finds them.
+// keep holds both ends where reset finds them. Their sockets are small, so that who does not
+// read is felt behind the proxy.
 func (p *proxy) keep(ends ...net.Conn) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -111,6 +112,7 @@
 		if p.done {
 			_ = c.Close()
 		}
+		shrink(c)
 		p.conns[c] = true
 	}
 	return !p.done
@@ -140,6 +142,13 @@
 	}
 }
 
+// shrink bounds what the system keeps of a connection's bytes.
+func shrink(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_, _ = tcp.SetReadBuffer(2*pieceBytes), tcp.SetWriteBuffer(2*pieceBytes)
+	}
+}
+
 // abort ends a connection by a reset.
 func abort(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -85,6 +85,7 @@
 	draw := rand.New(rand.NewPCG(seed, 0))
 	w := newWorld(t, binary, *entries)
 	cs := startCallers(w, draw)
+	startSlow(cs, seed)
 	s := &storm{world: w, till: time.Now().Add(*stormFor)}
 	s.run(draw, seriesBeside)
 	c := &calm{world: w}
@@ -95,8 +96,9 @@
 	w.checkRuns(calls)
 	w.checkBudget(calls)
 	w.checkLogs()
+	w.checkHeld(cs.all())
 	if len(w.problems) == 0 {
-		t.Logf("seed %d: %s", seed, summary(calls))
+		t.Logf("seed %d: %s; slow callers: %s", seed, summary(calls), w.slowSummary(cs.all()))
 		return
 	}
 	keep(t, w, seed)
