pressure: let who reads steadily keep its send

Cause: a stream that has stopped goes on below half of its share, and what its sockets count (64 kB) is more than half of the 80 kB it may hold: so it went on only once nothing waited any more, and a caller who reads steadily but slowly lost its send after 1.5 s, each time paid as a further send.

Change: after 1.5 s it goes on below the whole share instead of being dropped; the engine is read before it cuts.

Result: TestWhoReadsSteadilyKeepsItsSend fails before and passes now.

--- a/coordination/pressure/pressure.go
+++ b/coordination/pressure/pressure.go
@@ -242,11 +242,14 @@
 	)
 }
 
-// Look decides how a stream goes on with what its connection holds.
+// Look decides how a stream goes on with what its connection holds. One that has stopped
+// doesn't go on for one event, unless its engine would cut it off otherwise: a caller who
+// reads steadily keeps its send.
 func (b *Budget) Look(a *Account, now time.Time) Decision {
 	most := b.allowance(a)
-	if !a.stopped.IsZero() {
-		most /= 2 // a stream that has stopped doesn't go on for one event
+	till := a.stopped.Add(engineBears)
+	if !a.stopped.IsZero() && now.Before(till) {
+		most /= 2
 	}
 	switch {
 	case a.ended:
@@ -256,7 +259,7 @@
 		return GoOn{}
 	case a.stopped.IsZero():
 		a.stopped = now
-	case a.resumable && !now.Before(a.stopped.Add(engineBears)):
+	case a.resumable && !now.Before(till):
 		return Drop{}
 	}
 	return Stop{till: a.stopped.Add(engineBears)}
--- a/coordination/pressure/pressure_test.go
+++ b/coordination/pressure/pressure_test.go
@@ -271,3 +271,21 @@
 	require.True(t, ok)
 	require.Equal(t, []*pressure.Account{urgent}, ended)
 }
+
+// TestWhoReadsSteadilyKeepsItsSend: its engine is read on before it cuts, as soon as less is
+// held than the stream may.
+func TestWhoReadsSteadilyKeepsItsSend(t *testing.T) {
+	const share = 80 << 10
+	var b pressure.Budget
+	b.Limit(limit)
+	a := holding(t, &b, "team", 0, true, share+1)
+	d := b.Look(a, start)
+	require.IsType(t, pressure.Stop{}, d)
+	till := d.(pressure.Stop).Till()
+	b.Release(a, 1, till)
+	require.Equal(t, d, b.Look(a, till.Add(-time.Millisecond)), "not for one event, as long as the engine bears it")
+	require.IsType(t, pressure.GoOn{}, b.Look(a, till))
+	_, ok := b.Hold(a, 1, till)
+	require.True(t, ok)
+	require.Equal(t, till.Add(till.Sub(start)), b.Look(a, till).(pressure.Stop).Till(), "it bears as long again")
+}
