--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -80,6 +80,7 @@
 	callers *callers
 	entry   *entry
 	kind    string
+	slow    bool // it asks for long streams
 	draw    *rand.Rand
 	client  *http.Client
 }
@@ -143,6 +144,9 @@
 // ask sends one request, now and then with the spare key, and now and then leaves
 // before the answer.
 func (c *caller) ask() *call {
+	if c.slow {
+		return c.askSlowly()
+	}
 	q := &call{id: c.callers.id(), kind: c.kind, key: usualKey, entry: c.entry, sent: time.Now()}
 	wait := deadline
 	switch c.draw.IntN(20) {
--- a/soak/slow_test.go
+++ b/soak/slow_test.go
@@ -72,10 +72,6 @@
 	return err
 }
 
-// slowCaller asks for long streams and reads them slowly, stops midway and comes back, or
-// never reads.
-type slowCaller struct{ caller }
-
 // startSlow adds the slow callers. They draw from a source of their own, so that the others
 // play a seed as they did before there were any.
 func startSlow(cs *callers, seed uint64) {
@@ -84,10 +80,10 @@
 		cs.wait.Add(1)
 		go (&memory{entry: e, callers: cs}).run()
 		for range slowOfEach {
-			c := &slowCaller{caller{
-				callers: cs, entry: e, kind: stream, draw: rand.New(rand.NewPCG(draw.Uint64(), 4)),
+			c := &caller{
+				callers: cs, entry: e, kind: stream, slow: true, draw: rand.New(rand.NewPCG(draw.Uint64(), 4)),
 				client: &http.Client{Transport: &http.Transport{DialContext: dialSmall}},
-			}}
+			}
 			cs.wait.Add(1)
 			go c.run()
 		}
@@ -103,20 +99,9 @@
 	return c, err
 }
 
-func (c *slowCaller) run() {
-	defer c.callers.wait.Done()
-	defer c.client.CloseIdleConnections()
-	for {
-		select {
-		case <-c.callers.stop:
-			return
-		case <-time.After(time.Duration(10+c.draw.IntN(60)) * time.Millisecond):
-		}
-		c.callers.note(c.ask())
-	}
-}
-
-func (c *slowCaller) ask() *call {
+// askSlowly asks for a long stream and reads it slowly, stops midway and comes back, or never
+// reads.
+func (c *caller) askSlowly() *call {
 	q := &call{id: c.callers.id() + longEnding, kind: c.kind, key: usualKey, entry: c.entry, sent: time.Now()}
 	wait := deadline
 	switch c.draw.IntN(4) {
