forward: let large answers take their room whole

Cause: answers that are not streams took room as they grew. One whose length is told takes all of its room before it is read.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -239,9 +239,9 @@
 	if head.Body == http.NoBody {
 		return nil, nil
 	}
-	body := make([]byte, 0, smallBytes)
-	if n := head.ContentLength; n >= 0 && n < smallBytes {
-		body = make([]byte, 0, n+1) // one more, to see the end
+	body, ok := a.firstRoom(head.ContentLength)
+	if !ok {
+		return nil, a.cancelled.Err()
 	}
 	for {
 		n, err := head.Body.Read(body[len(body):cap(body)])
@@ -263,6 +263,20 @@
 	}
 }
 
+// firstRoom returns what an answer of a length is read into, once there is room. One whose
+// length is known takes all of it at once: answers that grow piece by piece while the budget
+// is short hold what the others wait for. Of six of 100 kB within 0.5 MB none was delivered.
+func (a *attempt) firstRoom(length int64) ([]byte, bool) {
+	switch {
+	case length < 0 || length > maxWholeBytes:
+		return make([]byte, 0, smallBytes), true
+	case length >= smallBytes && !a.room.await(length, a.cancelled.Done()):
+		return nil, false
+	default:
+		return make([]byte, 0, length+1), true // one more, to see the end
+	}
+}
+
 // unfit returns why a success is not the endpoint's own answer, or nil.
 func unfit(head *http.Response, terms protocol.AnswerTerms) error {
 	if head.StatusCode >= http.StatusMultipleChoices {
