--- a/transport/backlog/budget.go
+++ b/transport/backlog/budget.go
@@ -26,23 +26,23 @@
 	Counters *metric.Set
 	Logger   *slog.Logger
 
-	mutex sync.Mutex
-	pure  pressure.Budget
-	conns map[*pressure.Account]*Conn // that hold something
+	mutex  sync.Mutex
+	ledger pressure.Budget
+	conns  map[*pressure.Account]*Conn // those that hold bytes
 }
 
 // Limit sets the budget in bytes.
 func (b *Budget) Limit(bytes int64) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.pure.Limit(bytes)
+	b.ledger.Limit(bytes)
 }
 
 // Near reports whether the entry is near the end of its budget.
 func (b *Budget) Near() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.pure.Near()
+	return b.ledger.Near()
 }
 
 // Body takes room for n bytes of a request, or gives back -n, and reports whether there is
@@ -50,7 +50,7 @@
 func (b *Budget) Body(n int64) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	ok := b.pure.Body(n)
+	ok := b.ledger.Body(n)
 	if ok {
 		b.count(metric.HeldBodyBytes, n)
 	}
@@ -61,23 +61,25 @@
 func (b *Budget) Held() int64 {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.pure.Held()
+	return b.ledger.Held()
 }
 
+// count adds to a counter, if there are counters.
 func (b *Budget) count(n metric.Name, delta int64) {
 	if b.Counters != nil {
 		b.Counters.Add(n, delta)
 	}
 }
 
-// hold takes room for n bytes more of a connection. Those that are ended for it are broken
-// off by a goroutine of theirs: the caller of hold has a connection locked.
+// hold takes room for n bytes more of a connection. Each connection that loses its room for
+// it is broken off by a goroutine of its own: the caller of hold has its connection locked,
+// and breaking off locks another.
 func (b *Budget) hold(c *Conn, n int64, now time.Time) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	before := b.pure.Held()
-	b.pure.Serve(&c.account, c.team, c.rank, c.resumable)
-	ended, ok := b.pure.Hold(&c.account, n, now)
+	before := b.ledger.Held()
+	b.ledger.Serve(&c.account, c.team, c.rank, c.resumable)
+	ended, ok := b.ledger.Hold(&c.account, n, now)
 	for _, a := range ended {
 		if v := b.conns[a]; v != nil {
 			b.count(metric.PressureEnded, 1)
@@ -91,16 +93,16 @@
 		}
 		b.conns[&c.account] = c
 	}
-	b.count(metric.HeldAnswerBytes, b.pure.Held()-before)
+	b.count(metric.HeldAnswerBytes, b.ledger.Held()-before)
 	return ok
 }
 
-// release gives back n bytes that the caller of a connection took.
+// release gives back n bytes of a connection, whose caller read.
 func (b *Budget) release(c *Conn, n int64, now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	before := b.pure.Held()
-	b.pure.Release(&c.account, n, now)
+	before := b.ledger.Held()
+	b.ledger.Release(&c.account, n, now)
 	b.settle(c, before)
 }
 
@@ -108,20 +110,23 @@
 func (b *Budget) close(c *Conn) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	before := b.pure.Held()
-	b.pure.Close(&c.account)
+	before := b.ledger.Held()
+	b.ledger.Close(&c.account)
 	b.settle(c, before)
 }
 
+// settle forgets a connection that holds nothing, and counts the change since before. The
+// mutex is held.
 func (b *Budget) settle(c *Conn, before int64) {
 	if c.account.Held() == 0 {
 		delete(b.conns, &c.account)
 	}
-	b.count(metric.HeldAnswerBytes, b.pure.Held()-before)
+	b.count(metric.HeldAnswerBytes, b.ledger.Held()-before)
 }
 
+// look decides how the stream of a connection goes on.
 func (b *Budget) look(c *Conn, now time.Time) pressure.Decision {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.pure.Look(&c.account, now)
+	return b.ledger.Look(&c.account, now)
 }
