--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -43,7 +43,7 @@
 	headers     Headers
 	pool        *pool
 	out         chan<- message
-	room        *room // of the request
+	reserved    *reservation // the room of the request
 	sentAt      time.Time
 	newEndpoint bool           // the request had not been sent there before; the exchange's
 	spoke       bool           // an event came; the exchange's
@@ -213,7 +213,7 @@
 			a.post(attemptEnded{attempt: a, cause: err})
 			return
 		}
-		if n := len(e.content); n > smallBytes && !a.room.await(int64(n), a.cancelled.Done()) {
+		if n := len(e.content); n > smallBytes && !a.reserved.await(int64(n), a.cancelled.Done()) {
 			return
 		}
 		a.post(eventCame{attempt: a, event: e})
@@ -256,7 +256,7 @@
 		case len(body) < cap(body):
 			continue
 		}
-		if !a.room.await(int64(cap(body)), a.cancelled.Done()) {
+		if !a.reserved.await(int64(cap(body)), a.cancelled.Done()) {
 			return nil, a.cancelled.Err()
 		}
 		body = append(make([]byte, 0, 2*cap(body)), body...)
--- a/transport/forward/body.go
+++ b/transport/forward/body.go
@@ -75,7 +75,7 @@
 // grown returns the body with room for more, or nil if the entry has none.
 func (x *exchange) grown(body []byte, most int64) []byte {
 	size := min(2*int64(cap(body)), most+1)
-	if !x.room.take(bodyCopies * (size - int64(cap(body)))) {
+	if !x.reserved.take(bodyCopies * (size - int64(cap(body)))) {
 		return nil
 	}
 	return append(make([]byte, 0, size), body...)
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -56,11 +56,11 @@
 	silence   silenceAction // the last that was done
 	held      *hold         // while it waits for room
 
-	caller *backlog.Conn // holds what the caller does not read, nil if writes wait for it
-	slow   bool          // the caller does not read: nothing is taken from attempts
-	lookAt time.Time     // when to look at a slow caller again
-	parked *attempt      // that was ended while the caller did not read
-	room   room          // of the entry's budget that the request takes
+	caller   *backlog.Conn // holds what the caller does not read, nil if writes wait for it
+	paused   bool          // nothing is taken from attempts, because the caller does not read
+	lookAt   time.Time     // when to look again at a caller that does not read
+	parked   *attempt      // the attempt that was ended while the caller did not read
+	reserved reservation   // of the entry's budget
 }
 
 // run sends the request and serves its answer to the end.
@@ -81,7 +81,7 @@
 		select {
 		case <-x.losses:
 			x.losses = f.losses.Awaited()
-			if !x.slow { // who reads again looks at its attempts itself
+			if !x.paused { // who reads again looks at its attempts itself
 				x.lossTold(time.Now())
 			}
 		case m := <-x.incoming():
@@ -107,7 +107,7 @@
 	switch {
 	case x.held != nil:
 		return x.held.till
-	case x.slow:
+	case x.paused:
 		return x.lookAt
 	}
 	if at := x.rhythm.overdueAt(); at.Before(x.deadline) {
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -123,8 +123,8 @@
 	f.Counters.Add(metric.Requests, 1)
 	x := &exchange{forwarder: f, writer: w, request: r, begun: time.Now()}
 	f.opening.wait(r.Context())
-	x.room.budget = f.Held
-	defer x.room.close()
+	x.reserved.budget = f.Held
+	defer x.reserved.close()
 	if refusal := x.admit(); refusal != nil {
 		x.refuse(refusal)
 		return
--- a/transport/forward/inflight.go
+++ b/transport/forward/inflight.go
@@ -17,8 +17,8 @@
 	at    map[string]*pressure.Inflight
 }
 
-// room reports whether an endpoint may be sent a request of n bytes.
-func (f *inflight) room(endpoint string, n int) bool {
+// fits reports whether an endpoint may be sent a request of n bytes.
+func (f *inflight) fits(endpoint string, n int) bool {
 	if n <= smallBytes {
 		return true
 	}
@@ -69,5 +69,5 @@
 
 // fits reports whether the first engine of a path has room for the request's bytes.
 func (x *exchange) fits(p *path.Path) bool {
-	return x.forwarder.inflight.room(p.Runner(0).Name(), len(x.body))
+	return x.forwarder.inflight.fits(p.Runner(0).Name(), len(x.body))
 }
--- a/transport/forward/room.go
+++ b/transport/forward/reservation.go
@@ -13,15 +13,15 @@
 	// smallBytes is up to which size a body, an answer or an event counts with its
 	// connection, in bytes: most are smaller, and need no look at the budget.
 	smallBytes = 4 << 10
-	// roomEvery is how often an answer that finds no room is tried again. Engines bear some
+	// reserveEvery is how often an answer that finds no room is tried again. Engines bear some
 	// seconds of it.
-	roomEvery = 20 * time.Millisecond
+	reserveEvery = 20 * time.Millisecond
 )
 
-// room is what one request takes of the entry's budget beside what waits for its caller:
+// reservation is what one request takes of the entry's budget beside what waits for its caller:
 // its body, and what its engines sent that is not passed on yet. The zero value is bounded
 // by nothing.
-type room struct {
+type reservation struct {
 	budget *backlog.Budget
 
 	mutex  sync.Mutex
@@ -30,7 +30,7 @@
 }
 
 // take takes room for n bytes more, or gives back -n, and reports whether there is any.
-func (r *room) take(n int64) bool {
+func (r *reservation) take(n int64) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.budget == nil || r.closed {
@@ -44,11 +44,11 @@
 }
 
 // await waits for room for n bytes more, and reports whether it came before the end.
-func (r *room) await(n int64, end <-chan struct{}) bool {
+func (r *reservation) await(n int64, end <-chan struct{}) bool {
 	if r.take(n) {
 		return true
 	}
-	t := time.NewTicker(roomEvery)
+	t := time.NewTicker(reserveEvery)
 	defer t.Stop()
 	for {
 		select {
@@ -63,7 +63,7 @@
 }
 
 // close gives everything back. What is taken later counts no more.
-func (r *room) close() {
+func (r *reservation) close() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.closed = true
--- a/transport/forward/send.go
+++ b/transport/forward/send.go
@@ -31,7 +31,7 @@
 		fresh:    !x.route.MayRepeat(),
 		headers:  x.forwarder.Headers,
 		pool:     &x.forwarder.pool,
-		room:     &x.room,
+		reserved: &x.reserved,
 		out:      x.messages,
 		sentAt:   time.Now(),
 	}
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -50,7 +50,7 @@
 		x.finish(expired())
 		return
 	}
-	if x.slow {
+	if x.paused {
 		x.heed(now)
 		return
 	}
--- a/transport/forward/slow_caller.go
+++ b/transport/forward/slow_caller.go
@@ -21,7 +21,7 @@
 
 // incoming returns the channel of what attempts tell, unless the caller does not read.
 func (x *exchange) incoming() <-chan message {
-	if x.slow {
+	if x.paused {
 		return nil
 	}
 	return x.messages
@@ -65,18 +65,18 @@
 
 // readOn takes again what attempts tell.
 func (x *exchange) readOn(now time.Time) {
-	if !x.slow {
+	if !x.paused {
 		return
 	}
-	x.slow = false
+	x.paused = false
 	x.rhythm.last = now // the silence was this entry's
 	x.rhythm.restart(now)
 }
 
 // stopReading leaves what attempts tell untaken, so that they stop reading.
 func (x *exchange) stopReading(d pressure.Stop, now time.Time) {
-	if !x.slow {
-		x.slow = true
+	if !x.paused {
+		x.paused = true
 		x.flush()
 		x.forwarder.Counters.Add(metric.PressureStopped, 1)
 		x.forwarder.log(event.AnswerStopped, x.id(), slog.Int64("waiting_bytes", x.caller.Held()), slog.Int("events", x.events))
--- a/transport/forward/take.go
+++ b/transport/forward/take.go
@@ -71,7 +71,7 @@
 		return
 	}
 	if n := len(m.event.content); n > smallBytes {
-		x.room.take(int64(-n))
+		x.reserved.take(int64(-n))
 	}
 	if len(x.messages) == 0 {
 		x.flush()
