--- a/transport/forward/pace.go
+++ b/transport/forward/pace.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	// onTimeFactor is how many times as long as it should an event may take for all engines
-	// of its path to work as usual.
+	// onTimeFactor is how many times its expected time an event may take and still show that
+	// all engines of its path work as usual.
 	onTimeFactor = 1.4
-	// lateFactor is the same from which one of them may be slow. One of ten engines that is
+	// lateFactor is the multiple of the expected time from which one of them may be slow. One of ten engines that is
 	// slow by a factor of twelve doubles the time of an event.
 	lateFactor = 1.8
 	// lateRun is how many events in a row must be late: reading the prompts of others holds
@@ -31,31 +31,32 @@
 	// questionsPerSecond bounds how many engines an entry asks because they may be slow: in a
 	// crowded fleet everything is late, and each question takes an engine's time.
 	questionsPerSecond = 10.0
-	// paceEvery is the least time between two questions to one engine for its pace. What it
-	// answers is some tenths of a second old: the first answer may be of before.
+	// paceEvery is the least time between two questions to one engine for its pace. An
+	// answer is some tenths of a second old, so the first one may describe the time before
+	// the engine became slow.
 	paceEvery = 120 * time.Millisecond
-	// keepEvery is how often an engine that is slow is asked whether it still is. Its news
-	// count for several times that.
+	// keepEvery is how often an engine that is slow is asked whether it still is: several
+	// times before the report that it is slow lapses.
 	keepEvery = 500 * time.Millisecond
 )
 
-// paces finds out which endpoints are slow: it asks the engines of paths whose events come
-// late, compares the answers of plain services with what they usually take, and asks those
-// that are slow until they aren't.
+// paces finds out which endpoints are slow. It asks the engines of paths whose events come
+// late, compares the time of plain services' answers with the usual one, and asks slow
+// engines again until they are as fast as before.
 type paces struct {
 	forwarder *Forwarder
 	asked     asked
 
 	mutex    sync.Mutex
-	left     float64 // questions that may be asked
-	filledAt time.Time
-	slowTill map[string]time.Time     // endpoints that are slow, until when that counts
-	askAt    map[string]time.Time     // those of them that this entry asks, and when
-	usual    map[string]time.Duration // of an answer, by plain service
+	left     float64                  // questions that may be asked now, refilled by questionsPerSecond
+	filledAt time.Time                // when left was refilled
+	slowTill map[string]time.Time     // slow endpoints, and when that lapses
+	askAt    map[string]time.Time     // the slow endpoints that this entry asks, and when next
+	usual    map[string]time.Duration // time of an answer, by plain service
 }
 
-// paced compares the time that an event took with what its engines should take.
-func (x *exchange) paced(a *attempt, pause time.Duration, now time.Time) {
+// checkPace compares the time that an event took with what its engines should take.
+func (x *exchange) checkPace(a *attempt, pause time.Duration, now time.Time) {
 	usual := float64(eventTime(&a.path, x.service))
 	switch {
 	case usual <= 0:
@@ -75,8 +76,9 @@
 	}
 }
 
-// suspect asks some engines of a path that has been late since a time how slow they are:
-// those through which no event has come on time since, and that aren't known as slow.
+// suspect asks some engines of a path that has been late since a time for their pace. It
+// leaves out those that have passed an event on time since then, on any path, and those
+// known to be slow.
 func (p *paces) suspect(late *path.Path, since, now time.Time) {
 	first := rand.IntN(max(1, late.Len()))
 	asks := 0
@@ -93,7 +95,7 @@
 	}
 }
 
-// mayAsk takes a question from those that may be asked.
+// mayAsk takes one question from the bound on them, and reports whether one was left.
 func (p *paces) mayAsk(now time.Time) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -106,8 +108,8 @@
 	return true
 }
 
-// told takes what an engine that was asked at a time told of its pace.
-func (p *paces) told(r *fleet.Runner, report *protocol.EngineReport, asked time.Time) {
+// told tells the other entries the pace that an engine reported when it was asked.
+func (p *paces) takeReport(r *fleet.Runner, report *protocol.EngineReport, asked time.Time) {
 	f := p.forwarder
 	if report.Pace <= 0 || f.TellPace == nil {
 		return
@@ -168,7 +170,8 @@
 	}
 }
 
-// keep notes that an endpoint is slow. The entry that told so last asks it again.
+// keep notes that an endpoint is slow. Only the entry whose report was the last asks it
+// again, so that all entries together ask an engine once.
 func (p *paces) keep(endpoint string, report slow.Report, till, now time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/transport/forward/poll.go
+++ b/transport/forward/poll.go
@@ -88,7 +88,7 @@
 	asked := time.Now()
 	report, err := f.Reporter.Report(ctx, r.Spec().Address)
 	if err == nil {
-		f.paces.told(r, &report, asked)
+		f.paces.takeReport(r, &report, asked)
 	}
 	return report, err
 }
--- a/transport/forward/repath.go
+++ b/transport/forward/repath.go
@@ -253,7 +253,7 @@
 }
 
 // spoke takes it that an event came on an attempt whose path may have changed.
-func (x *exchange) spoke(a *attempt, now time.Time) {
+func (x *exchange) endChange(a *attempt, now time.Time) {
 	a.course.Spoke()
 	if a.movedAt.IsZero() {
 		return
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -62,7 +62,7 @@
 		return
 	}
 	silent := x.live[0]
-	x.waits(silent, now)
+	x.noteWait(silent, now)
 	quiet := lostOf(silent, now)
 	if len(quiet) > 0 {
 		x.act(silent, quiet, now)
--- a/transport/forward/slow.go
+++ b/transport/forward/slow.go
@@ -12,19 +12,19 @@
 
 const (
 	// stageWait is what each stage adds to the time of an event beside its work: the wait
-	// for the pass under way there, and the way to the next. 1.7 to 2.4 ms in the median of
-	// paths of 6 to 17 stages (log of 3,702 streams of a day of 34 s, 98 engines).
+	// for the pass under way there, and the way to the next stage. The median is 1.7 to 2.4 ms
+	// on paths of 6 to 17 stages.
 	stageWait = 2 * time.Millisecond
 	// deadAfter is how long a stream whose path is known to be slow must be silent for one
 	// of its engines to be suspected to be dead. An engine slow by a factor of twelve that
 	// reads the prompts of others holds a stream up for some tenths of a second.
 	deadAfter = time.Second
-	// startsSoon is how long the first event usually takes elsewhere: the median is 0.05 s
-	// on engines with room.
+	// startsSoon is how long the first event takes elsewhere, with a margin: the median is
+	// 50 ms on engines with room.
 	startsSoon = 100 * time.Millisecond
-	// enoughFaster is how many times slower than another path one must be known to be for
-	// the request to be asked for there: its prompt is read again. A path that isn't as much
-	// slower than it should falls silent for other reasons.
+	// enoughFaster is by which factor another path must be faster for the request to be sent
+	// there, since its prompt is read again. A path that is slower than usual by less falls
+	// silent for another reason.
 	enoughFaster = 1.5
 )
 
@@ -42,8 +42,8 @@
 	return work + time.Duration(p.Len())*stageWait
 }
 
-// slowness returns how many times as long as it should a path takes, by what is known of
-// its engines.
+// slowness returns how many times its usual time a path takes, by the known pace of its
+// engines.
 func slowness(p *path.Path, now time.Time) float64 {
 	usual, known := 0.0, 0.0
 	for i := range p.Len() {
@@ -69,8 +69,8 @@
 	return all
 }
 
-// deadBy returns when the open attempt is suspected to be dead although it is known to be
-// slow.
+// deadBy returns when the open attempt, although it is known to be slow, is suspected to
+// be dead.
 func (x *exchange) deadBy() time.Time { return x.rhythm.last.Add(deadAfter) }
 
 // savable reports whether the answer would still be in time if it went on elsewhere.
@@ -83,8 +83,8 @@
 }
 
 // actSlow does what can be done about an attempt that is overdue because runners of its
-// path are slow. They are no suspects: they answer, only later. The request is asked for
-// elsewhere only where that keeps its caller from an answer that is late.
+// path are slow. They are not suspected: they answer, only later. The request is sent
+// elsewhere only if its answer can then still be in time.
 func (x *exchange) actSlow(silent *attempt, slow []*fleet.Runner, now time.Time) {
 	switch {
 	case !x.savable(now):
@@ -96,7 +96,8 @@
 	}
 }
 
-// fasterThan reports whether there is a path that is enough faster than that of an attempt.
+// fasterThan reports whether a path without the slow runners is faster than that of an
+// attempt by enoughFaster.
 func (x *exchange) fasterThan(silent *attempt, slow []*fleet.Runner, now time.Time) bool {
 	before := x.avoid
 	x.avoid = append(x.avoid[:len(x.avoid):len(x.avoid)], slow...)
--- a/transport/forward/slow_caller.go
+++ b/transport/forward/slow_caller.go
@@ -15,11 +15,11 @@
 	"pinerun.example/pinerun/transport/backlog"
 )
 
-// pourBytes is how much of a whole answer is written before it is looked whether its caller
-// reads, so that no more than twice as much waits for it, in bytes.
+// pourBytes is how much of a whole answer is written before its caller must have taken all
+// of it, in bytes, so that no more than twice as much waits for one caller.
 const pourBytes = 32 << 10
 
-// incoming returns the channel of what attempts tell, unless the caller does not read.
+// incoming returns the channel of what attempts tell, nil while the exchange is paused.
 func (x *exchange) incoming() <-chan message {
 	if x.paused {
 		return nil
@@ -27,7 +27,7 @@
 	return x.messages
 }
 
-// callerNews returns the channel on which comes that the caller read or that its connection
+// callerNews returns the channel that signals that the caller read or that its connection
 // failed.
 func (x *exchange) callerNews() <-chan struct{} {
 	if x.caller == nil {
@@ -36,8 +36,8 @@
 	return x.caller.Told()
 }
 
-// heed looks whether the caller keeps up with its stream. What may wait before the stream has
-// begun is of the answer before.
+// heed acts on whether the caller keeps up with its stream. Bytes that wait before the
+// stream has begun belong to the connection's answer before.
 func (x *exchange) heed(now time.Time) {
 	if x.finished || !x.headSent {
 		return
@@ -63,17 +63,18 @@
 	}
 }
 
-// readOn takes again what attempts tell.
+// readOn ends the pause: what attempts tell is taken again.
 func (x *exchange) readOn(now time.Time) {
 	if !x.paused {
 		return
 	}
 	x.paused = false
-	x.rhythm.last = now // the silence was this entry's
+	x.rhythm.last = now // the silence was this entry's, not the engine's
 	x.rhythm.restart(now)
 }
 
-// stopReading leaves what attempts tell untaken, so that they stop reading.
+// stopReading pauses the exchange. Attempts that can't tell it anything stop reading their
+// engines.
 func (x *exchange) stopReading(d pressure.Stop, now time.Time) {
 	if !x.paused {
 		x.paused = true
@@ -87,8 +88,8 @@
 	}
 }
 
-// park ends what is open before the engine cuts it off. The stream goes on elsewhere after
-// the last event that was written, once the caller has read it.
+// park ends the open attempt before its engine, which is left unread, cuts it off. The
+// stream goes on elsewhere after the last event written, once the caller has read that.
 func (x *exchange) park(now time.Time) {
 	if len(x.live) == 0 {
 		x.lookAt = x.deadline
@@ -101,8 +102,8 @@
 	x.heed(now)
 }
 
-// heedParked goes on elsewhere once the caller has read everything: a send reads the prompt
-// anew, which would be in vain for a caller that takes one event now and then.
+// heedParked sends the request elsewhere once the caller has read everything. Sooner would
+// waste the reading of the prompt on a caller that takes an event now and then.
 func (x *exchange) heedParked(d pressure.Decision, now time.Time) {
 	if _, ended := d.(pressure.End); ended {
 		x.endForRoom()
@@ -128,12 +129,13 @@
 	x.finished = true
 }
 
-// endForRoom breaks the answer off, because its room was needed.
+// endForRoom breaks the answer off, because the budget gave its room to others.
 func (x *exchange) endForRoom() {
 	x.finish(protocol.Uncertain(protocol.CallerGone, "the caller did not read its answer, and its room was needed"))
 }
 
-// pour writes a whole answer at the pace of its caller, and reports whether it took it.
+// pour writes a whole answer as fast as its caller reads, and reports whether the caller
+// took all of it.
 func (x *exchange) pour(body []byte) bool {
 	for len(body) > pourBytes {
 		if _, err := x.writer.Write(body[:pourBytes]); err != nil {
--- a/transport/forward/take.go
+++ b/transport/forward/take.go
@@ -49,10 +49,10 @@
 		x.drop(other)
 	}
 	now := time.Now()
-	x.spoke(m.attempt, now)
+	x.endChange(m.attempt, now)
 	x.heard(m.attempt, now)
 	if x.rhythm.first {
-		x.paced(m.attempt, now.Sub(x.rhythm.last), now)
+		x.checkPace(m.attempt, now.Sub(x.rhythm.last), now)
 	}
 	x.rhythm.event(now)
 	if m.attempt.first() {
@@ -104,7 +104,7 @@
 		x.decide(a, retry.Broken, &m)
 	default:
 		x.heard(a, now)
-		x.answeredAfter(a, now)
+		x.noteAnswer(a, now)
 		x.deliver(&m)
 	}
 }
--- a/transport/forward/usual.go
+++ b/transport/forward/usual.go
@@ -9,34 +9,35 @@
 )
 
 const (
-	// usualSmoothing is the weight of an answer in the usual time of a plain service, and
-	// usualMost how many times that time it counts at most: one that hangs says nothing of
-	// what is usual.
+	// usualSmoothing is the weight of a new answer in the mean of a plain service's times.
 	usualSmoothing = 0.1
-	usualMost      = 2
-	// openLate is how many times the usual time a call is open before that says anything.
+	// usualMost is how many times the usual time an answer counts at most: one that hangs says
+	// nothing of what is usual.
+	usualMost = 2
+	// openLate is how many times the usual time a call must be open for its endpoint to be
+	// told as slow.
 	openLate = 3
 )
 
-// waits takes it that a call to a plain service has no answer yet. It says so once, before
-// the call ends: of 20 calls a second that take 30 ms, three endpoints get the next one
-// long before a slow one has answered.
-func (x *exchange) waits(a *attempt, now time.Time) {
+// noteWait tells, once a call and before it ends, that a plain service takes too long to
+// answer. Waiting for the answer would be too late: at 20 calls a second that usually take
+// 30 ms, a slow endpoint gets its next call long before it has answered the last.
+func (x *exchange) noteWait(a *attempt, now time.Time) {
 	if x.service.Engine != nil || a.overdue {
 		return
 	}
 	if x.paceOf(a, now) >= openLate {
 		a.overdue = true
-		x.forwarder.seen(a, openLate, now) // at least; its answer may be lost, and tell nothing more
+		x.forwarder.tellSeen(a, openLate, now) // a lower bound, told now since the answer may never come
 	}
 }
 
-// answeredAfter takes it that a call to a plain service was answered.
-func (x *exchange) answeredAfter(a *attempt, now time.Time) {
+// noteAnswer learns from the time that a plain service took for an answer.
+func (x *exchange) noteAnswer(a *attempt, now time.Time) {
 	if x.service.Engine != nil {
 		return
 	}
-	x.forwarder.seen(a, x.paceOf(a, now), now)
+	x.forwarder.tellSeen(a, x.paceOf(a, now), now)
 	x.forwarder.paces.learn(x.service.Name, now.Sub(a.sentAt), x.guess())
 }
 
@@ -50,8 +51,8 @@
 // which an answer is overdue.
 func (x *exchange) guess() time.Duration { return max(time.Millisecond, x.rhythm.firstBy/openLate) }
 
-// seen tells the pace that an answer, or the wait for one, showed.
-func (f *Forwarder) seen(a *attempt, pace float64, now time.Time) {
+// tellSeen tells the pace that an answer, or the wait for one, showed.
+func (f *Forwarder) tellSeen(a *attempt, pace float64, now time.Time) {
 	if f.TellPace == nil || pace <= 0 {
 		return
 	}
