--- a/transport/forward/body.go
+++ b/transport/forward/body.go
@@ -16,10 +16,10 @@
 	// bodyMost is how long a request's body may take to come. A body of some MB over a slow
 	// link takes a second; one that trickles in holds a connection and its room.
 	bodyMost = 10 * time.Second
-	// bodyCopies is how often a body is held: as it came, and as it is sent.
+	// bodyCopies is how many copies of a body are held: as it came, and as it is sent.
 	bodyCopies = 2
-	// againHeld is when to come back to an entry that holds too many bytes: bodies are sent
-	// on within some tens of ms.
+	// againHeld is after what time to come back to an entry that holds too many bytes: bodies
+	// are sent on within some tens of ms.
 	againHeld = 200 * time.Millisecond
 )
 
@@ -48,7 +48,7 @@
 			return tooLong()
 		case errors.Is(err, io.EOF):
 			x.body = body
-			_ = rc.SetReadDeadline(time.Time{}) // reading on is how the caller's leaving is noticed
+			_ = rc.SetReadDeadline(time.Time{}) // the server goes on reading to notice that the caller leaves
 			return nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return protocol.Refuse(protocol.RequestLate, "the body did not come in time")
@@ -81,6 +81,7 @@
 	return append(make([]byte, 0, size), body...)
 }
 
+// tooLong refuses a body beyond the limit.
 func tooLong() *protocol.Refusal {
 	return protocol.Refuse(protocol.BodyTooLarge, "the body is longer than the limit")
 }
--- a/transport/forward/misplaced.go
+++ b/transport/forward/misplaced.go
@@ -12,11 +12,10 @@
 	"pinerun.example/pinerun/state/fleet"
 )
 
-// misplaced takes it that a request was sent where it can't run: another process has the
-// address of a runner of its path, or that runner does not hold its layers. Unlike a refusal
-// for want of room this does not pass, so that all entries are told. 15 of 98 engines that
-// had crashed and started again gave twelve entries 344 such answers while each found out for
-// itself, again and again; all 36 entries met 7 since (logs of a day of 34 s, one play each).
+// misplaced handles the answer that a request was sent where it can't run: another process
+// has the address of a runner of its path, or that runner does not hold its layers. Unlike a
+// refusal for want of room this lasts, so all entries are told; otherwise each would meet it
+// again and again.
 func (x *exchange) misplaced(m *wholeCame, now time.Time) {
 	f, a, terms := x.forwarder, m.attempt, &m.terms
 	x.refused(m, now)
@@ -33,9 +32,9 @@
 	}
 }
 
-// locate takes it, and tells the others, that the process which answers at a runner's address
-// is the occupant, "" for one that does not hold the runner's layers. The time is that of the
-// question: what the runner's record told later stands.
+// locate tells all entries that the process which answers at a runner's address is the
+// occupant, "" for one that does not hold the runner's layers. The time is that of the
+// question, so that a record written later stands.
 func (f *Forwarder) locate(r *fleet.Runner, occupant string, at time.Time) {
 	f.Counters.Add(metric.RecordsDisproved, 1)
 	if f.Locate != nil {
@@ -43,8 +42,8 @@
 	}
 }
 
-// located takes a report of who answers at an endpoint's address, and reports whether it
-// changes which record is used, and how.
+// located applies a report of who answers at an endpoint's address, and reports whether that
+// changes which record is used or how.
 func (f *Forwarder) located(report *loss.Report) bool {
 	id, occupant := report.Endpoint(), report.Occupant()
 	var news bool
--- a/transport/forward/repath.go
+++ b/transport/forward/repath.go
@@ -18,16 +18,16 @@
 )
 
 const (
-	// changeSlack is how many times the expected pause after a change of path a stream may
-	// be silent: others whose stage was lost read again at the same engines.
+	// changeSlack is how many times its expected length the pause after a change of path may
+	// last: other requests that lost the same stage are read again at the same engines.
 	changeSlack = 3
 	// changeLeast is the least silence after a change of path that is suspicious. With 90 ms
-	// half of the streams that changed their path were asked for elsewhere as well and read
-	// whole again (153 of 338); of the others nine in ten paused for less than 235 ms, the
-	// silence before the order included (three logged plays, 98 engines).
+	// 45 in 100 streams that changed their path were sent elsewhere as well and read whole
+	// again; of the others nine in ten paused for less than 235 ms, the silence before the
+	// order included.
 	changeLeast = 200 * time.Millisecond
-	// quietMost bounds the stages that are replaced because they fell silent: one of that
-	// many. Where more are silent the way to the first engine is likelier to be at fault.
+	// quietMost is of how many stages of a path one may be replaced because it fell silent.
+	// Where more are silent the way to the first engine is likelier to be at fault.
 	quietMost = 3
 )
 
@@ -42,9 +42,9 @@
 	answer  protocol.PathAnswer
 }
 
-// waitReported is whether an attempt's first engine lists it among those that wait for a
-// runner, as after an order that was not answered. It is taken to wait when the engine
-// does not report.
+// waitReported is whether an attempt's first engine lists it among the requests that wait
+// for a runner, as it does when an order that was not answered had no effect. An engine that
+// does not report counts as one that lists it.
 type waitReported struct {
 	attempt *attempt
 	waits   bool
@@ -100,9 +100,9 @@
 
 // replaceQuiet is replace for a request that can't be sent elsewhere: nothing but waiting
 // would be left, so stages that have fallen silent are replaced too, as long as they are
-// few. Streams that could be sent elsewhere and had silent stages replaced instead paused
-// for over 250 ms in 66 of 328 cases, and in 10 of 185 where the stages were known to be
-// lost (three logged plays each, 98 engines).
+// few. Where sending elsewhere is possible it is better: of the streams whose silent stages
+// were replaced 20 in 100 paused for over 250 ms, of those whose stages were known to be
+// lost 5 in 100.
 func (x *exchange) replaceQuiet(a *attempt, quiet []*fleet.Runner, now time.Time) silenceAction {
 	if lost := lostOf(a, now); len(lost) > 0 {
 		quiet = lost
@@ -121,6 +121,7 @@
 	return x.forwarder.Changer != nil && len(x.live) == 1 && a.course.MayBegin() && len(stages) > 0 && !slices.Contains(stages, a.endpoint)
 }
 
+// change orders the change of path that the query allows, and returns "" if there is none.
 func (x *exchange) change(a *attempt, q *repath.Query, now time.Time) silenceAction {
 	change, ok := repath.Choose(x.models(a), q).(*repath.Change)
 	if !ok {
@@ -168,150 +169,3 @@
 		EndpointID: a.endpoint.Name(), Address: a.endpoint.Spec().Address, RequestID: a.id, Path: stagesOf(c.Path()),
 	}}).run()
 }
-
-// askInDoubt asks the first engine about an order that has not shown.
-func (x *exchange) askInDoubt(a *attempt, now time.Time) {
-	if a.course.Ask(now) {
-		go (&asking{forwarder: x.forwarder, attempt: a}).run()
-	}
-}
-
-// takePathAnswer acts on what became of an order.
-func (x *exchange) takePathAnswer(m pathAnswered, now time.Time) {
-	a := m.attempt
-	next, _ := a.course.Next()
-	outcome := a.course.Answered(m.answer, now)
-	x.forwarder.Counters.PathAnswered(m.answer)
-	x.forwarder.log(event.PathAnswered, x.id(), slog.Int("attempt", a.number), slog.String("answer", metric.AnswerName(m.answer)),
-		slog.String("cause", causeOf(m.answer)))
-	switch outcome {
-	case repath.Moved:
-		x.move(a, next, now)
-	case repath.Again, repath.GivenUp:
-		a.loadNextOf(next, -1)
-		if unfit, ok := m.answer.(protocol.PathUnfit); ok {
-			x.avoidUnfit(a, next, unfit.Address, now)
-		}
-		x.actOnLost(a, now)
-	case repath.InDoubt:
-		x.avoid = append(x.avoid, a.endpoint)
-	}
-}
-
-// takeWaitReport acts on what the first engine told of a request whose change of path is in
-// doubt.
-func (x *exchange) takeWaitReport(m waitReported, now time.Time) {
-	a := m.attempt
-	next, _ := a.course.Next()
-	if a.course.Reported(m.waits, now) == repath.GivenUp {
-		a.loadNextOf(next, -1)
-		x.actOnLost(a, now)
-	}
-}
-
-// move takes it that the attempt runs over another path.
-func (x *exchange) move(a *attempt, p *path.Path, now time.Time) {
-	for i := range a.path.Len() {
-		r, span := a.path.Runner(i), a.path.Span(i)
-		if !p.Has(r, span) {
-			r.Settled(a.work(span))
-		}
-		if !p.Holds(r) {
-			x.avoid = append(x.avoid, r)
-		}
-	}
-	a.path = *p
-	a.movedAt = now
-	x.rhythm.expect(a.quietTill)
-	if len(lostOf(a, now)) > 0 {
-		x.actOnLost(a, now) // another stage was lost meanwhile
-	}
-}
-
-// actOnLost does what else there is to do for a request whose path has lost stages.
-func (x *exchange) actOnLost(a *attempt, now time.Time) {
-	if lost := lostOf(a, now); len(lost) > 0 {
-		x.act(a, lost, now)
-	}
-}
-
-// avoidUnfit leaves out the stage that could not take the request, or has the request avoid
-// all new ones if its address is not told.
-func (x *exchange) avoidUnfit(a *attempt, p *path.Path, address string, now time.Time) {
-	for i := range p.Len() {
-		r, span := p.Runner(i), p.Span(i)
-		switch {
-		case a.path.Has(r, span):
-		case r.Spec().Address == address:
-			r.Refused(now)
-			r.RefusedForRoom(now)
-			x.avoid = append(x.avoid, r)
-		case address == "":
-			x.avoid = append(x.avoid, r)
-		}
-	}
-}
-
-// spoke takes it that an event came on an attempt whose path may have changed.
-func (x *exchange) endChange(a *attempt, now time.Time) {
-	a.course.Spoke()
-	if a.movedAt.IsZero() {
-		return
-	}
-	x.forwarder.Counters.Took(metric.PathChange, now.Sub(x.rhythm.last))
-	a.movedAt = time.Time{}
-}
-
-// endDoubted ends the open attempts whose path may still change by a late order, before the
-// request is sent elsewhere: two paths must not run it.
-func (x *exchange) endDoubted() {
-	for _, a := range slices.Clone(x.live) {
-		if a.course.LateOrder() {
-			x.drop(a)
-		}
-	}
-}
-
-// work returns the layer passes that the attempt asks of a stage.
-func (a *attempt) work(span protocol.Span) int64 { return a.passes * int64(span.Layers()) }
-
-// loadNext counts the work of the attempt at the stages that only an ordered path has, or
-// takes it off again, as long as the order is not settled.
-func (a *attempt) loadNext(sign int64) {
-	if next, ok := a.course.Next(); ok {
-		a.loadNextOf(next, sign)
-	}
-}
-
-func (a *attempt) loadNextOf(next *path.Path, sign int64) {
-	for i := range next.Len() {
-		r, span := next.Runner(i), next.Span(i)
-		switch {
-		case a.path.Has(r, span):
-		case sign > 0:
-			r.Sent(a.work(span))
-		default:
-			r.Settled(a.work(span))
-		}
-	}
-}
-
-// speaks reports whether an event on the attempt is surely a sign of a stage: not if it may
-// have been replaced.
-func (a *attempt) speaks(stage int) bool {
-	return a.course.Uses(a.path.Runner(stage), a.path.Span(stage))
-}
-
-// causeOf returns why an order was not taken, "" if it was or if the answer says it all.
-func causeOf(answer protocol.PathAnswer) string {
-	switch answer := answer.(type) {
-	case protocol.PathRefused:
-		return answer.Cause.Error()
-	case protocol.PathUnanswered:
-		return answer.Cause.Error()
-	case protocol.PathUnfit:
-		return answer.Address
-	default:
-		return ""
-	}
-}
--- a/transport/forward/reservation.go
+++ b/transport/forward/reservation.go
@@ -10,11 +10,12 @@
 )
 
 const (
-	// smallBytes is up to which size a body, an answer or an event counts with its
-	// connection, in bytes: most are smaller, and need no look at the budget.
+	// smallBytes is the size up to which a body, an answer or an event is not counted, in
+	// bytes: it is allowed for in the bound on connections. Most are smaller, and need no look
+	// at the budget.
 	smallBytes = 4 << 10
-	// reserveEvery is how often an answer that finds no room is tried again. Engines bear some
-	// seconds of it.
+	// reserveEvery is how often an answer that finds no room is tried again. Engines wait
+	// some seconds before they cut it off.
 	reserveEvery = 20 * time.Millisecond
 )
 
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -33,7 +33,8 @@
 	silenceChanging  silenceAction = "change its path"
 )
 
-// inVain reports whether a silent request can't be sent elsewhere.
+// inVain reports whether a silence ended in the finding that the request can't be sent
+// elsewhere.
 func (s silenceAction) inVain() bool {
 	return s == silenceOnce || s == silenceSends || s == silenceNoPath || s == silenceNoBudget
 }
