--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -239,10 +239,7 @@
 	if head.Body == http.NoBody {
 		return nil, nil
 	}
-	body := make([]byte, 0, smallBytes)
-	if n := head.ContentLength; n >= 0 && n < smallBytes {
-		body = make([]byte, 0, n+1) // one more, to see the end
-	}
+	body := emptyBody(head.ContentLength)
 	for {
 		n, err := head.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
--- a/transport/forward/body.go
+++ b/transport/forward/body.go
@@ -36,10 +36,7 @@
 	}
 	rc := http.NewResponseController(x.writer)
 	_ = rc.SetReadDeadline(x.bodyBy()) // a connection that can't be bounded is one of a test
-	body := make([]byte, 0, smallBytes)
-	if n := x.request.ContentLength; n > 0 && n < smallBytes {
-		body = make([]byte, 0, n+1) // one more, to see the end
-	}
+	body := emptyBody(x.request.ContentLength)
 	for {
 		n, err := x.request.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -63,6 +60,14 @@
 	}
 }
 
+// emptyBody returns memory for a body of an announced length, negative if it is unknown.
+func emptyBody(length int64) []byte {
+	if length >= 0 && length < smallBytes {
+		return make([]byte, 0, length+1) // one more, to see the end
+	}
+	return make([]byte, 0, smallBytes)
+}
+
 // bodyBy returns until when the body must have come.
 func (x *exchange) bodyBy() time.Time {
 	by := x.begun.Add(bodyMost)
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -59,10 +59,14 @@
 		return
 	}
 	x.rhythm.askAgain(now)
-	if len(x.live) == 0 {
-		return
+	if len(x.live) > 0 {
+		x.actOnSilence(x.live[0], now)
 	}
-	silent := x.live[0]
+}
+
+// actOnSilence finds out why an attempt is overdue, and acts on it: stages are lost, engines
+// are slow, or nothing is known and those that are silent are suspected.
+func (x *exchange) actOnSilence(silent *attempt, now time.Time) {
 	x.noteWait(silent, now)
 	quiet := lostOf(silent, now)
 	if len(quiet) > 0 {
--- a/transport/forward/suspects.go
+++ b/transport/forward/suspects.go
@@ -36,7 +36,7 @@
 	asked     asked
 }
 
-// silent takes it that nothing has come on an attempt since a time. It returns the
+// silent handles that nothing has come on an attempt since a time. It returns the
 // runners of the path from which nothing came on any other stream either, which
 // get no new work for a moment. A path whose runners were all heard lately is
 // busy, not dead.
--- a/transport/forward/take.go
+++ b/transport/forward/take.go
@@ -41,13 +41,7 @@
 // takeEvent passes an event on. The attempt that speaks first stays; another one
 // that was started because it was silent ends.
 func (x *exchange) takeEvent(m eventCame) {
-	for len(x.live) > 1 {
-		other := x.live[0]
-		if other == m.attempt {
-			other = x.live[1]
-		}
-		x.drop(other)
-	}
+	x.keepOnly(m.attempt)
 	now := time.Now()
 	x.endChange(m.attempt, now)
 	x.heard(m.attempt, now)
@@ -81,6 +75,17 @@
 	}
 }
 
+// keepOnly ends all open attempts but one.
+func (x *exchange) keepOnly(a *attempt) {
+	for len(x.live) > 1 {
+		other := x.live[0]
+		if other == a {
+			other = x.live[1]
+		}
+		x.drop(other)
+	}
+}
+
 func (x *exchange) takeWhole(m wholeCame) {
 	now := time.Now()
 	a := m.attempt
