--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -185,7 +185,7 @@
 	d.woken = true
 }
 
-// Restarted takes it that an engine has started again: orders to its earlier life have no
+// Restarted notes that an engine has started again: orders to its earlier life have no
 // effect, and it takes new ones.
 func (d *Director) Restarted(endpoint string) {
 	d.mutex.Lock()
--- a/transport/director/lease.go
+++ b/transport/director/lease.go
@@ -36,8 +36,8 @@
 	// leaseSteps is how many steps one try at the lease takes at most: read, write,
 	// and read again after a doubt.
 	leaseSteps = 3
-	// leaseLives is the range from which the mark of a life is drawn. It stays exact where
-	// numbers are kept as fractions.
+	// leaseLives is the range from which the number of this entry's life is drawn. A number
+	// below 2^52 stays exact where JSON numbers are read as floats.
 	leaseLives = 1 << 52
 )
 
@@ -155,7 +155,7 @@
 	return true
 }
 
-// decodeLease reads the lease's content. Of another form it is the zero record, which
+// decodeLease reads the lease's content. What can't be decoded is the zero record, which
 // names no holder and no epoch.
 func (d *Director) decodeLease(value []byte) record {
 	var r record
--- a/transport/director/moves.go
+++ b/transport/director/moves.go
@@ -31,7 +31,7 @@
 	place.Move
 
 	address string
-	kind    string // accelerator that an engine without a record has to have, "" for one with one
+	kind    string // accelerator that an engine without a record must have, "" for one with a record
 }
 
 // moves returns the wanted moves of all services whose endpoints are engines, with those
@@ -57,8 +57,8 @@
 	return moves
 }
 
-// unrecorded returns the engines that live but have no record yet. Where several services have
-// engines, it is not known whose they are.
+// unrecorded returns the engines that live but have no record yet, none where several services
+// have engines: it is not known whose they are.
 func (d *Director) unrecorded(services []protocol.RoutedService, now time.Time) []protocol.Endpoint {
 	engines := 0
 	for i := range services {
@@ -87,9 +87,8 @@
 		}
 		held := d.heldBy(e)
 		if held.Layers() == 0 && now.Before(d.restOf(e.ID)) {
-			// A layout that counts on it would stay a hole for as long as it is dead. Nine
-			// engines that were lost right after they had joined held the mending of a data
-			// center up for 1.5 to 3 s (log of a day of 50 s, 40 engines).
+			// A layout that counts on it would keep a hole for as long as it is dead: engines
+			// lost right after they joined can hold up mending a data center for 3 s.
 			continue
 		}
 		addresses[e.ID] = e.Address
@@ -113,9 +112,8 @@
 }
 
 // slowForLong reports whether an engine has been slow for as long as another takes to load
-// its layers. How much longer it stays so is not known; what has lasted for some time is
-// taken to last for as long again, so that a load pays from then on, and slowness that
-// comes and goes sooner moves nothing.
+// its layers. How much longer it stays slow is not known; the guess is as long again, so that
+// a load pays from then on, and a shorter slowness moves nothing.
 func slowForLong(f *protocol.EngineFacts, r *fleet.Runner, held protocol.Span, now time.Time) bool {
 	if r == nil || !r.IsSlow(now) || f.Layers <= 0 {
 		return false
--- a/transport/director/order.go
+++ b/transport/director/order.go
@@ -74,29 +74,41 @@
 // run asks the engine how it stands and gives it the order.
 func (g *giving) run() {
 	defer g.wait.Done()
-	d := g.director
 	ctx, cancel := context.WithTimeout(context.Background(), askLimit)
 	defer cancel()
-	report, err := d.Engines.Report(ctx, g.move.address)
+	report, err := g.director.Engines.Report(ctx, g.move.address)
 	if err != nil {
 		g.failed(err)
 		return
 	}
-	if d.Roster.Report(g.move.Engine(), &report, time.Now()) == roster.Differs {
-		g.differs() // the plan counts on what it does not hold
-		return
+	if g.mayOrder(&report) {
+		g.order(ctx, &report)
+	}
+}
+
+// mayOrder reports whether the engine, as it reports itself, can be given the order, and
+// notes why not.
+func (g *giving) mayOrder(report *protocol.EngineReport) bool {
+	d := g.director
+	if d.Roster.Report(g.move.Engine(), report, time.Now()) == roster.Differs {
+		g.differs() // the plan rests on layers that it does not hold
+		return false
 	}
 	if g.move.kind != "" && (!report.LayersKnown || report.Accelerator != g.move.kind) {
 		g.failed(errNoEngine) // the address was another service's before
-		return
+		return false
 	}
 	if report.Busy {
 		g.doubt() // another order is being carried out; its effect will show
-		return
-	}
-	if _, ok := d.lease.Epoch(time.Now()); !ok {
-		return
+		return false
 	}
+	_, holder := d.lease.Epoch(time.Now())
+	return holder
+}
+
+// order gives the order to the engine that made a report.
+func (g *giving) order(ctx context.Context, report *protocol.EngineReport) {
+	d := g.director
 	d.Counters.Add(metric.OrdersGiven, 1)
 	answer, err := d.Engines.Place(ctx, protocol.PlaceOrder{
 		EndpointID: g.move.Engine(), Address: g.move.address, Layers: g.move.Span(), Epoch: g.epoch, Orders: report.Orders,
@@ -122,8 +134,8 @@
 	delete(d.resting, g.move.Engine())
 }
 
-// differs takes it that the engine is not as its record says: what it was ordered to do was
-// an earlier life's, and a plan for what it holds is worked out at the next look.
+// differs handles that the engine is not as its record says: earlier orders went to an
+// earlier process, and the next look plans for what this one holds.
 func (g *giving) differs() {
 	d := g.director
 	d.Restarted(g.move.Engine())
@@ -132,7 +144,7 @@
 		slog.String("layers", g.move.Span().String()), slog.String("cause", "it is not as its record says"))
 }
 
-// misdirected tells that another process than the engine answered.
+// misdirected tells the director's owner if another process than the engine answered.
 func (g *giving) misdirected(err error) {
 	var other *Misdirected
 	if d := g.director; d.Misdirected != nil && errors.As(err, &other) {
