--- a/transport/front/callers.go
+++ b/transport/front/callers.go
@@ -40,6 +40,7 @@
 	silent  map[net.Conn]time.Time // since when, without a whole head so far
 }
 
+// listen opens the address and begins to serve callers there.
 func (c *callers) listen(address string, h http.Handler) error {
 	socket, err := backlog.Open(address)
 	if err != nil {
@@ -102,8 +103,8 @@
 }
 
 // sweep closes connections that have rested for longer than the limit in force, and those
-// that have not sent a whole head in its time: thousands that send nothing, or a head
-// without end, would take what callers need who send.
+// that have not sent a whole head in time: thousands that send nothing, or a head without
+// end, would use up the connections that callers with requests need.
 func (c *callers) sweep(now time.Time) {
 	limits := c.limits()
 	c.mutex.Lock()
--- a/transport/front/endpoint_sink.go
+++ b/transport/front/endpoint_sink.go
@@ -18,7 +18,7 @@
 func (s *endpointSink) Listed(objects []protocol.Object, now time.Time) {
 	f := s.front
 	f.platformAnswered()
-	f.records.only(objects)
+	f.records.keepListed(objects)
 	list := make([]protocol.Endpoint, 0, len(objects))
 	for _, o := range objects {
 		e, ok := s.decode(o)
@@ -82,8 +82,8 @@
 // Failed notes that the platform did not answer.
 func (s *endpointSink) Failed(err error, now time.Time) { s.front.watchFailed("endpoints", err, now) }
 
-// decode reads a record. One that names no endpoint to use takes that out of use whose
-// record it replaced.
+// decode reads a record. If it is unusable, the endpoint whose record it replaced goes out
+// of use.
 func (s *endpointSink) decode(o protocol.Object) (protocol.Endpoint, bool) {
 	f := s.front
 	e, err := f.Outside.Decoder.Endpoint(o)
--- a/transport/front/fleet.go
+++ b/transport/front/fleet.go
@@ -36,7 +36,7 @@
 	return s
 }
 
-// described returns what an endpoint's record says.
+// described returns the status of an endpoint as its record describes it.
 func described(e *protocol.Endpoint) protocol.EndpointStatus {
 	return protocol.EndpointStatus{
 		ID: e.ID, Service: e.Service, DataCenter: e.DataCenter, Address: e.Address, Accelerator: e.Accelerator,
--- a/transport/front/occupants.go
+++ b/transport/front/occupants.go
@@ -14,12 +14,12 @@
 	"pinerun.example/pinerun/transport/director"
 )
 
-// inquiryLimit bounds what an address is asked: two questions that take some ms each.
+// inquiryLimit bounds the questions to one address: two, which take some ms each.
 const inquiryLimit = 600 * time.Millisecond
 
-// lookAtRecords tells which records went out of use or came back into it, and asks where it
-// is unclear who has an address. The entry that follows no other asks at once; the others hear
-// of it.
+// lookAtRecords logs which records went out of use or came back into it, and asks the
+// addresses whose occupant is unclear. The entry that follows no other asks at once; the
+// others usually hear the answer from it.
 func (f *Front) lookAtRecords(now time.Time) {
 	for _, n := range f.roster.Notices() {
 		if !n.Used() {
@@ -39,8 +39,8 @@
 	}
 }
 
-// probeLost asks the addresses of engines that were found lost who has them: one that starts
-// again there can be given layers before it has recorded itself.
+// probeLost asks the addresses of lost engines who has them: an engine that started again
+// there can then be given layers before it has recorded itself.
 func (f *Front) probeLost(now time.Time) {
 	for id, r := range f.roster.View().Runners() {
 		if !r.Lost(now) {
@@ -52,8 +52,8 @@
 	}
 }
 
-// misdirected takes it that another process took an order to an endpoint. Not all name
-// themselves in that answer.
+// misdirected handles that another process took an order to an endpoint. If its answer does
+// not name it, its address is asked.
 func (f *Front) misdirected(endpoint string, by *director.Misdirected) {
 	if by.Occupant != "" {
 		f.source.Locate(endpoint, by.Occupant, time.Now())
@@ -64,8 +64,8 @@
 	}
 }
 
-// restarted takes it that an endpoint started again under its ID, as its record says at a
-// revision, or its report at 0.
+// restarted notes that an endpoint started again under its ID. The revision is that of the
+// record that says so, 0 if the endpoint's report does.
 func (f *Front) restarted(e protocol.Endpoint, revision uint64) {
 	f.director.Restarted(e.ID)
 	f.Counters.Add(metric.RestartsSeen, 1)
--- a/transport/front/records.go
+++ b/transport/front/records.go
@@ -13,13 +13,13 @@
 	"pinerun.example/pinerun/state/roster"
 )
 
-// recordsKept bounds the unusable records whose fault is remembered, so that somebody who
-// writes under ever new names does not take the memory: twice the endpoints of the largest
-// deployment, at some 100 bytes each. What is beyond is counted at each write.
+// recordsKept bounds the unusable records whose fault is remembered, so that a writer of ever
+// new names can't use up the memory: more than the endpoints of the largest deployment, at
+// some 100 bytes each. Records beyond it are counted at each write.
 const recordsKept = 8192
 
-// records remembers what is wrong with endpoints' records, so that each change of that is
-// told once. The zero value knows of none; a nil logger and nil counters take nothing.
+// records remembers what is wrong with endpoints' records, so that each change of a fault is
+// logged once. The zero value knows of none; a nil logger and nil counters take nothing.
 type records struct {
 	counters *metric.Set
 	logger   *slog.Logger
@@ -27,7 +27,7 @@
 	mutex  sync.Mutex
 	faults map[string]protocol.RecordFault // of records that can't be decoded
 	misfit map[string]protocol.RecordFault // of those that don't fit the table in force
-	judged uint64                          // change of the roster that was looked at last
+	judged uint64                          // change of the roster that judge saw last
 }
 
 // unusable notes that a record can't be decoded.
@@ -48,8 +48,8 @@
 	}
 }
 
-// note remembers a fault, and counts it and reports whether to tell it if it is another
-// than before.
+// note counts and remembers a fault that differs from the one known, and reports whether to
+// log it. The mutex is held.
 func (r *records) note(known map[string]protocol.RecordFault, id string, fault protocol.RecordFault) bool {
 	if known[id] == fault {
 		return false
@@ -74,19 +74,20 @@
 	}
 }
 
+// usable logs that a record has no fault any more.
 func (r *records) usable(id string, before protocol.RecordFault) {
 	event.RecordUsable.Log(r.logger, slog.String("endpoint", id), slog.String("before", string(before)))
 }
 
-// gone notes that a record is there no more.
+// gone forgets a record that was deleted.
 func (r *records) gone(id string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	delete(r.faults, id)
 }
 
-// only notes that a whole list holds these records.
-func (r *records) only(objects []protocol.Object) {
+// keepListed forgets the records that a whole list does not hold.
+func (r *records) keepListed(objects []protocol.Object) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if len(r.faults) == 0 {
@@ -103,7 +104,7 @@
 	}
 }
 
-// judge tells which records fit the table in force no more, or again.
+// judge logs which records no longer fit the table in force, and which fit again.
 func (r *records) judge(endpoints *roster.Roster) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -132,7 +133,8 @@
 	r.fitting(endpoints, now)
 }
 
-// fitting tells of the records that fit again, and forgets those that are gone.
+// fitting logs the records that fit again, and forgets those that are gone. The mutex is
+// held.
 func (r *records) fitting(endpoints *roster.Roster, misfits map[string]bool) {
 	used := make(map[string]bool)
 	for _, e := range endpoints.Endpoints() {
