--- a/command/fleet.go
+++ b/command/fleet.go
@@ -102,8 +102,8 @@
 	return t.Flush()
 }
 
-// writeSum writes how many of the endpoints of the first one's service and data center are
-// in which state.
+// writeSum writes how many of the endpoints at the head of the list, those of one service
+// and data center, serve.
 func writeSum(w io.Writer, rest []protocol.EndpointStatus) {
 	first := &rest[0]
 	serve, n := 0, 0
@@ -119,6 +119,7 @@
 	fmt.Fprintf(w, "\n%s in %s: %d of %d serve\n", first.Service, first.DataCenter, serve, n)
 }
 
+// layersOf returns the layers that an endpoint holds as text.
 func layersOf(e *protocol.EndpointStatus) string {
 	if e.To <= e.From {
 		return "-"
@@ -126,6 +127,7 @@
 	return protocol.Span{From: e.From, To: e.To}.String()
 }
 
+// startOf returns when an endpoint's process started as text, "" if that is not known.
 func startOf(e *protocol.EndpointStatus) string {
 	if e.StartedMS == 0 {
 		return ""
--- a/transport/claims/shard_store.go
+++ b/transport/claims/shard_store.go
@@ -16,6 +16,7 @@
 	"pinerun.example/pinerun/transport/platform"
 )
 
+// load reads the whole shard from the platform into the log.
 func (s *shard) load(ctx context.Context) {
 	objects, err := s.keeper.Platform.List(ctx, s.kind())
 	if err != nil {
@@ -40,6 +41,7 @@
 	event.ClaimShardLoaded.Log(s.keeper.Logger, slog.Int("shard", s.number), slog.Int("keys", keys))
 }
 
+// storedOf decodes an object of the platform as a batch in its slot.
 func storedOf(o protocol.Object) (claim.Stored, error) {
 	slot, err := strconv.Atoi(o.Name)
 	if err != nil {
@@ -49,6 +51,7 @@
 	return claim.Stored{Slot: slot, Version: o.Version, Batch: batch}, err
 }
 
+// read reads one slot, which is empty if the platform has no object for it.
 func (s *shard) read(ctx context.Context, a claim.Read) {
 	o, err := s.keeper.Platform.Get(ctx, s.kind(), strconv.Itoa(a.Slot()))
 	var missing *platform.NotFound
@@ -69,6 +72,7 @@
 	s.log.Found(found)
 }
 
+// write writes a batch into its slot, if that still has the version that the log knows.
 func (s *shard) write(ctx context.Context, w claim.Write) {
 	s.sleep(time.Until(s.nextWrite))
 	value, err := protocol.EncodeClaims(w.Batch())
--- a/transport/relay/news.go
+++ b/transport/relay/news.go
@@ -35,7 +35,7 @@
 
 // Tell passes on that this entry met a sign of an endpoint.
 func (s *Source) Tell(endpoint string, sign protocol.LossSign, at time.Time) {
-	s.hear(loss.NewReport(endpoint, s.Self.Name, sign, at).In(s.lifeOf(endpoint)), "")
+	s.hear(loss.NewReport(endpoint, s.Self.Name, sign, at).In(s.lifetimeOf(endpoint)), "")
 }
 
 // Locate passes on which process answers at an endpoint's address: occupant is "" for one
@@ -45,11 +45,11 @@
 	if occupant == endpoint {
 		sign = protocol.LossAnswered
 	}
-	s.hear(loss.NewReport(endpoint, s.Self.Name, sign, at).In(s.lifeOf(endpoint)).Naming(occupant), "")
+	s.hear(loss.NewReport(endpoint, s.Self.Name, sign, at).In(s.lifetimeOf(endpoint)).Naming(occupant), "")
 }
 
-// lifeOf returns the life of an endpoint that this entry knows of.
-func (s *Source) lifeOf(endpoint string) protocol.Lifetime {
+// lifetimeOf returns the lifetime of an endpoint as this entry knows it, 0 if it does not.
+func (s *Source) lifetimeOf(endpoint string) protocol.Lifetime {
 	if s.Lifetime == nil {
 		return 0
 	}
