--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -163,6 +163,11 @@
 	}
 	d.again, d.lookFrom = now, time.Time{} // there is work: look again at once
 	d.idleFrom = now
+	d.orderInTurn(moves, now)
+}
+
+// orderInTurn orders the moves once it is this entry's turn to hold the lease.
+func (d *Director) orderInTurn(moves []move, now time.Time) {
 	if d.waitTo.IsZero() {
 		d.waitTo = now.Add(d.spread())
 	}
--- a/transport/director/moves.go
+++ b/transport/director/moves.go
@@ -92,11 +92,7 @@
 			continue
 		}
 		addresses[e.ID] = e.Address
-		q.Engines = append(q.Engines, place.Engine{
-			ID: e.ID, DataCenter: e.DataCenter, Accelerator: e.Accelerator, Held: held, Serving: e.Layers,
-			Leaving: e.Leaving || view.Runner(e.ID) != nil && view.Runner(e.ID).Lost(now),
-			Slow:    slowForLong(s.Engine, view.Runner(e.ID), held, now),
-		})
+		q.Engines = append(q.Engines, engineOf(&e, view.Runner(e.ID), s.Engine, held, now))
 	}
 	if len(q.Engines) == 0 || d.starting(s.Name, q.Engines, now) || d.incomplete(q.Engines, now) {
 		return nil
@@ -111,6 +107,16 @@
 	return moves
 }
 
+// engineOf describes an endpoint that holds layers, with its runner or nil, to the decision on
+// where layers go.
+func engineOf(e *protocol.Endpoint, r *fleet.Runner, f *protocol.EngineFacts, held protocol.Span, now time.Time) place.Engine {
+	return place.Engine{
+		ID: e.ID, DataCenter: e.DataCenter, Accelerator: e.Accelerator, Held: held, Serving: e.Layers,
+		Leaving: e.Leaving || r != nil && r.Lost(now),
+		Slow:    slowForLong(f, r, held, now),
+	}
+}
+
 // slowForLong reports whether an engine has been slow for as long as another takes to load
 // its layers. How much longer it stays slow is not known; the guess is as long again, so that
 // a load pays from then on, and a shorter slowness moves nothing.
