--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -75,13 +75,19 @@
 	x.losses = f.losses.Awaited()
 	x.rhythm.begin(x.route, x.service, x.begun)
 	x.begin(x.begun)
+	x.react()
+}
+
+// react acts on what happens to the request until it is finished.
+func (x *exchange) react() {
+	f := x.forwarder
 	timer := time.NewTimer(time.Until(x.wakeAt()))
 	defer timer.Stop()
 	for !x.finished {
 		select {
 		case <-x.losses:
 			x.losses = f.losses.Awaited()
-			if !x.paused { // who reads again looks at its attempts itself
+			if !x.paused { // a paused exchange looks at its attempts once it goes on
 				x.lossTold(time.Now())
 			}
 		case m := <-x.incoming():
--- a/transport/forward/reply.go
+++ b/transport/forward/reply.go
@@ -111,6 +111,20 @@
 	x.refuse(r)
 }
 
+// refusalBody returns a refusal as callers get it.
+func refusalBody(r *protocol.Refusal) []byte {
+	body, err := json.Marshal(struct {
+		Kind    protocol.Kind `json:"kind"`
+		Outcome string        `json:"outcome"`
+		Message string        `json:"message"`
+		Remedy  string        `json:"remedy"`
+	}{r.Kind(), r.Outcome().String(), r.Message(), r.Remedy()})
+	if err != nil {
+		return []byte("{}") // can't happen: the fields are strings
+	}
+	return body
+}
+
 // refuse answers with a refusal.
 func (x *exchange) refuse(r *protocol.Refusal) {
 	f := x.forwarder
@@ -124,15 +138,7 @@
 	if r.Kind() == protocol.Stopping || r.Kind() == protocol.NoConfiguration || r.Kind() == protocol.PlatformDown {
 		h.Set("Connection", "close") // the next request shall reach another entry
 	}
-	body, err := json.Marshal(struct {
-		Kind    protocol.Kind `json:"kind"`
-		Outcome string        `json:"outcome"`
-		Message string        `json:"message"`
-		Remedy  string        `json:"remedy"`
-	}{r.Kind(), r.Outcome().String(), r.Message(), r.Remedy()})
-	if err != nil {
-		body = []byte("{}") // can't happen: the fields are strings
-	}
+	body := refusalBody(r)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(r.Status())
 	if _, err := x.writer.Write(body); err != nil {
