--- a/command/command.go
+++ b/command/command.go
@@ -61,11 +61,7 @@
 		&endVerb{name: "confirm", description: "Accept a plan; it may be repeated"},
 		&endVerb{name: "withdraw", description: "Take an open plan back"},
 	}
-	parser := flaggy.NewParser("pinerun")
-	parser.Description = "A router for model pipelines split over mixed accelerators."
-	parser.AdditionalHelpAppend = helpEnd
-	parser.ShowHelpOnUnexpected = true
-	parser.DisableShowVersionWithVersion()
+	parser := newParser()
 	version := flaggy.NewSubcommand("version")
 	version.Description = "Print the version"
 	parser.AttachSubcommand(version, 1)
@@ -92,6 +88,16 @@
 	return exitUsage
 }
 
+// newParser returns the parser of the command line, without subcommands.
+func newParser() *flaggy.Parser {
+	p := flaggy.NewParser("pinerun")
+	p.Description = "A router for model pipelines split over mixed accelerators."
+	p.AdditionalHelpAppend = helpEnd
+	p.ShowHelpOnUnexpected = true
+	p.DisableShowVersionWithVersion()
+	return p
+}
+
 const helpEnd = `
   Examples:
     pinerun demo                                     the whole path in one process
--- a/transport/entry/confirm.go
+++ b/transport/entry/confirm.go
@@ -57,6 +57,7 @@
 	return !errors.As(err, &refusal)
 }
 
+// tryConfirm is one try of confirm. Done says that the plan is accepted, by this try or before.
 func (e *Entry) tryConfirm(ctx context.Context, id string, o protocol.Operator) (version uint64, done bool, err error) {
 	current, err := e.platform.Get(ctx, protocol.ObjectManifest, protocol.ManifestName)
 	if err != nil {
@@ -81,14 +82,7 @@
 	if err := e.writeParts(ctx, p); err != nil {
 		return 0, false, err
 	}
-	value, err := json.Marshal(next)
-	if err != nil {
-		return 0, false, err
-	}
-	if len(value) > protocol.MaxObjectBytes {
-		return 0, false, protocol.Refuse(protocol.BodyTooLarge, "the manifest would be larger than the platform holds")
-	}
-	if _, err := e.platform.Put(ctx, protocol.ObjectManifest, protocol.ManifestName, current.Version, value); err != nil {
+	if err := e.replaceManifest(ctx, current.Version, &next); err != nil {
 		return 0, false, err
 	}
 	event.PlanConfirmed.Log(e.Logger, slog.String("plan", id), slog.String("operator", o.Name), slog.Uint64("version", next.Version))
@@ -97,6 +91,19 @@
 	return next.Version, true, nil
 }
 
+// replaceManifest writes the next manifest, if the platform's is still at a version.
+func (e *Entry) replaceManifest(ctx context.Context, version uint64, next *protocol.Manifest) error {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	if len(value) > protocol.MaxObjectBytes {
+		return protocol.Refuse(protocol.BodyTooLarge, "the manifest would be larger than the platform holds")
+	}
+	_, err = e.platform.Put(ctx, protocol.ObjectManifest, protocol.ManifestName, version, value)
+	return err
+}
+
 // writeParts stores the plan's parts under their hashes. One that is there has
 // the same content.
 func (e *Entry) writeParts(ctx context.Context, p *plan.Plan) error {
@@ -147,6 +154,8 @@
 	}
 }
 
+// versions returns the version in force at each entry, and whether all have reached a wanted
+// one.
 func (e *Entry) versions(wanted uint64) (all []peerVersion, complete bool) {
 	all = []peerVersion{{Entry: e.Settings.Name, Version: e.follower.Version()}}
 	complete = e.follower.Version() >= wanted
--- a/transport/relay/follower.go
+++ b/transport/relay/follower.go
@@ -70,16 +70,10 @@
 		confirmed := f.source.confirmedChanges()
 		news := f.source.news.changed.Awaited()
 		paces := f.source.paces.changed.Awaited()
-		// What came before an answer is written with it: the answer speaks of it.
-		frame := protocol.RelayFrame{Answer: f.answer(time.Now())}
-		if err := f.fill(&frame); err != nil {
-			return err
-		}
-		if err := f.addAhead(frame.Answer); err != nil {
+		frame, err := f.nextFrame()
+		if err != nil {
 			return err
 		}
-		frame.Losses, f.news = f.source.news.since(f.news, f.name, time.Now())
-		frame.Slow, f.paces = f.source.paces.since(f.paces, f.name, time.Now())
 		if first || len(frame.Runs) > 0 || len(frame.Losses) > 0 || len(frame.Slow) > 0 || frame.Answer != nil {
 			if err := f.write(ctx, &frame); err != nil {
 				return err
@@ -105,6 +99,21 @@
 	}
 }
 
+// nextFrame returns a frame with all that the follower was not told yet. What came before an
+// answer is written with it: the answer speaks of it.
+func (f *follower) nextFrame() (protocol.RelayFrame, error) {
+	frame := protocol.RelayFrame{Answer: f.answer(time.Now())}
+	if err := f.fill(&frame); err != nil {
+		return frame, err
+	}
+	if err := f.addAhead(frame.Answer); err != nil {
+		return frame, err
+	}
+	frame.Losses, f.news = f.source.news.since(f.news, f.name, time.Now())
+	frame.Slow, f.paces = f.source.paces.since(f.paces, f.name, time.Now())
+	return frame, nil
+}
+
 // frameMost bounds the bytes of values in a frame, well below what one may be long.
 const frameMost = protocol.MaxFrameBytes / 2
 
