--- a/soak/storm_test.go
+++ b/soak/storm_test.go
@@ -23,7 +23,7 @@
 	storm *storm
 	draw  *rand.Rand
 	// ofRecords says that its faults are those of endpoints' records. They have a series of
-	// their own, so that the others play a seed as they did before there was one.
+	// their own, so that they don't change what the others draw from a seed.
 	ofRecords bool
 }
 
