--- /dev/null
+++ b/transport/forward/pace_world_test.go
@@ -0,0 +1,149 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/coordination/slow"
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/fleet"
+	"pinerun.example/pinerun/state/roster"
+	"pinerun.example/pinerun/state/routing"
+)
+
+// reporter answers for engines, by address, and counts how often each was asked.
+type reporter struct {
+	mutex sync.Mutex
+	paces map[string]float64
+	asked map[string]int
+}
+
+func (r *reporter) Report(_ context.Context, address string) (protocol.EngineReport, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.asked == nil {
+		r.asked = map[string]int{}
+	}
+	r.asked[address]++
+	pace, known := r.paces[address]
+	if !known {
+		pace = 1
+	}
+	return protocol.EngineReport{Pace: pace}, nil
+}
+
+func (r *reporter) total() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	n := 0
+	for _, asked := range r.asked {
+		n += asked
+	}
+	return n
+}
+
+// judge passes what a forwarder tells to a book of its own and back, as the relay does
+// among entries.
+type judge struct {
+	mutex  sync.Mutex
+	book   slow.Book
+	number uint64
+}
+
+func (j *judge) hear(f *Forwarder, news protocol.RelaySlow, at time.Time) {
+	j.mutex.Lock()
+	j.number++
+	if news.Witness == "" {
+		news.Witness, news.Number = f.Home.Name, j.number
+	}
+	r := slow.NewReport(news, at)
+	v := j.book.Take(r, time.Now())
+	j.mutex.Unlock()
+	if _, nothing := v.(slow.Nothing); !nothing {
+		f.Paced(r, v)
+	}
+}
+
+// judged has a forwarder's own news judged.
+func judged(f *Forwarder) {
+	j := &judge{}
+	f.paces.forwarder = f
+	f.TellPace = func(news protocol.RelaySlow, at time.Time) { j.hear(f, news, at) }
+}
+
+// slowed has everybody take a runner as slow by a factor of twelve.
+func slowed(f *Forwarder, r *fleet.Runner) {
+	now := time.Now()
+	f.paces.forwarder = f
+	var b slow.Book
+	report := slow.NewReport(protocol.RelaySlow{Endpoint: r.Name(), Witness: "another", Number: 1, Sign: protocol.SlowTold, Pace: 12}, now)
+	f.Paced(report, b.Take(report, now))
+}
+
+// staged returns a forwarder before three stages of an engine service, each held by that
+// many engines, and an exchange of a stream sent over one of the paths.
+func staged(t *testing.T, each int) (*Forwarder, *exchange, *reporter) {
+	s := protocol.RoutedService{Name: "llm", Engine: &protocol.EngineFacts{
+		Layers: 9, LayerMB: 100, TokenLayerMB: 0.1, UsualPrompt: 10, UsualAnswer: 10, StepMS: 9, ReadPerSecond: 1e6, EventTokens: 3,
+		Accelerators: []protocol.AcceleratorFacts{{Name: "t4", MemoryMB: 2000, StepFactor: 1, ReadFactor: 1}},
+	}}
+	asks := &reporter{paces: map[string]float64{}}
+	f := &Forwarder{
+		Home: fleet.Home{Name: "one", DataCenter: "a"}, Roster: &roster.Roster{Home: fleet.Home{Name: "one", DataCenter: "a"}},
+		Routing: &routing.Store{}, Headers: plainHeaders{}, Counters: &metric.Set{}, Reporter: asks,
+	}
+	f.suspects.forwarder, f.poller.forwarder, f.paces.forwarder = f, f, f
+	f.OpenBudget(Retries{Share: 0.2, Slack: 1000, Ends: func(at time.Time) time.Time { return at.Add(10 * time.Second) }}, 1, time.Now())
+	f.Roster.Services([]protocol.RoutedService{s})
+	var list []protocol.Endpoint
+	for stage := range 3 {
+		for i := range each {
+			id := string(rune('a'+stage)) + string(rune('0'+i))
+			list = append(list, protocol.Endpoint{
+				ID: id, Service: "llm", Address: id, DataCenter: "a", Accelerator: "t4", Layers: protocol.Span{From: 3 * stage, To: 3*stage + 3},
+			})
+		}
+	}
+	f.Roster.Replace(list, time.Now())
+	x := stream(t, f, &s)
+	p, found := x.pick(time.Now())
+	require.True(t, found)
+	x.send(&p)
+	return f, x, asks
+}
+
+// stream returns an exchange of a stream before a service that aims at 500 ms to the first
+// event and pauses of 250 ms.
+func stream(t *testing.T, f *Forwarder, s *protocol.RoutedService) *exchange {
+	table, err := routing.Build(protocol.Routing{Version: 1, Services: []protocol.RoutedService{*s}})
+	require.NoError(t, err)
+	now := time.Now()
+	x := &exchange{
+		forwarder: f, table: table, writer: httptest.NewRecorder(), request: httptest.NewRequest(http.MethodPost, "/", nil), begun: now,
+		service: s, route: &protocol.Route{Repeat: protocol.Stream, Resumable: true, MaxTries: 3, AimMS: 500, PauseAimMS: 250},
+		deadline: now.Add(20 * time.Second), messages: make(chan message, 100), draw: rand.New(rand.NewPCG(1, 2)),
+	}
+	x.rhythm.begin(x.route, s, now)
+	t.Cleanup(x.stopAll)
+	return x
+}
+
+// speaks has the open attempt send an event after a pause.
+func speaks(x *exchange, pause time.Duration) {
+	time.Sleep(pause)
+	x.live[0].answer = &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}
+	x.take(eventCame{attempt: x.live[0], event: streamEvent{content: []byte("data: x\n\n")}})
+}
+
+// usual is how long an event takes: 27 ms of work and the wait at three stages.
+const usual = 33 * time.Millisecond
--- /dev/null
+++ b/transport/forward/repath_world_test.go
@@ -0,0 +1,224 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/fleet"
+	"pinerun.example/pinerun/state/roster"
+	"pinerun.example/pinerun/state/routing"
+)
+
+// firstEngine plays the first engine of every path: an order to change a path waits for an
+// answer, and a report says what is set.
+type firstEngine struct {
+	orders  chan protocol.PathOrder
+	answers chan protocol.PathAnswer
+	stalled bool
+}
+
+func (e *firstEngine) ChangePath(ctx context.Context, o protocol.PathOrder) protocol.PathAnswer {
+	e.orders <- o
+	select {
+	case a := <-e.answers:
+		return a
+	case <-ctx.Done():
+		return protocol.PathUnanswered{Cause: ctx.Err()}
+	}
+}
+
+func (e *firstEngine) Report(context.Context, string) (protocol.EngineReport, error) {
+	r := protocol.EngineReport{}
+	if e.stalled {
+		r.Stalled = []protocol.StalledRequest{{ID: "r-1", Address: "127.0.0.1:1"}}
+	}
+	return r, nil
+}
+
+// fleetSize is how many engines there are, a third for each third of the layers.
+const fleetSize = 12
+
+// silentEngines returns the addresses of engines whose connections come up and say nothing.
+func silentEngines(t *testing.T) []string {
+	var list []string
+	for range fleetSize {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		list = append(list, l.Addr().String())
+	}
+	return list
+}
+
+// replacing is an exchange of a stream over engines that hold a third of the layers each.
+type replacing struct {
+	t         require.TestingT
+	forwarder *Forwarder
+	exchange  *exchange
+	engine    *firstEngine
+	ordered   bool // an order waits for its answer
+	inDoubt   bool // some order was not answered
+	changes   int
+}
+
+func newStaged(t require.TestingT, addresses []string, mayRepeat bool) *replacing {
+	service := protocol.RoutedService{Name: "llm", Engine: &protocol.EngineFacts{
+		Layers: 9, LayerMB: 100, TokenLayerMB: 0.1, UsualPrompt: 10, UsualAnswer: 10, StepMS: 1, ReadPerSecond: 1e6,
+		Accelerators: []protocol.AcceleratorFacts{{Name: "t4", MemoryMB: 2000, StepFactor: 1, ReadFactor: 1}},
+	}}
+	home := fleet.Home{Name: "one", DataCenter: "a"}
+	s := &replacing{t: t, engine: &firstEngine{orders: make(chan protocol.PathOrder, 10), answers: make(chan protocol.PathAnswer, 10)}}
+	f := &Forwarder{Home: home, Roster: &roster.Roster{Home: home}, Headers: plainHeaders{}, Counters: &metric.Set{}, Changer: s.engine, Reporter: s.engine}
+	f.suspects.forwarder = f
+	f.OpenBudget(Retries{Share: 0.2, Slack: 1000, Ends: func(at time.Time) time.Time { return at.Add(10 * time.Second) }}, 1, time.Now())
+	f.Roster.Services([]protocol.RoutedService{service})
+	var list []protocol.Endpoint
+	for i, address := range addresses {
+		from := i % 3 * 3
+		list = append(list, protocol.Endpoint{
+			ID: fmt.Sprint("e", i), Service: "llm", Address: address, DataCenter: "a", Accelerator: "t4",
+			Layers: protocol.Span{From: from, To: from + 3},
+		})
+	}
+	f.Roster.Replace(list, time.Now())
+	table, err := routing.Build(protocol.Routing{Version: 1, Services: []protocol.RoutedService{service}})
+	require.NoError(t, err)
+	x := &exchange{
+		forwarder: f, table: table, writer: httptest.NewRecorder(), request: httptest.NewRequest(http.MethodPost, "/", nil), begun: time.Now(),
+		service: &service, route: &protocol.Route{Repeat: protocol.Stream, Resumable: mayRepeat, MaxTries: 9}, deadline: time.Now().Add(time.Minute),
+		terms: protocol.CallerTerms{RequestID: "r-1", PromptTokens: 100, AnswerTokens: 50}, messages: make(chan message, 100), draw: rand.New(rand.NewPCG(1, 2)),
+	}
+	x.rhythm.begin(x.route, x.service, x.begun)
+	p, found := x.pick(time.Now())
+	require.True(t, found)
+	x.send(&p)
+	s.forwarder, s.exchange = f, x
+	return s
+}
+
+// lose has everybody take a stage of the oldest open send as lost.
+func (s *replacing) lose(stage int) {
+	x := s.exchange
+	if len(x.live) > 0 {
+		now := time.Now()
+		x.live[0].path.Runner(stage).Lose(now, now.Add(time.Minute))
+		x.lossTold(now)
+	}
+	s.noteOrder()
+}
+
+// noteOrder notes an order that an action brought about.
+func (s *replacing) noteOrder() {
+	if n := int(s.forwarder.Counters.Value(string(metric.PathOrders))); n > s.changes {
+		require.Equal(s.t, s.changes+1, n, "two orders at once")
+		require.False(s.t, s.ordered)
+		s.changes, s.ordered = n, true
+		o := <-s.engine.orders
+		require.Equal(s.t, "r-1", o.RequestID)
+		at := 0
+		for _, stage := range o.Path {
+			require.Equal(s.t, at, stage.Layers.From)
+			at = stage.Layers.To
+		}
+		require.Equal(s.t, 9, at)
+	}
+}
+
+// answer gives the answer to the order and takes what comes of it.
+func (s *replacing) answer(a protocol.PathAnswer) {
+	if !s.ordered {
+		return
+	}
+	s.ordered = false
+	if len(s.exchange.live) == 0 {
+		return // the order ended with its send
+	}
+	_, unanswered := a.(protocol.PathUnanswered)
+	s.inDoubt = s.inDoubt || unanswered
+	s.engine.answers <- a
+	for {
+		m := <-s.exchange.messages
+		if _, ok := m.(pathAnswered); ok {
+			s.exchange.take(m)
+			s.noteOrder()
+			return
+		}
+	}
+}
+
+// event brings an event on the oldest open send.
+func (s *replacing) event() {
+	if x := s.exchange; len(x.live) > 0 {
+		a := x.live[0]
+		a.answer = &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}
+		x.take(eventCame{attempt: a, event: streamEvent{content: []byte("data\n\n")}})
+	}
+}
+
+// look looks at the request as a second later, when an order in doubt is asked about.
+func (s *replacing) look(stalled bool) {
+	x := s.exchange
+	if len(x.live) == 0 || !x.live[0].course.Pending() || s.ordered {
+		return
+	}
+	s.engine.stalled = stalled
+	now := time.Now().Add(time.Second)
+	x.act(x.live[0], lostOf(x.live[0], now), now)
+	for {
+		m := <-x.messages
+		if _, ok := m.(waitReported); ok {
+			x.take(m)
+			s.noteOrder()
+			return
+		}
+	}
+}
+
+// check compares the work that counts at the runners with the open sends, and says that
+// no send is open beside one whose path may change.
+func (s *replacing) check() {
+	x := s.exchange
+	if len(x.live) > 1 {
+		for _, a := range x.live {
+			require.False(s.t, a.course.Pending() || a.course.LateOrder(), "the path of one may change while another is open")
+		}
+	}
+	work := map[*fleet.Runner]int64{}
+	for _, a := range x.live {
+		for i := range a.path.Len() {
+			work[a.path.Runner(i)] += a.work(a.path.Span(i))
+		}
+		if next, ok := a.course.Next(); ok {
+			for i := range next.Len() {
+				if r, span := next.Runner(i), next.Span(i); !a.path.Has(r, span) {
+					work[r] += a.work(span)
+				}
+			}
+		}
+	}
+	for _, r := range s.forwarder.Roster.View().Runners() {
+		require.Equal(s.t, work[r], r.Outstanding(), r.Name())
+	}
+}
+
+func (s *replacing) end() {
+	s.exchange.stopAll()
+	for _, r := range s.forwarder.Roster.View().Runners() {
+		require.Zero(s.t, r.Outstanding(), r.Name())
+	}
+}
+
+var errNoAnswer = errors.New("no answer")
