--- a/transport/relay/pace.go
+++ b/transport/relay/pace.go
@@ -11,12 +11,13 @@
 	"pinerun.example/pinerun/protocol"
 )
 
-// paceNewsMost bounds the news of slow endpoints that are kept to be passed on, some for
-// each endpoint of a large fleet. The oldest go first: each is told anew while it holds.
+// paceNewsMost bounds the reports of endpoints' pace that are kept to be passed on. The oldest
+// are dropped first: a report is repeated as long as its endpoint is slow.
 const paceNewsMost = 1024
 
-// paces is what this entry was told of the pace of endpoints, or met itself, and passes on
-// along the road as it does losses: each report that changes something, once, and not back.
+// paces holds the reports of endpoints' pace that this entry made or was told, and passes
+// them on along the relay tree as it does losses: each report that changes something, once,
+// and not back to the peer that told it.
 // The zero value is empty.
 type paces struct {
 	mutex   sync.Mutex
@@ -34,8 +35,8 @@
 	via    string
 }
 
-// TellPace passes on that this entry met a sign of an endpoint's pace. The witness and the
-// number are filled in.
+// TellPace passes on that this entry met a sign of an endpoint's pace. It fills in the witness
+// and the number.
 func (s *Source) TellPace(news protocol.RelaySlow, at time.Time) {
 	news.Witness = s.Self.Name
 	news.Number = s.paces.next()
@@ -51,7 +52,7 @@
 	s.Paced(r, v)
 }
 
-// hearPaces takes what a peer tells.
+// hearPaces takes the reports that a peer tells.
 func (s *Source) hearPaces(all []protocol.RelaySlow, via string) {
 	now := time.Now()
 	for _, n := range all {
@@ -60,8 +61,8 @@
 	}
 }
 
-// next returns the number of this entry's next report. It begins at the time, so that
-// those of an entry that was restarted count too.
+// next returns the number of this entry's next report. It is at least the time in
+// nanoseconds, so that the reports of a restarted entry are newer than those before.
 func (p *paces) next() uint64 {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -84,7 +85,7 @@
 	return v
 }
 
-// forget drops items that count for nothing any more, or are too many.
+// forget drops items that have lapsed, or are too many. The mutex is held.
 func (p *paces) forget(now time.Time) {
 	old := max(0, len(p.items)-paceNewsMost+1)
 	for old < len(p.items) && now.Sub(p.items[old].report.At()) >= slow.KeptFor {
@@ -93,7 +94,8 @@
 	p.items = p.items[old:]
 }
 
-// since returns what to tell a peer after an item's number, and the number of the last.
+// since returns the reports after an item's number that a peer must be told, and the number
+// of the last item.
 func (p *paces) since(number uint64, peer string, now time.Time) ([]protocol.RelaySlow, uint64) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
