--- a/transport/director/moves.go
+++ b/transport/director/moves.go
@@ -64,8 +64,8 @@
 	return moves
 }
 
-// unrecorded returns the engines that live but have no record yet. Where several services have
-// engines, it is not known whose they are.
+// unrecorded returns the engines that live but have no record yet, none where several services
+// have engines: it is not known whose they are.
 func (d *Director) unrecorded(services []protocol.RoutedService, now time.Time) []protocol.Endpoint {
 	engines := 0
 	for i := range services {
@@ -94,17 +94,13 @@
 		}
 		held := d.heldBy(e)
 		if held.Layers() == 0 && now.Before(d.restOf(e.ID)) {
-			// A layout that counts on it would stay a hole for as long as it is dead. Nine
-			// engines that were lost right after they had joined held the mending of a data
-			// center up for 1.5 to 3 s (log of a day of 50 s, 40 engines).
+			// A layout that counts on it would keep a hole for as long as it is dead: nine
+			// engines lost right after they joined held up mending a data center for 1.5 to 3 s
+			// (logs of 40 engines over 50 s).
 			continue
 		}
 		addresses[e.ID] = e.Address
-		q.Engines = append(q.Engines, place.Engine{
-			ID: e.ID, DataCenter: e.DataCenter, Accelerator: e.Accelerator, Held: held, Serving: e.Layers,
-			Leaving: e.Leaving || view.Runner(e.ID) != nil && view.Runner(e.ID).Lost(now),
-			Slow:    slowForLong(s.Engine, view.Runner(e.ID), held, now),
-		})
+		q.Engines = append(q.Engines, engineOf(&e, view.Runner(e.ID), s.Engine, held, now))
 	}
 	if len(q.Engines) == 0 || d.starting(s.Name, q.Engines, now) || d.incomplete(q.Engines, now) {
 		return nil
@@ -120,10 +116,19 @@
 	return moves
 }
 
+// engineOf describes an endpoint that holds layers, with its runner or nil, to the decision on
+// where layers go.
+func engineOf(e *protocol.Endpoint, r *fleet.Runner, f *protocol.EngineFacts, held protocol.Span, now time.Time) place.Engine {
+	return place.Engine{
+		ID: e.ID, DataCenter: e.DataCenter, Accelerator: e.Accelerator, Held: held, Serving: e.Layers,
+		Leaving: e.Leaving || r != nil && r.Lost(now),
+		Slow:    slowForLong(f, r, held, now),
+	}
+}
+
 // slowForLong reports whether an engine has been slow for as long as another takes to load
-// its layers. How much longer it stays so is not known; what has lasted for some time is
-// taken to last for as long again, so that a load pays from then on, and slowness that
-// comes and goes sooner moves nothing.
+// its layers. How much longer it stays slow is not known; the guess is as long again, so that
+// a load pays from then on, and a shorter slowness moves nothing.
 func slowForLong(f *protocol.EngineFacts, r *fleet.Runner, held protocol.Span, now time.Time) bool {
 	if r == nil || !r.IsSlow(now) || f.Layers <= 0 {
 		return false
@@ -184,7 +189,7 @@
 // plan returns the moves that are wanted, without working them out again where nothing has
 // changed: the answer depends on the query alone. Each entry asks twice a second, since an
 // engine may have been found lost, and with 195 engines of a data center, some of them
-// empty, an answer takes 2.3 ms; comparing the queries takes 1.2 us (`go test -bench Replan`).
+// empty, an answer takes 2.3 ms; comparing the queries takes 1.2 us.
 func (d *Director) plan(service string, q place.Query) []place.Move {
 	if last, ok := d.plans[service]; ok && last.query.Same(&q) {
 		return last.moves
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -43,7 +43,7 @@
 	headers     Headers
 	pool        *pool
 	out         chan<- message
-	room        *room // of the request
+	reserved    *reservation // the room of the request
 	sentAt      time.Time
 	newEndpoint bool           // the request had not been sent there before; the exchange's
 	spoke       bool           // an event came; the exchange's
@@ -213,7 +213,7 @@
 			a.post(attemptEnded{attempt: a, cause: err})
 			return
 		}
-		if n := len(e.content); n > smallBytes && !a.room.await(int64(n), a.cancelled.Done()) {
+		if n := len(e.content); n > smallBytes && !a.reserved.await(int64(n), a.cancelled.Done()) {
 			return
 		}
 		a.post(eventCame{attempt: a, event: e})
@@ -256,7 +256,7 @@
 		case len(body) < cap(body):
 			continue
 		}
-		if !a.room.await(int64(cap(body)), a.cancelled.Done()) {
+		if !a.reserved.await(int64(cap(body)), a.cancelled.Done()) {
 			return nil, a.cancelled.Err()
 		}
 		body = append(make([]byte, 0, 2*cap(body)), body...)
@@ -267,14 +267,13 @@
 // length is known takes all of it at once: answers that grow piece by piece while the budget
 // is short hold what the others wait for. Of six of 100 kB within 0.5 MB none was delivered.
 func (a *attempt) firstRoom(length int64) ([]byte, bool) {
-	switch {
-	case length < 0 || length > maxWholeBytes:
-		return make([]byte, 0, smallBytes), true
-	case length >= smallBytes && !a.room.await(length, a.cancelled.Done()):
+	if length < smallBytes || length > maxWholeBytes {
+		return emptyBody(length), true
+	}
+	if !a.reserved.await(length, a.cancelled.Done()) {
 		return nil, false
-	default:
-		return make([]byte, 0, length+1), true // one more, to see the end
 	}
+	return make([]byte, 0, length+1), true // one more, to see the end
 }
 
 // unfit returns why a success is not the endpoint's own answer, or nil.
--- a/transport/forward/body.go
+++ b/transport/forward/body.go
@@ -16,10 +16,10 @@
 	// bodyMost is how long a request's body may take to come. A body of some MB over a slow
 	// link takes a second; one that trickles in holds a connection and its room.
 	bodyMost = 10 * time.Second
-	// bodyCopies is how often a body is held: as it came, and as it is sent.
+	// bodyCopies is how many copies of a body are held: as it came, and as it is sent.
 	bodyCopies = 2
-	// againHeld is when to come back to an entry that holds too many bytes: bodies are sent
-	// on within some tens of ms.
+	// againHeld is after what time to come back to an entry that holds too many bytes: bodies
+	// are sent on within some tens of ms.
 	againHeld = 200 * time.Millisecond
 )
 
@@ -36,10 +36,7 @@
 	}
 	rc := http.NewResponseController(x.writer)
 	_ = rc.SetReadDeadline(x.bodyBy()) // a connection that can't be bounded is one of a test
-	body := make([]byte, 0, smallBytes)
-	if n := x.request.ContentLength; n > 0 && n < smallBytes {
-		body = make([]byte, 0, n+1) // one more, to see the end
-	}
+	body := emptyBody(x.request.ContentLength)
 	for {
 		n, err := x.request.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -48,7 +45,7 @@
 			return tooLong()
 		case errors.Is(err, io.EOF):
 			x.body = body
-			_ = rc.SetReadDeadline(time.Time{}) // reading on is how the caller's leaving is noticed
+			_ = rc.SetReadDeadline(time.Time{}) // the server goes on reading to notice that the caller leaves
 			return nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return protocol.Refuse(protocol.RequestLate, "the body did not come in time")
@@ -63,6 +60,14 @@
 	}
 }
 
+// emptyBody returns memory for a body of an announced length, negative if it is unknown.
+func emptyBody(length int64) []byte {
+	if length >= 0 && length < smallBytes {
+		return make([]byte, 0, length+1) // one more, to see the end
+	}
+	return make([]byte, 0, smallBytes)
+}
+
 // bodyBy returns until when the body must have come.
 func (x *exchange) bodyBy() time.Time {
 	by := x.begun.Add(bodyMost)
@@ -75,12 +80,13 @@
 // grown returns the body with room for more, or nil if the entry has none.
 func (x *exchange) grown(body []byte, most int64) []byte {
 	size := min(2*int64(cap(body)), most+1)
-	if !x.room.take(bodyCopies * (size - int64(cap(body)))) {
+	if !x.reserved.take(bodyCopies * (size - int64(cap(body)))) {
 		return nil
 	}
 	return append(make([]byte, 0, size), body...)
 }
 
+// tooLong refuses a body beyond the limit.
 func tooLong() *protocol.Refusal {
 	return protocol.Refuse(protocol.BodyTooLarge, "the body is longer than the limit")
 }
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -33,7 +33,8 @@
 	silenceChanging  silenceAction = "change its path"
 )
 
-// inVain reports whether a silent request can't be sent elsewhere.
+// inVain reports whether a silence ended in the finding that the request can't be sent
+// elsewhere.
 func (s silenceAction) inVain() bool {
 	return s == silenceOnce || s == silenceSends || s == silenceNoPath || s == silenceNoBudget
 }
@@ -50,7 +51,7 @@
 		x.finish(expired())
 		return
 	}
-	if x.slow {
+	if x.paused {
 		x.heed(now)
 		return
 	}
@@ -58,11 +59,15 @@
 		return
 	}
 	x.rhythm.askAgain(now)
-	if len(x.live) == 0 {
-		return
+	if len(x.live) > 0 {
+		x.actOnSilence(x.live[0], now)
 	}
-	silent := x.live[0]
-	x.waits(silent, now)
+}
+
+// actOnSilence finds out why an attempt is overdue, and acts on it: stages are lost, engines
+// are slow, or nothing is known and those that are silent are suspected.
+func (x *exchange) actOnSilence(silent *attempt, now time.Time) {
+	x.noteWait(silent, now)
 	quiet := lostOf(silent, now)
 	if len(quiet) > 0 {
 		x.act(silent, quiet, now)
--- a/transport/forward/take.go
+++ b/transport/forward/take.go
@@ -41,18 +41,12 @@
 // takeEvent passes an event on. The attempt that speaks first stays; another one
 // that was started because it was silent ends.
 func (x *exchange) takeEvent(m eventCame) {
-	for len(x.live) > 1 {
-		other := x.live[0]
-		if other == m.attempt {
-			other = x.live[1]
-		}
-		x.drop(other)
-	}
+	x.keepOnly(m.attempt)
 	now := time.Now()
-	x.spoke(m.attempt, now)
+	x.endChange(m.attempt, now)
 	x.heard(m.attempt, now)
 	if x.rhythm.first {
-		x.paced(m.attempt, now.Sub(x.rhythm.last), now)
+		x.checkPace(m.attempt, now.Sub(x.rhythm.last), now)
 	}
 	x.rhythm.event(now)
 	if m.attempt.first() {
@@ -71,7 +65,7 @@
 		return
 	}
 	if n := len(m.event.content); n > smallBytes {
-		x.room.take(int64(-n))
+		x.reserved.take(int64(-n))
 	}
 	if len(x.messages) == 0 {
 		x.flush()
@@ -81,6 +75,17 @@
 	}
 }
 
+// keepOnly ends all open attempts but one.
+func (x *exchange) keepOnly(a *attempt) {
+	for len(x.live) > 1 {
+		other := x.live[0]
+		if other == a {
+			other = x.live[1]
+		}
+		x.drop(other)
+	}
+}
+
 func (x *exchange) takeWhole(m wholeCame) {
 	now := time.Now()
 	a := m.attempt
@@ -104,7 +109,7 @@
 		x.decide(a, retry.Broken, &m)
 	default:
 		x.heard(a, now)
-		x.answeredAfter(a, now)
+		x.noteAnswer(a, now)
 		x.deliver(&m)
 	}
 }
