--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -53,12 +53,12 @@
 	known      atomic.Bool
 	stale      atomic.Bool // what is derived does not hold the latest changes yet
 	occupants  occupant.Ledger
-	beliefs    map[string]belief // of endpoints whose record is not believed as it stands
-	changedAt  map[string]time.Time
-	unused     map[string]bool // records out of use when it was last derived
-	notices    []Notice
-	unrecorded map[string]unrecorded
-	anew       []protocol.Endpoint // that a report showed to have started again, not told yet
+	beliefs    map[string]belief     // of endpoints whose record is not believed as it stands
+	changedAt  map[string]time.Time  // when a record last told something new
+	unused     map[string]bool       // records out of use when it was last derived
+	notices    []Notice              // not told yet
+	unrecorded map[string]unrecorded // by ID: answered at an address, and have no record
+	anew       []protocol.Endpoint   // that a report showed to have started again, not told yet
 	changes    atomic.Uint64
 	view       atomic.Pointer[fleet.View]
 	list       atomic.Pointer[[]protocol.Endpoint]
--- a/state/roster/unrecorded.go
+++ b/state/roster/unrecorded.go
@@ -39,8 +39,8 @@
 	return all
 }
 
-// answers notes an endpoint that answered at the address of another one's record.
-func (r *Roster) answers(id string, in protocol.Endpoint, at time.Time) {
+// noteUnrecorded notes an endpoint that answered at the address of another one's record.
+func (r *Roster) noteUnrecorded(id string, in protocol.Endpoint, at time.Time) {
 	if _, there := r.endpoints[id]; there {
 		return
 	}
@@ -51,14 +51,3 @@
 		ID: id, Service: in.Service, Address: in.Address, DataCenter: in.DataCenter, Accelerator: in.Accelerator, Model: in.Model,
 	}}
 }
-
-// Probe returns the question who has the address of an endpoint that may be lost, if it was
-// not asked lately.
-func (r *Roster) Probe(id string, now time.Time) (Question, bool) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if _, there := r.endpoints[id]; !there || !r.occupants.Due(id, 0, now) {
-		return Question{}, false
-	}
-	return r.ask(id), true
-}
