--- a/coordination/pressure/inflight.go
+++ b/coordination/pressure/inflight.go
@@ -4,19 +4,21 @@
 
 const (
 	// inflightFirst is how many bytes of requests an endpoint is given before anything is
-	// known of it: some of the largest bodies that routing tables allow.
+	// known of it, and the most that it is given later: a few of the largest bodies that
+	// routing tables allow.
 	inflightFirst = 32 << 20
-	// inflightLeast is the least that it is given however often it fell over: one large
-	// request, or hundreds of usual ones.
+	// inflightLeast is the least, in bytes, that it is given however often it fell over: one
+	// large request, or hundreds of usual ones.
 	inflightLeast = 1 << 20
-	// inflightFall is the part of what it held that an endpoint is given after it fell over,
-	// and inflightGrowth by how much of each answered request the bound grows.
+	// inflightFall is the part of what it held that an endpoint is given after it fell over;
+	// inflightGrowth is the part of each answered request by which the bound grows. It falls
+	// fast and grows slowly, as a fall costs every request that the endpoint held.
 	inflightFall, inflightGrowth = 0.5, 0.1
 )
 
-// Inflight bounds the bytes of requests that an endpoint holds of this entry, whose memory
-// nobody tells: it halves when the endpoint breaks connections off while it holds many, and
-// grows with what it answers. The zero value is an endpoint of which nothing is known.
+// Inflight bounds the bytes of this entry's requests that an endpoint holds at once. How much
+// memory the endpoint has is not told, so the bound is learnt: it falls when the endpoint
+// breaks a connection off while it holds many bytes, and grows with what it answers. The zero value is an endpoint of which nothing is known.
 type Inflight struct {
 	limit int64 // 0 for inflightFirst
 	bytes int64
--- a/coordination/pressure/pressure.go
+++ b/coordination/pressure/pressure.go
@@ -52,8 +52,8 @@
 	// bodyShare is the part of the budget up to which request bodies are taken in: what is
 	// under way needs the rest.
 	bodyShare = 0.5
-	// searchEvery is how often it is looked who gives way while nobody does: a look at 2,000
-	// accounts takes 54 us (BenchmarkHold), and each write asks.
+	// searchEvery is how often the accounts are searched for one that gives way while none
+	// does: a search reads them all, and each write would ask for one.
 	searchEvery = 50 * time.Millisecond
 	// nearShare and clearShare are the parts of the budget from which an entry calls itself
 	// near its end, and under which it no longer does.
@@ -88,9 +88,9 @@
 // reading well.
 type Account struct {
 	team      string
-	rank      int
+	rank      int // 0 is the most urgent
 	resumable bool
-	held      int64
+	held      int64     // bytes
 	quiet     time.Time // since when the caller has read nothing of what is held
 	stopped   time.Time // since when its engine is left unread, zero if it is read
 	ended     bool
@@ -105,10 +105,10 @@
 // Budget is what all accounts may hold together. The zero value has DefaultLimit.
 type Budget struct {
 	limit  int64
-	held   int64
-	bodies int64
-	teams  map[string]int64
-	slow   map[*Account]struct{} // that hold something
+	held   int64                 // bytes for callers
+	bodies int64                 // bytes of requests
+	teams  map[string]int64      // bytes held for each team's callers
+	slow   map[*Account]struct{} // accounts that hold something
 	near   bool
 	search time.Time // from when to look again who gives way
 }
@@ -116,6 +116,7 @@
 // Limit sets the budget in bytes, DefaultLimit if it is not positive.
 func (b *Budget) Limit(bytes int64) { b.limit = bytes }
 
+// most returns the budget in bytes.
 func (b *Budget) most() int64 {
 	if b.limit <= 0 {
 		return DefaultLimit
@@ -123,7 +124,7 @@
 	return b.limit
 }
 
-// Held returns the bytes held for callers, and Bodies those of requests.
+// Held returns the bytes held for callers.
 func (b *Budget) Held() int64 { return b.held }
 
 // Bodies returns the bytes of requests that are held.
@@ -138,6 +139,7 @@
 	b.add(a, held)
 }
 
+// free returns the bytes that nobody holds, negative once a lower limit is set.
 func (b *Budget) free() int64 { return b.most() - b.held - b.bodies }
 
 // Hold takes room for n bytes more, where needed by ending accounts whose callers have read
@@ -174,11 +176,13 @@
 // Close gives back all that the account holds.
 func (b *Budget) Close(a *Account) { b.add(a, -a.held) }
 
+// end takes from an account all that it holds, for good.
 func (b *Budget) end(a *Account) {
 	b.Close(a)
 	a.ended = true
 }
 
+// add counts n bytes more, or fewer, at an account, its team and the whole.
 func (b *Budget) add(a *Account, n int64) {
 	if n == 0 {
 		return
@@ -218,26 +222,29 @@
 	return worst
 }
 
+// givesWay compares two accounts, the one that gives way first before the other.
 func (b *Budget) givesWay(x, y *Account, now time.Time) int {
-	first := func(a, b bool) int {
-		switch {
-		case a == b:
-			return 0
-		case a:
-			return -1
-		default:
-			return 1
-		}
-	}
 	weight := func(a *Account) float64 { return float64(a.held) * now.Sub(a.quiet).Seconds() }
 	return cmp.Or(
 		cmp.Compare(y.rank, x.rank),
-		first(x.resumable, y.resumable),
+		trueFirst(x.resumable, y.resumable),
 		cmp.Compare(b.teams[y.team], b.teams[x.team]),
 		cmp.Compare(weight(y), weight(x)),
 	)
 }
 
+// trueFirst orders true before false.
+func trueFirst(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // Look decides how a stream goes on with what its connection holds.
 func (b *Budget) Look(a *Account, now time.Time) Decision {
 	most := b.allowance(a)
@@ -271,7 +278,8 @@
 	}
 }
 
-// Body takes room for n bytes of a request, and reports whether there is any.
+// Body takes room for n bytes of a request, and reports whether there is any. A negative n
+// gives room back, which always works.
 func (b *Budget) Body(n int64) bool {
 	if n > 0 && (b.free() < n || float64(b.bodies+n) > bodyShare*float64(b.most())) {
 		return false
