--- a/coordination/slow/slow.go
+++ b/coordination/slow/slow.go
@@ -2,7 +2,7 @@
 
 // Package slow judges at what pace endpoints work.
 //
-// Slow is a state of one life of an endpoint, not a weak form of dead: it answers, and
+// Slowness is a state of one life of an endpoint, not a weak form of dead: it answers, and
 // work sent there is done, only later. So it costs more, and is never left out. A Book
 // weighs what an endpoint tells of itself and what callers' answers show, from this entry
 // and from others:
@@ -26,23 +26,24 @@
 	// KeptFor is how long a sign counts. Who told it asks again several times within that;
 	// when it can't any more, the endpoint gets work again, which shows how it is.
 	KeptFor = 3 * time.Second
-	// renewAfter is the age of what is known from which a sign that only confirms it is
-	// passed on: two of them may be lost before it counts no longer.
+	// renewAfter is how old what is known must be for a sign that only confirms it to be
+	// passed on: two such signs may be lost before it counts no longer.
 	renewAfter = time.Second
 	// steadyFor is how long an endpoint is slow at least. It bounds how often all entries
-	// turn away from an endpoint and back, each time in a body.
+	// turn away from an endpoint and back, all at once.
 	steadyFor = time.Second
-	// slowFrom and fastBelow are the paces told from which an endpoint becomes slow, and
-	// below which it becomes fast. What lies between changes nothing.
+	// slowFrom and fastBelow are the paces, told by the endpoint itself, from which it
+	// becomes slow and below which it becomes fast. What lies between changes nothing, so
+	// that a pace near one bound doesn't switch it to and fro.
 	slowFrom  = 1.5
 	fastBelow = 1.2
-	// seenSlow and seenFast are the same for how long answers take, which varies more: a
-	// call waits behind others, and endpoints of one service differ.
+	// seenSlow and seenFast are the same for paces seen in answers, which vary more: a call
+	// waits behind others, and endpoints of one service differ.
 	seenSlow = 3.0
 	seenFast = 1.5
 	// seenLeast is how many answers must have taken long: a single one may be lost.
 	seenLeast = 2
-	// paceStep is by how much a pace must change for it to be news.
+	// paceStep is the factor by which a pace must change for that to be news.
 	paceStep = 1.5
 	// pagesMost bounds the endpoints of which anything is kept, a few times as many as a
 	// large fleet has.
@@ -89,7 +90,7 @@
 // At returns when, by the clock of the entry that holds the report.
 func (r Report) At() time.Time { return r.at }
 
-// slow reports whether the sign makes an endpoint slow, and fast whether it makes it fast.
+// slow reports whether the sign makes an endpoint slow.
 func (r *Report) slow() bool {
 	if r.sign == protocol.SlowSeen {
 		return r.pace >= seenSlow
@@ -97,6 +98,7 @@
 	return r.pace >= slowFrom
 }
 
+// fast reports whether the sign makes an endpoint fast.
 func (r *Report) fast() bool {
 	if r.sign == protocol.SlowSeen {
 		return r.pace <= seenFast
@@ -168,6 +170,7 @@
 	return p.take(&r, now)
 }
 
+// expire forgets the endpoints whose signs count no longer.
 func (b *Book) expire(now time.Time) {
 	for id, p := range b.pages {
 		if !now.Before(p.expires) {
@@ -176,6 +179,7 @@
 	}
 }
 
+// open begins the page of an endpoint.
 func (b *Book) open(endpoint string) *page {
 	if b.pages == nil {
 		b.pages = make(map[string]*page)
@@ -185,6 +189,7 @@
 	return p
 }
 
+// take takes a report, unless it is of an earlier life or older than what is known.
 func (p *page) take(r *Report, now time.Time) Verdict {
 	if r.lifetime.Before(p.lifetime) || r.number <= p.heard[r.witness] {
 		return Nothing{}
@@ -229,8 +234,8 @@
 	return Doubted{}
 }
 
-// clear takes a sign that isn't slow while the endpoint isn't either. One in time clears a
-// doubt everywhere: an endpoint whose answers are lost at times gives others in between.
+// clear takes a sign that isn't slow while the endpoint isn't either. An answer in time ends
+// the doubt at all entries: an endpoint that loses some answers gives others in between.
 func (p *page) clear(r *Report) Verdict {
 	if p.seen == 0 || !r.fast() {
 		return Nothing{}
@@ -240,6 +245,7 @@
 	return Fast{}
 }
 
+// begin takes it that the endpoint is slow from the sign on.
 func (p *page) begin(r *Report) Verdict {
 	p.since = r.at
 	p.pace, p.seen = 0, 0
