--- a/coordination/repath/course.go
+++ b/coordination/repath/course.go
@@ -15,61 +15,68 @@
 	// has a stage read all tokens so far, and a caller who waits for a third is better
 	// served by another path.
 	ordersMost = 2
-	// doubtFor is how long an order that was not answered is left to show: an engine that
-	// took it sends the next event within tens of milliseconds, and the report by which its
-	// first engine is asked then is some hundred milliseconds old.
+	// doubtFor is how long the effect of an order that was not answered is waited for before
+	// the first engine is asked: an engine that took it sends the next event within tens of
+	// milliseconds, and a report is some hundred milliseconds old.
 	doubtFor = 300 * time.Millisecond
 )
 
-// stand is how far the change of a path has come.
-type stand uint8
+// progress is how far the change of a path has come.
+type progress uint8
 
-// Resting: none is under way. Ordered: an order is on its way. Doubted: it was not
-// answered and may yet be taken. Asked: the first engine is asked whether the request
-// still waits. Mixed: the request went on after an order in doubt, over either path.
 const (
-	resting stand = iota
+	// resting: no order is under way.
+	resting progress = iota
+	// ordered: an order is on its way.
 	ordered
+	// doubted: the order was not answered and may yet be taken.
 	doubted
+	// asked: the first engine is asked whether the request still waits.
 	asked
+	// mixed: the request went on after an order in doubt, over either path.
 	mixed
 )
 
 // Outcome is what an answer to an order means for the request.
 type Outcome uint8
 
-// Moved: it runs over the new path. Again: another stage may be tried. Given up: its path
-// can't be changed. In doubt: nothing is known yet.
+// What an answer may mean.
 const (
+	// InDoubt says that nothing is known yet.
 	InDoubt Outcome = iota
+	// Moved says that the request runs over the new path.
 	Moved
+	// Again says that a change with another runner may be tried.
 	Again
+	// GivenUp says that the path of the request can't be changed.
 	GivenUp
 )
 
 // Course follows the orders to change the path of one send, one at a time. The zero value
 // is one that was never ordered.
 type Course struct {
-	stand   stand
-	next    path.Path // that was ordered and not yet taken for certain
-	till    time.Time // until when an order in doubt is left to show
-	orders  int
-	barred  bool // no further order
-	doubted bool // some order may still be taken late
+	progress progress
+	next     path.Path // the path of the latest order
+	till     time.Time // when to ask what became of an order in doubt
+	orders   int
+	barred   bool // no further order may be given
+	doubted  bool // an order that was not answered may still be taken
 }
 
 // MayBegin reports whether a change may be ordered.
-func (c *Course) MayBegin() bool { return c.stand == resting && !c.barred && c.orders < ordersMost }
+func (c *Course) MayBegin() bool { return c.progress == resting && !c.barred && c.orders < ordersMost }
 
 // Begin notes that the change to a path is ordered.
 func (c *Course) Begin(p *path.Path) {
-	c.stand, c.next = ordered, *p
+	c.progress, c.next = ordered, *p
 	c.orders++
 }
 
 // Pending reports whether an order is on its way or in doubt: the request must not be sent
 // elsewhere, or two paths would run it.
-func (c *Course) Pending() bool { return c.stand == ordered || c.stand == doubted || c.stand == asked }
+func (c *Course) Pending() bool {
+	return c.progress == ordered || c.progress == doubted || c.progress == asked
+}
 
 // LateOrder reports whether an order that was given up may still be taken, as long as the
 // send is open. It must end before the request is sent elsewhere; the engine then finds no
@@ -77,36 +84,36 @@
 func (c *Course) LateOrder() bool { return c.doubted }
 
 // Next returns the path that was ordered, and whether it may be in use.
-func (c *Course) Next() (*path.Path, bool) { return &c.next, c.stand != resting }
+func (c *Course) Next() (*path.Path, bool) { return &c.next, c.progress != resting }
 
-// Uses reports whether a stage of the path so far is surely in use: not if an order that
-// replaces it may have been taken.
+// Uses reports whether a stage of the path so far is surely still in use. It is not if an
+// order that replaces it may have been taken.
 func (c *Course) Uses(r *fleet.Runner, span protocol.Span) bool {
-	return c.stand == resting && !c.doubted || c.next.Has(r, span)
+	return c.progress == resting && !c.doubted || c.next.Has(r, span)
 }
 
 // Answered takes what became of the order. After an outcome other than InDoubt it is no
 // longer known under Next.
 func (c *Course) Answered(answer protocol.PathAnswer, now time.Time) Outcome {
-	if c.stand != ordered {
+	if c.progress != ordered {
 		return InDoubt
 	}
 	switch answer.(type) {
 	case protocol.PathTaken:
-		c.stand = resting
+		c.progress = resting
 		return Moved
 	case protocol.PathUnfit:
-		c.stand = resting
+		c.progress = resting
 		if c.orders < ordersMost {
 			return Again
 		}
 		return GivenUp
 	case protocol.PathUnanswered:
-		c.stand, c.doubted, c.barred = doubted, true, true
+		c.progress, c.doubted, c.barred = doubted, true, true
 		c.till = now.Add(doubtFor)
 		return InDoubt
 	default:
-		c.stand, c.barred = resting, true
+		c.progress, c.barred = resting, true
 		return GivenUp
 	}
 }
@@ -114,25 +121,26 @@
 // Ask reports whether it is time to ask the first engine what became of an order in doubt,
 // and notes that it is asked.
 func (c *Course) Ask(now time.Time) bool {
-	if c.stand != doubted || now.Before(c.till) {
+	if c.progress != doubted || now.Before(c.till) {
 		return false
 	}
-	c.stand = asked
+	c.progress = asked
 	return true
 }
 
-// Reported takes what the first engine told: whether the request still waits for a runner,
-// or that nothing is known because it did not report, which a stalled request is taken for:
-// its path has lost its first stage too. A request that does not wait is left alone.
+// Reported takes what the first engine told: whether the request still waits for a runner.
+// If it does, the change is given up. If it doesn't, the order may have been taken, and is in
+// doubt for a while longer. An engine that does not report is taken to say that the request
+// waits: the path has lost its first stage too.
 func (c *Course) Reported(waits bool, now time.Time) Outcome {
 	switch {
-	case c.stand != asked:
+	case c.progress != asked:
 		return InDoubt
 	case waits:
-		c.stand = resting
+		c.progress = resting
 		return GivenUp
 	default:
-		c.stand = doubted
+		c.progress = doubted
 		c.till = now.Add(doubtFor)
 		return InDoubt
 	}
@@ -141,7 +149,7 @@
 // Spoke takes it that the request goes on. After an order in doubt either path may run it
 // from then on.
 func (c *Course) Spoke() {
-	if c.stand == doubted || c.stand == asked {
-		c.stand = mixed
+	if c.progress == doubted || c.progress == asked {
+		c.progress = mixed
 	}
 }
--- a/coordination/repath/repath.go
+++ b/coordination/repath/repath.go
@@ -28,10 +28,7 @@
 	// stages: a connection and an answer.
 	orderSeconds = 0.005
 	// sendSeconds is what a further send costs beside its work: it is taken from a budget
-	// that all requests share, and prompts that are read again whole hold others up. Streams
-	// that changed their path paused for 127 ms in the median, those that were asked for
-	// elsewhere for 226 ms (64 and 450 streams of a logged play of 42 s, 36 entries, 98
-	// engines of which a sixth was lost three times).
+	// that all requests share, and prompts that are read again whole hold others up.
 	sendSeconds = 0.05
 	// roomMost is the part of a runner's room up to which it is taken for a stage. Lengths
 	// of answers are guesses, and a change of path that finds no room was in vain.
@@ -93,6 +90,7 @@
 	return change
 }
 
+// otherwise decides without a change of path.
 func otherwise(q *Query) Decision {
 	if q.Elsewhere != nil {
 		return Elsewhere{}
@@ -101,7 +99,7 @@
 }
 
 // replace finds runners for the layers of the lost stages, or else for all layers but
-// those of the first stage: engines whose layers do not fit the holes may fit that.
+// those of the first stage: engines whose spans don't fit the holes may fit that.
 func replace(models []*fleet.Model, q *Query, p *path.Path) bool {
 	search := q.Search
 	search.Avoid = append(slices.Clip(search.Avoid), q.Lost...)
