--- a/coordination/path/replace.go
+++ b/coordination/path/replace.go
@@ -19,13 +19,10 @@
 		return false
 	}
 	kept := old.without(lost)
-	var s search
+	s := search{kept: &kept}
 	p.length, p.cost = 0, 0
 	for i := 0; i < old.length; {
-		end := i
-		for end < old.length && slices.Contains(lost, old.runners[end]) {
-			end++
-		}
+		end := old.lostFrom(i, lost)
 		if end == i {
 			if !p.add(old.runners[i], old.spans[i]) {
 				return false
@@ -33,22 +30,39 @@
 			i++
 			continue
 		}
-		before := p.length
-		s.kept = &kept
-		s.prepare(m, protocol.Span{From: old.spans[i].From, To: old.spans[end-1].To})
-		if !s.run(m, q, false) || !s.collect(p) {
+		if !s.fill(m, q, protocol.Span{From: old.spans[i].From, To: old.spans[end-1].To}, p) {
 			return false
 		}
-		for ; before < p.length; before++ {
-			if !kept.add(p.runners[before], p.spans[before]) {
-				return false
-			}
-		}
 		i = end
 	}
 	return true
 }
 
+// lostFrom returns the end of the row of lost stages that begins at a stage, the stage itself
+// if it is not lost.
+func (p *Path) lostFrom(stage int, lost []*fleet.Runner) int {
+	for stage < p.length && slices.Contains(lost, p.runners[stage]) {
+		stage++
+	}
+	return stage
+}
+
+// fill adds to a path the cheapest way over a hole, whose runners are kept from then on. It
+// reports whether there is one.
+func (s *search) fill(m *fleet.Model, q *Query, hole protocol.Span, p *Path) bool {
+	begin := p.length
+	s.prepare(m, hole)
+	if !s.run(m, q, false) || !s.collect(p) {
+		return false
+	}
+	for i := begin; i < p.length; i++ {
+		if !s.kept.add(p.runners[i], p.spans[i]) {
+			return false
+		}
+	}
+	return true
+}
+
 // Has reports whether a runner runs just that span in the path.
 func (p *Path) Has(r *fleet.Runner, span protocol.Span) bool {
 	for i := range p.length {
