--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -27,8 +27,8 @@
 
 // Engine is one engine as far as placement needs to know it. Held is what it
 // holds, or what it was ordered to hold when that is still in doubt; Serving is
-// what it is known to hold now. One that leaves takes no orders. One that is Slow holds its
-// layers, but they are worth a further holder.
+// what it is known to hold now. One that leaves takes no orders. A Slow one holds its layers,
+// but they should get a further holder.
 type Engine struct {
 	ID          string
 	DataCenter  string
--- a/coordination/place/relieve.go
+++ b/coordination/place/relieve.go
@@ -8,14 +8,14 @@
 	"pinerun.example/pinerun/protocol"
 )
 
-// relieve returns the move that gives layers which only slow engines hold a further
-// holder, if there is one that needn't give up layers for it which nobody else holds. The
-// slow engine serves meanwhile, so nothing is cut for it. Nothing is moved back when the slow engine is fast again, unless the layout gains by it
-// as by any other move.
+// relieve returns the move that gives layers which only slow engines hold a further holder,
+// if some engine can take them without giving up layers that nobody else holds. The slow
+// engine serves meanwhile, so no request is cut for it. Once it is fast again nothing is moved
+// back, unless that makes the layout worth more, as any other move must.
 func (p *pool) relieve() []Move {
 	t := p.copy()
 	t.served = slices.Clone(p.served)
-	slow := false
+	slow := false // the copy is the pool without what slow engines hold
 	for i := range t.engines {
 		if m := &t.engines[i]; m.slow {
 			t.count(t.served, m.serving, -1)
