--- a/coordination/loss/located.go
+++ b/coordination/loss/located.go
@@ -9,12 +9,13 @@
 )
 
 // locatedAgain is how long the same news of an address is not passed on again: every request
-// that was under way there when it came up meets the same sign.
+// that was under way there meets the same sign.
 const locatedAgain = time.Second
 
 // Located says who answers at an endpoint's address: itself, another process, or a process
-// without the layers of the endpoint's record. It was met in an answer, so that one witness
-// suffices, and any number of endpoints may be told of: who reaches nobody meets none.
+// without the layers of the endpoint's record. The sign is an answer, so one witness suffices,
+// and the number of such endpoints is not bounded as that of losses is: an entry that is cut
+// off gets no answers, so it tells no such news.
 type Located struct{}
 
 func (Located) verdict() {}
@@ -47,7 +48,7 @@
 	return Located{}
 }
 
-// newer reports whether news say something that these don't.
+// newer reports whether later news says something that is not known yet.
 func (l *located) newer(news *located) bool {
 	if l.sign == news.sign && l.occupant == news.occupant {
 		return news.at.After(l.at.Add(locatedAgain))
--- a/coordination/loss/loss.go
+++ b/coordination/loss/loss.go
@@ -63,7 +63,7 @@
 // At returns when, by the clock of the entry that holds the report.
 func (r Report) At() time.Time { return r.at }
 
-// In returns the report as one of a life of the endpoint.
+// In returns the report with the life of the endpoint in which the sign was met.
 func (r Report) In(life protocol.Lifetime) Report {
 	r.life = life
 	return r
