--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -51,11 +51,11 @@
 	LossTold           = Event{3011, "loss told", slog.LevelWarn}
 	RecordSuperseded   = Event{3012, "record superseded", slog.LevelWarn}
 	RecordDisproved    = Event{3013, "record disproved", slog.LevelWarn}
-	EndpointRestarted  = Event{3018, "endpoint restarted", slog.LevelInfo}
 	RecordUnusable     = Event{3014, "record unusable", slog.LevelWarn}
 	RecordUsable       = Event{3015, "record usable", slog.LevelInfo}
 	EndpointSlow       = Event{3016, "endpoint slow", slog.LevelWarn}
 	EndpointFast       = Event{3017, "endpoint fast again", slog.LevelInfo}
+	EndpointRestarted  = Event{3018, "endpoint restarted", slog.LevelInfo}
 	ConfigInForce      = Event{4001, "configuration in force", slog.LevelInfo}
 	ConfigIgnored      = Event{4002, "configuration ignored", slog.LevelWarn}
 	PlatformUnreached  = Event{5001, "platform unreached", slog.LevelWarn}
--- a/protocol/routing.go
+++ b/protocol/routing.go
@@ -129,7 +129,7 @@
 	IdleMS      float64
 }
 
-// HeaderBy returns until when a head must have come whose first byte came then.
+// HeaderBy returns when the whole head of a request must have come, from its first byte.
 func (c *CallerLimits) HeaderBy(from time.Time) time.Time { return from.Add(fromMS(c.HeaderMS)) }
 
 // IdleBy returns when a connection that rests from then is closed.
@@ -148,8 +148,8 @@
 	Layers      Span // held by an engine; empty when it holds none
 	Model       string
 	Lifetime    Lifetime
-	// Beats is how often it has written its record since it started, 0 if it does not tell. It
-	// falls back when it starts again.
+	// Beats counts its heartbeats: how often it has written its record since it started, 0 if
+	// it does not tell.
 	Beats int
 }
 
--- a/protocol/slow.go
+++ b/protocol/slow.go
@@ -5,10 +5,12 @@
 // SlowSign is how an entry knows at what pace an endpoint works.
 type SlowSign uint8
 
-// The signs: the endpoint told it when it was asked; an answer of it, or the wait for one,
-// took that many times as long as usual.
+// The signs of an endpoint's pace.
 const (
+	// SlowTold says that the endpoint told its pace when it was asked.
 	SlowTold SlowSign = iota + 1
+	// SlowSeen says that an answer of the endpoint, or the wait for one, took that many times
+	// as long as usual.
 	SlowSeen
 )
 
@@ -48,7 +50,7 @@
 		s.Sign >= SlowTold && s.Sign <= SlowSeen && s.Pace > 0 && s.Pace <= MaxPace && s.AgoMS >= 0
 }
 
-// soundSlow reports whether all news of a frame do.
+// soundSlow reports whether all news of slowness in a frame has that shape.
 func soundSlow(all []RelaySlow) bool {
 	for i := range all {
 		if !all[i].sound() {
--- a/protocol/status.go
+++ b/protocol/status.go
@@ -27,7 +27,7 @@
 	Open        int64         `json:"open"`               // layer passes of this entry's requests under way there
 }
 
-// EndpointState is why an endpoint does or does not get new work.
+// EndpointState says whether an endpoint gets new work, or why it does not.
 type EndpointState string
 
 // The states of an endpoint.
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -42,9 +42,9 @@
 	lostAt      atomic.Int64  // unix nanoseconds of the signs by which others took it as lost
 	lostTill    atomic.Int64  // unix nanoseconds until when they count, 0 for none
 	pace        atomic.Uint64 // how many times longer than usual its work takes by the word of entries, a float
-	slowSince   atomic.Int64  // unix nanoseconds
+	slowSince   atomic.Int64  // unix nanoseconds from which its pace is that
 	slowTill    atomic.Int64  // unix nanoseconds until when that counts, 0 for not slow
-	onTimeAt    atomic.Int64  // unix nanoseconds
+	onTimeAt    atomic.Int64  // unix nanoseconds of the last event that came through it without delay
 	failures    atomic.Int64
 	refusals    atomic.Int64
 	leaving     atomic.Bool // by the configuration, or by the engine's own word
--- a/state/fleet/slowness.go
+++ b/state/fleet/slowness.go
@@ -27,8 +27,8 @@
 	return max(mean, r.Pace(now)), deviation
 }
 
-// Slow notes that the runner's work takes that many times longer than usual since a time,
-// and until when that counts.
+// Slow notes that since a time the runner's work takes pace times as long as usual, and until
+// when that counts.
 func (r *Runner) Slow(pace float64, since, till time.Time) {
 	r.pace.Store(math.Float64bits(pace))
 	r.slowSince.Store(since.UnixNano())
@@ -61,9 +61,10 @@
 // OnTime notes that an event came through the runner without delay.
 func (r *Runner) OnTime(now time.Time) { r.onTimeAt.Store(now.UnixNano()) }
 
-// OnTimeAt returns when one last did.
+// OnTimeAt returns when an event last came through the runner without delay.
 func (r *Runner) OnTimeAt() time.Time { return time.Unix(0, r.onTimeAt.Load()) }
 
+// measured returns the same by what was measured here alone.
 func (r *Runner) measured(now time.Time) (mean, deviation float64) {
 	mean = math.Float64frombits(r.slowness.Load())
 	deviation = math.Float64frombits(r.deviation.Load())
