--- a/state/occupant/occupant.go
+++ b/state/occupant/occupant.go
@@ -27,7 +27,7 @@
 )
 
 // Remembered is how long a claim counts after its record has gone. A write without an answer
-// is done seconds later; records that came back did so 3.5 s after they had lapsed.
+// may take effect seconds later and bring the record back.
 const Remembered = time.Minute
 
 // AskEvery is how often an address is asked whose records are all out of use. It bounds how
@@ -49,17 +49,17 @@
 	sites    map[string]*site
 	address  map[string]string // by endpoint, of its latest record
 	departed []departure       // in the order in which they are forgotten
-	number   uint64
+	number   uint64            // of Next calls, and of claims seen without a record
 }
 
 // departure is a claim without a record.
 type departure struct{ endpoint, address string }
 
-// Next says that the records to come are news of their own. Those of one list come without
-// another Next between them: in which order they were written is not known.
+// Next begins a new list or change, whose records count as later than those before. Between
+// the records of one list there is no Next: in which order they were written is not known.
 func (l *Ledger) Next() { l.number++ }
 
-// Record takes one record. One without an address contends with no other.
+// Record takes one record. One without an address counts as alone at an address of its own.
 func (l *Ledger) Record(c Claim, now time.Time) {
 	if c.Address == "" {
 		c.Address = c.Endpoint
@@ -88,7 +88,7 @@
 	l.address[c.Endpoint] = c.Address
 }
 
-// Gone takes it that a record is gone.
+// Gone notes that a record is gone.
 func (l *Ledger) Gone(endpoint string, now time.Time) {
 	if k := l.claimOf(endpoint); k != nil && k.recorded {
 		k.recorded = false
@@ -102,8 +102,8 @@
 	l.departed = append(l.departed, departure{endpoint: k.Endpoint, address: k.Address})
 }
 
-// Answered takes it that the process at an address named itself, in its present life or an
-// unknown one.
+// Answered notes that the process at an address named itself. The life is its present one, 0
+// if it did not tell.
 func (l *Ledger) Answered(address, endpoint string, life protocol.Lifetime, now time.Time) {
 	s := l.site(address)
 	k := s.claimOf(endpoint)
@@ -153,10 +153,10 @@
 	return 0
 }
 
-// Question returns whether the address of an endpoint should be asked now who has it, and
-// notes that it is: more than one record names it and nothing has answered since the last of
-// them came, or none of those that name it is in use. Patience is how long it is left to
-// others to ask.
+// Question reports whether the address of an endpoint should be asked now who has it, and
+// notes that it is asked. It should be if several records name it and nothing has answered
+// since the last of them came, or if none that names it is in use. Patience is how long
+// asking is left to other entries.
 func (l *Ledger) Question(endpoint string, patience time.Duration, now time.Time) bool {
 	s := l.sites[l.address[endpoint]]
 	if s == nil || !s.unclear(now) || now.Before(s.changed.Add(patience)) || now.Before(s.asked.Add(patience)) {
@@ -166,8 +166,8 @@
 	return true
 }
 
-// Due reports whether the address of an endpoint was not asked for AskEvery, nor while it is
-// left to others, and notes that it is now.
+// Due reports whether the address of an endpoint may be asked again, whatever is known of it:
+// the last time was AskEvery ago, or patience if that is longer. It notes that it is asked.
 func (l *Ledger) Due(endpoint string, patience time.Duration, now time.Time) bool {
 	s := l.sites[l.address[endpoint]]
 	if s == nil || now.Before(s.asked.Add(max(AskEvery, patience))) {
@@ -196,7 +196,7 @@
 	}
 }
 
-// drop forgets a claim.
+// drop forgets a claim, and its address if it was the last one there.
 func (l *Ledger) drop(s *site, k *claim) {
 	s.claims = slices.DeleteFunc(s.claims, func(o *claim) bool { return o == k })
 	if l.address[k.Endpoint] == k.Address {
@@ -207,6 +207,7 @@
 	}
 }
 
+// site returns an address with its claims, and enters it if it is new.
 func (l *Ledger) site(address string) *site {
 	if l.sites == nil {
 		l.sites = make(map[string]*site)
--- a/state/occupant/site.go
+++ b/state/occupant/site.go
@@ -27,8 +27,8 @@
 	return k.seen
 }
 
-// outlived reports whether another claim tells a later start, and this one has not answered
-// since that was seen.
+// outlived reports whether another claim tells a later start and this one has not answered
+// since the other was seen.
 func (k *claim) outlived(by *claim) bool {
 	return k.Lifetime.Before(by.Lifetime) && k.proven.Before(by.seen)
 }
@@ -74,8 +74,8 @@
 	return nil
 }
 
-// occupant returns the claim with the best evidence, whether its record is there or not: one
-// that was superseded is not in use again because the record of the next has gone.
+// occupant returns the claim with the best evidence, whether its record is there or not: a
+// superseded record doesn't come into use again because that of the occupant has gone.
 func (s *site) occupant() *claim {
 	if len(s.claims) == 1 {
 		return s.claims[0]
