--- a/state/roster/belief.go
+++ b/state/roster/belief.go
@@ -133,7 +133,7 @@
 	return r.occupants.Lifetime(id)
 }
 
-// Denied takes it that an engine said that it does not hold the layers of its record, and
+// Denied notes that an engine said that it does not hold the layers of its record, and
 // reports whether that was news. A record that has changed since stands.
 func (r *Roster) Denied(id string, life protocol.Lifetime, at time.Time) bool {
 	r.mutex.Lock()
@@ -160,8 +160,8 @@
 	return true
 }
 
-// Holds takes it that an engine holds what its record says after all, and reports whether
-// that was news.
+// Holds notes that an engine holds what its record says after all, and reports whether that
+// was news.
 func (r *Roster) Holds(id string) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -220,7 +220,7 @@
 	}
 }
 
-// startedAgain takes it that an engine has started again since it wrote its record.
+// startedAgain notes that an engine has started again since it wrote its record.
 func (r *Roster) startedAgain(e protocol.Endpoint, p *protocol.EngineReport, now time.Time) Reported {
 	if p.Lifetime.Known() {
 		e.Lifetime = p.Lifetime
--- a/state/roster/notice.go
+++ b/state/roster/notice.go
@@ -73,7 +73,7 @@
 	return all
 }
 
-// Located takes it that an endpoint, the occupant, answered at the address of an endpoint's
+// Located notes that an endpoint, the occupant, answered at the address of an endpoint's
 // record. It reports whether that changes which record is in use.
 func (r *Roster) Located(id, occupant string, life protocol.Lifetime, at time.Time) bool {
 	r.mutex.Lock()
--- a/state/roster/question.go
+++ b/state/roster/question.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// Patience is how long an entry leaves it to the one that asks for all to clear up a record
-// which it does not believe: that one may have missed what this one heard. It bounds, with
-// occupant.AskEvery, how long an endpoint that lives is left out.
+// Patience is how long an entry leaves asking to the entry that asks for all. It does not wait
+// for ever, as that one may have missed what this one heard. With occupant.AskEvery it bounds
+// how long an endpoint that lives is left out.
 const Patience = 5 * time.Second
 
 // Question asks who has the address of an endpoint's record.
@@ -46,8 +46,8 @@
 func (q Question) Layers() bool { return q.layers }
 
 // Questions returns what should be asked now: who has an address that several records name,
-// or one that is out of use, and what engines hold that deny their records. Others are the
-// first to ask if they are said to.
+// or whose record is out of use, and what engines hold that deny their records. If another
+// entry asks for all, this one asks only what is still unclear after Patience.
 func (r *Roster) Questions(others bool, now time.Time) []Question {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/state/roster/unrecorded.go
+++ b/state/roster/unrecorded.go
@@ -10,8 +10,8 @@
 	"pinerun.example/pinerun/protocol"
 )
 
-// unrecordedFor is how long an endpoint is known that answered but has not recorded itself. Cut
-// off from the platform it may take some seconds.
+// unrecordedFor is how long an endpoint that answered, but has no record, is remembered. One
+// that is cut off from the platform may take some seconds to record itself.
 const unrecordedFor = 10 * time.Second
 
 // unrecorded is an endpoint without a record, until when it is believed in.
@@ -22,8 +22,8 @@
 
 // Unrecorded returns the endpoints that answered at the address of another one's record and have
 // none yet. They are given layers, so that they hold them when their records come, but serve
-// nothing before. What they are is taken from the other's record: who orders something checks
-// it.
+// nothing before. Their service, accelerator and so on are guessed from the other's record, and
+// are checked before an order.
 func (r *Roster) Unrecorded(now time.Time) []protocol.Endpoint {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
