--- a/internal/metric/times.go
+++ b/internal/metric/times.go
@@ -11,8 +11,8 @@
 
 // Bounds of what Times records.
 const (
-	longestMS     = int64(10 * time.Minute / time.Microsecond)
-	timesAccuracy = 2
+	longestMicroseconds = int64(10 * time.Minute / time.Microsecond)
+	timesAccuracy       = 2
 )
 
 // Times records how long something took. The zero value has recorded nothing.
@@ -26,9 +26,9 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.histogram == nil {
-		t.histogram = hdrhistogram.New(1, longestMS, timesAccuracy)
+		t.histogram = hdrhistogram.New(1, longestMicroseconds, timesAccuracy)
 	}
-	_ = t.histogram.RecordValue(min(max(1, d.Microseconds()), longestMS))
+	_ = t.histogram.RecordValue(min(max(1, d.Microseconds()), longestMicroseconds))
 }
 
 // AddTo merges what was recorded into a histogram of microseconds.
--- a/settings/front.go
+++ b/settings/front.go
@@ -63,19 +63,19 @@
 	// heapShare is the part of the memory at which the collector works harder; the rest
 	// is for stacks and for bytes that wait in sockets.
 	heapShare = 0.6
-	// heldShare is the part of the memory that may be held for callers who read slowly and
-	// of requests, their sockets included.
+	// heldShare is the part of the memory for answers to callers who read slowly and for
+	// request bodies, bytes in sockets included.
 	heldShare = 0.25
-	// connectionKB is what a caller's connection takes at rest: two goroutines' stacks, two
-	// buffers and the system's own.
+	// connectionKB is the memory, in KiB, that a caller's connection takes at rest: two
+	// goroutines' stacks, two buffers and the system's own.
 	connectionKB = 24
 	// connectionShare is the part of the memory that callers' connections may take.
 	connectionShare = 0.4
 	// callerDescriptors is the part of the descriptors for callers: each of their requests
 	// may need one to an endpoint too.
 	callerDescriptors = 0.45
-	// connectionsLeast is how many callers' connections there may be whatever the settings
-	// say.
+	// connectionsLeast is how many callers' connections there may be however little memory
+	// and however few descriptors the settings give.
 	connectionsLeast = 64
 )
 
@@ -83,8 +83,8 @@
 // memory is not known.
 func (f *Front) HeapBytes() int64 { return int64(f.MemoryMB * heapShare * (1 << 20)) }
 
-// HeldBytes returns how much may be held for callers and of requests, 0 if the memory is
-// not known.
+// HeldBytes returns how many bytes of answers and request bodies may be held, 0 if the memory
+// is not known.
 func (f *Front) HeldBytes() int64 { return int64(f.MemoryMB * heldShare * (1 << 20)) }
 
 // Connections returns how many connections callers may have open together, 0 for any
