--- a/coordination/repath/course.go
+++ b/coordination/repath/course.go
@@ -146,7 +146,7 @@
 	}
 }
 
-// Spoke takes it that the request goes on. After an order in doubt either path may run it
+// Spoke notes that the request goes on. After an order in doubt either path may run it
 // from then on.
 func (c *Course) Spoke() {
 	if c.progress == doubted || c.progress == asked {
--- a/coordination/slow/slow.go
+++ b/coordination/slow/slow.go
@@ -245,14 +245,14 @@
 	return Fast{}
 }
 
-// begin takes it that the endpoint is slow from the sign on.
+// begin notes that the endpoint is slow from the sign on.
 func (p *page) begin(r *Report) Verdict {
 	p.since = r.at
 	p.pace, p.seen = 0, 0
 	return p.keep(r)
 }
 
-// keep takes it that the endpoint is as slow as the sign says. An answer that is awaited
+// keep notes that the endpoint is as slow as the sign says. An answer that is awaited
 // shows only how slow it is at least.
 func (p *page) keep(r *Report) Verdict {
 	if r.sign == protocol.SlowTold || r.pace > p.pace {
@@ -280,7 +280,7 @@
 	}
 }
 
-// end takes it that the endpoint works as usual. The page stays for a while, so that older
+// end notes that the endpoint works as usual. The page stays for a while, so that older
 // signs that come late change nothing.
 func (p *page) end(r *Report, now time.Time) Verdict {
 	p.pace, p.seen = 0, 0
