--- a/state/roster/belief.go
+++ b/state/roster/belief.go
@@ -40,8 +40,10 @@
 // put takes one record. The mutex is held.
 func (r *Roster) put(e protocol.Endpoint, now time.Time) Taken {
 	if e.Lifetime.Before(r.occupants.Lifetime(e.ID)) {
+		r.late(e, now)
 		return Stale // written by an earlier life, and done late
 	}
+	delete(r.lates, e.ID)
 	if r.endpoints == nil {
 		r.endpoints = make(map[string]protocol.Endpoint)
 	}
@@ -160,12 +162,12 @@
 	return true
 }
 
-// Holds notes that an engine holds what its record says after all, and reports whether that
-// was news.
-func (r *Roster) Holds(id string) bool {
+// Holds notes that an engine held what its record says after all when it was asked, and
+// reports whether that was news.
+func (r *Roster) Holds(id string, at time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if !r.beliefs[id].denied {
+	if b := r.beliefs[id]; !b.denied || at.Before(b.since) {
 		return false
 	}
 	r.trust(id)
@@ -196,10 +198,13 @@
 		return Silent
 	}
 	b := r.beliefs[id]
-	if e.Lifetime.Before(p.Lifetime) || p.Orders < b.orders {
+	sameLife := e.Lifetime.Known() && e.Lifetime == p.Lifetime
+	switch {
+	case p.Orders < b.orders && sameLife:
+		return Silent // two were asked for at a time, and this one came last
+	case p.Orders < b.orders, e.Lifetime.Before(p.Lifetime):
 		return r.startedAgain(e, p, now)
-	}
-	if p.Orders > b.orders {
+	case p.Orders > b.orders:
 		b.orders = p.Orders
 		r.believe(id, b)
 	}
@@ -237,8 +242,8 @@
 	return Differs
 }
 
-// StartedAgain returns the endpoints whose reports showed since the last call that they have
-// started again.
+// StartedAgain returns the endpoints of which a report or a list showed since the last call that
+// they have started again.
 func (r *Roster) StartedAgain() []protocol.Endpoint {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/state/roster/question.go
+++ b/state/roster/question.go
@@ -30,7 +30,7 @@
 // ask returns the question about an endpoint. The mutex is held.
 func (r *Roster) ask(id string) Question {
 	e := r.endpoints[id]
-	return Question{endpoint: id, address: e.Address, service: e.Service}
+	return Question{endpoint: id, address: e.Address, service: e.Service, layers: r.beliefs[id].denied}
 }
 
 // Service returns the service that the record names.
@@ -63,9 +63,7 @@
 	}
 	for id, b := range r.beliefs {
 		if b.denied && !r.unused[id] && !now.Before(b.since.Add(patience)) && r.occupants.Due(id, patience, now) {
-			q := r.ask(id)
-			q.layers = true
-			all = append(all, q)
+			all = append(all, r.ask(id))
 		}
 	}
 	return all
