--- a/state/occupant/site.go
+++ b/state/occupant/site.go
@@ -62,7 +62,7 @@
 	claims   []*claim
 	changed  time.Time // when a record last came, came back or told another life
 	asked    time.Time // when it was last asked, or answered
-	answered time.Time
+	answered time.Time // when something last answered from it
 }
 
 // claimOf returns the claim of an endpoint, or nil.
--- a/state/roster/belief.go
+++ b/state/roster/belief.go
@@ -40,10 +40,10 @@
 // put takes one record. The mutex is held.
 func (r *Roster) put(e protocol.Endpoint, now time.Time) Taken {
 	if e.Lifetime.Before(r.occupants.Lifetime(e.ID)) {
-		r.late(e, now)
+		r.noteLate(e, now)
 		return Stale // written by an earlier life, and done late
 	}
-	delete(r.lates, e.ID)
+	delete(r.late, e.ID)
 	if r.endpoints == nil {
 		r.endpoints = make(map[string]protocol.Endpoint)
 	}
--- a/state/roster/late.go
+++ b/state/roster/late.go
@@ -16,44 +16,44 @@
 	till     time.Time
 }
 
-// late notes a record that looks like one of a life that is over. A process that lives writes
-// over it within a heartbeat. What stands for longer is of a process whose clock was set back,
-// or the later start was none of its own.
-func (r *Roster) late(e protocol.Endpoint, now time.Time) {
-	if r.lates == nil {
-		r.lates = make(map[string]lateRecord)
+// noteLate notes a record that looks like one of a life that is over. A living process writes
+// over it at its next heartbeat. One that stands for longer is of a process whose clock was set
+// back, or the later start that was told was not that of this endpoint.
+func (r *Roster) noteLate(e protocol.Endpoint, now time.Time) {
+	if r.late == nil {
+		r.late = make(map[string]lateRecord)
 	}
-	l, there := r.lates[e.ID]
+	l, there := r.late[e.ID]
 	if !there || l.endpoint.Lifetime != e.Lifetime {
 		l.till = now.Add(Patience)
 	}
 	l.endpoint = e
-	r.lates[e.ID] = l
+	r.late[e.ID] = l
 }
 
-// keepLate forgets the records that are not in a list.
+// keepLate forgets the late records that are not in a list.
 func (r *Roster) keepLate(list []protocol.Endpoint) {
-	if len(r.lates) == 0 {
+	if len(r.late) == 0 {
 		return
 	}
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
 		listed[e.ID] = true
 	}
-	maps.DeleteFunc(r.lates, func(id string, _ lateRecord) bool { return !listed[id] })
+	maps.DeleteFunc(r.late, func(id string, _ lateRecord) bool { return !listed[id] })
 }
 
-// believeLate believes the records that have stood for long enough. While the platform does
+// believeLate believes the late records that have stood for long enough. While the platform does
 // not answer nobody can write over them.
 func (r *Roster) believeLate(now time.Time) {
 	if r.unsettled(now) {
 		return
 	}
-	for id, l := range r.lates {
+	for id, l := range r.late {
 		if now.Before(l.till) {
 			continue
 		}
-		delete(r.lates, id)
+		delete(r.late, id)
 		delete(r.endpoints, id)
 		r.occupants.Next()
 		r.occupants.Forget(id)
--- a/state/roster/question.go
+++ b/state/roster/question.go
@@ -8,7 +8,7 @@
 
 // Patience is how long an entry leaves asking to the entry that asks for all. It does not wait
 // for ever, as that one may have missed what this one heard. With occupant.AskEvery it bounds
-// how long an endpoint that lives is left out.
+// how long an endpoint that lives is left out. A late record is believed after it, too.
 const Patience = 5 * time.Second
 
 // Question asks who has the address of an endpoint's record.
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -58,7 +58,7 @@
 	unused     map[string]bool       // records out of use when it was last derived
 	notices    []Notice              // not told yet
 	unrecorded map[string]unrecorded // by ID: answered at an address, and have no record
-	lates      map[string]lateRecord // not believed, but the latest of their endpoints
+	late       map[string]lateRecord // not believed, but the latest of their endpoints
 	anew       []protocol.Endpoint   // that have started again, not told yet
 	changes    atomic.Uint64
 	view       atomic.Pointer[fleet.View]
@@ -116,8 +116,8 @@
 	}
 }
 
-// Count returns how many endpoints could be used when somebody last looked. It derives nothing:
-// of 4,900 endpoints that takes 8 ms, and news come many at a time (a benchmark).
+// Count returns how many endpoints could be used when somebody last looked. It derives nothing,
+// which takes milliseconds for a large fleet, while news comes many at a time.
 func (r *Roster) Count() int {
 	if l := r.list.Load(); l != nil {
 		return len(*l)
@@ -182,7 +182,7 @@
 func (r *Roster) Remove(id string, now time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	delete(r.lates, id)
+	delete(r.late, id)
 	e, there := r.endpoints[id]
 	if !there || r.keep(e, now) {
 		return false
--- a/state/roster/usable.go
+++ b/state/roster/usable.go
@@ -36,7 +36,7 @@
 func (r *Roster) Discard(id string) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	delete(r.lates, id)
+	delete(r.late, id)
 	if _, there := r.endpoints[id]; !there {
 		return false
 	}
