--- a/state/roster/unrecorded.go
+++ b/state/roster/unrecorded.go
@@ -11,8 +11,8 @@
 	"pinerun.example/pinerun/protocol"
 )
 
-// unrecordedFor is how long an endpoint is known that answered but has not recorded itself. Cut
-// off from the platform it may take some seconds.
+// unrecordedFor is how long an endpoint that answered, but has no record, is remembered. One
+// that is cut off from the platform may take some seconds to record itself.
 const unrecordedFor = 10 * time.Second
 
 // unrecorded is an endpoint without a record, until when it is believed in.
@@ -23,8 +23,8 @@
 
 // Unrecorded returns the endpoints that answered at the address of another one's record and have
 // none yet. They are given layers, so that they hold them when their records come, but serve
-// nothing before. What they are is taken from the other's record: who orders something checks
-// it.
+// nothing before. Their service, accelerator and so on are guessed from the other's record, and
+// are checked before an order.
 func (r *Roster) Unrecorded(now time.Time) []protocol.Endpoint {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -42,8 +42,8 @@
 	maps.DeleteFunc(r.unrecorded, func(_ string, u unrecorded) bool { return now.After(u.till) })
 }
 
-// answers notes an endpoint that answered at the address of another one's record.
-func (r *Roster) answers(id string, in protocol.Endpoint, at time.Time) {
+// noteUnrecorded notes an endpoint that answered at the address of another one's record.
+func (r *Roster) noteUnrecorded(id string, in protocol.Endpoint, at time.Time) {
 	if _, there := r.endpoints[id]; there {
 		return
 	}
@@ -54,14 +54,3 @@
 		ID: id, Service: in.Service, Address: in.Address, DataCenter: in.DataCenter, Accelerator: in.Accelerator, Model: in.Model,
 	}}
 }
-
-// Probe returns the question who has the address of an endpoint that may be lost, if it was
-// not asked lately.
-func (r *Roster) Probe(id string, now time.Time) (Question, bool) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if _, there := r.endpoints[id]; !there || !r.occupants.Due(id, 0, now) {
-		return Question{}, false
-	}
-	return r.ask(id), true
-}
