--- a/transport/backlog/budget.go
+++ b/transport/backlog/budget.go
@@ -84,7 +84,7 @@
 		if v := b.conns[a]; v != nil {
 			b.count(metric.PressureEnded, 1)
 			delete(b.conns, a)
-			go v.runEnd()
+			go (&ending{conn: v}).run()
 		}
 	}
 	if ok {
--- a/transport/backlog/held.go
+++ b/transport/backlog/held.go
@@ -141,8 +141,13 @@
 	}
 }
 
-// runEnd breaks the connection off, since the budget gave its room to others.
-func (c *Conn) runEnd() {
+// ending breaks a connection off whose room the budget gave to others.
+type ending struct{ conn *Conn }
+
+func (e *ending) run() { e.conn.breakOff() }
+
+// breakOff ends the connection, with what is held for its caller.
+func (c *Conn) breakOff() {
 	event.AnswerEnded.Log(c.budget.Logger, slog.Int64("held_bytes", c.budget.Held()), slog.String("caller", c.RemoteAddr().String()))
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
