forward: give a refused body's room back before the refusal is written

The room of a refused body was given back when the handler returned, after the refusal was written, and a refusal may wait ten seconds for its caller: the room that other bodies need stood idle. A test without timing fails on the code before.

--- /dev/null
+++ b/transport/forward/body_test.go
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/roster"
+	"pinerun.example/pinerun/state/routing"
+	"pinerun.example/pinerun/transport/backlog"
+)
+
+// watchedAnswer notes how many bytes of bodies are held when an answer begins.
+type watchedAnswer struct {
+	*httptest.ResponseRecorder
+	counters *metric.Set
+	held     int64
+}
+
+func (w *watchedAnswer) WriteHeader(status int) {
+	w.held = w.counters.Value(string(metric.HeldBodyBytes))
+	w.ResponseRecorder.WriteHeader(status)
+}
+
+// TestARefusedBodyIsGivenUpBeforeTheRefusalIsWritten: a refusal may wait for its caller, and
+// must not keep the room that other bodies need meanwhile.
+func TestARefusedBodyIsGivenUpBeforeTheRefusalIsWritten(t *testing.T) {
+	table, err := routing.Build(protocol.Routing{
+		Version: 1, Services: []protocol.RoutedService{{Name: "plain"}},
+		Routes: []protocol.Route{{
+			Host: "h.example", Prefix: "/", Repeat: protocol.AtMostOnce, TimeoutMS: 4000, MaxTries: 1,
+			Targets: []protocol.Target{{Service: "plain", Weight: 1}},
+		}},
+	})
+	require.NoError(t, err)
+	counters := &metric.Set{}
+	held := &backlog.Budget{Counters: counters}
+	held.Limit(512 << 10)
+	f := &Forwarder{Routing: &routing.Store{}, Roster: &roster.Roster{}, Headers: plainHeaders{}, Counters: counters, Held: held}
+	f.Routing.Offer(table)
+	f.Routing.Confirm(time.Now())
+	f.Roster.Replace(nil, time.Now())
+	w := &watchedAnswer{ResponseRecorder: httptest.NewRecorder(), counters: counters, held: -1}
+	r := httptest.NewRequest(http.MethodPost, "/x", strings.NewReader(strings.Repeat("x", 400<<10)))
+	r.Host = "h.example"
+	f.ServeHTTP(w, r)
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.Zero(t, w.held)
+	require.Zero(t, counters.Value(string(metric.HeldBodyBytes)), "nothing is given back twice")
+}
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -128,6 +128,7 @@
 	refusal := x.admit()
 	x.serve(refusal == nil)
 	if refusal != nil {
+		x.reserved.close() // its body is given up, however long the refusal waits for its caller
 		x.refuse(refusal)
 		return
 	}
--- a/transport/forward/reservation.go
+++ b/transport/forward/reservation.go
@@ -70,5 +70,6 @@
 	r.closed = true
 	if r.bytes != 0 {
 		r.budget.Body(-r.bytes)
+		r.bytes = 0
 	}
 }
