--- a/command/fleet.go
+++ b/command/fleet.go
@@ -11,6 +11,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"text/tabwriter"
 	"time"
 
@@ -64,17 +65,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w; give -entry a URL", err)
 	}
-	res, err := http.DefaultClient.Do(req)
+	status, content, err := callEntry(req)
 	if err != nil {
-		return nil, fmt.Errorf("the entry does not answer: %w; check -entry", err)
+		return nil, err
 	}
-	defer res.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(res.Body, maxOperatorAnswer))
-	if err != nil {
-		return nil, fmt.Errorf("the answer was cut off: %w; ask again", err)
-	}
-	if res.StatusCode != http.StatusOK {
-		return nil, errors.New("the entry answers " + res.Status + "; is -entry the metrics address of a front?")
+	if status != http.StatusOK {
+		return nil, errors.New("the entry answers " + strconv.Itoa(status) + " " + http.StatusText(status) + "; is -entry the metrics address of a front?")
 	}
 	return content, nil
 }
--- a/command/status.go
+++ b/command/status.go
@@ -43,19 +43,28 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("Content-Type", "application/json")
+	status, answer, err := callEntry(req)
+	if err != nil {
+		return nil, err
+	}
+	if status >= http.StatusBadRequest {
+		return nil, errors.New(string(answer))
+	}
+	return answer, nil
+}
+
+// callEntry makes a call to an entry, and returns the status and the whole body of the answer.
+func callEntry(req *http.Request) (status int, content []byte, err error) {
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("the entry does not answer: %w; check -entry", err)
+		return 0, nil, fmt.Errorf("the entry does not answer: %w; check -entry", err)
 	}
 	defer res.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(res.Body, maxOperatorAnswer))
+	content, err = io.ReadAll(io.LimitReader(res.Body, maxOperatorAnswer))
 	if err != nil {
-		return nil, fmt.Errorf("the answer was cut off: %w; ask again", err)
+		return 0, nil, fmt.Errorf("the answer was cut off: %w; ask again", err)
 	}
-	if res.StatusCode >= http.StatusBadRequest {
-		return nil, errors.New(string(answer))
-	}
-	return answer, nil
+	return res.StatusCode, content, nil
 }
 
 // statusVerb prints what an entry believes, or one request's story.
