--- a/main_test.go
+++ b/main_test.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -44,8 +45,11 @@
 //	now A, deadline A    set a variable to the time, or to one soon after
 //	until PATTERN URL    until an operator's call answers so
 //	planid stdout A      set a variable to the id of the plan printed last
+//	above A PATTERN URL  until an operator's call answers with a number, the pattern's
+//	                     group, above that of a variable
 //	holder N M           freeze whichever of the processes of e1 and e2 holds the
-//	                     director's lease; set HOLDER, and OTHER to the other's port
+//	                     director's lease; set HOLDER, OTHER to the other's port, and
+//	                     EPOCH to the lease's epoch
 //	freeze N, thaw N     SIGSTOP and SIGCONT to the N-th background process
 func TestScenarios(t *testing.T) {
 	examples, err := filepath.Abs("examples")
@@ -67,6 +71,7 @@
 			"begin":  beginCall,
 			"end":    endCall,
 			"until":  until,
+			"above":  above,
 			"holder": holder,
 			"ask":    askFor,
 			"today": func(ts *testscript.TestScript, _ bool, args []string) {
@@ -126,10 +131,30 @@
 func until(ts *testscript.TestScript, _ bool, args []string) {
 	pattern, err := regexp.Compile(args[0])
 	ts.Check(err)
-	ask := request(ts, []string{http.MethodGet, args[1], "Authorization:Bearer " + ts.Getenv("PINERUN_OPERATOR_KEY")})
+	awaitAnswer(ts, args[1], pattern.MatchString)
+}
+
+func above(ts *testscript.TestScript, _ bool, args []string) {
+	known, err := strconv.Atoi(ts.Getenv(args[0]))
+	ts.Check(err)
+	pattern, err := regexp.Compile(args[1])
+	ts.Check(err)
+	awaitAnswer(ts, args[2], func(answer string) bool {
+		for _, m := range pattern.FindAllStringSubmatch(answer, -1) {
+			if n, err := strconv.Atoi(m[1]); err == nil && n > known {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// awaitAnswer makes an operator's call until its answer is as wanted.
+func awaitAnswer(ts *testscript.TestScript, url string, wanted func(answer string) bool) {
+	ask := request(ts, []string{http.MethodGet, url, "Authorization:Bearer " + ts.Getenv("PINERUN_OPERATOR_KEY")})
 	for end := time.Now().Add(awaitLimit); ; time.Sleep(awaitPause) {
 		answer := ask()
-		if pattern.MatchString(answer) {
+		if wanted(answer) {
 			return
 		}
 		if time.Now().After(end) {
@@ -211,19 +236,50 @@
 	ts.Setenv(args[1], id)
 }
 
+var leasePattern = regexp.MustCompile(`"holder":"(e[12])","epoch":(\d+)`)
+
+// holder freezes whoever holds the lease, and looks again: another entry may have taken it
+// meanwhile.
 func holder(ts *testscript.TestScript, _ bool, args []string) {
-	lease := request(ts, []string{http.MethodGet, "http://127.0.0.1:" + ts.Getenv("PLATFORM") + "/objects/lease/director"})()
-	held, other := args[0], "O2"
-	if strings.Contains(lease, `"holder":"e2"`) {
-		held, other = args[1], "O1"
+	ask := request(ts, []string{http.MethodGet, "http://127.0.0.1:" + ts.Getenv("PLATFORM") + "/objects/lease/director"})
+	for end := time.Now().Add(awaitLimit); ; time.Sleep(awaitPause) {
+		lease := leasePattern.FindStringSubmatch(ask())
+		if lease == nil {
+			ts.Check(lateBy(end))
+			continue
+		}
+		held, other := args[0], "O2"
+		if lease[1] == "e2" {
+			held, other = args[1], "O1"
+		}
+		signalTo(ts, held, syscall.SIGSTOP)
+		if again := leasePattern.FindStringSubmatch(ask()); again != nil && again[0] == lease[0] {
+			ts.Setenv("HOLDER", held)
+			ts.Setenv("OTHER", ts.Getenv(other))
+			ts.Setenv("EPOCH", lease[2])
+			return
+		}
+		signalTo(ts, held, syscall.SIGCONT)
+		ts.Check(lateBy(end))
 	}
-	ts.Setenv("HOLDER", held)
-	ts.Setenv("OTHER", ts.Getenv(other))
-	signalTo(ts, held, syscall.SIGSTOP)
+}
+
+// lateBy returns an error once the lease has had no steady holder until a time.
+func lateBy(end time.Time) error {
+	if time.Now().After(end) {
+		return errors.New("the lease has no holder that stays")
+	}
+	return nil
 }
 
 func signalTo(ts *testscript.TestScript, number string, s os.Signal) {
 	n, err := strconv.Atoi(number)
 	ts.Check(err)
-	ts.Check(ts.BackgroundCmds()[n-1].Process.Signal(s))
+	p := ts.BackgroundCmds()[n-1].Process
+	ts.Check(p.Signal(s))
+	if s == syscall.SIGSTOP {
+		// A step that fails meanwhile ends the scenario, which waits for its processes before
+		// it prints what they wrote: one that stands still would never end.
+		ts.Defer(func() { _ = p.Signal(syscall.SIGCONT) })
+	}
 }
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -38,6 +39,7 @@
 // call is one request of a caller and what came of it.
 type call struct {
 	id     string
+	work   string // what is asked for, "" for what nobody else asks for
 	kind   string
 	key    string
 	entry  *entry
@@ -50,6 +52,9 @@
 	pace   pace  // at which the answer is read
 }
 
+// content names what is asked for.
+func (c *call) content() string { return cmp.Or(c.work, c.id) }
+
 // runsOnce reports whether the request must not run twice.
 func (c *call) runsOnce() bool { return c.kind == once }
 
@@ -164,8 +169,8 @@
 func send(client *http.Client, q *call, wait time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	url := fmt.Sprintf("http://%s/%s/%s", q.entry.callers.address(), q.kind, q.id)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(bodyOf(q.id)))
+	url := fmt.Sprintf("http://%s/%s/%s", q.entry.callers.address(), q.kind, q.content())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(bodyOf(q.content())))
 	if err != nil {
 		q.broken = err
 		return
--- a/soak/calm_test.go
+++ b/soak/calm_test.go
@@ -21,6 +21,8 @@
 	world *world
 	calls []*call
 	seq   int
+
+	deadlyRan int // how often the work that ends engines ran
 }
 
 func (c *calm) run() {
@@ -31,6 +33,7 @@
 	time.Sleep(contact)
 	c.checkTable()
 	c.checkDrain()
+	c.checkDeadly()
 	c.checkStop()
 	w.checkAnswers(c.calls)
 }
@@ -46,9 +49,12 @@
 	return false
 }
 
-func (c *calm) ask(e *entry, kind, key string) *call {
+func (c *calm) ask(e *entry, kind, key string) *call { return c.askFor(e, kind, key, "") }
+
+// askFor is ask for some work, "" for what nobody else asks for.
+func (c *calm) askFor(e *entry, kind, key, work string) *call {
 	c.seq++
-	q := &call{id: fmt.Sprint("calm-", c.seq), kind: kind, key: key, entry: e, sent: time.Now()}
+	q := &call{id: fmt.Sprint("calm-", c.seq), work: work, kind: kind, key: key, entry: e, sent: time.Now()}
 	t := &http.Transport{DisableKeepAlives: true}
 	send(&http.Client{Transport: t}, q, deadline)
 	c.calls = append(c.calls, q)
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -129,7 +129,7 @@
 
 func (w *world) checkUnchanged(c *call, a *arrival) {
 	r := &a.request
-	if r.Method != http.MethodPost || r.Target != "/"+c.kind+"/"+c.id || r.Body != bodyOf(c.id) {
+	if r.Method != http.MethodPost || r.Target != "/"+c.kind+"/"+c.content() || r.Body != bodyOf(c.content()) {
 		w.problem("%s came changed: %s %s %q", c.id, r.Method, r.Target, r.Body)
 	}
 	if r.Team != "team" || r.Key != "" {
--- a/soak/endpoint_test.go
+++ b/soak/endpoint_test.go
@@ -60,6 +60,9 @@
 	} else {
 		e.link.aim(e.Address())
 	}
+	if e.engine {
+		w.endUnder(e)
+	}
 	e.OnSpan(func(from, to int) { w.hold(e, from, to) })
 	w.record(e, "ready")
 	w.mutex.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -86,8 +86,10 @@
 	w := newWorld(t, binary, *entries)
 	cs := startCallers(w, draw)
 	startSlow(cs, seed)
+	deadly := startDeadly(cs, seed)
 	s := &storm{world: w, till: time.Now().Add(*stormFor)}
 	s.run(draw, seriesBeside)
+	deadly.close()
 	c := &calm{world: w}
 	c.run()
 	cs.close()
@@ -98,13 +100,14 @@
 	w.checkBudget(calls)
 	w.checkLogs()
 	w.checkHeld(cs.all())
+	w.checkInnocent(calls)
 	if len(w.problems) == 0 {
-		t.Logf("seed %d: %s; slow callers: %s", seed, summary(calls), w.slowSummary(cs.all()))
+		t.Logf("seed %d: %s; slow callers: %s; %s", seed, summary(calls), w.slowSummary(cs.all()), w.deadlySummary(calls, c.deadlyRan))
 		return
 	}
-	keep(t, w, seed)
 	t.Errorf("seed %d: %s\n  %s\nwhat was done:\n  %s", seed, summary(calls),
 		strings.Join(w.problems[:min(len(w.problems), 20)], "\n  "), strings.Join(s.story, "\n  "))
+	keep(t, w, seed)
 }
 
 // summary counts how calls ended.
@@ -128,6 +131,7 @@
 	if *keepIn == "" {
 		return
 	}
+	require.NoError(t, os.MkdirAll(*keepIn, 0o750))
 	for name, log := range w.logs() {
 		file := filepath.Join(*keepIn, fmt.Sprintf("%d-%s.log", seed, name))
 		require.NoError(t, os.WriteFile(file, log, 0o600))
