front: serve no address before what is asked there is written down

Cause: Start opened and served each address in one step, and wrote the entry's own addresses and key after. A peer that asked in that moment, as peers of an entry that comes back at its old address do, was compared with the empty key and read a record that was half written. Its report is cut, so that it was this one is likely, not shown.

Ruled out: the stand-in engines' restarts (all under one mutex), 96 turns of that test alone without a race.

Now all addresses are opened, then written down, then the parts start, then all are served. An entry that ends gives its addresses back before it says so, also when its server had not begun to serve yet.

--- a/transport/front/callers.go
+++ b/transport/front/callers.go
@@ -40,13 +40,18 @@
 	silent  map[net.Conn]time.Time // since when, without a whole head so far
 }
 
-// listen opens the address and begins to serve callers there.
-func (c *callers) listen(address string, h http.Handler) error {
+// listen opens the address. Connections wait until serve.
+func (c *callers) listen(address string) error {
 	socket, err := backlog.Open(address)
 	if err != nil {
 		return err
 	}
 	c.socket = socket
+	return nil
+}
+
+// serve begins to serve callers.
+func (c *callers) serve(h http.Handler) {
 	c.resting = make(map[net.Conn]time.Time)
 	c.silent = make(map[net.Conn]time.Time)
 	c.server = http.Server{
@@ -54,7 +59,6 @@
 		ConnContext: backlog.NewContext, DisableGeneralOptionsHandler: true,
 	}
 	go c.run()
-	return nil
 }
 
 func (c *callers) run() { _ = c.server.Serve(c.held.Listen(c.socket)) }
@@ -137,5 +141,6 @@
 func (c *callers) close() {
 	if c.socket != nil {
 		_ = c.server.Close()
+		_ = c.socket.Close()
 	}
 }
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -72,10 +72,12 @@
 	f.forwarder.Start() // before the first caller: from now on requests wait for the entry to open
 	if err := f.listen(); err != nil {
 		f.forwarder.Close()
+		f.closeAddresses()
 		return err
 	}
 	f.director.Start()
 	f.watch()
+	f.serve()
 	go f.register.run()
 	go f.refusals.run()
 	go f.run()
@@ -166,20 +168,18 @@
 	}
 }
 
-// listen opens the addresses for callers, the balancer, metrics and peers.
+// listen opens the addresses for callers, the balancer, metrics and peers, and writes down which
+// they are. Nobody is served there yet: an entry that comes back at its old addresses is asked by
+// peers at once, and one that was served before was compared with the empty key.
 func (f *Front) listen() error {
 	l := &f.Settings.Listen
-	f.callers.limits = f.callerLimits
-	f.callers.held = &f.held
-	f.callers.most = f.Settings.Connections()
-	f.callers.counters = f.Counters
-	if err := f.callers.listen(l.Callers, &f.forwarder); err != nil {
+	if err := f.callers.listen(l.Callers); err != nil {
 		return err
 	}
-	if err := f.ready.open(l.Readiness, f.readinessHandler()); err != nil {
+	if err := f.ready.open(l.Readiness); err != nil {
 		return err
 	}
-	if err := f.metrics.open(l.Metrics, f.metricsHandler()); err != nil {
+	if err := f.metrics.open(l.Metrics); err != nil {
 		return err
 	}
 	if err := f.listenToPeers(); err != nil {
@@ -200,18 +200,37 @@
 	if l.Peers == "" {
 		return nil
 	}
-	key := rand.Text()
-	mux := http.NewServeMux()
-	mux.Handle(relay.Path, &relay.Server{Source: &f.source})
-	if err := f.peers.open(l.Peers, mux); err != nil {
+	if err := f.peers.open(l.Peers); err != nil {
 		return err
 	}
 	l.Peers = f.peers.socket.Addr().String()
 	f.source.Self.Peers = l.Peers
-	f.source.Self.Key = key
+	f.source.Self.Key = rand.Text()
 	return nil
 }
 
+// serve begins to serve at all addresses.
+func (f *Front) serve() {
+	f.callers.limits = f.callerLimits
+	f.callers.held = &f.held
+	f.callers.most = f.Settings.Connections()
+	f.callers.counters = f.Counters
+	f.callers.serve(&f.forwarder)
+	f.ready.serve(f.readinessHandler())
+	f.metrics.serve(f.metricsHandler())
+	mux := http.NewServeMux()
+	mux.Handle(relay.Path, &relay.Server{Source: &f.source})
+	f.peers.serve(mux)
+}
+
+// closeAddresses ends every connection and gives the addresses back.
+func (f *Front) closeAddresses() {
+	f.callers.close()
+	f.ready.close()
+	f.metrics.close()
+	f.peers.close()
+}
+
 // callerLimits returns the limits in force, zero before the first table.
 func (f *Front) callerLimits() protocol.CallerLimits {
 	if t := f.routing.Current(); t != nil {
--- a/transport/front/listener.go
+++ b/transport/front/listener.go
@@ -21,21 +21,32 @@
 	socket net.Listener
 }
 
-func (l *listener) open(address string, h http.Handler) error {
+// open takes the address. Connections wait until serve.
+func (l *listener) open(address string) error {
 	socket, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
 	l.socket = socket
+	return nil
+}
+
+// serve begins to answer, if the address was opened.
+func (l *listener) serve(h http.Handler) {
+	if l.socket == nil {
+		return
+	}
 	l.server = http.Server{Handler: h, ReadHeaderTimeout: sideLimit, IdleTimeout: sideIdle}
 	go l.run()
-	return nil
 }
 
 func (l *listener) run() { _ = l.server.Serve(l.socket) }
 
+// close ends every connection, and gives the address back at once: a server that has not begun
+// to serve does not know its socket yet.
 func (l *listener) close() {
 	if l.socket != nil {
 		_ = l.server.Close()
+		_ = l.socket.Close()
 	}
 }
--- a/transport/front/stop.go
+++ b/transport/front/stop.go
@@ -70,8 +70,5 @@
 	f.refusals.done.Close()
 	f.director.Close()
 	f.forwarder.Close()
-	f.callers.close()
-	f.ready.close()
-	f.metrics.close()
-	f.peers.close()
+	f.closeAddresses()
 }
