relay: let who lost its peer follow for news while the platform is down

Cause: entries' news of each other (lost endpoints, work that ends them) travel the relay tree, and an entry took a follower only while it knew what the platform holds.

Now an entry that knows all kinds, follows nobody and does not reach the platform asks those ranked before it to follow for news only, also those that were left out. Who reaches the platform goes back to nobody who does not, and who knows nothing is not taken.

--- a/protocol/relay.go
+++ b/protocol/relay.go
@@ -18,11 +18,14 @@
 }
 
 // RelayHello is the first frame of an entry that follows another one: who it is and
-// up to which revision it knows each kind.
+// up to which revision it knows each kind. NewsOnly says that it does not reach the platform
+// either: it follows for what entries tell each other, also where what the platform holds is not
+// known any better.
 type RelayHello struct {
-	_     struct{} `cbor:",toarray"`
-	Name  string
-	Known []RelayMark
+	_        struct{} `cbor:",toarray"`
+	Name     string
+	Known    []RelayMark
+	NewsOnly bool
 }
 
 // RelayMark is a revision of a kind.
--- a/transport/relay/followed.go
+++ b/transport/relay/followed.go
@@ -25,9 +25,9 @@
 }
 
 // beFollowed makes ready for a follower, and reports whether one can be taken: only if
-// what is known here is fresh. An entry that follows a peer does not ask the platform for
-// a follower's sake, and one that is starting has it wait a little.
-func (s *Source) beFollowed(ctx context.Context) bool {
+// what is known here is fresh, or it comes for news only. An entry that follows a peer does not ask
+// the platform for a follower's sake, and one that is starting has it wait a little.
+func (s *Source) beFollowed(ctx context.Context, newsOnly bool) bool {
 	s.seeker.await(ctx)
 	ctx, cancel := context.WithTimeout(ctx, relay.QuickFor)
 	defer cancel()
@@ -36,6 +36,9 @@
 		if s.fresh() || !s.Following() && s.reaches(ctx) {
 			return true
 		}
+		if newsOnly && s.listed() {
+			return true
+		}
 		if !s.listed() || s.Following() {
 			select {
 			case <-changed:
@@ -75,6 +78,13 @@
 	return err == nil
 }
 
+// unreached reports whether everything was known here and the platform does not answer this entry
+// any more.
+func (s *Source) unreached() bool {
+	p := s.passedOn()
+	return s.listed() && p.failedAt.After(p.confirmed.at)
+}
+
 // confirm notes for those who follow what the platform held at a time.
 func (s *Source) confirm(o protocol.Object, asked time.Time) {
 	s.mutex.Lock()
--- a/transport/relay/link.go
+++ b/transport/relay/link.go
@@ -60,8 +60,8 @@
 	answers    chan protocol.RelayAnswer
 }
 
-// dial connects to a peer and says what is known here.
-func dial(ctx context.Context, s *Source, peer protocol.EntryRecord) (*link, error) {
+// dial connects to a peer and says what is known here, and whether it is for news only.
+func dial(ctx context.Context, s *Source, peer protocol.EntryRecord, newsOnly bool) (*link, error) {
 	socket, res, err := websocket.Dial(ctx, "ws://"+peer.Peers+Path, &websocket.DialOptions{
 		HTTPHeader: http.Header{keyHeader: {keyPrefix + peer.Key}},
 		HTTPClient: &s.seeker.client,
@@ -77,7 +77,7 @@
 		source: s, peer: peer, since: clock.Now(), socket: socket, patience: rand.Float64(),
 		answers: make(chan protocol.RelayAnswer, 1),
 	}
-	if err := l.greet(ctx, s.hello()); err != nil {
+	if err := l.greet(ctx, s.hello(newsOnly)); err != nil {
 		l.forget(err)
 		l.close()
 		return nil, err
@@ -87,8 +87,8 @@
 
 // hello returns what an entry says that begins to follow: what it knows, or that it knows
 // nothing, after a peer's changes did not go on from that.
-func (s *Source) hello() protocol.RelayHello {
-	hello := protocol.RelayHello{Name: s.Self.Name}
+func (s *Source) hello(newsOnly bool) protocol.RelayHello {
+	hello := protocol.RelayHello{Name: s.Self.Name, NewsOnly: newsOnly}
 	anew := s.anew.Swap(false)
 	for _, k := range s.Kinds {
 		mark := protocol.RelayMark{Kind: k}
--- a/transport/relay/network_test.go
+++ b/transport/relay/network_test.go
@@ -94,3 +94,13 @@
 func (a address) Network() string { return "pipe" }
 
 func (a address) String() string { return string(a) }
+
+// reset breaks every connection to the server, which goes on to take others.
+func (s *server) reset() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, c := range s.open {
+		_ = c.Close()
+	}
+	s.open = nil
+}
--- /dev/null
+++ b/transport/relay/outage_test.go
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package relay_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+// Callers were sent to engines that other entries knew to be lost, and a request that ends engines
+// was run again and again, while the platform was down: an entry had lost the connection to the entry
+// that it followed, or had not found one before the outage, and nobody took it as a follower, since what
+// all knew was old by then. So it heard no news from others until the platform was back.
+//
+// Evidence: the log of a run with six ends of engines where five are allowed; its third entry was refused by
+// both others ("what the platform holds is not known here") from the outage's first second on. Cause: news that
+// entries have of their own was tied to how fresh the platform's objects are, with which it has nothing to do.
+
+// TestInAnOutageWhoLostItsPeerHearsNews resets the connections of an entry's followers while the
+// platform is down, for longer than any peer is left out for.
+func TestInAnOutageWhoLostItsPeerHearsNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put(table, "one")
+		all := newEntries(t, s, 3)
+		living(all, 1)
+		s.setDown(true)
+		for n := range 4 {
+			time.Sleep(20 * time.Second)
+			all[0].server.reset()
+			time.Sleep(4 * time.Second)
+			for _, e := range all[1:] {
+				require.True(t, e.source.Following(), "%s follows after reset %d", e.outside.name, n)
+			}
+		}
+		endUnder(all[0], "engine", 1)
+		time.Sleep(time.Second)
+		for _, e := range all {
+			require.False(t, e.source.Quarantine().Empty(), "%s heard of it", e.outside.name)
+		}
+		s.setDown(false)
+		s.put(table, "two")
+		for _, e := range all {
+			eventually(t, "the news came", func() bool { return e.believes.value(table) == "two" })
+		}
+	})
+}
+
+// TestInAnOutageWhoKnowsNothingIsNotTaken starts an entry while the platform is down. It
+// could not serve by what is old, and would go on believing it.
+func TestInAnOutageWhoKnowsNothingIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put(table, "one")
+		all := newEntries(t, s, 2)
+		s.setDown(true)
+		time.Sleep(20 * time.Second)
+		late := newEntry(t, s, rankedAfter(all[0].source.Self), "late")
+		late.source.Start()
+		late.source.Learn([]protocol.EntryRecord{all[0].source.Self}, true)
+		late.watcher.Start()
+		late.confirmer.Start()
+		time.Sleep(20 * time.Second)
+		require.False(t, late.source.Following())
+	})
+}
+
+// TestWhoReachesThePlatformFollowsNobodyWhoDoesNot cuts the first entry off from the platform alone:
+// the second, which reaches it, does not go back to the first one.
+func TestWhoReachesThePlatformFollowsNobodyWhoDoesNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put(table, "one")
+		all := newEntries(t, s, 2)
+		all[0].outside.set(true, 0)
+		eventually(t, "it is left", func() bool { return !all[1].source.Following() })
+		for range 60 {
+			time.Sleep(500 * time.Millisecond)
+			require.False(t, all[1].source.Following())
+		}
+	})
+}
--- a/transport/relay/seeker.go
+++ b/transport/relay/seeker.go
@@ -94,22 +94,47 @@
 		if l := s.source.following(); l != nil && l.peer.Name == m.Name {
 			return found
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
-		l, err := dial(ctx, s.source, m)
-		cancel()
-		if err != nil {
-			found.again = s.failed(m.Name, err, clock.Now()) || found.again
-			continue
-		}
-		if s.source.follow(l) {
-			go l.run()
-			go (&upward{link: l}).run()
+		err := s.try(m, false)
+		if err == nil {
+			return found
 		}
-		return found
+		found.again = s.failed(m.Name, err, clock.Now()) || found.again
+	}
+	if !s.source.Following() && s.source.unreached() {
+		s.seekNews()
 	}
 	return found
 }
 
+// seekNews follows a peer although it may not know what the platform holds now, those that were
+// left out among them: in an outage of the platform all are, and who followed nobody heard neither
+// of lost endpoints nor of work that ends them before the platform was back.
+func (s *seeker) seekNews() {
+	s.mutex.Lock()
+	peers := relay.Before(s.source.Record(), s.records)
+	s.mutex.Unlock()
+	for _, m := range peers {
+		if s.try(m, true) == nil {
+			return
+		}
+	}
+}
+
+// try follows a peer if it takes this entry.
+func (s *seeker) try(peer protocol.EntryRecord, newsOnly bool) error {
+	ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
+	defer cancel()
+	l, err := dial(ctx, s.source, peer, newsOnly)
+	if err != nil {
+		return err
+	}
+	if s.source.follow(l) {
+		go l.run()
+		go (&upward{link: l}).run()
+	}
+	return nil
+}
+
 // candidates returns whom to try, in order, and whether nobody is missing among the records
 // that they were chosen from.
 func (s *seeker) candidates(now time.Time) ([]protocol.EntryRecord, bool) {
--- a/transport/relay/server.go
+++ b/transport/relay/server.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	if !source.beFollowed(ctx) {
+	if !source.beFollowed(ctx, hello.NewsOnly) {
 		return errStale
 	}
 	source.tookFollower()
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -295,6 +295,10 @@
 		return
 	}
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	first := !s.failedAt.After(s.confirmed.at)
 	s.failedAt = clock.Now()
+	s.mutex.Unlock()
+	if first && !s.Following() {
+		s.seeker.wake() // others may have news
+	}
 }
