relay: leave a mute peer out for news too

One that takes connections and answers nothing was taken up again in the moment it was left, and, first in rank, kept those away that had news. Two reasons for leaving a peer out shared one mark: out of touch with the platform (it has news) and mute (it has none). Ruled out: the test's patience (virtual time; the peer is left and taken up in one moment, so whether the test sees it is the scheduler's choice). Also: a follower for news only is taken without a call of the platform.

--- a/transport/relay/entry_test.go
+++ b/transport/relay/entry_test.go
@@ -181,11 +181,11 @@
 	return e.outside.store.calls[e.outside.name]
 }
 
-// rankedAfter returns a name that ranks after a record's.
-func rankedAfter(r protocol.EntryRecord) string {
+// rankedAfter returns a name that ranks after those of records, of data center a.
+func rankedAfter(all ...protocol.EntryRecord) string {
 	for i := 0; ; i++ {
-		self := protocol.EntryRecord{Name: fmt.Sprint("third-", i), DataCenter: r.DataCenter}
-		if len(relay.Before(self, []protocol.EntryRecord{r})) == 1 {
+		self := protocol.EntryRecord{Name: fmt.Sprint("third-", i), DataCenter: "a"}
+		if len(relay.Before(self, all)) == len(all) {
 			return self.Name
 		}
 	}
--- a/transport/relay/followed.go
+++ b/transport/relay/followed.go
@@ -33,10 +33,7 @@
 	defer cancel()
 	for {
 		changed, renewed := s.mirror.Changed(), s.confirmedChanges()
-		if s.fresh() || !s.Following() && s.reaches(ctx) {
-			return true
-		}
-		if newsOnly && s.listed() {
+		if s.fresh() || newsOnly && s.listed() || !s.Following() && s.reaches(ctx) {
 			return true
 		}
 		if !s.listed() || s.Following() {
--- a/transport/relay/link.go
+++ b/transport/relay/link.go
@@ -150,7 +150,7 @@
 	s := l.source
 	l.forget(err)
 	if now := clock.Now(); now.Sub(l.since) < relay.FreshFor {
-		s.seeker.avoid(l.peer.Name, now)
+		s.seeker.avoid(l.peer.Name, true, now)
 	}
 	s.leave(l, err.Error())
 }
@@ -263,7 +263,7 @@
 func (l *link) silent() {
 	l.unanswered++
 	if l.unanswered >= unansweredMost {
-		l.source.seeker.avoid(l.peer.Name, clock.Now())
+		l.source.seeker.avoid(l.peer.Name, true, clock.Now())
 		l.source.leave(l, "it did not answer")
 	}
 }
--- a/transport/relay/outage_test.go
+++ b/transport/relay/outage_test.go
@@ -38,7 +38,7 @@
 				require.True(t, e.source.Following(), "%s follows after reset %d", e.outside.name, n)
 			}
 		}
-		endUnder(all[0], "engine", 1)
+		endUnder(all[0], "engine")
 		time.Sleep(time.Second)
 		for _, e := range all {
 			require.False(t, e.source.Quarantine().Empty(), "%s heard of it", e.outside.name)
@@ -85,3 +85,37 @@
 		}
 	})
 }
+
+// Callers were still sent to lost engines in an outage of the platform where the entry that others
+// follow had fallen silent with its connections open, as after a reset that never came: who left it
+// took it up again in the same moment, since every peer that had been left out was tried for news,
+// the first in rank first, and heard nothing till the platform was back.
+//
+// Evidence: 45 of 200 turns of TestAPeerThatFallsSilentIsLeft, which saw nobody followed only if it
+// looked between the two; with the cause, this test fails always. Cause: one reason for leaving a peer
+// out stood for another. One that can't confirm what the platform holds has news, a mute one has not.
+
+// TestInAnOutageASilentPeerDoesNotKeepNewsAway follows a peer that falls silent while the platform is
+// down; the next one in rank tells of work that ended an engine.
+func TestInAnOutageASilentPeerDoesNotKeepNewsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put(table, "one")
+		silent := newSilent(t, s, kind, protocol.Object{Kind: kind, Name: table, Version: 2, Value: []byte("one")})
+		next := newEntry(t, s, rankedAfter(silent), "next")
+		next.start(t, nil)
+		peers := []protocol.EntryRecord{silent, next.source.Self}
+		last := newEntry(t, s, rankedAfter(peers...), "last")
+		last.source.Start()
+		last.source.Learn(peers, true)
+		last.watcher.Start()
+		last.confirmer.Start()
+		eventually(t, "the silent one is followed", last.source.Following)
+		living([]*entry{next, last}, 1)
+		s.setDown(true)
+		time.Sleep(20 * time.Second)
+		endUnder(next, "engine")
+		time.Sleep(4 * time.Second) // the silent one is tried anew now and then
+		require.False(t, last.source.Quarantine().Empty())
+	})
+}
--- a/transport/relay/quarantine_test.go
+++ b/transport/relay/quarantine_test.go
@@ -17,11 +17,12 @@
 // deadly is work under which engines end.
 var deadly = protocol.FingerprintOf("team", "POST", "host", "/path", []byte("ends what runs it"))
 
-// endUnder has an entry meet the end of an engine, a second after the last one, under that work.
-func endUnder(e *entry, engine string, life protocol.Lifetime) {
+// endUnder has an entry meet the end of an engine in its first life, a second after the last one,
+// under that work.
+func endUnder(e *entry, engine string) {
 	time.Sleep(time.Second)
 	now := time.Now()
-	e.source.Quarantine().Tell(protocol.RelayWork{Work: deadly, Endpoint: engine, Lifetime: life, Sign: protocol.WorkBroke}, now)
+	e.source.Quarantine().Tell(protocol.RelayWork{Work: deadly, Endpoint: engine, Lifetime: 1, Sign: protocol.WorkBroke}, now)
 	e.source.Tell(engine, protocol.LossRefused, now)
 }
 
@@ -52,7 +53,7 @@
 		all := newEntries(t, s, 30)
 		living(all, 1)
 		for i := range 3 {
-			endUnder(all[5+7*i], fmt.Sprint("engine-", i), 1)
+			endUnder(all[5+7*i], fmt.Sprint("engine-", i))
 		}
 		last := time.Now()
 		eventually(t, "all refuse it", func() bool { return refusing(all) == len(all) })
@@ -88,7 +89,7 @@
 			all := newEntries(t, s, 4)
 			living(all, 1)
 			for i := range 3 {
-				endUnder(all[i], fmt.Sprint("engine-", i), 1)
+				endUnder(all[i], fmt.Sprint("engine-", i))
 			}
 			eventually(t, "all refuse it", func() bool { return refusing(all) == len(all) })
 			living(all, 2)
--- a/transport/relay/read.go
+++ b/transport/relay/read.go
@@ -65,10 +65,10 @@
 	switch {
 	case err != nil:
 		// It may be that only some entries are turned away: another peer may know more.
-		s.seeker.avoid(peer.peer.Name, clock.Now())
+		s.seeker.avoid(peer.peer.Name, false, clock.Now())
 		s.seeker.wake()
 	case relay.Leave(q, clock.Now()):
-		s.seeker.avoid(peer.peer.Name, clock.Now())
+		s.seeker.avoid(peer.peer.Name, false, clock.Now())
 		s.leave(peer, "it could not confirm what the platform holds")
 	}
 	return r, err
--- a/transport/relay/seeker.go
+++ b/transport/relay/seeker.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/coder/websocket"
+
 	"pinerun.example/pinerun/coordination/relay"
 	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/protocol"
@@ -32,10 +34,18 @@
 	seekEvery = 2 * time.Second
 )
 
-// avoidance is until when a peer is left out, and how often in a row it was.
+// avoidance is until when a peer is left out, and how often in a row it was. One that is mute was
+// not reached, did not answer or broke off: it has no news either. Others are out of touch with the
+// platform only.
 type avoidance struct {
 	till  time.Time
 	times int
+	mute  bool
+}
+
+// leaves reports whether a peer is left out, as one to follow or as one to hear news from.
+func (a avoidance) leaves(newsOnly bool, now time.Time) bool {
+	return !now.After(a.till) && (a.mute || !newsOnly)
 }
 
 // seeker finds the peer to follow.
@@ -88,38 +98,32 @@
 		return look{}
 	}
 	s.steady(clock.Now())
-	candidates, all := s.candidates(clock.Now())
+	found := s.follow(false)
+	if !s.source.Following() && s.source.unreached() {
+		// In an outage of the platform all peers are out of touch with it, and who followed
+		// nobody heard neither of lost endpoints nor of work that ends them till it was back.
+		s.follow(true)
+	}
+	return found
+}
+
+// follow follows the first peer that takes this entry and is not left out, or that is followed.
+func (s *seeker) follow(newsOnly bool) look {
+	candidates, all := s.candidates(newsOnly, clock.Now())
 	found := look{all: all}
 	for _, m := range candidates {
 		if l := s.source.following(); l != nil && l.peer.Name == m.Name {
 			return found
 		}
-		err := s.try(m, false)
+		err := s.try(m, newsOnly)
 		if err == nil {
 			return found
 		}
 		found.again = s.failed(m.Name, err, clock.Now()) || found.again
 	}
-	if !s.source.Following() && s.source.unreached() {
-		s.seekNews()
-	}
 	return found
 }
 
-// seekNews follows a peer although it may not know what the platform holds now, those that were
-// left out among them: in an outage of the platform all are, and who followed nobody heard neither
-// of lost endpoints nor of work that ends them before the platform was back.
-func (s *seeker) seekNews() {
-	s.mutex.Lock()
-	peers := relay.Before(s.source.Record(), s.records)
-	s.mutex.Unlock()
-	for _, m := range peers {
-		if s.try(m, true) == nil {
-			return
-		}
-	}
-}
-
 // try follows a peer if it takes this entry.
 func (s *seeker) try(peer protocol.EntryRecord, newsOnly bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
@@ -137,12 +141,12 @@
 
 // candidates returns whom to try, in order, and whether nobody is missing among the records
 // that they were chosen from.
-func (s *seeker) candidates(now time.Time) ([]protocol.EntryRecord, bool) {
+func (s *seeker) candidates(newsOnly bool, now time.Time) ([]protocol.EntryRecord, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	var open []protocol.EntryRecord
 	for _, r := range relay.Before(s.source.Record(), s.records) {
-		if now.After(s.avoided[r.Name].till) {
+		if !s.avoided[r.Name].leaves(newsOnly, now) {
 			open = append(open, r)
 		}
 	}
@@ -161,21 +165,22 @@
 	if first && !silent {
 		return true
 	}
-	s.avoid(name, now)
+	s.avoid(name, websocket.CloseStatus(err) != closeStale, now)
 	return false
 }
 
-// avoid leaves a peer out for a while.
-func (s *seeker) avoid(name string, now time.Time) {
+// avoid leaves a peer out for a while, anew if it turns out to be mute.
+func (s *seeker) avoid(name string, mute bool, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.avoided == nil {
 		s.avoided = make(map[string]avoidance)
 	}
 	a := s.avoided[name]
-	if now.Before(a.till) {
+	if a.leaves(mute, now) {
 		return
 	}
+	a.mute = mute
 	a.till = now.Add(min(avoidMost, avoidFirst<<min(a.times, avoidDoublings)))
 	a.times++
 	s.avoided[name] = a
