forward: doubt a silent connection, not only the endpoint behind it

Cause: silence was a sign of an endpoint alone. Runners that other streams hear were busy, whatever one stream had waited, and a further send beside a silent attempt went on a connection that had rested as well. Now: a further send has a connection of its own; what rests beside a connection that brought no answer is given up; a stream silent for a second whose runners others hear is asked for elsewhere, if an answer began there or its connection had rested. Ruled out: a reset (none comes), the endpoint (its new connections are answered).

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -132,6 +132,16 @@
 	}
 }
 
+// began reports whether the head of an answer or an event came. Only the exchange asks.
+func (a *attempt) began() bool { return a.spoke || a.answer != nil }
+
+// hadRested reports whether the attempt's connection had rested before.
+func (a *attempt) hadRested() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.conn != nil && a.conn.reused
+}
+
 // release lets the connection rest after a whole answer.
 func (a *attempt) release(head *http.Response) {
 	a.mutex.Lock()
--- a/transport/forward/conn.go
+++ b/transport/forward/conn.go
@@ -102,6 +102,18 @@
 	p.resting[c.endpoint] = append(p.resting[c.endpoint], c)
 }
 
+// distrust gives up the connections to an endpoint that rest: one that had rested beside them
+// brought no answer, and what is on the way may have forgotten all that were open.
+func (p *pool) distrust(endpoint string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, c := range p.resting[endpoint] {
+		_ = c.Close()
+		p.readers.put(c.reader)
+	}
+	delete(p.resting, endpoint)
+}
+
 // sweep closes connections that have rested long enough.
 func (p *pool) sweep(now time.Time) {
 	p.mutex.Lock()
--- a/transport/forward/send.go
+++ b/transport/forward/send.go
@@ -29,7 +29,8 @@
 		passes:   int64(max(1, x.terms.PromptTokens+x.terms.AnswerTokens)),
 		method:   x.request.Method,
 		id:       x.terms.RequestID,
-		fresh:    !x.route.MayRepeat(),
+		// Beside a silent attempt, what rests may be as dead as its connection.
+		fresh:    !x.route.MayRepeat() || len(x.live) > 0,
 		headers:  x.forwarder.Headers,
 		pool:     &x.forwarder.pool,
 		reserved: &x.reserved,
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -74,6 +74,9 @@
 // are slow, or nothing is known and those that are silent are suspected.
 func (x *exchange) actOnSilence(silent *attempt, now time.Time) {
 	x.noteWait(silent, now)
+	if !silent.began() && silent.hadRested() {
+		x.forwarder.pool.distrust(silent.endpoint.Name())
+	}
 	quiet := lostOf(silent, now)
 	if len(quiet) > 0 {
 		x.act(silent, quiet, now)
@@ -116,7 +119,7 @@
 func (x *exchange) act(silent *attempt, quiet []*fleet.Runner, now time.Time) {
 	action := x.replace(silent, now)
 	if action == "" {
-		action = x.hedge(quiet, now)
+		action = x.hedge(silent, quiet, now)
 	}
 	if action.inVain() {
 		action = cmp.Or(x.replaceQuiet(silent, quiet, now), action)
@@ -145,13 +148,24 @@
 	return len(x.live) == 1 && len(lostOf(x.live[0], now)) > 0
 }
 
+// doubtsConnection reports whether a silent attempt whose runners others hear is more likely to
+// wait on a connection that is dead than on busy runners: what is on the way may forget open
+// connections for good, without a reset, while new ones work. Such a stream waited until its caller
+// left. A new connection took the request in, so what has not begun there waits for its turn.
+func (x *exchange) doubtsConnection(silent *attempt, now time.Time) bool {
+	if !silent.began() && !silent.hadRested() {
+		return false
+	}
+	return !now.Before(x.deadBy())
+}
+
 // hedge asks for the answer elsewhere, without the runners that have fallen
 // silent, while the silent attempt stays open. It returns what was done.
-func (x *exchange) hedge(quiet []*fleet.Runner, now time.Time) silenceAction {
+func (x *exchange) hedge(silent *attempt, quiet []*fleet.Runner, now time.Time) silenceAction {
 	switch {
 	case len(x.live) >= liveMost && !x.replaces(now):
 		return silenceAsked
-	case len(quiet) == 0:
+	case len(quiet) == 0 && !x.doubtsConnection(silent, now):
 		return silenceBusy
 	case !x.route.MayRepeat():
 		return silenceOnce
@@ -161,6 +175,9 @@
 	}
 	before := x.avoid
 	x.avoid = append(x.avoid, quiet...)
+	if len(quiet) == 0 {
+		x.avoid = append(x.avoid, silent.endpoint)
+	}
 	p, found := x.pick(now)
 	action := silenceElsewhere
 	switch {
--- a/transport/forward/slow.go
+++ b/transport/forward/slow.go
@@ -15,9 +15,10 @@
 	// for the pass under way there, and the way to the next stage. The median is 1.7 to 2.4 ms
 	// on paths of 6 to 17 stages.
 	stageWait = 2 * time.Millisecond
-	// deadAfter is how long a stream whose path is known to be slow must be silent for one
-	// of its engines to be suspected to be dead. An engine slow by a factor of twelve that
-	// reads the prompts of others holds a stream up for some tenths of a second.
+	// deadAfter is how long a stream whose path is known to be slow, or is heard by others, must
+	// be silent for one of its engines, or its connection, to be suspected to be dead. An engine
+	// slow by a factor of twelve that reads the prompts of others holds a stream up for some
+	// tenths of a second; callers leave a silent stream after two seconds or more.
 	deadAfter = time.Second
 	// startsSoon is how long the first event takes elsewhere, with a margin: the median is
 	// 50 ms on engines with room.
@@ -69,8 +70,8 @@
 	return all
 }
 
-// deadBy returns when the open attempt, although it is known to be slow, is suspected to
-// be dead.
+// deadBy returns when the open attempt, although it is known to be slow or busy, is suspected
+// to be dead.
 func (x *exchange) deadBy() time.Time { return x.rhythm.last.Add(deadAfter) }
 
 // savable reports whether the answer would still be in time if it went on elsewhere.
