--- a/transport/entry/service.go
+++ b/transport/entry/service.go
@@ -53,6 +53,17 @@
 	return &c.fresh
 }
 
+// do makes a call. One that is not answered in time gives up the connections that rest: what is on
+// the way may have forgotten all that were open, without a reset, and each call that followed
+// waited on another one of them to its deadline.
+func (c *serviceClient) do(req *http.Request, repeatable bool) (*http.Response, error) {
+	res, err := c.client(repeatable).Do(req)
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.kept.CloseIdleConnections()
+	}
+	return res, err
+}
+
 // passRedirect leaves a redirect to the caller: following it would run the call
 // at a place that the operator has not named, and perhaps twice.
 func passRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -174,7 +185,7 @@
 	}
 	passOn(req.Header, s.header)
 	req.Header.Set(headerRequest, s.call.id.String())
-	res, err := s.entry.services.client(s.repeatable).Do(req)
+	res, err := s.entry.services.do(req, s.repeatable)
 	if err != nil {
 		return serviceAnswer{}, s.failed(err)
 	}
