front: tell room by data center, and who waits by priority and team

Operators saw one endpoint at a time, and neither who waits nor what is being mended: the metrics page had counters alone. It tells endpoints by state, open passes and room taken by service and data center, and who waits by service, priority and team; pinerun fleet prints them with the layers that the fewest endpoints hold and what was ordered and has not shown. Its states are worked out when the page is asked for; nothing is counted in between.

--- a/command/fleet.go
+++ b/command/fleet.go
@@ -95,6 +95,23 @@
 		fmt.Fprintf(t, "  %s\t%s\t%s\t%s\t%s\t%3.0f %%\t%s\n",
 			e.ID, e.Address, e.Accelerator, layersOf(e), e.State, 100*e.Fill, startOf(e))
 	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return writeWaiting(w, s.Waiting)
+}
+
+// writeWaiting writes who waits for room, a line for each service, priority and team.
+func writeWaiting(w io.Writer, all []protocol.WaitingStatus) error {
+	if len(all) == 0 {
+		return nil
+	}
+	fmt.Fprintln(w, "\nwaiting for room")
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for i := range all {
+		a := &all[i]
+		fmt.Fprintf(t, "  %s\tpriority %d\t%s\t%d requests\tfor up to %.1f s\n", a.Service, a.Priority, a.Team, a.Requests, float64(a.OldestMS)/1000)
+	}
 	return t.Flush()
 }
 
@@ -102,7 +119,7 @@
 // and data center, serve.
 func writeSum(w io.Writer, rest []protocol.EndpointStatus) {
 	first := &rest[0]
-	serve, n := 0, 0
+	serve, n, filled := 0, 0, 0.0
 	for i := range rest {
 		if rest[i].Service != first.Service || rest[i].DataCenter != first.DataCenter {
 			break
@@ -110,17 +127,59 @@
 		n++
 		if rest[i].State == protocol.EndpointServes {
 			serve++
+			filled += rest[i].Fill
+		}
+	}
+	fmt.Fprintf(w, "\n%s in %s: %d of %d serve, %.0f %% of their room is taken\n", first.Service, first.DataCenter, serve, n, 100*filled/float64(max(1, serve)))
+	for _, l := range thinnest(rest[:n]) {
+		fmt.Fprintf(w, "  layers %s: held by %d that serve\n", l.span, l.holders)
+	}
+}
+
+// held is a run of layers that equally many endpoints hold.
+type held struct {
+	span    protocol.Span
+	holders int
+}
+
+// thinnest returns the layers that the fewest endpoints hold that serve, none if there are no layers.
+func thinnest(all []protocol.EndpointStatus) []held {
+	layers := 0
+	for i := range all {
+		layers = max(layers, all[i].To)
+	}
+	var found []held
+	for l := range layers {
+		n := 0
+		for i := range all {
+			if e := &all[i]; e.State == protocol.EndpointServes && e.From <= l && l < e.To {
+				n++
+			}
+		}
+		last := len(found) - 1
+		switch {
+		case last >= 0 && n > found[last].holders:
+		case last >= 0 && n == found[last].holders && found[last].span.To == l:
+			found[last].span.To++
+		case last >= 0 && n == found[last].holders:
+			found = append(found, held{span: protocol.Span{From: l, To: l + 1}, holders: n})
+		default:
+			found = []held{{span: protocol.Span{From: l, To: l + 1}, holders: n}}
 		}
 	}
-	fmt.Fprintf(w, "\n%s in %s: %d of %d serve\n", first.Service, first.DataCenter, serve, n)
+	return found
 }
 
-// layersOf returns the layers that an endpoint holds as text.
+// layersOf returns the layers that an endpoint holds, and those that it was ordered to, as text.
 func layersOf(e *protocol.EndpointStatus) string {
-	if e.To <= e.From {
-		return "-"
+	layers := "-"
+	if e.To > e.From {
+		layers = protocol.Span{From: e.From, To: e.To}.String()
+	}
+	if e.OrderedTo > e.OrderedFrom {
+		layers += " > " + protocol.Span{From: e.OrderedFrom, To: e.OrderedTo}.String()
 	}
-	return protocol.Span{From: e.From, To: e.To}.String()
+	return layers
 }
 
 // startOf returns when an endpoint's process started as text, "" if that is not known.
--- a/protocol/status.go
+++ b/protocol/status.go
@@ -8,6 +8,17 @@
 	DataCenter string           `json:"data_center"`
 	Routing    uint64           `json:"routing_version"` // 0 before the first table
 	Endpoints  []EndpointStatus `json:"endpoints"`       // in order of ID
+	// Waiting is who waits at this entry for room at engines, in order of service, priority and team.
+	Waiting []WaitingStatus `json:"waiting,omitempty"`
+}
+
+// WaitingStatus is the requests of one team and priority that wait for room at a service's engines.
+type WaitingStatus struct {
+	Service  string `json:"service"`
+	Priority int    `json:"priority"` // 0 is the most urgent, -1 a stream that has begun
+	Team     string `json:"team"`
+	Requests int    `json:"requests"`
+	OldestMS int64  `json:"oldest_ms"` // how long the first of them has waited
 }
 
 // EndpointStatus is what an entry believes of one endpoint.
@@ -25,6 +36,8 @@
 	Occupant    string        `json:"occupant,omitempty"` // who has its address instead
 	Fill        float64       `json:"fill"`               // part of its room for requests that is taken, as far as known
 	Open        int64         `json:"open"`               // layer passes of this entry's requests under way there
+	OrderedFrom int           `json:"ordered_from"`       // what it was lately ordered to hold, as far as this entry knows,
+	OrderedTo   int           `json:"ordered_to"`         // nothing if OrderedTo is not above
 }
 
 // EndpointState says whether an endpoint gets new work, or why it does not.
--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -120,6 +120,15 @@
 // Close ends it. The lease lapses by itself.
 func (d *Director) Close() { d.done.Close() }
 
+// Ordered returns what an endpoint was ordered to hold, by this entry or as the lease tells, as long as
+// the effect has not been seen, and whether it was.
+func (d *Director) Ordered(endpoint string, now time.Time) (protocol.Span, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	o, ok := d.ordered[endpoint]
+	return o.span, ok && now.Before(o.till)
+}
+
 func (d *Director) run() {
 	t := time.NewTicker(lookEvery)
 	defer t.Stop()
--- a/transport/director/lease_test.go
+++ b/transport/director/lease_test.go
@@ -185,3 +185,22 @@
 		synctest.Wait()
 	})
 }
+
+// TestWhatIsOrderedIsToldUntilItsEffectIsSeen has an order carried out late.
+func TestWhatIsOrderedIsToldUntilItsEffectIsSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(2)
+		w.engines["e0"].late = 4 * time.Second
+		d := w.director(t, "d0")
+		d.Start()
+		time.Sleep(3 * time.Second)
+		span, ok := d.Ordered("e0", time.Now())
+		require.True(t, ok)
+		require.Equal(t, w.engines["e1"].orders[0].Layers, protocol.Span{From: 10 - span.To, To: 10 - span.From}, "each holds a half")
+		time.Sleep(20 * time.Second)
+		_, ok = d.Ordered("e0", time.Now())
+		require.False(t, ok)
+		d.Close()
+		synctest.Wait()
+	})
+}
--- a/transport/forward/hold.go
+++ b/transport/forward/hold.go
@@ -4,6 +4,8 @@
 
 import (
 	"log/slog"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -79,6 +81,13 @@
 	return l.line.Ahead(priority)
 }
 
+// groups returns who waits.
+func (l *line) groups() []admit.Group {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.line.Groups()
+}
+
 // again returns from when it is worth to come back.
 func (l *line) again(now time.Time) time.Time {
 	l.mutex.Lock()
@@ -124,6 +133,24 @@
 	})
 }
 
+// Waiting returns who waits for room at engines, in order of service, priority and team.
+func (f *Forwarder) Waiting(now time.Time) []protocol.WaitingStatus {
+	var all []protocol.WaitingStatus
+	f.lines.byService.Range(func(service, found any) bool {
+		groups := found.(*line).groups()
+		for i := range groups {
+			g := &groups[i]
+			all = append(all, protocol.WaitingStatus{
+				Service: service.(string), Priority: g.Priority(), Team: g.Team(), Requests: g.Requests(),
+				OldestMS: now.Sub(g.Oldest()).Milliseconds(),
+			})
+		}
+		return true
+	})
+	slices.SortStableFunc(all, func(a, b protocol.WaitingStatus) int { return strings.Compare(a.Service, b.Service) })
+	return all
+}
+
 // hold is a request that waits for room: how its last send ended, and its place in the
 // line.
 type hold struct {
--- a/transport/front/fleet.go
+++ b/transport/front/fleet.go
@@ -32,6 +32,7 @@
 			ID: n.Endpoint(), Address: n.Address(), Occupant: n.Occupant(), State: protocol.EndpointSuperseded,
 		})
 	}
+	s.Waiting = f.forwarder.Waiting(now)
 	slices.SortFunc(s.Endpoints, func(a, b protocol.EndpointStatus) int { return strings.Compare(a.ID, b.ID) })
 	return s
 }
@@ -47,6 +48,9 @@
 // endpointStatus describes an endpoint, with what was measured of it if it can serve.
 func (f *Front) endpointStatus(e *protocol.Endpoint, r *fleet.Runner, now time.Time) protocol.EndpointStatus {
 	s := described(e)
+	if span, ok := f.director.Ordered(e.ID, now); ok {
+		s.OrderedFrom, s.OrderedTo = span.From, span.To
+	}
 	if r != nil {
 		s.Fill = r.Fill(now, 0)
 		s.Open = r.Outstanding()
--- a/transport/front/side.go
+++ b/transport/front/side.go
@@ -22,14 +22,17 @@
 	return e
 }
 
-// metricsHandler serves the counters and latencies as text, and what is believed of the
+// metricsHandler serves the counters, the latencies and how things stand as text, and what is believed of the
 // endpoints as JSON.
 func (f *Front) metricsHandler() http.Handler {
 	e := echo.New()
 	e.GET("/metrics", func(c echo.Context) error {
 		c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
 		c.Response().WriteHeader(http.StatusOK)
-		return f.Counters.WriteText(c.Response())
+		if err := f.Counters.WriteText(c.Response()); err != nil {
+			return err
+		}
+		return writeGauges(c.Response(), f.fleetStatus(clock.Now()))
 	})
 	e.GET("/fleet", func(c echo.Context) error {
 		return c.JSON(http.StatusOK, f.fleetStatus(clock.Now()))
