forward: open a new connection for a further send only where resting ones are doubted

Now: it is new where the silent attempt got nothing on a connection that had rested, or has been silent for a second; an attempt beside it that got nothing on one that had rested is ended after a second too.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -135,8 +135,12 @@
 // began reports whether the head of an answer or an event came. Only the exchange asks.
 func (a *attempt) began() bool { return a.spoke || a.answer != nil }
 
-// hadRested reports whether the attempt's connection had rested before.
-func (a *attempt) hadRested() bool {
+// deaf reports whether nothing came on a connection that had rested before: it may be dead. Only
+// the exchange asks.
+func (a *attempt) deaf() bool {
+	if a.began() {
+		return false
+	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	return a.conn != nil && a.conn.reused
--- a/transport/forward/send.go
+++ b/transport/forward/send.go
@@ -29,8 +29,7 @@
 		passes:   int64(max(1, x.terms.PromptTokens+x.terms.AnswerTokens)),
 		method:   x.request.Method,
 		id:       x.terms.RequestID,
-		// Beside a silent attempt, what rests may be as dead as its connection.
-		fresh:    !x.route.MayRepeat() || len(x.live) > 0,
+		fresh:    !x.route.MayRepeat() || x.doubtsResting(clock.Now()),
 		headers:  x.forwarder.Headers,
 		pool:     &x.forwarder.pool,
 		reserved: &x.reserved,
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -74,7 +74,7 @@
 // are slow, or nothing is known and those that are silent are suspected.
 func (x *exchange) actOnSilence(silent *attempt, now time.Time) {
 	x.noteWait(silent, now)
-	if !silent.began() && silent.hadRested() {
+	if silent.deaf() {
 		x.forwarder.pool.distrust(silent.endpoint.Name())
 	}
 	quiet := lostOf(silent, now)
@@ -153,17 +153,32 @@
 // connections for good, without a reset, while new ones work. Such a stream waited until its caller
 // left. A new connection took the request in, so what has not begun there waits for its turn.
 func (x *exchange) doubtsConnection(silent *attempt, now time.Time) bool {
-	if !silent.began() && !silent.hadRested() {
+	return (silent.began() || silent.deaf()) && !now.Before(x.deadBy())
+}
+
+// doubtsResting reports whether a further send goes on a new connection: those that rest may all be
+// as dead as that of the attempt that is silent.
+func (x *exchange) doubtsResting(now time.Time) bool {
+	return len(x.live) > 0 && (x.live[0].deaf() || !now.Before(x.deadBy()))
+}
+
+// dropDeaf ends the attempt beside a silent one if it may wait on a dead connection as well, and
+// reports whether it did.
+func (x *exchange) dropDeaf(now time.Time) bool {
+	last := x.live[len(x.live)-1]
+	if now.Before(x.deadBy()) || !last.deaf() {
 		return false
 	}
-	return !now.Before(x.deadBy())
+	x.forwarder.pool.distrust(last.endpoint.Name())
+	x.drop(last)
+	return true
 }
 
 // hedge asks for the answer elsewhere, without the runners that have fallen
 // silent, while the silent attempt stays open. It returns what was done.
 func (x *exchange) hedge(silent *attempt, quiet []*fleet.Runner, now time.Time) silenceAction {
 	switch {
-	case len(x.live) >= liveMost && !x.replaces(now):
+	case len(x.live) >= liveMost && !x.replaces(now) && !x.dropDeaf(now):
 		return silenceAsked
 	case len(quiet) == 0 && !x.doubtsConnection(silent, now):
 		return silenceBusy
