ending: ask after ended lives in one place

Cause: front and entry each asked endpoints whether they had ended, with the same loop written twice; they differed by accident in how long they asked after a second break and in what they logged. One package does it for both, behind who asks; an entry now logs doubts as well, and asks for as long after the last break as a front.

--- /dev/null
+++ b/transport/ending/ending.go
@@ -0,0 +1,140 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package ending finds out whether lives of endpoints have ended whose answers broke off, by asking
+// them again and again. A port that takes connections is no proof that its endpoint lives: it may be
+// passed on, or held by the host while the process starts again.
+//
+//	checks.Begin(&ending.Case{Endpoint: name, Life: life, Asker: asker, Book: book}, now)
+package ending
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"pinerun.example/pinerun/coordination/quarantine"
+	"pinerun.example/pinerun/internal/clock"
+	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/part"
+	"pinerun.example/pinerun/protocol"
+)
+
+// checkEvery is the pause between two questions to an endpoint of which it is not clear whether it
+// has ended.
+const checkEvery = 50 * time.Millisecond
+
+// Book takes what turns out.
+type Book interface {
+	// Unclear is told that it is not clear yet whether a life of an endpoint has ended.
+	Unclear(endpoint string, life protocol.Lifetime)
+	// Ended and Lives note what has turned out: Lives that an endpoint answered a question that
+	// was asked at a time, in the same life as far as it told.
+	Ended(endpoint string, life protocol.Lifetime, at time.Time)
+	Lives(endpoint string, life protocol.Lifetime, same bool, asked time.Time)
+}
+
+// Asker asks an endpoint once how it stands.
+type Asker interface {
+	Ask() quarantine.Ending
+}
+
+// Case is a life of an endpoint that may have ended.
+type Case struct {
+	Endpoint string
+	Life     protocol.Lifetime
+	Asker    Asker
+	Book     Book
+	Logger   *slog.Logger // nil for none
+}
+
+// Checks finds out about endpoints, one check at a time for each. The zero value has none under way.
+type Checks struct {
+	done  part.Done
+	mutex sync.Mutex
+	open  map[string]*check // by the endpoint's name
+}
+
+// Close ends every check.
+func (c *Checks) Close() { c.done.Close() }
+
+// Begin sees to it that an endpoint is asked after what broke there, for a while from now on.
+func (c *Checks) Begin(k *Case, now time.Time) {
+	till := now.Add(quarantine.DoubtFor)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if open := c.open[k.Endpoint]; open != nil && open.is.Life == k.Life {
+		open.till, open.again = till, true
+		return
+	}
+	if c.open == nil {
+		c.open = make(map[string]*check)
+	}
+	begun := &check{checks: c, is: *k, till: till}
+	c.open[k.Endpoint] = begun
+	go begun.run()
+}
+
+// Open returns how many endpoints are asked.
+func (c *Checks) Open() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.open)
+}
+
+// goesOn reports whether a check asks again, and forgets it otherwise.
+func (c *Checks) goesOn(k *check, found quarantine.Ending, now time.Time) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if now.Before(k.till) && found != quarantine.EndOver && (found == quarantine.EndUnclear || k.again) {
+		k.again = false
+		return true
+	}
+	if c.open[k.is.Endpoint] == k {
+		delete(c.open, k.is.Endpoint)
+	}
+	return false
+}
+
+// check finds out about one case.
+type check struct {
+	checks *Checks
+	is     Case
+	till   time.Time // guarded by the mutex of checks, as again is
+	again  bool      // more broke there since the last question
+}
+
+func (k *check) run() {
+	pause := time.NewTicker(checkEvery)
+	defer pause.Stop()
+	begun, before := clock.Now(), quarantine.EndOver // what is clear at once is not logged
+	for {
+		asked := clock.Now()
+		found := k.is.Asker.Ask()
+		if found != before && (found == quarantine.EndUnclear || before == quarantine.EndUnclear) {
+			event.EndInDoubt.Log(k.is.Logger, slog.String("endpoint", k.is.Endpoint), slog.Int64("lifetime", int64(k.is.Life)),
+				slog.String("state", found.String()), slog.Int64("after_ms", clock.Since(begun).Milliseconds()))
+		}
+		before = found
+		k.note(found, asked)
+		if !k.checks.goesOn(k, found, clock.Now()) {
+			return
+		}
+		select {
+		case <-pause.C:
+		case <-k.checks.done.Done():
+			return
+		}
+	}
+}
+
+// note writes down what a question asked at a time found.
+func (k *check) note(found quarantine.Ending, asked time.Time) {
+	switch found {
+	case quarantine.EndOver:
+		k.is.Book.Ended(k.is.Endpoint, k.is.Life, asked)
+	case quarantine.EndAnswers, quarantine.EndLives:
+		k.is.Book.Lives(k.is.Endpoint, k.is.Life, found == quarantine.EndLives, asked)
+	case quarantine.EndUnclear:
+		k.is.Book.Unclear(k.is.Endpoint, k.is.Life)
+	}
+}
--- a/transport/entry/end_check.go
+++ b/transport/entry/end_check.go
@@ -11,58 +11,23 @@
 	"time"
 
 	"pinerun.example/pinerun/coordination/quarantine"
-	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/fleet"
 )
 
-const (
-	// checkEvery is the pause between two questions to a runner of which it is not clear whether
-	// it has ended.
-	checkEvery = 50 * time.Millisecond
-	// checkLimit bounds one question.
-	checkLimit = 500 * time.Millisecond
-)
+// checkLimit bounds one question.
+const checkLimit = 500 * time.Millisecond
 
-// endCheck finds out whether a life of a runner has ended whose connection broke.
+// endCheck asks a runner whether a life of it has ended whose connection broke.
 type endCheck struct {
-	suspects *suspects
-	runner   *fleet.Runner
-	life     protocol.Lifetime
-	at       time.Time // of day, when what broke was there
-	till     time.Time
-	again    bool // more broke since the last question; guarded by the mutex of suspects
-}
-
-func (k *endCheck) run() {
-	pause := time.NewTicker(checkEvery)
-	defer pause.Stop()
-	book, name := &k.suspects.book, k.runner.Name()
-	for {
-		asked := clock.Now()
-		found := k.ask()
-		switch found {
-		case quarantine.EndOver:
-			book.Ended(name, k.life, asked)
-		case quarantine.EndAnswers, quarantine.EndLives:
-			book.Lives(name, k.life, found == quarantine.EndLives, asked)
-		case quarantine.EndUnclear:
-			book.Unclear(name, k.life)
-		}
-		if !k.suspects.goesOn(k, found) {
-			return
-		}
-		select {
-		case <-pause.C:
-		case <-k.suspects.done.Done():
-			return
-		}
-	}
+	runner *fleet.Runner
+	life   protocol.Lifetime
+	at     time.Time // of day, when what broke was there
 }
 
-// ask asks the runner once how it stands. A port that refuses connections has no process; one that
+// Ask asks the runner once how it stands. A port that refuses connections has no process; one that
 // takes them and says nothing proves nothing.
-func (k *endCheck) ask() quarantine.Ending {
+func (k *endCheck) Ask() quarantine.Ending {
 	ctx, cancel := context.WithTimeout(context.Background(), checkLimit)
 	defer cancel()
 	report, err := k.load(ctx)
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -233,7 +233,7 @@
 func (e *Entry) Kill() {
 	e.stopping.Store(true)
 	e.done.Close()
-	e.suspects.done.Close()
+	e.suspects.close()
 	e.deadlines.done.Close()
 	e.closeListeners()
 	e.follower.Close()
--- a/transport/entry/suspects.go
+++ b/transport/entry/suspects.go
@@ -14,6 +14,7 @@
 	"pinerun.example/pinerun/internal/part"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/fleet"
+	"pinerun.example/pinerun/transport/ending"
 	"pinerun.example/pinerun/transport/relay"
 )
 
@@ -37,11 +38,11 @@
 	told    uint64    // number of the last report that peers were told
 	againAt time.Time // when they were last told again
 
-	done  part.Done
-	mutex sync.Mutex
-	open  map[string]*endCheck // by the runner's name
-	heard []heardEnd           // that are not asked after yet
-	kept  []keptNews           // for peers to come
+	done    part.Done
+	endings ending.Checks
+	mutex   sync.Mutex
+	heard   []heardEnd // that are not asked after yet
+	kept    []keptNews // for peers to come
 }
 
 // run tells peers what is proven here, and notes what is refused.
@@ -66,6 +67,12 @@
 	}
 }
 
+// close ends it, and what it asks.
+func (s *suspects) close() {
+	s.done.Close()
+	s.endings.Close()
+}
+
 // review counts and logs the work that is refused from now on.
 func (s *suspects) review() {
 	newly := s.book.Newly(clock.Now(), time.Now())
@@ -185,30 +192,7 @@
 // check begins to find out whether a life of a runner has ended under what was there at a time of
 // day, unless that is being found out.
 func (s *suspects) check(r *fleet.Runner, life protocol.Lifetime, at time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if k := s.open[r.Name()]; k != nil && k.life == life {
-		k.again = true
-		return
-	}
-	if s.open == nil {
-		s.open = make(map[string]*endCheck)
-	}
-	k := &endCheck{suspects: s, runner: r, life: life, at: at, till: clock.Now().Add(quarantine.DoubtFor)}
-	s.open[r.Name()] = k
-	go k.run()
-}
-
-// goesOn reports whether a check asks again, and forgets it otherwise.
-func (s *suspects) goesOn(k *endCheck, found quarantine.Ending) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if clock.Now().Before(k.till) && found != quarantine.EndOver && (found == quarantine.EndUnclear || k.again) {
-		k.again = false
-		return true
-	}
-	if s.open[k.runner.Name()] == k {
-		delete(s.open, k.runner.Name())
-	}
-	return false
+	s.endings.Begin(&ending.Case{
+		Endpoint: r.Name(), Life: life, Book: &s.book, Logger: s.entry.Logger, Asker: &endCheck{runner: r, life: life, at: at},
+	}, clock.Now())
 }
--- a/transport/entry/suspects_test.go
+++ b/transport/entry/suspects_test.go
@@ -42,7 +42,7 @@
 	e := &Entry{}
 	e.suspects.entry, e.suspects.book.Self = e, "e1"
 	e.view.Store(fleet.Build(nil, c, fleet.Home{Name: "e1", DataCenter: "dc"}))
-	t.Cleanup(func() { e.suspects.done.Close() })
+	t.Cleanup(e.suspects.close)
 	return &e.suspects
 }
 
@@ -60,11 +60,7 @@
 // settled waits until no runner is asked any more, and returns what the work may do then.
 func settled(t *testing.T, s *suspects, work protocol.Fingerprint) quarantine.Standing {
 	t.Helper()
-	require.Eventually(t, func() bool {
-		s.mutex.Lock()
-		defer s.mutex.Unlock()
-		return len(s.open) == 0
-	}, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return s.endings.Open() == 0 }, time.Minute, time.Millisecond)
 	return s.book.Standing(work, clock.Now())
 }
 
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -18,6 +18,7 @@
 	"pinerun.example/pinerun/state/roster"
 	"pinerun.example/pinerun/state/routing"
 	"pinerun.example/pinerun/transport/backlog"
+	"pinerun.example/pinerun/transport/ending"
 )
 
 // Headers translates between headers and what they say.
@@ -62,31 +63,30 @@
 	// TellPace tells them that this one met a sign of an endpoint's pace, nil for nobody.
 	TellPace func(news protocol.RelaySlow, at time.Time)
 
-	done      part.Done
-	budgets   budgets
-	opening   opening
-	pool      pool
-	inflight  inflight
-	suspects  suspects
-	endChecks endChecks
-	lines     lines
-	poller    poller
-	paces     paces
-	losses    part.Signal   // told when a runner is found lost
-	refusals  part.Signal   // told when work is found to end endpoints
-	woke      part.Signal   // told when the VM was suspended
-	slept     time.Duration // how long it had been, as far as is taken into account; of run
-	heardAt   atomic.Int64  // unix nanoseconds, when anything last came from an endpoint
-	open      atomic.Int64
-	entries   atomic.Int64
-	refusing  atomic.Bool
+	done     part.Done
+	budgets  budgets
+	opening  opening
+	pool     pool
+	inflight inflight
+	suspects suspects
+	endings  ending.Checks
+	lines    lines
+	poller   poller
+	paces    paces
+	losses   part.Signal   // told when a runner is found lost
+	refusals part.Signal   // told when work is found to end endpoints
+	woke     part.Signal   // told when the VM was suspended
+	slept    time.Duration // how long it had been, as far as is taken into account; of run
+	heardAt  atomic.Int64  // unix nanoseconds, when anything last came from an endpoint
+	open     atomic.Int64
+	entries  atomic.Int64
+	refusing atomic.Bool
 }
 
 // Start begins the upkeep of connections.
 func (f *Forwarder) Start() {
 	f.pool.opened = func() { f.Counters.Add(metric.EndpointConnections, 1) }
 	f.suspects.forwarder = f
-	f.endChecks.forwarder = f
 	f.poller.forwarder = f
 	f.paces.forwarder = f
 	f.opening.begin(clock.Now())
@@ -95,7 +95,10 @@
 }
 
 // Close ends it.
-func (f *Forwarder) Close() { f.done.Close() }
+func (f *Forwarder) Close() {
+	f.done.Close()
+	f.endings.Close()
+}
 
 // Open returns how many requests are being served.
 func (f *Forwarder) Open() int64 { return f.open.Load() }
--- a/transport/forward/quarantine.go
+++ b/transport/forward/quarantine.go
@@ -18,6 +18,7 @@
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/fleet"
+	"pinerun.example/pinerun/transport/ending"
 )
 
 const (
@@ -47,12 +48,7 @@
 	Tell(news protocol.RelayWork, at time.Time)
 	// Doubt notes that it may turn out soon whether a life of an endpoint has ended.
 	Doubt(endpoint string, life protocol.Lifetime, now time.Time)
-	// Unclear tells the others that it is not clear whether it has.
-	Unclear(endpoint string, life protocol.Lifetime)
-	// Ended and Lives note what has turned out: Lives that an endpoint answered a question that
-	// was asked at a time, in the same life as far as it told.
-	Ended(endpoint string, life protocol.Lifetime, at time.Time)
-	Lives(endpoint string, life protocol.Lifetime, same bool, asked time.Time)
+	ending.Book
 }
 
 // trialWait is a request that waits until its work may run alone.
@@ -250,7 +246,7 @@
 	a.broken = true
 	f.Quarantine.Tell(x.news(a, protocol.WorkBroke), now)
 	if !a.endpoint.Lost(now) {
-		f.endChecks.begin(a, x.service.Engine != nil, now)
+		f.checkEnd(a, x.service.Engine != nil, now)
 	}
 }
 
