forward: end an attempt on a connection that may be dead only when another takes its place

Cause: it was ended first; where no path, no send or no budget was left then, the request lost what may have been its place in a queue.

--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -162,23 +162,23 @@
 	return len(x.live) > 0 && (x.live[0].deaf() || !now.Before(x.deadBy()))
 }
 
-// dropDeaf ends the attempt beside a silent one if it may wait on a dead connection as well, and
-// reports whether it did.
-func (x *exchange) dropDeaf(now time.Time) bool {
-	last := x.live[len(x.live)-1]
-	if now.Before(x.deadBy()) || !last.deaf() {
-		return false
-	}
-	x.forwarder.pool.distrust(last.endpoint.Name())
-	x.drop(last)
-	return true
+// deafBeside returns the attempt beside a silent one if it may wait on a dead connection as well, nil
+// if it does not.
+func (x *exchange) deafBeside(now time.Time) *attempt {
+	if len(x.live) < liveMost || now.Before(x.deadBy()) {
+		return nil
+	}
+	if last := x.live[len(x.live)-1]; last.deaf() {
+		return last
+	}
+	return nil
 }
 
 // hedge asks for the answer elsewhere, without the runners that have fallen
 // silent, while the silent attempt stays open. It returns what was done.
 func (x *exchange) hedge(silent *attempt, quiet []*fleet.Runner, now time.Time) silenceAction {
 	switch {
-	case len(x.live) >= liveMost && !x.replaces(now) && !x.dropDeaf(now):
+	case len(x.live) >= liveMost && !x.replaces(now) && x.deafBeside(now) == nil:
 		return silenceAsked
 	case len(quiet) == 0 && !x.doubtsConnection(silent, now):
 		return silenceBusy
@@ -210,6 +210,10 @@
 	x.forwarder.Counters.Retried(metric.Silence)
 	x.forwarder.Counters.Took(metric.Detection, now.Sub(x.rhythm.last))
 	x.endDoubted()
+	if deaf := x.deafBeside(now); deaf != nil {
+		x.forwarder.pool.distrust(deaf.endpoint.Name())
+		x.drop(deaf) // only now that another takes its place
+	}
 	x.send(&p)
 	return action
 }
