quarantine, claims: keep one copy of what trials wait for, and no state that says nothing

Read again: front and entry each had how long a request waits for its trial and when it comes back; both are quarantine's now. What the platform keeps of refused work was a struct of one time, and is that time. Behaviour and assertions are unchanged.

--- a/coordination/quarantine/book.go
+++ b/coordination/quarantine/book.go
@@ -75,7 +75,7 @@
 type work struct {
 	ends      map[end]sighting
 	clearedAt time.Time // what was met until then counts no longer
-	kept      refusal   // what the platform keeps of it
+	keptTill  time.Time // until when it is refused by what the platform keeps, zero for not
 	told      bool      // that it is refused
 }
 
@@ -87,11 +87,6 @@
 	doubtTill time.Time // until when it may turn out whether it has
 }
 
-// refusal is a refusal that the platform keeps, zero for none.
-type refusal struct {
-	till time.Time
-}
-
 // departure is the end of an endpoint's life.
 type departure struct {
 	life protocol.Lifetime
@@ -178,7 +173,7 @@
 	}
 	clear(w.ends)
 	w.clearedAt = at
-	w.kept, w.told = refusal{}, false
+	w.keptTill, w.told = time.Time{}, false
 }
 
 // leave takes work from an end.
@@ -291,7 +286,7 @@
 // Knows reports whether anything was met of some work that running well would clear.
 func (b *Book) Knows(f protocol.Fingerprint) bool {
 	w := b.works[f]
-	return w != nil && (len(w.ends) > 0 || !w.kept.till.IsZero())
+	return w != nil && (len(w.ends) > 0 || !w.keptTill.IsZero())
 }
 
 // Empty reports whether nothing is known against any work.
--- a/coordination/quarantine/expire.go
+++ b/coordination/quarantine/expire.go
@@ -17,11 +17,11 @@
 	}
 	b.expired = now
 	for f, w := range b.works {
-		if now.Sub(w.kept.till) > KeptFor {
-			w.kept = refusal{}
+		if now.Sub(w.keptTill) > KeptFor {
+			w.keptTill = time.Time{}
 		}
 		b.expireEnds(f, w, now)
-		if len(w.ends) == 0 && w.kept.till.IsZero() && now.Sub(w.clearedAt) > UnprovenKept {
+		if len(w.ends) == 0 && w.keptTill.IsZero() && now.Sub(w.clearedAt) > UnprovenKept {
 			delete(b.works, f)
 		}
 	}
@@ -68,7 +68,7 @@
 	all := make([]page, 0, len(b.works))
 	for f, w := range b.works {
 		n := w.count(now).proven()
-		if !w.kept.till.IsZero() {
+		if !w.keptTill.IsZero() {
 			n = max(n, refusedFrom)
 		}
 		all = append(all, page{work: f, ends: n, last: w.last()})
--- a/coordination/quarantine/judge.go
+++ b/coordination/quarantine/judge.go
@@ -45,7 +45,7 @@
 func (b *Book) refused(f protocol.Fingerprint, w *work, now time.Time) (Refused, bool) {
 	known := w.count(now)
 	proven := known.proven()
-	r := Refused{ends: proven, till: w.kept.till}
+	r := Refused{ends: proven, till: w.keptTill}
 	if now.Before(r.till) {
 		return r, true
 	}
--- a/coordination/quarantine/refusal.go
+++ b/coordination/quarantine/refusal.go
@@ -43,8 +43,8 @@
 // review gives up a refusal that the platform keeps where it has turned out that other work
 // ended the endpoint at which this one was tried.
 func (b *Book) review(f protocol.Fingerprint, w *work, now time.Time) {
-	if !w.kept.till.IsZero() && w.count(now).first < refusedAnyway && !b.stands(f, w) {
-		w.kept, w.told = refusal{}, false
+	if !w.keptTill.IsZero() && w.count(now).first < refusedAnyway && !b.stands(f, w) {
+		w.keptTill, w.told = time.Time{}, false
 	}
 }
 
@@ -73,7 +73,7 @@
 	for _, e := range r.Ends[:min(endsMost, len(r.Ends))] {
 		b.hold(f, w, e, now.Add(min(0, time.UnixMilli(e.AtMS).Sub(day))))
 	}
-	w.kept = refusal{till: now.Add(left)}
+	w.keptTill = now.Add(left)
 	w.told = true
 	return true
 }
@@ -122,7 +122,7 @@
 // later of the time before. It reports whether it was refused.
 func (b *Book) Release(f protocol.Fingerprint, now time.Time) bool {
 	w := b.works[f]
-	if w == nil || w.kept.till.IsZero() {
+	if w == nil || w.keptTill.IsZero() {
 		return false
 	}
 	b.clear(f, w, now)
@@ -133,20 +133,9 @@
 func (b *Book) Kept() []protocol.Fingerprint {
 	var all []protocol.Fingerprint
 	for f, w := range b.works {
-		if !w.kept.till.IsZero() {
+		if !w.keptTill.IsZero() {
 			all = append(all, f)
 		}
 	}
 	return all
 }
-
-// Refusals returns how much work is refused now.
-func (b *Book) Refusals(now time.Time) int {
-	n := 0
-	for f, w := range b.works {
-		if _, refused := b.refused(f, w, now); refused {
-			n++
-		}
-	}
-	return n
-}
--- a/coordination/quarantine/trial.go
+++ b/coordination/quarantine/trial.go
@@ -16,6 +16,11 @@
 	// TrialLook is how often an entry looks whether work that waits for its trial may begin it:
 	// news of a trial has reached the others by then.
 	TrialLook = 20 * time.Millisecond
+	// TrialPatience is how long a request waits for its trial where nothing else bounds the wait:
+	// one takes less than half a second.
+	TrialPatience = 2 * time.Second
+	// AgainTrial is when to come back after a trial did not begin in time.
+	AgainTrial = 500 * time.Millisecond
 )
 
 // trialKey names a trial: an endpoint, and the work that was sent there.
--- a/transport/claims/keeper_test.go
+++ b/transport/claims/keeper_test.go
@@ -200,20 +200,26 @@
 	}
 }
 
-// TestARepeatWhoseHolderIsGoneIsTold claims a key at an entry that then says nothing
-// more. While its entry is there, or is gone only now and then, a repeat waits; once
-// it stays gone, the repeat is told that the request may have run.
-func TestARepeatWhoseHolderIsGoneIsTold(t *testing.T) {
-	var p standin.Platform
+// besideAHolder starts a platform, has the seventh life of the entry e1 claim "key" there, and returns
+// another entry's keeper.
+func besideAHolder(t *testing.T, p *standin.Platform) *claims.Keeper {
 	require.NoError(t, p.Listen("127.0.0.1:0"))
 	t.Cleanup(p.Close)
 	p.Unlimited = true
-	first, second := newKeeper(t, &p), newKeeper(t, &p)
 	taken := record("key")
 	taken.Holder, taken.Life = "e1", 7
-	result, err := first.Claim(context.Background(), taken)
+	result, err := newKeeper(t, p).Claim(context.Background(), taken)
 	require.NoError(t, err)
 	require.Equal(t, claim.Granted, result.Verdict())
+	return newKeeper(t, p)
+}
+
+// TestARepeatWhoseHolderIsGoneIsTold claims a key at an entry that then says nothing
+// more. While its entry is there, or is gone only now and then, a repeat waits; once
+// it stays gone, the repeat is told that the request may have run.
+func TestARepeatWhoseHolderIsGoneIsTold(t *testing.T) {
+	var p standin.Platform
+	second := besideAHolder(t, &p)
 	var looked atomic.Int32
 	short, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -226,7 +232,7 @@
 		}
 		return n%2 == 0 // gone, and there again
 	}
-	result, err = second.Await(short, record("key"))
+	result, err := second.Await(short, record("key"))
 	require.NoError(t, err)
 	require.Equal(t, claim.Held, result.Verdict(), "it may only be paused")
 	require.Greater(t, looked.Load(), int32(2))
@@ -244,14 +250,7 @@
 // TestARepeatThatSawAClaimIsNotToldThatNothingRan has the platform fall silent after the first look.
 func TestARepeatThatSawAClaimIsNotToldThatNothingRan(t *testing.T) {
 	var p standin.Platform
-	require.NoError(t, p.Listen("127.0.0.1:0"))
-	t.Cleanup(p.Close)
-	p.Unlimited = true
-	first, second := newKeeper(t, &p), newKeeper(t, &p)
-	taken := record("key")
-	taken.Holder, taken.Life = "e1", 7
-	_, err := first.Claim(context.Background(), taken)
-	require.NoError(t, err)
+	second := besideAHolder(t, &p)
 	deadline, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	second.Gone = func(string, uint64) bool {
--- a/transport/entry/restrain.go
+++ b/transport/entry/restrain.go
@@ -17,14 +17,6 @@
 	"pinerun.example/pinerun/state/fleet"
 )
 
-const (
-	// trialPatience is how long a request waits for its turn to run alone: a trial takes less than
-	// half a second.
-	trialPatience = 2 * time.Second
-	// againTrial is when to come back after a trial did not begin in time.
-	againTrial = 500 * time.Millisecond
-)
-
 // standing returns what the request's work may do now.
 func (m *modelRun) standing(now time.Time) quarantine.Standing {
 	if m.entry.suspects.book.Empty() {
@@ -46,7 +38,7 @@
 // ended two runners runs where no other such work is, one request at a time.
 func (m *modelRun) await(ctx context.Context) (path.Path, error) {
 	var waited bool
-	for till := clock.Now().Add(trialPatience); ; {
+	for till := clock.Now().Add(quarantine.TrialPatience); ; {
 		now := clock.Now()
 		p, runs, err := m.choose(m.standing(now), now)
 		if runs || err != nil {
@@ -121,7 +113,7 @@
 	if m.ran {
 		return protocol.Uncertain(protocol.StageFailed, message)
 	}
-	return protocol.Refuse(protocol.QueueFull, message).Again(time.Now().Add(againTrial))
+	return protocol.Refuse(protocol.QueueFull, message).Again(time.Now().Add(quarantine.AgainTrial))
 }
 
 // enrol notes that the work is on trial at the runner that begins to run it, if it is suspected:
--- a/transport/forward/quarantine.go
+++ b/transport/forward/quarantine.go
@@ -21,17 +21,10 @@
 	"pinerun.example/pinerun/transport/ending"
 )
 
-const (
-	// trialPatience is how long a request of a plain service waits for its trial.
-	trialPatience = 2 * time.Second
-	// apartFor is how long a request that was at one end is open at a single endpoint before
-	// its first event. Where it was seen a request ended its endpoint 0.1 to 0.25 s after it
-	// was sent; after that another send costs less than what a slow endpoint does.
-	apartFor = 400 * time.Millisecond
-	// againTrial is when to come back after a trial did not begin in time: another one takes
-	// less than half a second.
-	againTrial = 500 * time.Millisecond
-)
+// apartFor is how long a request that was at one end is open at a single endpoint before its first
+// event. Where it was seen a request ended its endpoint 0.1 to 0.25 s after it was sent; after that
+// another send costs less than what a slow endpoint does.
+const apartFor = 400 * time.Millisecond
 
 // Quarantine knows which work may end what runs it, from this entry and the others.
 type Quarantine interface {
@@ -131,7 +124,7 @@
 	if till := x.hopeTill(); !till.IsZero() {
 		return till
 	}
-	if till := now.Add(trialPatience); till.Before(x.deadline) {
+	if till := now.Add(quarantine.TrialPatience); till.Before(x.deadline) {
 		return till
 	}
 	return x.deadline
@@ -193,7 +186,7 @@
 func (x *exchange) endTrialWait() {
 	t := x.trial
 	x.trial = nil
-	again := clock.Now().Add(againTrial)
+	again := clock.Now().Add(quarantine.AgainTrial)
 	if t.failed == nil {
 		x.finish(protocol.Refuse(protocol.QueueFull, "endpoints ended when they ran this request, and none is free to run it alone").Again(again))
 		return
