relay: send one whole kind to all who begin at once

Cause: each follower that begins was sent the kind as of that moment: sorted, copied and, since the kind changes all the time while endpoints join, compressed anew for each. The first entry of a data center has some 200 followers, so the work at a start was followers times records. Change: the whole kind that was sent last serves as long as the changes since are remembered, which follow it in the next frame; the compressor is used again.

--- a/transport/relay/follower.go
+++ b/transport/relay/follower.go
@@ -140,27 +140,36 @@
 	bytes := 0
 	for i := range f.known {
 		mark := &f.known[i]
-		run, ok := f.source.mirror.Since(mark.Kind, mark.At)
-		if !ok {
-			run = f.source.mirror.Whole(mark.Kind)
-		}
-		if run.At <= mark.At {
-			continue
-		}
-		out, err := f.packer.encode(mark.Kind, run)
+		out, err := f.since(mark)
 		if err != nil {
 			return err
 		}
+		if out.At <= mark.At {
+			continue
+		}
 		bytes += length(&out)
 		if bytes > frameMost {
 			return errForgotten
 		}
 		frame.Runs = append(frame.Runs, out)
-		mark.At = run.At
+		mark.At = out.At
 	}
 	return nil
 }
 
+// since returns what the follower does not know of a kind, as it is sent.
+func (f *follower) since(mark *protocol.RelayMark) (protocol.RelayRun, error) {
+	run, ok := f.source.mirror.Since(mark.Kind, mark.At)
+	switch {
+	case !ok:
+		return f.packer.whole(&f.source.mirror, mark.Kind, mark.At)
+	case run.At <= mark.At:
+		return protocol.RelayRun{At: mark.At}, nil
+	default:
+		return f.packer.encode(mark.Kind, run)
+	}
+}
+
 // answer says how fresh the knowledge here is, once that is news to who asked or the
 // answer was held back for as long as it may be. It returns nil before, and for none.
 func (f *follower) answer(now time.Time) *protocol.RelayAnswer {
--- a/transport/relay/pack.go
+++ b/transport/relay/pack.go
@@ -27,12 +27,46 @@
 type packer struct {
 	mutex  sync.Mutex
 	latest map[string]protocol.RelayRun // the packed one of each kind
+	wholes map[string]protocol.RelayRun // the whole one of each kind
+	writer *flate.Writer                // used again: a new one takes a megabyte
+}
+
+// whole returns a whole kind for who knows it up to a revision. The one that was sent last serves
+// as long as the changes since are remembered, which come after it: hundreds of followers may
+// begin at once while the kind changes all the time.
+func (p *packer) whole(m *mirror.Mirror, kind string, known uint64) (protocol.RelayRun, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if last, ok := p.wholes[kind]; ok && last.At > known {
+		if _, remembered := m.Since(kind, last.At); remembered {
+			return last, nil
+		}
+	}
+	out, bytes := unpacked(kind, m.Whole(kind))
+	if bytes >= packFrom {
+		if err := p.compress(&out); err != nil {
+			return out, err
+		}
+	}
+	if p.wholes == nil {
+		p.wholes = make(map[string]protocol.RelayRun)
+	}
+	p.wholes[kind] = out
+	return out, nil
 }
 
 // encode returns a run as it is sent.
 func (p *packer) encode(kind string, r mirror.Run) (protocol.RelayRun, error) {
-	out := protocol.RelayRun{Kind: kind, After: r.After, At: r.At, Difference: r.Difference, Whole: r.Whole}
-	bytes := 0
+	out, bytes := unpacked(kind, r)
+	if bytes < packFrom {
+		return out, nil
+	}
+	return p.pack(out)
+}
+
+// unpacked returns a run as it is sent if it is short, and the length of its values.
+func unpacked(kind string, r mirror.Run) (out protocol.RelayRun, bytes int) {
+	out = protocol.RelayRun{Kind: kind, After: r.After, At: r.At, Difference: r.Difference, Whole: r.Whole}
 	for _, c := range r.Changes {
 		change := protocol.RelayChange{Name: c.Object.Name, Version: c.Object.Version, Gone: c.Gone}
 		if !c.Gone {
@@ -41,10 +75,7 @@
 		}
 		out.Changes = append(out.Changes, change)
 	}
-	if bytes < packFrom {
-		return out, nil
-	}
-	return p.pack(out)
+	return out, bytes
 }
 
 // pack returns a run with its changes compressed.
@@ -54,14 +85,9 @@
 	if l, ok := p.latest[r.Kind]; ok && l.After == r.After && l.At == r.At && l.Difference == r.Difference && l.Whole == r.Whole {
 		return l, nil
 	}
-	encoded, err := protocol.EncodeRelay(r.Changes)
-	if err != nil {
-		return r, err
-	}
-	if r.Packed, err = deflate(encoded); err != nil {
+	if err := p.compress(&r); err != nil {
 		return r, err
 	}
-	r.Changes = nil
 	if p.latest == nil {
 		p.latest = make(map[string]protocol.RelayRun)
 	}
@@ -69,16 +95,33 @@
 	return r, nil
 }
 
-func deflate(content []byte) ([]byte, error) {
-	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
+// compress replaces the changes of a run by their compressed form. The mutex is held.
+func (p *packer) compress(r *protocol.RelayRun) error {
+	encoded, err := protocol.EncodeRelay(r.Changes)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	if r.Packed, err = p.deflate(encoded); err != nil {
+		return err
+	}
+	r.Changes = nil
+	return nil
+}
+
+func (p *packer) deflate(content []byte) ([]byte, error) {
+	var b bytes.Buffer
+	if p.writer == nil {
+		w, err := flate.NewWriter(&b, flate.BestSpeed)
+		if err != nil {
+			return nil, err
+		}
+		p.writer = w
 	}
-	if _, err := w.Write(content); err != nil {
+	p.writer.Reset(&b)
+	if _, err := p.writer.Write(content); err != nil {
 		return nil, err
 	}
-	if err := w.Close(); err != nil {
+	if err := p.writer.Close(); err != nil {
 		return nil, err
 	}
 	return b.Bytes(), nil
--- a/transport/relay/pack_test.go
+++ b/transport/relay/pack_test.go
@@ -52,8 +52,83 @@
 }
 
 func TestARunThatUnpacksToTooMuchIsRefused(t *testing.T) {
-	packed, err := deflate(make([]byte, unpackMost+1))
+	var p packer
+	packed, err := p.deflate(make([]byte, unpackMost+1))
 	require.NoError(t, err)
 	_, err = decode(&protocol.RelayRun{Kind: "k", At: 1, Packed: packed})
 	require.ErrorIs(t, err, errTooLong)
 }
+
+// valued returns an object of kind "k" as of a version.
+func valued(i int, version uint64) protocol.Object {
+	return protocol.Object{Kind: "k", Name: fmt.Sprint("o-", i), Version: version, Value: fmt.Appendf(nil, "%0100d", version)}
+}
+
+// changing returns a source that knows so many objects.
+func changing(objects int) *Source {
+	s := &Source{}
+	list := protocol.Listing{At: 1}
+	for i := range objects {
+		list.Objects = append(list.Objects, valued(i, 1))
+	}
+	s.mirror.Listed("k", list)
+	return s
+}
+
+// change changes one object.
+func change(t testing.TB, s *Source) {
+	at := s.mirror.At("k")
+	took := s.mirror.Took("k", mirror.Run{After: at, At: at + 1, Changes: []protocol.Change{{Object: valued(int(at%100), at+1)}}})
+	require.True(t, took)
+}
+
+// BenchmarkBegin has one more follower begin while the kind changes before each: endpoints' records of
+// a fleet and of twice that.
+func BenchmarkBegin(b *testing.B) {
+	for _, objects := range []int{3005, 6010} {
+		b.Run(fmt.Sprint(objects), func(b *testing.B) {
+			s, p := changing(objects), &packer{}
+			b.ReportAllocs()
+			for b.Loop() {
+				change(b, s)
+				f := &follower{source: s, packer: p, known: []protocol.RelayMark{{Kind: "k"}}}
+				for range 2 {
+					var frame protocol.RelayFrame
+					if err := f.fill(&frame); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestWhoBeginsAtOnceIsSentOneWholeKind has many followers begin while a kind of many objects changes
+// before each: all are sent the same whole one, and then what has changed since.
+func TestWhoBeginsAtOnceIsSentOneWholeKind(t *testing.T) {
+	const followers = 100
+	s := changing(500)
+	p := &packer{}
+	var wholes []protocol.RelayRun
+	for range followers {
+		change(t, s)
+		f := &follower{source: s, packer: p, known: []protocol.RelayMark{{Kind: "k"}}}
+		var known mirror.Mirror
+		for known.At("k") < s.mirror.At("k") {
+			var frame protocol.RelayFrame
+			require.NoError(t, f.fill(&frame))
+			require.Len(t, frame.Runs, 1)
+			run, err := decode(&frame.Runs[0])
+			require.NoError(t, err)
+			require.True(t, known.Took("k", run))
+			if run.Whole {
+				wholes = append(wholes, frame.Runs[0])
+			}
+		}
+		require.Equal(t, s.mirror.Whole("k"), known.Whole("k"))
+	}
+	require.Len(t, wholes, followers)
+	for i := range wholes {
+		require.Same(t, &wholes[0].Packed[0], &wholes[i].Packed[0], "it was compressed once")
+	}
+}
