relay: let calls in an outage not grow with entries

Cause: in an outage each entry asked the platform for itself every 1.4 to 2.8 s: 985 entries some 350 times a second, for as long as it lasts, each call at its price. One that was turned away beside its peer asked before it looked for a peer that is served. Change: the first four of each data center, whom the others try to follow, go on asking. The others look for a peer that can confirm at once, and share 50 calls each 2.8 s, spread by a drawn part of their turn. Up to 50 entries nothing changes. Ruled out: asking less often for all: who is followed has to find out that the platform is back.

--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -14,6 +14,7 @@
 //	case relay.Trust: // the peer knows as much as the platform told a moment ago
 //	case relay.Ask:   // ask the platform
 //	case relay.Wait:  // it was asked a moment ago; ask the peer again soon
+//	case relay.Seek:  // others ask the platform; look for a peer that knows more
 //	}
 package relay
 
@@ -46,6 +47,10 @@
 	AskedFirst = 1400 * time.Millisecond
 	// AskedMost is that after more than one call without an answer.
 	AskedMost = 2800 * time.Millisecond
+	// askersMost is how many entries may call the platform each AskedMost where nobody can
+	// confirm, beside those that others turn to first. More share that: what the platform serves a
+	// second does not grow with entries.
+	askersMost = 50
 )
 
 const (
@@ -83,6 +88,22 @@
 	return append(own, others...)
 }
 
+// Alike returns how many entries there are that stand as this one does where nobody can confirm what
+// the platform holds: 1 for the first ones of a data center, which the others try to follow and which
+// have to find out by themselves, and all that are known for the others.
+func Alike(self protocol.EntryRecord, records []protocol.EntryRecord) int {
+	own := 0
+	for _, r := range Before(self, records) {
+		if r.DataCenter == self.DataCenter {
+			own++
+		}
+	}
+	if own < ownMost {
+		return 1
+	}
+	return len(records)
+}
+
 // compare orders entries by rank. Larger VMs come first: who is followed sends all that
 // is known to as many as there are, over its own link.
 func compare(a, b protocol.EntryRecord) int {
@@ -99,10 +120,13 @@
 // Followed says that others follow this entry, and Patience, from 0 to 1, where its own
 // lies between the bounds. AskedAt is when this entry last called the platform because its
 // peer could not confirm, Unanswered how many reads of the platform in a row had no answer,
-// and FollowedAt when it began to follow the peer.
+// and FollowedAt when it began to follow the peer. Last is the last confirmation that this entry had
+// from anybody, and Alike how many entries stand as it does.
 type Query struct {
 	Now        time.Time
 	Confirmed  time.Time
+	Last       time.Time
+	Alike      int
 	Held       uint64
 	Told       uint64
 	Followed   bool
@@ -121,7 +145,7 @@
 	return till
 }
 
-// Action is what to do: Trust, Ask or Wait.
+// Action is what to do: Trust, Ask, Wait or Seek.
 type Action interface{ action() }
 
 // Trust says that what is held was all there was at the peer's confirmation.
@@ -133,9 +157,13 @@
 // Wait says to ask the peer again soon: the platform was asked a moment ago.
 type Wait struct{}
 
+// Seek says to look for a peer that knows more: other entries ask the platform.
+type Seek struct{}
+
 func (Trust) action() {}
 func (Ask) action()   {}
 func (Wait) action()  {}
+func (Seek) action()  {}
 
 // Judge decides what a peer's answer is worth.
 func Judge(q Query) Action {
@@ -143,19 +171,45 @@
 	switch {
 	case fresh && q.Held >= q.Told:
 		return Trust{}
-	case q.Now.Before(q.askFrom()):
-		return Wait{}
-	default:
+	case !q.Now.Before(q.askFrom()):
 		return Ask{}
+	case q.shares() && !fresh:
+		return Seek{}
+	default:
+		return Wait{}
 	}
 }
 
+// shares reports whether so many entries stand alike that they share the calls.
+func (q *Query) shares() bool { return q.Alike > askersMost }
+
 // askFrom returns from when the platform may be asked again.
 func (q *Query) askFrom() time.Time {
-	if q.Unanswered > 1 {
+	switch {
+	case q.shares():
+		return q.askSharedFrom()
+	case q.Unanswered > 1:
 		return q.AskedAt.Add(AskedMost)
+	default:
+		return q.AskedAt.Add(AskedFirst)
+	}
+}
+
+// askSharedFrom is askFrom where entries share the calls: spread over the time in which each
+// makes one, from the moment in which this one was out of touch.
+func (q *Query) askSharedFrom() time.Time {
+	turn := AskedMost * time.Duration(q.Alike) / askersMost
+	lost := q.FollowedAt
+	for _, at := range []time.Time{q.Confirmed, q.Last} {
+		if at.After(lost) {
+			lost = at
+		}
+	}
+	first := lost.Add(FreshFor + time.Duration(q.Patience*float64(turn)))
+	if next := q.AskedAt.Add(turn); next.After(first) {
+		return next
 	}
-	return q.AskedAt.Add(AskedFirst)
+	return first
 }
 
 // Leave reports whether a peer that could not confirm is to be left, now that the
--- a/transport/relay/outage_test.go
+++ b/transport/relay/outage_test.go
@@ -119,3 +119,62 @@
 		require.False(t, last.source.Quarantine().Empty())
 	})
 }
+
+// Calls to the platform in an outage grew with entries, each of which asked for itself: 985 of them
+// call 350 times a second, for as long as it lasts, and each call has its price.
+
+// TestInAnOutageCallsDoNotGrowWithEntries has the platform down for twelve seconds: a fleet more than twice
+// as large calls it hardly more often, and all are in touch soon after.
+func TestInAnOutageCallsDoNotGrowWithEntries(t *testing.T) {
+	calls := func(n int) (during int) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newStore()
+			s.put(table, "one")
+			all := newEntries(t, s, n)
+			before := callsOf(all)
+			s.setDown(true)
+			time.Sleep(12 * time.Second)
+			during = callsOf(all) - before
+			s.setDown(false)
+			s.put(table, "two")
+			back := time.Now()
+			for _, e := range all {
+				eventually(t, "the news came", func() bool { return e.believes.value(table) == "two" })
+				eventually(t, "and was confirmed", func() bool { return e.believes.confirmedAt().After(back) })
+			}
+			require.LessOrEqual(t, time.Since(back), 4*time.Second)
+		})
+		return during
+	}
+	few, many := calls(60), calls(150)
+	require.LessOrEqual(t, many, few*3/2, "%d calls of 60 entries", few)
+	t.Logf("%d calls of 60 entries, %d of 150", few, many)
+}
+
+// TestWhoCantConfirmFindsAPeerThatCan has the platform turn the first entry away and serve all others: most
+// of many entries find a peer that it serves without a call of their own.
+func TestWhoCantConfirmFindsAPeerThatCan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put(table, "one")
+		all := newEntries(t, s, 120)
+		before := callsOf(all[10:])
+		all[0].outside.set(true, 0)
+		time.Sleep(5 * time.Second)
+		s.put(table, "two")
+		began := time.Now()
+		for _, e := range all[1:] {
+			eventually(t, "the news came", func() bool { return e.believes.value(table) == "two" })
+			eventually(t, "and was confirmed", func() bool { return e.believes.confirmedAt().After(began) })
+		}
+		require.LessOrEqual(t, callsOf(all[10:])-before, len(all)/2)
+	})
+}
+
+// callsOf returns how often entries have called the platform.
+func callsOf(all []*entry) (n int) {
+	for _, e := range all {
+		n += e.calls()
+	}
+	return n
+}
--- a/transport/relay/read.go
+++ b/transport/relay/read.go
@@ -39,9 +39,10 @@
 	if peer == nil {
 		return s.readPlatform(ctx, kind, name)
 	}
-	q := relay.Query{FollowedAt: peer.since, Followed: s.Followed(), Patience: peer.patience}
+	q := relay.Query{FollowedAt: peer.since, Followed: s.Followed(), Patience: peer.patience, Alike: s.seeker.alike()}
 	q.AskedAt, q.Unanswered = s.lastAsked()
-	q.Confirmed = s.passedOn().confirmed.at
+	q.Last = s.passedOn().confirmed.at
+	q.Confirmed = q.Last
 	c := peer.ask(ctx, q.TrustedTill())
 	q.Confirmed, q.Told = c.at, c.object.Version
 	q.Now = clock.Now()
@@ -59,6 +60,10 @@
 		return watch.Read(held, q.Confirmed), nil
 	case relay.Wait:
 		return watch.Reading{}, errUnconfirmed
+	case relay.Seek:
+		s.seeker.avoid(peer.peer.Name, false, q.Now)
+		s.seeker.wake()
+		return watch.Reading{}, errUnconfirmed
 	}
 	s.setAsked(q.Now)
 	r, err := s.readPlatform(ctx, kind, name)
--- a/transport/relay/seeker.go
+++ b/transport/relay/seeker.go
@@ -56,6 +56,7 @@
 	mutex     sync.Mutex
 	records   []protocol.EntryRecord
 	all       bool                 // none is missing in them
+	standing  int                  // how many entries stand alike
 	avoided   map[string]avoidance // by name
 	woken     chan struct{}
 	tryTill   time.Time     // until when peers that are not reached are tried again
@@ -197,14 +198,22 @@
 	delete(s.avoided, l.peer.Name)
 }
 
-func (s *seeker) learn(records []protocol.EntryRecord, all bool) {
+func (s *seeker) learn(records []protocol.EntryRecord, alike int, all bool) {
 	s.mutex.Lock()
 	s.records = records
+	s.standing = alike
 	s.all = s.all || all
 	s.mutex.Unlock()
 	s.wake()
 }
 
+// alike returns how many entries stand as this one does.
+func (s *seeker) alike() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.standing
+}
+
 // wake makes the seeker look now.
 func (s *seeker) wake() {
 	s.mutex.Lock()
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"pinerun.example/pinerun/coordination/loss"
+	"pinerun.example/pinerun/coordination/relay"
 	"pinerun.example/pinerun/coordination/slow"
 	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/internal/event"
@@ -109,7 +110,9 @@
 // Learn takes the records of the entries that there may be. All says that none is
 // missing that matters: an entry that has just started follows whom it can at once, and
 // only if it has seen all and reaches nobody asks the platform itself.
-func (s *Source) Learn(records []protocol.EntryRecord, all bool) { s.seeker.learn(records, all) }
+func (s *Source) Learn(records []protocol.EntryRecord, all bool) {
+	s.seeker.learn(records, relay.Alike(s.Record(), records), all)
+}
 
 // Objects returns what is known of a kind, and whether it ever was.
 func (s *Source) Objects(kind string) (protocol.Listing, bool) { return s.mirror.All(kind) }
--- a/transport/relay/start_test.go
+++ b/transport/relay/start_test.go
@@ -28,6 +28,6 @@
 	late := now.Add(startTries + startRest)
 
 	found := s.seeker.seek()
-	s.seeker.learn([]protocol.EntryRecord{{Name: "e-2", Peers: "127.0.0.1:2", MemoryMB: 200}}, true)
+	s.Learn([]protocol.EntryRecord{{Name: "e-2", Peers: "127.0.0.1:2", MemoryMB: 200}}, true)
 	require.True(t, s.seeker.starting(found, late), "a peer is known that was not tried")
 }
