relay: look for another peer before the platform is called

Cause: who lost its peer watched the platform in the same moment, and each watch is a call, though another peer was found milliseconds later; the loss of the first entry of a data center cost calls by all its followers. Change: lists, reads and watches wait for the look that follows a loss, half a second at most; a question that was lost with its link is put to the next one. Ruled out: that the peers could not confirm (all were confirmed again within 150 ms).

--- a/transport/relay/read.go
+++ b/transport/relay/read.go
@@ -35,15 +35,31 @@
 // Read reads an object as the platform held it at the time that the reading names.
 func (s *Source) Read(ctx context.Context, kind, name string) (watch.Reading, error) {
 	s.seeker.await(ctx)
-	peer := s.following()
-	if peer == nil {
-		return s.readPlatform(ctx, kind, name)
+	for {
+		peer := s.following()
+		if peer == nil {
+			return s.readPlatform(ctx, kind, name)
+		}
+		q := relay.Query{FollowedAt: peer.since, Followed: s.Followed(), Patience: peer.patience, Alike: s.seeker.alike()}
+		q.AskedAt, q.Unanswered = s.lastAsked()
+		q.Last = s.passedOn().confirmed.at
+		q.Confirmed = q.Last
+		c := peer.ask(ctx, q.TrustedTill())
+		if c.at.IsZero() && s.replaced(peer) && ctx.Err() == nil {
+			continue // the question was lost with the link
+		}
+		return s.judge(ctx, peer, q, c)
 	}
-	q := relay.Query{FollowedAt: peer.since, Followed: s.Followed(), Patience: peer.patience, Alike: s.seeker.alike()}
-	q.AskedAt, q.Unanswered = s.lastAsked()
-	q.Last = s.passedOn().confirmed.at
-	q.Confirmed = q.Last
-	c := peer.ask(ctx, q.TrustedTill())
+}
+
+// replaced reports whether another peer is followed now.
+func (s *Source) replaced(peer *link) bool {
+	now := s.following()
+	return now != nil && now != peer
+}
+
+// judge takes what a peer that was asked confirmed, or goes on without it.
+func (s *Source) judge(ctx context.Context, peer *link, q relay.Query, c confirmation) (watch.Reading, error) {
 	q.Confirmed, q.Told = c.at, c.object.Version
 	q.Now = clock.Now()
 	held := s.latest()
@@ -65,8 +81,13 @@
 		s.seeker.wake()
 		return watch.Reading{}, errUnconfirmed
 	}
+	return s.askPlatform(ctx, peer, q)
+}
+
+// askPlatform reads the confirmed object beside a peer that can't confirm it.
+func (s *Source) askPlatform(ctx context.Context, peer *link, q relay.Query) (watch.Reading, error) {
 	s.setAsked(q.Now)
-	r, err := s.readPlatform(ctx, kind, name)
+	r, err := s.readPlatform(ctx, s.Kind, s.Name)
 	switch {
 	case err != nil:
 		// It may be that only some entries are turned away: another peer may know more.
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -381,3 +381,40 @@
 	require.NoError(t, err)
 	require.True(t, r.At().IsZero())
 }
+
+// TestWhoLosesItsPeerLooksForAnotherBeforeItCalls ends the entry that many follow: the next one in rank
+// calls the platform for all, and hardly anybody does beside it.
+func TestWhoLosesItsPeerLooksForAnotherBeforeItCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put(table, "one")
+		all := newEntries(t, s, 60)
+		before := callsOf(all[2:])
+		all[0].close()
+		s.put(table, "two")
+		began := time.Now()
+		for _, e := range all[1:] {
+			eventually(t, "the news came", func() bool { return e.believes.value(table) == "two" })
+			eventually(t, "and was confirmed", func() bool { return e.believes.confirmedAt().After(began) })
+		}
+		require.LessOrEqual(t, callsOf(all[2:])-before, len(all)/10)
+	})
+}
+
+// TestWhoMovesToABetterPeerAsksNobodyElse has an entry learn of a peer that ranks before the one that it
+// follows, while a question to that one is open.
+func TestWhoMovesToABetterPeerAsksNobodyElse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put(table, "one")
+		all := newEntries(t, s, 2)
+		third := follow(t, s, all[1])
+		eventually(t, "it follows", third.source.Following)
+		time.Sleep(2*time.Second + 100*time.Millisecond) // a question is held back for news
+		third.source.Learn([]protocol.EntryRecord{all[0].source.Self, all[1].source.Self}, true)
+		began := time.Now()
+		eventually(t, "it has it confirmed", func() bool { return third.believes.confirmedAt().After(began) })
+		time.Sleep(2 * time.Second)
+		require.Zero(t, third.calls())
+	})
+}
--- a/transport/relay/seeker.go
+++ b/transport/relay/seeker.go
@@ -30,6 +30,8 @@
 	// steadyAfter is how long a peer must have been followed for what was before to be
 	// forgotten.
 	steadyAfter = 10 * time.Second
+	// lookMost bounds how long lists, reads and watches wait for another peer after one was lost.
+	lookMost = 500 * time.Millisecond
 	// seekEvery is how often a better peer is looked for although nothing was heard.
 	seekEvery = 2 * time.Second
 )
@@ -62,6 +64,7 @@
 	tryTill   time.Time     // until when peers that are not reached are tried again
 	startTill time.Time     // until when the start lasts at most
 	started   chan struct{} // closed with its end; nil for a source that does not look
+	looking   chan struct{} // closed when the look after a loss is over, nil before and after
 }
 
 func (s *seeker) run() {
@@ -77,7 +80,10 @@
 		if s.source.done.Closed() {
 			return
 		}
-		if s.starting(s.seek(), clock.Now()) {
+		lost := s.lookingFor()
+		found := s.seek()
+		s.looked(lost)
+		if s.starting(found, clock.Now()) {
 			t.Reset(startRest)
 		} else {
 			t.Reset(seekEvery)
@@ -187,6 +193,54 @@
 	s.avoided[name] = a
 }
 
+// lost makes lists, reads and watches wait for the next look, because the peer that was followed is
+// gone.
+func (s *seeker) lost() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.looking == nil {
+		s.looking = make(chan struct{})
+	}
+}
+
+// lookingFor returns what the look that begins is to tell the end of, nil for nobody.
+func (s *seeker) lookingFor() chan struct{} {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.looking
+}
+
+// looked tells that a look is over. A peer that was lost after it had begun is looked for again.
+func (s *seeker) looked(lost chan struct{}) {
+	if lost == nil {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.looking = nil
+	close(lost)
+}
+
+// awaitLook waits for the look after a loss, lookMost at most, and reports whether one has ended. All
+// who followed one peer would call the platform in the moment in which they look for another.
+func (s *seeker) awaitLook(ctx context.Context) bool {
+	s.mutex.Lock()
+	looking := s.looking
+	s.mutex.Unlock()
+	if looking == nil {
+		return false
+	}
+	t := time.NewTimer(lookMost)
+	defer t.Stop()
+	select {
+	case <-looking:
+		return true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // steady forgets what was before with a peer that has been followed for a while.
 func (s *seeker) steady(now time.Time) {
 	l := s.source.following()
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -173,6 +173,7 @@
 
 // leave ends following a peer.
 func (s *Source) leave(l *link, why string) {
+	s.seeker.lost() // before anybody learns that there is no peer
 	s.mutex.Lock()
 	current := s.link == l
 	if current {
@@ -183,8 +184,8 @@
 	l.close()
 	if current {
 		event.PeerLeft.Log(s.Logger, slog.String("peer", l.peer.Name), slog.String("cause", why))
-		s.seeker.wake()
 	}
+	s.seeker.wake()
 }
 
 func (s *Source) relinked() {
@@ -266,6 +267,12 @@
 			return protocol.Changes{Changes: run.Changes, At: run.At, Relayed: true}, nil
 		}
 		peer, relinked := s.changedLink()
+		if peer == nil && s.seeker.awaitLook(ctx) {
+			continue
+		}
+		if err := ctx.Err(); err != nil {
+			return protocol.Changes{}, err
+		}
 		if peer == nil {
 			return s.watchPlatform(ctx, kind, after, wait)
 		}
--- a/transport/relay/start.go
+++ b/transport/relay/start.go
@@ -32,7 +32,7 @@
 	s.client.Transport = &http.Transport{DialContext: connect, DisableKeepAlives: true}
 }
 
-// await waits for the end of the start.
+// await waits for the end of the start, and of the look after a loss.
 func (s *seeker) await(ctx context.Context) {
 	s.mutex.Lock()
 	started := s.started
@@ -44,6 +44,7 @@
 	case <-started:
 	case <-ctx.Done():
 	}
+	s.awaitLook(ctx)
 }
 
 // starting reports whether the start lasts on after a look, and ends it if that is how it is.
