relay: ask once in eight seconds where calls are shared, and wait for nobody who has ended

Cause of the first: with 985 entries a turn takes 55 s, and one that the platform serves alone would have had its first one that late: a new table must be in force there within 15 s. Cause of the second: a handler of an entry that ended waited on for half a second for a look that nobody makes; 5 of 25 runs of the package's tests ended over it ("blocked goroutines remain").

--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -51,6 +51,9 @@
 	// confirm, beside those that others turn to first. More share that: what the platform serves a
 	// second does not grow with entries.
 	askersMost = 50
+	// firstAskMost bounds how late an entry asks for the first time: the platform may serve it
+	// alone, and a new table must be in force there in time.
+	firstAskMost = 8 * time.Second
 )
 
 const (
@@ -195,8 +198,8 @@
 	}
 }
 
-// askSharedFrom is askFrom where entries share the calls: spread over the time in which each
-// makes one, from the moment in which this one was out of touch.
+// askSharedFrom is askFrom where entries share the calls. The first one of each is spread over a
+// turn from the moment in which it was out of touch.
 func (q *Query) askSharedFrom() time.Time {
 	turn := AskedMost * time.Duration(q.Alike) / askersMost
 	lost := q.FollowedAt
@@ -205,11 +208,11 @@
 			lost = at
 		}
 	}
-	first := lost.Add(FreshFor + time.Duration(q.Patience*float64(turn)))
-	if next := q.AskedAt.Add(turn); next.After(first) {
-		return next
+	if q.AskedAt.After(lost) {
+		return q.AskedAt.Add(turn)
 	}
-	return first
+	first := min(turn, firstAskMost)
+	return lost.Add(FreshFor + time.Duration(q.Patience*float64(first)))
 }
 
 // Leave reports whether a peer that could not confirm is to be left, now that the
--- a/transport/relay/seeker.go
+++ b/transport/relay/seeker.go
@@ -237,6 +237,7 @@
 		return true
 	case <-t.C:
 	case <-ctx.Done():
+	case <-s.source.done.Done(): // nobody looks any more
 	}
 	return false
 }
--- a/transport/relay/start_test.go
+++ b/transport/relay/start_test.go
@@ -4,6 +4,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -31,3 +33,17 @@
 	s.Learn([]protocol.EntryRecord{{Name: "e-2", Peers: "127.0.0.1:2", MemoryMB: 200}}, true)
 	require.True(t, s.seeker.starting(found, late), "a peer is known that was not tried")
 }
+
+// TestNobodyWaitsForALookOfASourceThatIsClosed loses a peer of a source that has ended: its server's
+// handlers waited on for half a second, and five of 25 runs of this package's tests ended over one.
+func TestNobodyWaitsForALookOfASourceThatIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Source{}
+		s.seeker.source = s
+		s.seeker.lost()
+		s.done.Close()
+		begun := time.Now()
+		require.False(t, s.seeker.awaitLook(t.Context()))
+		require.Zero(t, time.Since(begun))
+	})
+}
