forward: learn what an answer usually takes by route

Cause: an entry of a large fleet meets a plain service a few times a minute, and learnt what is usual from whatever came first: answers on quick routes, of a millisecond. An entry that has had six answers of 1 ms on one route and gets 20 ms on another: pace 20 told before, below the bound of 3 now.

--- a/transport/forward/pace.go
+++ b/transport/forward/pace.go
@@ -53,7 +53,7 @@
 	filledAt time.Time                // when left was refilled
 	slowTill map[string]time.Time     // slow endpoints, and when that lapses
 	askAt    map[string]time.Time     // the slow endpoints that this entry asks, and when next
-	usual    map[string]time.Duration // time of an answer, by plain service
+	usual    map[string]time.Duration // time of an answer of a plain service, by route
 }
 
 // checkPace compares the time that an event took with what its engines should take.
--- a/transport/forward/usual.go
+++ b/transport/forward/usual.go
@@ -38,12 +38,12 @@
 		return
 	}
 	x.forwarder.tellSeen(a, x.paceOf(a, now), now)
-	x.forwarder.paces.learn(x.service.Name, now.Sub(a.sentAt), x.guess())
+	x.forwarder.paces.learn(x.route.Name, now.Sub(a.sentAt), x.guess())
 }
 
 // paceOf returns how many times as long as usual a call to a plain service has taken.
 func (x *exchange) paceOf(a *attempt, now time.Time) float64 {
-	usual := x.forwarder.paces.usualOf(x.service.Name, x.guess())
+	usual := x.forwarder.paces.usualOf(x.route.Name, x.guess())
 	return float64(now.Sub(a.sentAt)) / float64(usual)
 }
 
@@ -59,28 +59,30 @@
 	f.TellPace(protocol.RelaySlow{Endpoint: a.endpoint.Name(), Sign: protocol.SlowSeen, Pace: min(pace, protocol.MaxPace)}, now)
 }
 
-// usualOf returns how long an answer of a plain service usually takes.
-func (p *paces) usualOf(service string, guess time.Duration) time.Duration {
+// usualOf returns how long an answer on a route to a plain service usually takes. Routes to one service
+// ask for different work: an entry that has had a few quick answers on one would take those of another
+// for slow.
+func (p *paces) usualOf(route string, guess time.Duration) time.Duration {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if usual, known := p.usual[service]; known {
+	if usual, known := p.usual[route]; known {
 		return max(time.Millisecond, usual)
 	}
 	return guess
 }
 
-// learn takes the time of an answer into the usual time of a plain service. The first may
+// learn takes the time of an answer into the usual time of its route. The first may
 // be that of a slow endpoint, so it counts as what was guessed at most.
-func (p *paces) learn(service string, took, guess time.Duration) {
+func (p *paces) learn(route string, took, guess time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.usual == nil {
 		p.usual = make(map[string]time.Duration)
 	}
-	usual, known := p.usual[service]
+	usual, known := p.usual[route]
 	if !known {
-		p.usual[service] = min(took, guess)
+		p.usual[route] = min(took, guess)
 		return
 	}
-	p.usual[service] = usual + time.Duration(usualSmoothing*float64(min(took, usualMost*usual)-usual))
+	p.usual[route] = usual + time.Duration(usualSmoothing*float64(min(took, usualMost*usual)-usual))
 }
--- a/transport/forward/usual_test.go
+++ b/transport/forward/usual_test.go
@@ -109,6 +109,33 @@
 	require.InDelta(t, 0.22, p.usualOf("s", 30*time.Millisecond).Seconds(), 0.01)
 }
 
+// TestQuickAnswersOnOneRouteMakeNoOtherSlow has an entry get a few quick answers on one route, and then
+// answers that take longer on another route to the same service: none of its endpoints is told as slow.
+func TestQuickAnswersOnOneRouteMakeNoOtherSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, call := plain(t)
+		var paces []float64
+		f.TellPace = func(news protocol.RelaySlow, _ time.Time) { paces = append(paces, news.Pace) }
+		for i := range 12 {
+			x := call()
+			x.route.Name = "quick"
+			took := time.Millisecond
+			if i >= 6 {
+				x.route.Name, took = "usual", 20*time.Millisecond
+			}
+			p, found := x.pick(time.Now())
+			require.True(t, found)
+			x.send(&p)
+			time.Sleep(took)
+			answers(x)
+		}
+		require.Len(t, paces, 12)
+		for _, pace := range paces {
+			require.Less(t, pace, float64(openLate))
+		}
+	})
+}
+
 // TestALostAnswerOfACallThatRunsOnceEndsUnknown, whatever is known of its endpoint.
 func TestALostAnswerOfACallThatRunsOnceEndsUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
