--- /dev/null
+++ b/transport/front/search_test.go
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package front
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pinerun.example/pinerun/protocol"
+)
+
+// pagedStore serves records a few at a time, and counts the pages.
+type pagedStore struct {
+	lateStore
+
+	records []protocol.Object // in order of name
+	size    int
+	pages   int
+}
+
+func (s *pagedStore) PageLately(_ context.Context, _, after string) (protocol.Page, error) {
+	s.pages++
+	p := protocol.Page{Listing: protocol.Listing{At: uint64(100 - s.pages)}}
+	for _, o := range s.records {
+		switch {
+		case o.Name <= after:
+		case len(p.Objects) < s.size:
+			p.Objects = append(p.Objects, o)
+		default:
+			p.More = true
+		}
+	}
+	return p, nil
+}
+
+// put adds the record of an entry.
+func (s *pagedStore) put(t require.TestingT, r protocol.EntryRecord) {
+	value, err := json.Marshal(r)
+	require.NoError(t, err)
+	s.records = append(s.records, protocol.Object{Name: r.Name, Version: 1, Value: value})
+	slices.SortFunc(s.records, func(a, b protocol.Object) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// TestASearchReadsEachRecordOnceAtMost draws records, the size of a page and whose search it is, and runs
+// it until it has read all: whatever each run ends with, no record is missing or read twice.
+func TestASearchReadsEachRecordOnceAtMost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &pagedStore{size: rapid.IntRange(1, 4).Draw(t, "size")}
+		names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-c0-2~-]{1,3}`), 0, 12, rapid.ID[string]).Draw(t, "names")
+		for _, n := range names {
+			s.put(t, protocol.EntryRecord{Name: n, DataCenter: "a", Peers: n, MemoryMB: float64(rapid.IntRange(1, 3).Draw(t, "memory"))})
+		}
+		self := protocol.EntryRecord{Name: rapid.StringMatching(`[a-c0-2~-]{0,3}`).Draw(t, "self"), DataCenter: "a", MemoryMB: 2}
+		var search search
+		for runs := 0; ; runs++ {
+			require.LessOrEqual(t, runs, len(names))
+			list, all, err := search.run(context.Background(), s, self)
+			require.NoError(t, err)
+			if !all {
+				require.NotEmpty(t, peersAmong(list.Objects, self))
+				continue
+			}
+			require.ElementsMatch(t, s.records, list.Objects)
+			require.Equal(t, uint64(100-s.pages), list.At, "as old as the oldest page")
+			return
+		}
+	})
+}
+
+// TestASearchBeginsWithTheOwnRecord: an entry that starts again needs it in any case.
+func TestASearchBeginsWithTheOwnRecord(t *testing.T) {
+	s := &pagedStore{size: 5}
+	for i := range 200 {
+		s.put(t, protocol.EntryRecord{Name: fmt.Sprint("entry-", i), DataCenter: "a", Peers: "p", MemoryMB: 1})
+	}
+	for _, name := range []string{"entry-0", "entry-99", "entry-100", "entry-57"} {
+		var search search
+		s.pages = 0
+		list, _, err := search.run(t.Context(), s, protocol.EntryRecord{Name: name, DataCenter: "a"})
+		require.NoError(t, err)
+		require.Equal(t, name, list.Objects[0].Name)
+		require.LessOrEqual(t, s.pages, 2, "each of the others ranks before it")
+	}
+}
