--- a/transport/relay/outage_test.go
+++ b/transport/relay/outage_test.go
@@ -77,7 +77,7 @@
 		s := newStore()
 		s.put(table, "one")
 		all := newEntries(t, s, 2)
-		all[0].outside.set(true, 0)
+		all[0].outside.cutOff()
 		eventually(t, "it is left", func() bool { return !all[1].source.Following() })
 		for range 60 {
 			time.Sleep(500 * time.Millisecond)
@@ -159,7 +159,7 @@
 		s.put(table, "one")
 		all := newEntries(t, s, 120)
 		before := callsOf(all[10:])
-		all[0].outside.set(true, 0)
+		all[0].outside.cutOff()
 		time.Sleep(5 * time.Second)
 		s.put(table, "two")
 		began := time.Now()
--- a/transport/relay/store_test.go
+++ b/transport/relay/store_test.go
@@ -92,22 +92,21 @@
 	name  string
 	mutex sync.Mutex
 	cut   bool
-	slow  time.Duration
 }
 
 var errCut = platform.Unreached(errors.New("cut off"))
 
-func (o *outside) set(cut bool, slow time.Duration) {
+// cutOff makes every call of the entry fail from now on.
+func (o *outside) cutOff() {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	o.cut, o.slow = cut, slow
+	o.cut = true
 }
 
 func (o *outside) call() error {
 	o.mutex.Lock()
-	cut, slow := o.cut, o.slow
+	cut := o.cut
 	o.mutex.Unlock()
-	time.Sleep(slow)
 	o.store.mutex.Lock()
 	defer o.store.mutex.Unlock()
 	o.store.calls[o.name]++
