--- a/state/roster/roster_test.go
+++ b/state/roster/roster_test.go
@@ -341,3 +341,23 @@
 		})
 	}
 }
+
+// BenchmarkOneChange changes one endpoint and looks, at a fleet and at twice that.
+func BenchmarkOneChange(b *testing.B) {
+	for _, n := range []int{3005, 6010} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := newRoster()
+			for i := range n {
+				r.Put(engine(fmt.Sprint("e-", i), "a", 0, 5))
+			}
+			to := 4
+			for b.Loop() {
+				r.Put(engine("e-1", "a", 0, to))
+				to = 9 - to
+				if r.View().Runner("e-1") == nil {
+					b.Fatal("not there")
+				}
+			}
+		})
+	}
+}
