front: end the start before the own record is written

Read again: an entry that had read all records and could not write its own read them all once more. Comments that held figures hold reasons.

--- a/transport/front/search.go
+++ b/transport/front/search.go
@@ -14,8 +14,8 @@
 const peersEnough = 3
 
 // search reads the entries' records page by page, from that of its own entry on and round, as
-// far as it takes to find peers. A fleet whose entries each read all records reads their number
-// squared: 985 entries that start at once would fetch 300 MB over the platform's one link.
+// far as it takes to find peers: a fleet that starts at once, each entry reading all records, would
+// read the square of their number over the platform's link.
 type search struct {
 	objects []protocol.Object
 	at      uint64 // the least revision of the pages
--- a/transport/front/start.go
+++ b/transport/front/start.go
@@ -54,6 +54,7 @@
 	seen := r.recognize(list.Objects, now)
 	settled := all && (seen || r.looks >= firstLooks)
 	if settled {
+		r.settle(now)
 		r.takeFirst(ctx, list)
 	} else {
 		r.learn(list.Objects, false)
@@ -64,13 +65,12 @@
 		}
 	}
 	if settled {
-		r.settle(now)
 		return lookFollowed
 	}
 	return firstLook << (r.looks - 1)
 }
 
-// settle ends the start: the records are looked at now.
+// settle ends the start: the records are looked at from now on as at any time.
 func (r *register) settle(now time.Time) {
 	r.settled = true
 	r.search = search{}
--- a/transport/relay/pack.go
+++ b/transport/relay/pack.go
@@ -28,7 +28,7 @@
 	mutex  sync.Mutex
 	latest map[string]protocol.RelayRun // the packed one of each kind
 	wholes map[string]protocol.RelayRun // the whole one of each kind
-	writer *flate.Writer                // used again: a new one takes a megabyte
+	writer *flate.Writer                // used again, since a new one is large
 }
 
 // whole returns a whole kind for who knows it up to a revision. The one that was sent last serves
--- a/transport/relay/start_test.go
+++ b/transport/relay/start_test.go
@@ -34,8 +34,8 @@
 	require.True(t, s.seeker.starting(found, late), "a peer is known that was not tried")
 }
 
-// TestNobodyWaitsForALookOfASourceThatIsClosed loses a peer of a source that has ended: its server's
-// handlers waited on for half a second, and five of 25 runs of this package's tests ended over one.
+// TestNobodyWaitsForALookOfASourceThatIsClosed loses a peer of a source that has ended: nobody looks
+// any more, and its server's handlers would wait in vain.
 func TestNobodyWaitsForALookOfASourceThatIsClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &Source{}
