relay: leave a peer out also after it was followed for long

Cause: an entry that looked for another peer, since the one that it followed could not confirm, first forgot what was before with a peer that it had followed for ten seconds, and with that the reason to look. Before calls were shared each asked at once and hid it. Change: only what is over is forgotten. Ruled out: that no peer could confirm (all other data centers were in touch throughout).

--- a/transport/relay/entry_test.go
+++ b/transport/relay/entry_test.go
@@ -100,12 +100,29 @@
 // newNamed is newEntries with names.
 func newNamed(t testing.TB, s *store, names ...string) []*entry {
 	var all []*entry
-	var records []protocol.EntryRecord
 	for i, name := range names {
-		e := newEntry(t, s, name, fmt.Sprint("key-", i))
-		records = append(records, e.source.Self)
+		all = append(all, newEntry(t, s, name, fmt.Sprint("key-", i)))
+	}
+	return startAll(t, s, all)
+}
+
+// newSpread is newEntries over so many data centers.
+func newSpread(t testing.TB, s *store, n, centers int) []*entry {
+	var all []*entry
+	for i := range n {
+		e := newEntry(t, s, fmt.Sprint("e-", i), fmt.Sprint("key-", i))
+		e.source.Self.DataCenter = fmt.Sprint("dc-", i%centers)
 		all = append(all, e)
 	}
+	return startAll(t, s, all)
+}
+
+// startAll starts entries, the first to be followed first, and waits until all hear the same.
+func startAll(t testing.TB, s *store, all []*entry) []*entry {
+	var records []protocol.EntryRecord
+	for _, e := range all {
+		records = append(records, e.source.Self)
+	}
 	slices.SortFunc(all, func(a, b *entry) int {
 		return len(relay.Before(a.source.Self, records)) - len(relay.Before(b.source.Self, records))
 	})
--- a/transport/relay/outage_test.go
+++ b/transport/relay/outage_test.go
@@ -120,6 +120,9 @@
 	})
 }
 
+// steady is how long a peer has been followed for what was before with it to count no more.
+const steady = 12 * time.Second
+
 // Calls to the platform in an outage grew with entries, each of which asked for itself: 985 of them
 // call 350 times a second, for as long as it lasts, and each call has its price.
 
@@ -158,6 +161,7 @@
 		s := newStore()
 		s.put(table, "one")
 		all := newEntries(t, s, 120)
+		time.Sleep(steady)
 		before := callsOf(all[10:])
 		all[0].outside.cutOff()
 		time.Sleep(5 * time.Second)
@@ -178,3 +182,30 @@
 	}
 	return n
 }
+
+// TestWhoseFirstEntryIsTurnedAwayIsInTouchSoon has the platform turn away the entry that all follow, in a
+// fleet of several data centers: nobody else is out of touch for as long as keys are trusted.
+func TestWhoseFirstEntryIsTurnedAwayIsInTouchSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put(table, "one")
+		all := newSpread(t, s, 150, 3)
+		time.Sleep(steady)
+		began := time.Now()
+		all[0].outside.cutOff()
+		oldest := map[string]time.Duration{}
+		for time.Since(began) < 8*time.Second {
+			time.Sleep(50 * time.Millisecond)
+			for _, e := range all[1:] {
+				oldest[e.outside.name] = max(oldest[e.outside.name], time.Since(e.believes.confirmedAt()))
+			}
+		}
+		late := 0
+		for _, age := range oldest {
+			if age > 2500*time.Millisecond {
+				late++
+			}
+		}
+		require.Zero(t, late, "%v", oldest)
+	})
+}
--- a/transport/relay/seeker.go
+++ b/transport/relay/seeker.go
@@ -250,7 +250,9 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	delete(s.avoided, l.peer.Name)
+	if now.After(s.avoided[l.peer.Name].till) {
+		delete(s.avoided, l.peer.Name)
+	}
 }
 
 func (s *seeker) learn(records []protocol.EntryRecord, alike int, all bool) {
