front: read on page by page for as long as peers are known

Cause: from its fourth look on an entry that followed nobody read the records of the whole fleet, also where it knew of peers that were only starting: entries squared again, in the moment in which all start. Change: all are read at once only where nobody was found. Tried and taken back: entries that are starting say so instead of letting their followers wait (no difference in virtual time, 150 entries, the first one ready after 1.5 s). An entry that knows peers among 400 and follows none, eight looks: five lists of all before, none now.

--- a/transport/front/search_test.go
+++ b/transport/front/search_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -23,6 +24,16 @@
 	records []protocol.Object // in order of name
 	size    int
 	pages   int
+	lists   int
+}
+
+func (s *pagedStore) List(ctx context.Context, kind string) (protocol.Listing, error) {
+	s.lists++
+	return s.lateStore.List(ctx, kind)
+}
+
+func (s *pagedStore) ListLately(ctx context.Context, kind string) (protocol.Listing, error) {
+	return s.List(ctx, kind)
 }
 
 func (s *pagedStore) PageLately(_ context.Context, _, after string) (protocol.Page, error) {
@@ -89,3 +100,21 @@
 		require.LessOrEqual(t, s.pages, 2, "each of the others ranks before it")
 	}
 }
+
+// TestAStartThatFindsPeersNeverReadsAllAtOnce has an entry know of peers that can't be followed yet, as where
+// all start at once: each look reads on, and none reads the records of the whole fleet.
+func TestAStartThatFindsPeersNeverReadsAllAtOnce(t *testing.T) {
+	s := &pagedStore{lateStore: *newLateStore(), size: 20}
+	for i := range 400 {
+		s.put(t, protocol.EntryRecord{Name: fmt.Sprint("entry-", i), DataCenter: "a", Peers: "p", MemoryMB: 1})
+	}
+	r := newRegister(&s.lateStore, "entry-57")
+	r.front.Outside.Objects = s
+	now := time.Now()
+	for range 2 * firstLooks {
+		before := s.pages
+		now = r.begin(t.Context(), now)
+		require.LessOrEqual(t, s.pages, before+2)
+	}
+	require.Zero(t, s.lists)
+}
--- a/transport/front/start.go
+++ b/transport/front/start.go
@@ -18,8 +18,8 @@
 	// firstLook is how long after its first look an entry looks again that follows nobody and
 	// has not seen its own record yet, and so may not have seen others' either: all start
 	// within a third of a second of each other, and a cheap list is as the platform held it
-	// some seconds ago. The time doubles with each look; after cheapLooks of them all records
-	// are read, and after firstLooks it is done without the own one.
+	// some seconds ago. The time doubles with each look, up to registerAgain; after cheapLooks of
+	// them that found nobody all records are read, and after firstLooks it is done without the own one.
 	firstLook  = 400 * time.Millisecond
 	cheapLooks = 3
 	firstLooks = 4
@@ -67,7 +67,7 @@
 	if settled {
 		return lookFollowed
 	}
-	return firstLook << (r.looks - 1)
+	return min(registerAgain, firstLook<<min(r.looks-1, failedDoublings))
 }
 
 // settle ends the start: the records are looked at from now on as at any time.
@@ -86,16 +86,13 @@
 	r.take(ctx, list)
 }
 
-// read returns records to find peers in, and whether they are all there are: in the first looks
-// only as many as that takes, later all. They are of this moment if no other entry was found.
+// read returns records to find peers in, and whether they are all there are: only as many as that
+// takes. If none was found in the first looks, they are all, as of this moment.
 func (r *register) read(ctx context.Context) (protocol.Listing, bool, error) {
 	objects := r.front.Outside.Objects
 	switch {
-	case r.looks < cheapLooks:
+	case r.looks < cheapLooks, len(peersAmong(r.search.objects, r.front.source.Record())) > 0:
 		return r.search.run(ctx, objects, r.front.source.Record())
-	case len(peersAmong(r.search.objects, r.front.source.Record())) > 0:
-		list, err := objects.ListLately(ctx, entryKind)
-		return list, true, err
 	default:
 		list, err := objects.List(ctx, entryKind)
 		return list, true, err
