--- a/transport/relay/entry_test.go
+++ b/transport/relay/entry_test.go
@@ -191,6 +191,15 @@
 	require.Eventually(t, met, soon, time.Millisecond, what)
 }
 
+// allHear waits until entries hear a value of the table and have it confirmed as of after a time.
+func allHear(t *testing.T, all []*entry, value string, began time.Time) {
+	t.Helper()
+	for _, e := range all {
+		eventually(t, "the news came", func() bool { return e.believes.value(table) == value })
+		eventually(t, "and was confirmed", func() bool { return e.believes.confirmedAt().After(began) })
+	}
+}
+
 // calls returns how often an entry has called the platform.
 func (e *entry) calls() int {
 	e.outside.store.mutex.Lock()
--- a/transport/relay/outage_test.go
+++ b/transport/relay/outage_test.go
@@ -141,10 +141,7 @@
 			s.setDown(false)
 			s.put(table, "two")
 			back := time.Now()
-			for _, e := range all {
-				eventually(t, "the news came", func() bool { return e.believes.value(table) == "two" })
-				eventually(t, "and was confirmed", func() bool { return e.believes.confirmedAt().After(back) })
-			}
+			allHear(t, all, "two", back)
 			require.LessOrEqual(t, time.Since(back), 4*time.Second)
 		})
 		return during
@@ -167,10 +164,7 @@
 		time.Sleep(5 * time.Second)
 		s.put(table, "two")
 		began := time.Now()
-		for _, e := range all[1:] {
-			eventually(t, "the news came", func() bool { return e.believes.value(table) == "two" })
-			eventually(t, "and was confirmed", func() bool { return e.believes.confirmedAt().After(began) })
-		}
+		allHear(t, all[1:], "two", began)
 		require.LessOrEqual(t, callsOf(all[10:])-before, len(all)/2)
 	})
 }
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -393,10 +393,7 @@
 		all[0].close()
 		s.put(table, "two")
 		began := time.Now()
-		for _, e := range all[1:] {
-			eventually(t, "the news came", func() bool { return e.believes.value(table) == "two" })
-			eventually(t, "and was confirmed", func() bool { return e.believes.confirmedAt().After(began) })
-		}
+		allHear(t, all[1:], "two", began)
 		require.LessOrEqual(t, callsOf(all[2:])-before, len(all)/10)
 	})
 }
