--- a/transport/front/firsts.go
+++ b/transport/front/firsts.go
@@ -8,16 +8,21 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"time"
 
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/transport/platform"
 )
 
-// The object in the platform that holds the records of the entries that all others try to follow.
 const (
+	// firstsKind and firstsName are those of the object in the platform that holds the records of
+	// the entries that all others try to follow.
 	firstsKind = "pinerun-firsts"
 	firstsName = "all"
+	// firstsRest is how long those are tried before other records are read: they may be starting
+	// with all others, and what they read themselves would wait behind that.
+	firstsRest = 1600 * time.Millisecond
 )
 
 // firsts is what this entry knows of that object, and what should be in it.
@@ -53,8 +58,11 @@
 }
 
 // readFirsts returns the own record and those of the entries that all try to follow, as the platform
-// held them some seconds ago, nothing if nobody among them is to be followed.
+// held them some seconds ago, nothing if too few among them are to be followed.
 func (r *register) readFirsts(ctx context.Context) (protocol.Listing, error) {
+	if r.looks > 0 {
+		return protocol.Listing{}, nil // they were tried
+	}
 	objects := r.front.Outside.Objects
 	own, err := objects.GetLately(ctx, entryKind, r.front.Settings.Name)
 	var missing *platform.NotFound
@@ -84,7 +92,7 @@
 		}
 		list.Objects = append(list.Objects, protocol.Object{Kind: entryKind, Name: e.Name, Value: value})
 	}
-	if len(peersAmong(list.Objects, r.front.source.Record())) == 0 {
+	if len(peersAmong(list.Objects, r.front.source.Record())) < peersEnough {
 		return protocol.Listing{}, nil
 	}
 	return list, nil
--- a/transport/front/search_test.go
+++ b/transport/front/search_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"pinerun.example/pinerun/coordination/relay"
 	"pinerun.example/pinerun/protocol"
 )
 
@@ -118,3 +119,41 @@
 	}
 	require.Zero(t, s.lists)
 }
+
+// TestNobodyReadsPagesWhileThoseWhomAllFollowAreStarting has an entry start with all others: it knows
+// whom to follow, and they take a second to be ready.
+func TestNobodyReadsPagesWhileThoseWhomAllFollowAreStarting(t *testing.T) {
+	s := &pagedStore{lateStore: *newLateStore(), size: 20}
+	var all []protocol.EntryRecord
+	for i := range 100 {
+		all = append(all, protocol.EntryRecord{Name: fmt.Sprint("entry-", i), DataCenter: "a", Peers: "p", MemoryMB: 1})
+		s.put(t, all[i])
+	}
+	first := newRegister(&s.lateStore, "first")
+	first.front.Outside.Objects = s
+	first.firsts.entries = relay.Firsts(all)
+	first.keepFirsts(t.Context())
+	firsts := first.firsts.entries
+
+	r := newRegister(&s.lateStore, rankedAfterAll(t, firsts))
+	r.front.Outside.Objects = s
+	begun := time.Now()
+	next := r.begin(t.Context(), begun)
+	require.Greater(t, next.Sub(begun), time.Second)
+	next = r.begin(t.Context(), begun.Add(time.Second))
+	require.Zero(t, s.pages)
+	_ = r.begin(t.Context(), next)
+	require.Positive(t, s.pages, "now it looks for others")
+}
+
+// rankedAfterAll returns a name that ranks after some entries.
+func rankedAfterAll(t *testing.T, before []protocol.EntryRecord) string {
+	for i := range 1000 {
+		self := protocol.EntryRecord{Name: fmt.Sprint("late-", i), DataCenter: "a"}
+		if len(relay.Before(self, before)) == len(before) {
+			return self.Name
+		}
+	}
+	require.Fail(t, "no such name")
+	return ""
+}
--- a/transport/front/start.go
+++ b/transport/front/start.go
@@ -43,7 +43,11 @@
 
 // lookFirst looks once, and returns how long to rest until the next look.
 func (r *register) lookFirst(ctx context.Context, now time.Time) time.Duration {
-	list, all, err := r.read(ctx)
+	list, err := r.readFirsts(ctx)
+	enough, all := len(list.Objects) > 0, false
+	if err == nil && !enough {
+		list, all, err = r.read(ctx)
+	}
 	if err != nil {
 		r.front.platformFailed("entries", err)
 		r.failures++
@@ -64,8 +68,11 @@
 			return registerAgain
 		}
 	}
-	if settled {
+	switch {
+	case settled:
 		return lookFollowed
+	case enough:
+		return firstsRest
 	}
 	return min(registerAgain, firstLook<<min(r.looks-1, failedDoublings))
 }
@@ -86,16 +93,10 @@
 	r.take(ctx, list)
 }
 
-// read returns records to find peers in, and whether they are all there are: first those of the
-// entries that all try to follow, then only as many as it takes. If none was found in the first looks, they are all, as of this moment.
+// read returns records to find peers in, and whether they are all there are: only as many as that
+// takes. If none was found in the first looks, they are all, as of this moment.
 func (r *register) read(ctx context.Context) (protocol.Listing, bool, error) {
 	objects := r.front.Outside.Objects
-	if r.looks == 0 {
-		list, err := r.readFirsts(ctx)
-		if err != nil || len(list.Objects) > 0 {
-			return list, false, err
-		}
-	}
 	switch {
 	case r.looks < cheapLooks, len(peersAmong(r.search.objects, r.front.source.Record())) > 0:
 		return r.search.run(ctx, objects, r.front.source.Record())
