forward: log the rate limits that answers name

Change: platform decodes Server-Limit (the lowest of several, nonsense told apart from none); event 3019 is logged when an endpoint's limit changes, and "request sent" carries the limit that the entry knew. Nothing obeys it yet: no decision reads the value.

Checked: go test of platform, forward and the root (events against docs/EVENTS.md). Answers of another process (421) say nothing of the endpoint.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -62,6 +62,7 @@
 	EndpointSlow        = Event{3016, "endpoint slow", slog.LevelWarn}
 	EndpointRecovered   = Event{3017, "endpoint fast again", slog.LevelInfo}
 	EndpointRestarted   = Event{3018, "endpoint restarted", slog.LevelInfo}
+	RateLimitChanged    = Event{3019, "endpoint limits requests", slog.LevelWarn}
 	ConfigInForce       = Event{4001, "configuration in force", slog.LevelInfo}
 	ConfigIgnored       = Event{4002, "configuration ignored", slog.LevelWarn}
 	PlatformUnreached   = Event{5001, "platform unreached", slog.LevelWarn}
@@ -100,7 +101,7 @@
 		PathOrdered, PathAnswered, WorkRefused, WorkReleased, RefusalIgnored, CrashUnresolved, IsolatedRunAwaited, StageLost,
 		RunnerConnected, RunnerLost, RunnerEjected, FrameBroken, ReportIgnored,
 		EndpointJoined, EndpointLeaving, EndpointGone, LayersChanged, LossReported,
-		RecordSuperseded, RecordDisproved, RecordUnusable, RecordUsable, EndpointSlow, EndpointRecovered, EndpointRestarted,
+		RecordSuperseded, RecordDisproved, RecordUnusable, RecordUsable, EndpointSlow, EndpointRecovered, EndpointRestarted, RateLimitChanged,
 		ConfigInForce, ConfigIgnored,
 		PlatformUnreached, PlatformBack, PlatformCalled,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
--- a/protocol/forward.go
+++ b/protocol/forward.go
@@ -42,8 +42,23 @@
 	// EndpointID is the ID of the endpoint that answered, "" if unknown. It differs from the
 	// requested one when another process has its address.
 	EndpointID string
+	// RateLimit is how many requests a second the endpoint takes from all entries together, from
+	// MinRateLimit to MaxRateLimit, or 0 if the answer names no limit.
+	RateLimit float64
+	// BadRateLimit reports that the answer names a limit that can't be read. It says neither which
+	// limit there is nor that there is none.
+	BadRateLimit bool
 }
 
+const (
+	// MinRateLimit is the least rate limit that is told apart from a lower one, in requests a second.
+	// An endpoint must get some request now and then, or it could not say that its limit is over.
+	MinRateLimit = 0.1
+	// MaxRateLimit is the highest rate limit, in requests a second. No endpoint gets as many, so a
+	// higher one counts as none.
+	MaxRateLimit = 10_000
+)
+
 // PlacementOrder tells an engine to hold a range of layers. PriorOrders is how many orders
 // the engine is expected to have accepted before.
 type PlacementOrder struct {
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -42,6 +42,7 @@
 	method           string
 	id               string // request ID, which the response must repeat
 	newConn          bool   // requires a new connection
+	forwarder        *Forwarder
 	headers          HeaderCodec
 	pool             *connPool
 	messages         chan<- message
@@ -189,6 +190,7 @@
 		a.post(attemptEnded{attempt: a, cause: errWrongResponse, stale: c.reused})
 		return
 	}
+	a.recordRateLimit(head.StatusCode, &terms)
 	if head.StatusCode == http.StatusOK && isStream(head.Header) {
 		a.readStream(head, terms)
 		return
--- a/transport/forward/dispatch.go
+++ b/transport/forward/dispatch.go
@@ -30,6 +30,7 @@
 		method:         x.request.Method,
 		id:             x.terms.RequestID,
 		newConn:        !x.route.MayRepeat() || x.needsNewConn(clock.Now()),
+		forwarder:      x.forwarder,
 		headers:        x.forwarder.Headers,
 		pool:           &x.forwarder.pool,
 		reservation:    &x.reservation,
@@ -52,7 +53,7 @@
 	}
 	x.open = append(x.open, a)
 	x.forwarder.log(event.RequestSent, x.requestAttr(), slog.Int("attempt", a.number), slog.String("path", describePath(&a.path)),
-		slog.Uint64("routing", x.table.Version()), slog.String("after", x.lastEvent))
+		slog.Uint64("routing", x.table.Version()), slog.String("after", x.lastEvent), slog.Float64("limit", x.forwarder.rateLimits.of(a.endpoint.Name())))
 	go a.run()
 }
 
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -76,6 +76,7 @@
 	startup      startupGate
 	pool         connPool
 	inflight     inflightBytes
+	rateLimits   namedRateLimits
 	faultLocator faultLocator
 	crashProbes  crashcheck.Checker
 	queues       waitQueues
