--- a/transport/forward/conn.go
+++ b/transport/forward/conn.go
@@ -45,6 +45,13 @@
 	idle    map[string][]*conn
 	opened  func()
 	buffers bufferPool
+	dial    func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// dialTCP connects to an endpoint over TCP.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: backlog.LimitEngineSocket}
+	return d.DialContext(ctx, "tcp", address)
 }
 
 // get returns an idle connection or opens one. If fresh is true, it always opens one.
@@ -57,8 +64,11 @@
 	if p.opened != nil {
 		p.opened()
 	}
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: backlog.LimitEngineSocket}
-	raw, err := d.DialContext(ctx, "tcp", address)
+	dial := p.dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	raw, err := dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -70,6 +71,8 @@
 	// ReportSlowdown reports an observed slowdown of an endpoint to the other entries. It may be
 	// nil.
 	ReportSlowdown func(report protocol.SlownessReport, at time.Time)
+	// Dial connects to the address of an endpoint. If it is nil, connections are over TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	done         lifecycle.Done
 	retryBudgets serviceBudgets
@@ -95,6 +98,7 @@
 
 // Start starts the background maintenance of connections, queues and engine reports.
 func (f *Forwarder) Start() {
+	f.pool.dial = f.Dial
 	f.pool.opened = func() { f.Counters.Add(metric.EndpointConnections, 1) }
 	f.faultLocator.forwarder = f
 	f.poller.forwarder = f
