ratelimit: keep all entries together within the rate limit that an endpoint names

Change: coordination/ratelimit divides a limit into equal shares, held by the entries that a hash puts first, as many as the limit bears; the records that entries follow anyway say who they are. A holder without requests lends its share for 8 s to one that wants more, so a share has one user at any time whatever becomes of the reports. transport/relay passes the reports on. Every attempt passes one gate, transport/forward/gate.go, which the choice of a path asks too; what cannot go there goes elsewhere, waits in the queue, or is refused with the time of the next share. A limit belongs to an incarnation; only an answer to a request that was sent after the limit was known ends it.

Messages between entries have a new list at their end that is left out while it is empty: testdata/wire has both forms, and the old one is byte for byte as before.

Ruled out: a lease of one entry in charge (two that take themselves for it grant twice the limit), and counting those that announce themselves (tried first, its bound hangs on the news being in time): docs/design/ratelimits.md.

--- a/coordination/census/census.go
+++ b/coordination/census/census.go
@@ -13,6 +13,7 @@
 package census
 
 import (
+	"slices"
 	"time"
 
 	"pinerun.example/pinerun/protocol"
@@ -64,13 +65,19 @@
 	if !c.observed {
 		return DefaultCount
 	}
-	n := 0
-	for _, r := range c.records {
+	return max(1, len(c.Names(now)))
+}
+
+// Names returns the names of the entries that count, in order. It returns none before the first read.
+func (c *Counter) Names(now time.Time) []string {
+	var names []string
+	for name, r := range c.records {
 		if now.Sub(r.unchangedSince) < recordTTL {
-			n++
+			names = append(names, name)
 		}
 	}
-	return max(1, n)
+	slices.Sort(names)
+	return names
 }
 
 // StaleRecord is a record that its entry no longer renews.
--- a/coordination/path/path.go
+++ b/coordination/path/path.go
@@ -91,7 +91,19 @@
 	Entries      float64
 	Rand         *rand.Rand
 	Avoid        []*fleet.Runner
-	Policy       Policy
+	// Gate tells which runners may not be taken now, even if no other holds a layer. Nil excludes none.
+	Gate   Gate
+	Policy Policy
+}
+
+// Gate tells whether an endpoint takes a request now.
+type Gate interface {
+	Admits(r *fleet.Runner, now time.Time) bool
+}
+
+// admits reports whether a runner may be taken at all.
+func (q *Query) admits(r *fleet.Runner) bool {
+	return !r.Leaving() && (q.Gate == nil || q.Gate.Admits(r, q.Now))
 }
 
 // Decision is either *Found or Missing.
@@ -227,7 +239,7 @@
 	start := q.Rand.IntN(len(runners))
 	for i := range runners {
 		r := runners[(start+i)%len(runners)]
-		if !r.Usable(q.Now) || contains(q.Avoid, r) {
+		if !r.Usable(q.Now) || contains(q.Avoid, r) || !q.admits(r) {
 			continue
 		}
 		if cost := r.Cost(q.Now, q.Positions) + backlogWeight*r.Backlog(); cost < lowest {
@@ -248,7 +260,7 @@
 	for i := range runners {
 		r := runners[(start+i)%len(runners)]
 		switch {
-		case r.Leaving():
+		case !q.admits(r):
 		case !r.Usable(q.Now):
 			if ejected == nil || r.EjectedUntil().Before(ejected.EjectedUntil()) {
 				ejected = r
@@ -273,7 +285,7 @@
 	var chosen *fleet.Runner
 	lowest := math.Inf(1)
 	for _, r := range runners {
-		if load := r.ReportedQueue() / r.Spec().Speed; r.Usable(q.Now) && !contains(q.Avoid, r) && load < lowest {
+		if load := r.ReportedQueue() / r.Spec().Speed; r.Usable(q.Now) && !contains(q.Avoid, r) && load < lowest && q.admits(r) {
 			chosen, lowest = r, load
 		}
 	}
--- a/coordination/path/subspans.go
+++ b/coordination/path/subspans.go
@@ -24,7 +24,7 @@
 // runners. It does not allocate.
 //
 // Runners that are not usable or are listed in q.Avoid are taken only if there is no path without
-// them. Runners that are leaving are never taken.
+// them. Runners that are leaving or that the gate excludes are never taken.
 func ChooseSubspans(m *fleet.Model, q *Query, p *Path) int {
 	if m == nil || m.Layers() <= 0 || m.Layers() > MaxLayers {
 		return 0
@@ -117,7 +117,7 @@
 // penalty returns the cost of a runner in addition to that of its work, and whether the runner may
 // be taken at all.
 func penalty(r *fleet.Runner, q *Query, lastResort bool) (float64, bool) {
-	if r.Leaving() {
+	if !q.admits(r) {
 		return 0, false
 	}
 	if r.Usable(q.Now) && !contains(q.Avoid, r) {
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -85,6 +85,8 @@
 	ConnectionsClosed   Name = "connections_closed"
 	EndpointsSlow       Name = "endpoints_slow"
 	SlownessReports     Name = "slow_news"
+	EndpointsLimited    Name = "endpoints_limited"
+	LimitWaits          Name = "limit_waits"
 	PathOrders          Name = "path_orders"
 	IsolatedRuns        Name = "requests_tried_alone"
 	WorkRefused         Name = "work_refused"
@@ -100,7 +102,7 @@
 		EndpointConnections, ReportRequests, PlansComputed, OrdersGiven, LinesDropped, RequestsQueued,
 		RecordsSuperseded, RecordsDisproved, RestartsSeen,
 		HeldAnswerBytes, HeldBodyBytes, PressureStopped, PressureDropped, PressureEnded, ConnectionsClosed,
-		EndpointsSlow, SlownessReports, PathOrders, IsolatedRuns, WorkRefused,
+		EndpointsSlow, SlownessReports, EndpointsLimited, LimitWaits, PathOrders, IsolatedRuns, WorkRefused,
 	}
 }
 
--- a/protocol/relay.go
+++ b/protocol/relay.go
@@ -50,8 +50,8 @@
 
 // RelayRequest asks how recent the data of the followed entry is. The answer may be delayed by up
 // to HoldMS milliseconds until that changes. A frame with Number 0 carries only reports and
-// asks nothing. Losses, Slow and Work are the reports of the requesting entry about lost endpoints,
-// slow endpoints and work under which endpoints may have crashed.
+// asks nothing. Losses, Slow, Work and Rates are the reports of the requesting entry about lost endpoints,
+// slow endpoints, work under which endpoints may have crashed, and rate limits.
 type RelayRequest struct {
 	_      struct{} `cbor:",toarray"`
 	Number uint64
@@ -59,6 +59,7 @@
 	Losses []LossReport
 	Slow   []SlownessReport
 	Work   []WorkReport
+	Rates  []RateReport
 }
 
 // RelayFrame is what the followed entry sends: changes as they arrive, and the answer to a
@@ -73,6 +74,7 @@
 	Losses   []LossReport
 	Slow     []SlownessReport
 	Work     []WorkReport
+	Rates    []RateReport
 }
 
 // RelayDelta takes a follower that knows a kind at revision After to Revision. A ListDiff is
@@ -116,7 +118,53 @@
 }
 
 // EncodeRelay encodes a RelayHello, a RelayRequest, a RelayFrame or the changes of a delta.
-func EncodeRelay(message any) ([]byte, error) { return encoder.Marshal(message) }
+func EncodeRelay(message any) ([]byte, error) {
+	switch m := message.(type) {
+	case RelayRequest:
+		return EncodeRelay(&m)
+	case *RelayRequest:
+		if len(m.Rates) == 0 {
+			message = m.withoutRates()
+		}
+	case RelayFrame:
+		return EncodeRelay(&m)
+	case *RelayFrame:
+		if len(m.Rates) == 0 {
+			message = m.withoutRates()
+		}
+	}
+	return encoder.Marshal(message)
+}
+
+// relayRequestWithoutRates is a RelayRequest without reports of rate limits. Entries of earlier
+// versions know no other, and an array of CBOR can't be read with more elements than expected.
+type relayRequestWithoutRates struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+	HoldMS float64
+	Losses []LossReport
+	Slow   []SlownessReport
+	Work   []WorkReport
+}
+
+func (r *RelayRequest) withoutRates() *relayRequestWithoutRates {
+	return &relayRequestWithoutRates{Number: r.Number, HoldMS: r.HoldMS, Losses: r.Losses, Slow: r.Slow, Work: r.Work}
+}
+
+// relayFrameWithoutRates is a RelayFrame without reports of rate limits, for the same reason.
+type relayFrameWithoutRates struct {
+	_        struct{} `cbor:",toarray"`
+	Deltas   []RelayDelta
+	Answer   *RelayAnswer
+	FailedMS int64
+	Losses   []LossReport
+	Slow     []SlownessReport
+	Work     []WorkReport
+}
+
+func (f *RelayFrame) withoutRates() *relayFrameWithoutRates {
+	return &relayFrameWithoutRates{Deltas: f.Deltas, Answer: f.Answer, FailedMS: f.FailedMS, Losses: f.Losses, Slow: f.Slow, Work: f.Work}
+}
 
 // DecodeRelayChanges decodes the changes of a delta.
 func DecodeRelayChanges(b []byte) ([]RelayChange, error) {
@@ -142,10 +190,13 @@
 // DecodeRelayRequest decodes and validates a RelayRequest.
 func DecodeRelayRequest(b []byte) (RelayRequest, error) {
 	var a RelayRequest
-	if err := decodeFrame("relay ask", b, &a); err != nil {
+	var plain relayRequestWithoutRates
+	if err := decodeFrame("relay ask", b, &plain); err == nil {
+		a = RelayRequest{Number: plain.Number, HoldMS: plain.HoldMS, Losses: plain.Losses, Slow: plain.Slow, Work: plain.Work}
+	} else if err := decodeFrame("relay ask", b, &a); err != nil {
 		return RelayRequest{}, err
 	}
-	if !(a.HoldMS >= 0) || !validLosses(a.Losses) || !validSlowness(a.Slow) || !validWork(a.Work) {
+	if !(a.HoldMS >= 0) || !validLosses(a.Losses) || !validSlowness(a.Slow) || !validWork(a.Work) || !validRates(a.Rates) {
 		return RelayRequest{}, &FrameError{kind: "relay ask"}
 	}
 	return a, nil
@@ -155,7 +206,10 @@
 // and an answer must not lie in the future.
 func DecodeRelayFrame(b []byte) (RelayFrame, error) {
 	var f RelayFrame
-	if err := decodeFrame("relay", b, &f); err != nil {
+	var plain relayFrameWithoutRates
+	if err := decodeFrame("relay", b, &plain); err == nil {
+		f = RelayFrame{Deltas: plain.Deltas, Answer: plain.Answer, FailedMS: plain.FailedMS, Losses: plain.Losses, Slow: plain.Slow, Work: plain.Work}
+	} else if err := decodeFrame("relay", b, &f); err != nil {
 		return RelayFrame{}, err
 	}
 	for i := range f.Deltas {
@@ -163,7 +217,7 @@
 			return RelayFrame{}, &FrameError{kind: "relay"}
 		}
 	}
-	if !validLosses(f.Losses) || !validSlowness(f.Slow) || !validWork(f.Work) {
+	if !validLosses(f.Losses) || !validSlowness(f.Slow) || !validWork(f.Work) || !validRates(f.Rates) {
 		return RelayFrame{}, &FrameError{kind: "relay"}
 	}
 	if a := f.Answer; a != nil && (!(a.ConfirmedMS >= 0 || a.ConfirmedMS == -1) || !(a.HeldMS >= 0)) {
--- a/transport/forward/decide.go
+++ b/transport/forward/decide.go
@@ -51,15 +51,28 @@
 	})
 	switch next {
 	case retry.Resend:
+		if !x.startOn(p, x.pickNext, now) {
+			x.waitOrEnd(a, r, response, waitUntil, now)
+			return
+		}
 		x.forwarder.Counters.CountRetry(retryReason(r))
-		x.startAttempt(&p)
 		x.timing.restart(now)
 	case retry.Enqueue:
-		if retryAt, ok := x.enqueue(a, r, response, waitUntil, now); !ok {
-			x.endWith(retry.FinalAction(r, x.mayHaveRun), response, retryAt)
-		}
+		x.waitOrEnd(a, r, response, waitUntil, now)
 	default:
-		x.endWith(next, response, now.Add(capacityRetryAfter))
+		x.endWith(next, response, x.retryAt(now))
+	}
+}
+
+// waitOrEnd queues a request for capacity after an attempt without a good response. It ends the
+// request if waiting is useless.
+func (x *exchange) waitOrEnd(a *attempt, r retry.Result, response *responseReceived, waitUntil, now time.Time) {
+	if x.service.Engine == nil {
+		x.endWith(retry.FinalAction(r, x.mayHaveRun), response, x.retryAt(now))
+		return
+	}
+	if retryAt, ok := x.enqueue(a, r, response, waitUntil, now); !ok {
+		x.endWith(retry.FinalAction(r, x.mayHaveRun), response, retryAt)
 	}
 }
 
--- a/transport/forward/dispatch.go
+++ b/transport/forward/dispatch.go
@@ -12,14 +12,20 @@
 	"pinerun.example/pinerun/coordination/path"
 	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
 )
 
 // maxAttempts bounds the attempts of one request, whatever its route allows: each further attempt
 // repeats the prefill.
 const maxAttempts = 4
 
-// startAttempt starts an attempt over a path.
-func (x *exchange) startAttempt(p *path.Path) {
+// startAttempt starts an attempt over a path, if all endpoints of the path take a request now. It
+// reports whether they do.
+func (x *exchange) startAttempt(p *path.Path) bool {
+	if !x.forwarder.pass(p, nil, clock.Now()) {
+		x.forwarder.Counters.Add(metric.LimitWaits, 1)
+		return false
+	}
 	x.attempts++
 	x.lateEvents = 0
 	a := &attempt{
@@ -53,8 +59,9 @@
 	}
 	x.open = append(x.open, a)
 	x.forwarder.log(event.RequestSent, x.requestAttr(), slog.Int("attempt", a.number), slog.String("path", describePath(&a.path)),
-		slog.Uint64("routing", x.table.Version()), slog.String("after", x.lastEvent), slog.Float64("limit", x.forwarder.rateLimits.of(a.endpoint.Name())))
+		slog.Uint64("routing", x.table.Version()), slog.String("after", x.lastEvent), slog.Float64("limit", x.forwarder.rateLimit(a.endpoint.Name())))
 	go a.run()
+	return true
 }
 
 // pickPath chooses a path for the next attempt.
@@ -74,7 +81,7 @@
 func (x *exchange) pathQuery(now time.Time) path.Query {
 	return path.Query{
 		Now: now, Positions: max(1, x.terms.PromptTokens), OutputTokens: x.terms.AnswerTokens, Entries: x.forwarder.entriesPerDataCenter(x.service.Name),
-		Rand: x.rng, Avoid: x.avoidReserved(x.avoid, now),
+		Rand: x.rng, Avoid: x.avoidReserved(x.avoid, now), Gate: x.forwarder.gate(true),
 	}
 }
 
--- a/transport/forward/fleet_test.go
+++ b/transport/forward/fleet_test.go
@@ -25,6 +25,7 @@
 	"pinerun.example/pinerun/state/routing"
 	"pinerun.example/pinerun/transport/backlog"
 	"pinerun.example/pinerun/transport/forward"
+	"pinerun.example/pinerun/transport/relay"
 )
 
 // testFleet is some entries in front of endpoints, connected within the process so that it runs in
@@ -33,8 +34,12 @@
 	t         *testing.T
 	endpoints []*testEndpoint
 	entries   []*testEntry
+	done      chan struct{}
 }
 
+// relayDelay is how long a report takes from one entry to the first, which passes it on.
+const relayDelay = 10 * time.Millisecond
+
 // testEndpoint is an endpoint of a plain service or, with layers, an engine. Set the exported fields
 // before it gets requests.
 type testEndpoint struct {
@@ -121,15 +126,18 @@
 
 // testEntry is one entry of a testFleet.
 type testEntry struct {
-	name      string
-	forwarder *forward.Forwarder
-	replies   chan int // statuses of the responses
+	name        string
+	forwarder   *forward.Forwarder
+	rateLimits  relay.RateLimits
+	replies     chan int // statuses of the responses
+	sent, taken uint64   // numbers of the last reports to and from the first entry
 }
 
 // newTestFleet starts entries in front of endpoints. Those with layers are engines of "llm", the
 // others belong to "plain". Data centers of entries are a, b and c in turn.
 func newTestFleet(t *testing.T, entries int, endpoints ...*testEndpoint) *testFleet {
-	d := &testFleet{t: t, endpoints: endpoints}
+	d := &testFleet{t: t, endpoints: endpoints, done: make(chan struct{})}
+	t.Cleanup(func() { close(d.done) })
 	for _, e := range endpoints {
 		e.incoming, e.done = make(chan net.Conn), make(chan struct{})
 		s := &http.Server{Handler: e, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
@@ -144,9 +152,48 @@
 	for i := range entries {
 		d.addEntry(fmt.Sprint("entry-", i), string(rune('a'+i%3)), entries)
 	}
+	d.introduce()
+	go d.runRelay()
 	return d
 }
 
+// introduce tells each entry the names of all.
+func (d *testFleet) introduce() {
+	var names []string
+	for _, e := range d.entries {
+		names = append(names, e.name)
+	}
+	for _, e := range d.entries {
+		e.rateLimits.SetMembers(e.name, names)
+	}
+}
+
+// runRelay passes reports between the first entry and the others.
+func (d *testFleet) runRelay() {
+	ticks := time.NewTicker(relayDelay)
+	defer ticks.Stop()
+	for {
+		select {
+		case now := <-ticks.C:
+			for _, e := range d.entries[1:] {
+				e.exchangeReports(d.entries[0], now)
+			}
+		case <-d.done:
+			return
+		}
+	}
+}
+
+// exchangeReports passes the new reports of an entry to the first one, and those of the first one to
+// the entry.
+func (e *testEntry) exchangeReports(first *testEntry, now time.Time) {
+	up, sent := e.rateLimits.ReportsSince(e.sent, first.name, now)
+	first.rateLimits.Receive(up, e.name)
+	down, taken := first.rateLimits.ReportsSince(e.taken, e.name, now)
+	e.rateLimits.Receive(down, first.name)
+	e.sent, e.taken = sent, taken
+}
+
 // services are the services of a testFleet.
 var services = []protocol.RoutedService{
 	{Name: "plain"},
@@ -168,6 +215,7 @@
 		Counters: &metric.Set{}, MemoryBudget: budget, Dial: e.dialer(d),
 	}
 	e.forwarder = f
+	f.RateLimits = &e.rateLimits
 	f.InitRetryBudget(forward.RetryBudget{Share: 0.2, Slack: 1000, WindowEnd: func(at time.Time) time.Time { return at.Add(10 * time.Second) }}, entries, now)
 	f.Registry.SetServices(services)
 	var list []protocol.Endpoint
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -71,6 +71,8 @@
 	// ReportSlowdown reports an observed slowdown of an endpoint to the other entries. It may be
 	// nil.
 	ReportSlowdown func(report protocol.SlownessReport, at time.Time)
+	// RateLimits holds the rate limits of endpoints. If it is nil, they are ignored.
+	RateLimits RateLimits
 	// Dial connects to the address of an endpoint. If it is nil, connections are over TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
@@ -79,7 +81,6 @@
 	startup      startupGate
 	pool         connPool
 	inflight     inflightBytes
-	rateLimits   namedRateLimits
 	faultLocator faultLocator
 	crashProbes  crashcheck.Checker
 	queues       waitQueues
@@ -145,6 +146,7 @@
 			clock.Refresh()
 			f.pool.sweep(clock.Now())
 			f.inflight.sweep(f.Registry)
+			f.maintainRateLimits(clock.Now())
 		case <-dispatchTick:
 			now := clock.Now()
 			f.checkSuspension(now)
--- a/transport/forward/quarantine.go
+++ b/transport/forward/quarantine.go
@@ -178,11 +178,13 @@
 	if isRetry && !f.retryBudgets.takeRetry(x.service.Name, now) {
 		return false
 	}
+	if !x.startAttempt(&p) {
+		return false
+	}
 	if wait.failed != nil {
 		f.Counters.CountRetry(retryReason(wait.result))
 	}
 	x.isolation = nil
-	x.startAttempt(&p)
 	x.timing.restart(now)
 	return true
 }
--- a/transport/forward/queue.go
+++ b/transport/forward/queue.go
@@ -173,30 +173,16 @@
 		return
 	}
 	if x.service.Engine == nil {
-		p, found := x.pickPath(now)
-		if found && !x.fits(&p) {
-			x.avoid = append(x.avoid, p.Runner(0))
-			p, found = x.pickPath(now)
-		}
-		switch {
-		case !found:
-			x.refuse(noPath())
-			x.finished = true
-			return
-		case !x.fits(&p):
-			x.refuse(noCapacity(now.Add(capacityRetryAfter)))
-			x.finished = true
-			return
-		}
-		x.startAttempt(&p)
+		x.startPlain(now)
 		return
 	}
 	queue := x.forwarder.queues.forService(x.service.Name)
 	if !queue.anyAhead(x.priority()) {
 		if p, ready := x.pickReady(now); ready {
-			queue.recordStart(x.teamName(), now)
-			x.startAttempt(&p)
-			return
+			if x.startOn(p, x.pickReady, now) {
+				queue.recordStart(x.teamName(), now)
+				return
+			}
 		}
 	}
 	if retryAt, ok := x.enqueue(nil, retry.NeverSent, nil, x.queueDeadline(), now); !ok {
@@ -204,6 +190,24 @@
 	}
 }
 
+// startPlain sends the request to an endpoint of a plain service, or refuses it.
+func (x *exchange) startPlain(now time.Time) {
+	p, found := x.pickPath(now)
+	if found && !x.fits(&p) {
+		x.avoid = append(x.avoid, p.Runner(0))
+		p, found = x.pickPath(now)
+	}
+	switch {
+	case !found:
+		x.refuse(x.noEndpoint(now))
+	case x.fits(&p) && x.startOn(p, x.pickNext, now):
+		return
+	default:
+		x.refuse(noCapacity(x.retryAt(now)))
+	}
+	x.finished = true
+}
+
 // pickReady chooses a path and reports whether it can take the request now.
 func (x *exchange) pickReady(now time.Time) (path.Path, bool) {
 	var p path.Path
@@ -285,12 +289,14 @@
 	if queued.failed != nil && queued.result != retry.NeverSent && !x.forwarder.retryBudgets.takeRetry(x.service.Name, now) {
 		return false
 	}
+	if !x.startOn(p, x.pickReady, now) {
+		return false
+	}
 	x.dequeue()
 	queued.queue.recordStart(x.teamName(), now)
 	if queued.failed != nil {
 		x.forwarder.Counters.CountRetry(retryReason(queued.result))
 	}
-	x.startAttempt(&p)
 	x.timing.restart(now)
 	return true
 }
--- a/transport/forward/rate_limit.go
+++ b/transport/forward/rate_limit.go
@@ -5,50 +5,70 @@
 import (
 	"log/slog"
 	"net/http"
-	"sync"
+	"time"
 
+	"pinerun.example/pinerun/coordination/ratelimit"
 	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
 )
 
-// namedRateLimits holds the rate limit that each endpoint named in its last answer, by endpoint ID.
-// The zero value has none.
-type namedRateLimits struct {
-	mutex      sync.Mutex
-	byEndpoint map[string]float64 // requests a second
+// RateLimits holds the rate limits that endpoints name in their answers, and this entry's shares of
+// them.
+type RateLimits interface {
+	// Empty reports whether no endpoint has a limit.
+	Empty() bool
+	// Limit returns the limit of an endpoint in requests a second, 0 for none.
+	Limit(target ratelimit.Target) float64
+	// RecordAnswer records the limit that an answer names, 0 for none. Its request was sent at sentAt.
+	RecordAnswer(target ratelimit.Target, limit float64, sentAt time.Time)
+	// Want notes that this entry has a request for an endpoint with a limit.
+	Want(target ratelimit.Target, now time.Time)
+	// NextAt returns when this entry may send the next request, now or earlier if it may at once.
+	NextAt(target ratelimit.Target, now time.Time) time.Time
+	// TakeAll takes one request from the share of each endpoint, if all shares allow it.
+	TakeAll(targets []ratelimit.Target, now time.Time) bool
+	// Maintain lends the shares that this entry does not use, and forgets endpoints that do not exist
+	// any more.
+	Maintain(exists func(endpoint string) bool, now time.Time)
 }
 
-// replace sets the limit of an endpoint, 0 for none, and returns the one before.
-func (l *namedRateLimits) replace(endpoint string, limit float64) (before float64) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	before = l.byEndpoint[endpoint]
-	switch {
-	case limit == 0:
-		delete(l.byEndpoint, endpoint)
-	case l.byEndpoint == nil:
-		l.byEndpoint = map[string]float64{endpoint: limit}
-	default:
-		l.byEndpoint[endpoint] = limit
+// recordRateLimit records the rate limit that an answer names. An answer of another process at the
+// endpoint's address says nothing about the endpoint.
+func (a *attempt) recordRateLimit(status int, terms *protocol.AnswerTerms) {
+	f := a.forwarder
+	if f.RateLimits == nil || status == http.StatusMisdirectedRequest || terms.BadRateLimit {
+		return
 	}
-	return before
+	f.RateLimits.RecordAnswer(ratelimit.Target{Endpoint: a.endpoint.Name(), Incarnation: a.incarnation}, terms.RateLimit, a.sentAt)
 }
 
-// of returns the limit of an endpoint, 0 for none.
-func (l *namedRateLimits) of(endpoint string) float64 {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.byEndpoint[endpoint]
+// rateLimit returns the rate limit of an endpoint as this entry knows it, 0 for none.
+func (f *Forwarder) rateLimit(endpoint string) float64 {
+	if f.RateLimits == nil {
+		return 0
+	}
+	return f.RateLimits.Limit(ratelimit.Target{Endpoint: endpoint})
 }
 
-// recordRateLimit records the rate limit that an answer names, and logs a change. An answer of
-// another process at the endpoint's address says nothing about the endpoint.
-func (a *attempt) recordRateLimit(status int, terms *protocol.AnswerTerms) {
-	if status == http.StatusMisdirectedRequest || terms.BadRateLimit {
-		return
+// ApplyRateLimitChange logs and counts a change of an endpoint's rate limit.
+func (f *Forwarder) ApplyRateLimitChange(r ratelimit.Report, change ratelimit.LimitChanged) {
+	switch {
+	case change.Before() == 0:
+		f.Counters.Add(metric.EndpointsLimited, 1)
+	case change.Limit() == 0:
+		f.Counters.Add(metric.EndpointsLimited, -1)
 	}
-	f := a.forwarder
-	if before := f.rateLimits.replace(a.endpoint.Name(), terms.RateLimit); before != terms.RateLimit {
-		f.log(event.RateLimitChanged, slog.String("endpoint", a.endpoint.Name()), slog.Float64("per_second", terms.RateLimit), slog.Float64("before", before))
+	f.log(event.RateLimitChanged, slog.String("endpoint", r.Endpoint()), slog.String("witness", r.Observer()), slog.String("sign", r.Observation().String()),
+		slog.Float64("per_second", change.Limit()), slog.Float64("before", change.Before()))
+}
+
+// maintainRateLimits lends the shares of rate limits that this entry does not use, and forgets the
+// limits of endpoints that do not exist any more.
+func (f *Forwarder) maintainRateLimits(now time.Time) {
+	if f.RateLimits == nil || f.RateLimits.Empty() {
+		return
 	}
+	view := f.Registry.View()
+	f.RateLimits.Maintain(func(endpoint string) bool { return view.Runner(endpoint) != nil }, now)
 }
--- a/transport/forward/reroute.go
+++ b/transport/forward/reroute.go
@@ -125,7 +125,7 @@
 // changePath orders the path change that the query allows, and returns "" if there is none.
 func (x *exchange) changePath(a *attempt, q *reroute.Query, now time.Time) silenceAction {
 	change, ok := reroute.Choose(x.candidateModels(a), q).(*reroute.Change)
-	if !ok {
+	if !ok || !x.forwarder.pass(change.Path(), &a.path, now) {
 		return ""
 	}
 	x.orderPath(a, change, now)
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -210,13 +210,17 @@
 		x.avoid = avoidBefore
 		return action
 	}
+	second := x.secondOnReusedConn(now)
+	if !x.startAttempt(&p) {
+		x.avoid = avoidBefore
+		return silenceNoPath
+	}
 	x.forwarder.Counters.CountRetry(metric.Silence)
 	x.forwarder.Counters.RecordDuration(metric.Detection, now.Sub(x.timing.lastEvent))
 	x.closeUnresolved()
-	if second := x.secondOnReusedConn(now); second != nil {
+	if second != nil {
 		x.forwarder.pool.closeIdle(second.endpoint.Name())
 		x.closeAttempt(second) // closed only now that another attempt replaces it
 	}
-	x.startAttempt(&p)
 	return action
 }
--- a/transport/front/address_probe.go
+++ b/transport/front/address_probe.go
@@ -113,6 +113,9 @@
 	if s == nil || s.HealthPath == "" {
 		return ""
 	}
+	if !f.forwarder.PassProbe(p.Endpoint(), clock.Now()) {
+		return ""
+	}
 	f.Counters.Add(metric.ReportRequests, 1)
 	id, err := f.Dependencies.Engines.Identify(ctx, p.Address(), s.HealthPath)
 	if err != nil {
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -115,6 +115,7 @@
 		MemoryBudget:       &f.memoryBudget,
 		ReportSlowdown:     f.source.ReportSlowdown,
 		Quarantine:         f.source.Quarantine(),
+		RateLimits:         f.source.RateLimits(),
 		OnResume:           f.handleResume,
 	}
 	if s.ChangePaths {
@@ -148,6 +149,7 @@
 		OnLossChange:      f.applyLossChange,
 		Incarnation:       f.endpoints.Incarnation,
 		OnSlownessChange:  f.applySlownessChange,
+		OnRateLimitChange: f.forwarder.ApplyRateLimitChange,
 	}
 }
 
--- a/transport/front/registration.go
+++ b/transport/front/registration.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -49,6 +50,7 @@
 	nextRead    time.Time
 	revision    uint64 // of the records that were counted last
 	entryCount  int
+	members     []string     // names of the entries that count
 	dataCenters atomic.Int64 // number of data centers that have entries
 }
 
@@ -139,8 +141,12 @@
 	}
 }
 
-// updateCount sets the number of entries that share the limits.
+// updateCount sets the number and the names of the entries that share the limits.
 func (r *registration) updateCount(now time.Time) {
+	if names := r.census.Names(now); !slices.Equal(names, r.members) {
+		r.members = names
+		r.front.source.RateLimits().SetMembers(r.front.Settings.Name, names)
+	}
 	n := r.census.Count(now)
 	if n == r.entryCount {
 		return
--- a/transport/relay/follower.go
+++ b/transport/relay/follower.go
@@ -32,6 +32,7 @@
 	lossesSent       uint64    // number of the last loss report that was sent
 	slownessSent     uint64    // number of the last slowness report that was sent
 	workSent         uint64    // number of the last work report that was sent
+	ratesSent        uint64    // number of the last rate limit report that was sent
 	aheadVersion     uint64    // version of the confirmed object that was last sent in an answer
 }
 
@@ -51,6 +52,7 @@
 		f.source.receiveLosses(request.Losses, f.name)
 		f.source.receiveSlowness(request.Slow, f.name)
 		f.source.receiveWork(request.Work, f.name)
+		f.source.rateLimits.Receive(request.Rates, f.name)
 		if request.Number == 0 {
 			continue // the message had reports only
 		}
@@ -85,11 +87,12 @@
 		losses := f.source.losses.log.changed.Changed()
 		slowness := f.source.slowness.log.changed.Changed()
 		work := f.source.quarantine.log.changed.Changed()
+		rates := f.source.rateLimits.log.changed.Changed()
 		frame, err := f.nextFrame()
 		if err != nil {
 			return err
 		}
-		if first || len(frame.Deltas) > 0 || len(frame.Losses) > 0 || len(frame.Slow) > 0 || len(frame.Work) > 0 || frame.Answer != nil {
+		if first || len(frame.Deltas) > 0 || len(frame.Losses) > 0 || len(frame.Slow) > 0 || len(frame.Work) > 0 || len(frame.Rates) > 0 || frame.Answer != nil {
 			if err := f.write(ctx, &frame); err != nil {
 				return err
 			}
@@ -101,6 +104,7 @@
 		case <-losses:
 		case <-slowness:
 		case <-work:
+		case <-rates:
 		case <-holdTimer.C:
 		case a := <-f.requests:
 			now := clock.Now()
@@ -128,6 +132,7 @@
 	frame.Losses, f.lossesSent = f.source.losses.since(f.lossesSent, f.name, clock.Now())
 	frame.Slow, f.slownessSent = f.source.slowness.since(f.slownessSent, f.name, clock.Now())
 	frame.Work, f.workSent = f.source.quarantine.messagesFor(f.workSent, f.name, clock.Now())
+	frame.Rates, f.ratesSent = f.source.rateLimits.ReportsSince(f.ratesSent, f.name, clock.Now())
 	return frame, nil
 }
 
--- a/transport/relay/link.go
+++ b/transport/relay/link.go
@@ -184,6 +184,7 @@
 	l.source.receiveLosses(f.Losses, l.peer.Name)
 	l.source.receiveSlowness(f.Slow, l.peer.Name)
 	l.source.receiveWork(f.Work, l.peer.Name)
+	l.source.rateLimits.Receive(f.Rates, l.peer.Name)
 	for i := range f.Deltas {
 		if err := l.applyDelta(&f.Deltas[i]); err != nil {
 			return err
--- a/transport/relay/losses.go
+++ b/transport/relay/losses.go
@@ -109,6 +109,7 @@
 	lossesSent   uint64
 	slownessSent uint64
 	workSent     uint64
+	ratesSent    uint64
 }
 
 func (u *upstreamReporter) run() {
@@ -119,6 +120,7 @@
 		losses := l.source.losses.log.changed.Changed()
 		slowness := l.source.slowness.log.changed.Changed()
 		work := l.source.quarantine.log.changed.Changed()
+		rates := l.source.rateLimits.log.changed.Changed()
 		if err := u.send(ctx); err != nil {
 			l.fail(err)
 			return
@@ -127,6 +129,7 @@
 		case <-losses:
 		case <-slowness:
 		case <-work:
+		case <-rates:
 		case <-l.done.Done():
 			return
 		}
@@ -141,10 +144,12 @@
 	slow, u.slownessSent = u.link.source.slowness.since(u.slownessSent, u.link.peer.Name, clock.Now())
 	var work []protocol.WorkReport
 	work, u.workSent = u.link.source.quarantine.messagesFor(u.workSent, u.link.peer.Name, clock.Now())
-	if len(losses) == 0 && len(slow) == 0 && len(work) == 0 {
+	var rates []protocol.RateReport
+	rates, u.ratesSent = u.link.source.rateLimits.ReportsSince(u.ratesSent, u.link.peer.Name, clock.Now())
+	if len(losses) == 0 && len(slow) == 0 && len(work) == 0 && len(rates) == 0 {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportWriteTimeout)
 	defer cancel()
-	return write(ctx, u.link.socket, protocol.RelayRequest{Losses: losses, Slow: slow, Work: work})
+	return write(ctx, u.link.socket, protocol.RelayRequest{Losses: losses, Slow: slow, Work: work, Rates: rates})
 }
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"pinerun.example/pinerun/coordination/loss"
+	"pinerun.example/pinerun/coordination/ratelimit"
 	"pinerun.example/pinerun/coordination/relay"
 	"pinerun.example/pinerun/coordination/slow"
 	"pinerun.example/pinerun/internal/clock"
@@ -65,6 +66,9 @@
 	Incarnation func(endpoint string) protocol.Incarnation
 	// OnSlownessChange is called with what a slowness report changes; nil for no call.
 	OnSlownessChange func(r slow.Report, change slow.Change)
+	// OnRateLimitChange is called with a report that changes the rate limit of an endpoint; nil for no
+	// call.
+	OnRateLimitChange func(r ratelimit.Report, change ratelimit.LimitChanged)
 	// Dial connects to a peer's address; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -73,6 +77,7 @@
 	losses          lossReports
 	slowness        slownessReports
 	quarantine      Quarantine
+	rateLimits      RateLimits
 	selector        peerSelector
 	followers       atomic.Int64
 	mutex           sync.Mutex
@@ -91,6 +96,7 @@
 func (s *Source) Start() {
 	s.selector.source = s
 	s.quarantine.Self = s.Self.Name
+	s.rateLimits.OnChange = s.OnRateLimitChange
 	s.selector.start(clock.Now())
 	go s.selector.run()
 }
@@ -106,6 +112,9 @@
 // Quarantine returns the reports, exchanged with peers, of work that may crash its endpoint.
 func (s *Source) Quarantine() *Quarantine { return &s.quarantine }
 
+// RateLimits returns the rate limits of endpoints, which are exchanged with peers.
+func (s *Source) RateLimits() *RateLimits { return &s.rateLimits }
+
 // Learn sets the records of the entries. Complete says that no relevant record is missing: an entry
 // that has just started follows any peer that it can, and calls the platform itself only if it has
 // seen all records and can reach none of those entries.
--- a/wire_test.go
+++ b/wire_test.go
@@ -41,6 +41,8 @@
 		{"relay-hello", &protocol.RelayHello{}, protocol.EncodeRelay},
 		{"relay-ask", &protocol.RelayRequest{}, protocol.EncodeRelay},
 		{"relay-frame", &protocol.RelayFrame{}, protocol.EncodeRelay},
+		{"relay-ask-without-rates", &protocol.RelayRequest{}, encodeWithoutRates},
+		{"relay-frame-without-rates", &protocol.RelayFrame{}, encodeWithoutRates},
 		{"relay-changes", &[]protocol.RelayChange{}, protocol.EncodeRelay},
 	}
 	for _, m := range binary {
@@ -111,6 +113,18 @@
 	}
 }
 
+// encodeWithoutRates encodes a message between entries that has no reports of rate limits, as entries
+// of earlier versions read and write it.
+func encodeWithoutRates(message any) ([]byte, error) {
+	switch m := message.(type) {
+	case *protocol.RelayRequest:
+		m.Rates = nil
+	case *protocol.RelayFrame:
+		m.Rates = nil
+	}
+	return protocol.EncodeRelay(message)
+}
+
 func compareWire(t *testing.T, name, got string) {
 	t.Helper()
 	file := filepath.Join("testdata", "wire", name)
