--- a/protocol/forward.go
+++ b/protocol/forward.go
@@ -48,8 +48,16 @@
 	// BadRateLimit reports that the answer names a limit that can't be read. It says neither which
 	// limit there is nor that there is none.
 	BadRateLimit bool
+	// RestUntil is until when the endpoint wants no further request from this entry, zero if it does
+	// not ask for that.
+	RestUntil time.Time
+	// Leaving reports that the endpoint will end and wants no further request from any entry.
+	Leaving bool
 }
 
+// MaxRest is the longest rest that an endpoint may ask for. It bounds what nonsense may do.
+const MaxRest = 24 * time.Hour
+
 const (
 	// MinRateLimit is the least rate limit that is told apart from a lower one, in requests a second.
 	// An endpoint must get some request now and then, or it could not say that its limit is over.
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -184,13 +184,14 @@
 		return
 	}
 	defer head.Body.Close()
-	terms := a.headers.ParseResponse(head.StatusCode, head.Header)
+	terms := a.headers.ParseResponse(head.StatusCode, head.Header, clock.Now())
 	if terms.RequestID != "" && terms.RequestID != a.id {
 		a.closeConn()
 		a.post(attemptEnded{attempt: a, cause: errWrongResponse, stale: c.reused})
 		return
 	}
 	a.recordRateLimit(head.StatusCode, &terms)
+	a.recordRest(head.StatusCode, &terms)
 	if head.StatusCode == http.StatusOK && isStream(head.Header) {
 		a.readStream(head, terms)
 		return
--- a/transport/forward/failure_test.go
+++ b/transport/forward/failure_test.go
@@ -31,7 +31,9 @@
 	return protocol.RequestTerms{}
 }
 func (plainHeaders) SetAttemptHeaders(http.Header, *protocol.AttemptTerms, time.Time) {}
-func (plainHeaders) ParseResponse(int, http.Header) (terms protocol.AnswerTerms)      { return terms }
+func (plainHeaders) ParseResponse(int, http.Header, time.Time) (terms protocol.AnswerTerms) {
+	return terms
+}
 
 // reportedFailure is an observation as the forwarder reports it.
 type reportedFailure struct {
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -26,7 +26,7 @@
 type HeaderCodec interface {
 	ParseRequest(h http.Header, now time.Time) protocol.RequestTerms
 	SetAttemptHeaders(h http.Header, terms *protocol.AttemptTerms, now time.Time)
-	ParseResponse(status int, h http.Header) protocol.AnswerTerms
+	ParseResponse(status int, h http.Header, now time.Time) protocol.AnswerTerms
 }
 
 // Reporter requests the status report of an engine.
--- a/transport/front/startup_test.go
+++ b/transport/front/startup_test.go
@@ -23,7 +23,9 @@
 	return protocol.RequestTerms{}
 }
 func (noHeaders) SetAttemptHeaders(http.Header, *protocol.AttemptTerms, time.Time) {}
-func (noHeaders) ParseResponse(int, http.Header) (terms protocol.AnswerTerms)      { return terms }
+func (noHeaders) ParseResponse(int, http.Header, time.Time) (terms protocol.AnswerTerms) {
+	return terms
+}
 
 // testCaller sends a request right after the start of a front.
 type testCaller struct {
