forward: reproduce the rest that is not kept

Three entries in virtual time in front of three endpoints of a plain service or three engines: one or all turn requests away with Retry-After of 0.6, 3 or 8 s, and get 5 to 75 requests of one entry in one rest, where 2 are allowed. An endpoint that says in its answers that it leaves goes on getting requests.

The entries of these tests had no reporter, so that a test of engines ended by a nil pointer when an entry asked one for its report (seen once in TestEntriesTogetherKeepWithinAnEndpointsRateLimit's package, found by its trace); they have one now.

--- a/transport/forward/fleet_test.go
+++ b/transport/forward/fleet_test.go
@@ -194,6 +194,14 @@
 	e.sent, e.taken = sent, taken
 }
 
+// idleEngines reports engines that run nothing.
+type idleEngines struct{}
+
+// Report returns the report of any engine.
+func (idleEngines) Report(context.Context, string) (protocol.EngineReport, error) {
+	return protocol.EngineReport{CapacityKnown: true}, nil
+}
+
 // services are the services of a testFleet.
 var services = []protocol.RoutedService{
 	{Name: "plain"},
@@ -212,7 +220,7 @@
 	e := &testEntry{name: name, replies: make(chan int, 100_000)}
 	f := &forward.Forwarder{
 		Entry: local, Routing: &routing.Store{}, Registry: &registry.Registry{Entry: local}, Headers: platform.Headers{},
-		Counters: &metric.Set{}, MemoryBudget: budget, Dial: e.dialer(d),
+		Counters: &metric.Set{}, MemoryBudget: budget, Reporter: idleEngines{}, Dial: e.dialer(d),
 	}
 	e.forwarder = f
 	f.RateLimits = &e.rateLimits
@@ -313,6 +321,17 @@
 	return l
 }
 
+// loadAll sends requests to every entry for a while and waits for the responses.
+func (d *testFleet) loadAll(service string, perSecond float64, duration time.Duration) {
+	var loads []*load
+	for i, e := range d.entries {
+		loads = append(loads, e.startLoad(service, perSecond, duration, uint64(i)))
+	}
+	for _, l := range loads {
+		l.open.Wait()
+	}
+}
+
 // served returns the share of the responses so far that were successes, and how many there were.
 func (d *testFleet) served() (share float64, total int) {
 	good := 0
