--- a/coordination/ratelimit/cost_test.go
+++ b/coordination/ratelimit/cost_test.go
@@ -46,7 +46,7 @@
 	f := newFleet(985, 5)
 	f.name()
 	f.run(5*time.Second, func(int) float64 { return 1 })
-	targets := []ratelimit.Target{endpoint}
+	targets := []protocol.EndpointProcess{endpoint}
 	b.ReportAllocs()
 	for b.Loop() {
 		f.now = f.now.Add(time.Millisecond)
@@ -80,7 +80,7 @@
 		runtime.GC()
 		runtime.ReadMemStats(&before)
 		for i := range endpoints {
-			tracker.RecordAnswer(ratelimit.Target{Endpoint: fmt.Sprint("i-", i)}, 5, time.Time{}, time.Unix(1, 0))
+			tracker.RecordAnswer(protocol.EndpointProcess{ID: fmt.Sprint("i-", i)}, 5, time.Time{}, time.Unix(1, 0))
 		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
--- a/coordination/ratelimit/fleet_test.go
+++ b/coordination/ratelimit/fleet_test.go
@@ -12,7 +12,7 @@
 )
 
 // endpoint is the endpoint of the tests, with limits in requests a second.
-var endpoint = ratelimit.Target{Endpoint: "i-1", Incarnation: 7}
+var endpoint = protocol.EndpointProcess{ID: "i-1", Incarnation: 7}
 
 // fleet is some entries before one endpoint. Its clock and the delivery of reports are the test's.
 type fleet struct {
@@ -101,7 +101,7 @@
 	if r, ok := t.Want(endpoint, f.now); ok {
 		f.spread(entry, r)
 	}
-	if !t.TakeAll([]ratelimit.Target{endpoint}, f.now) {
+	if !t.TakeAll([]protocol.EndpointProcess{endpoint}, f.now) {
 		return
 	}
 	f.sent = append(f.sent, f.now)
--- a/coordination/ratelimit/loan.go
+++ b/coordination/ratelimit/loan.go
@@ -37,7 +37,7 @@
 
 // Want notes that this entry has a request for an endpoint. It returns the report that the entry
 // wants more, if it does and its last one is old.
-func (t *Tracker) Want(target Target, now time.Time) (Report, bool) {
+func (t *Tracker) Want(target protocol.EndpointProcess, now time.Time) (Report, bool) {
 	s := t.limited(target)
 	if s == nil {
 		return Report{}, false
@@ -123,7 +123,7 @@
 	s.refill(now)
 	s.share.lentTo, s.share.backAt = borrower, now.Add(loanTTL+loanMargin)
 	s.refill(now) // drops what the bucket holds beyond the remaining shares
-	r := t.newReport(Target{Endpoint: s.endpoint, Incarnation: s.incarnation}, protocol.RateLimitLent, s.limit, now)
+	r := t.newReport(protocol.EndpointProcess{ID: s.endpoint, Incarnation: s.incarnation}, protocol.RateLimitLent, s.limit, now)
 	r.message.Borrower, r.message.Share = borrower, 1/float64(s.shares())
 	return r, true
 }
--- a/coordination/ratelimit/share.go
+++ b/coordination/ratelimit/share.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"pinerun.example/pinerun/protocol"
 )
 
 const (
@@ -156,7 +158,7 @@
 
 // NextAt returns when this entry may send the next request to an endpoint, now or earlier if it may
 // at once.
-func (t *Tracker) NextAt(target Target, now time.Time) time.Time {
+func (t *Tracker) NextAt(target protocol.EndpointProcess, now time.Time) time.Time {
 	s := t.limited(target)
 	if s == nil {
 		return now
@@ -167,7 +169,7 @@
 
 // TakeAll takes one request from this entry's share of each of some endpoints, and reports whether
 // all allow it. If one does not, it takes none.
-func (t *Tracker) TakeAll(targets []Target, now time.Time) bool {
+func (t *Tracker) TakeAll(targets []protocol.EndpointProcess, now time.Time) bool {
 	for i := range targets {
 		if t.NextAt(targets[i], now).After(now) {
 			return false
--- a/coordination/ratelimit/tracker.go
+++ b/coordination/ratelimit/tracker.go
@@ -22,12 +22,6 @@
 	maxEndpoints = 8192
 )
 
-// Target is one incarnation of an endpoint.
-type Target struct {
-	Endpoint    string
-	Incarnation protocol.Incarnation
-}
-
 // Tracker tracks the limits that one entry knows. The zero value knows no limit and no entry.
 type Tracker struct {
 	endpoints  map[string]*endpointState // by endpoint ID
@@ -68,7 +62,7 @@
 func (t *Tracker) Empty() bool { return len(t.endpoints) == 0 }
 
 // Limit returns the limit of an endpoint in requests a second, 0 for none.
-func (t *Tracker) Limit(target Target) float64 {
+func (t *Tracker) Limit(target protocol.EndpointProcess) float64 {
 	if s := t.limited(target); s != nil {
 		return s.limit
 	}
@@ -76,8 +70,8 @@
 }
 
 // limited returns the state of an endpoint that has a limit, nil if it has none.
-func (t *Tracker) limited(target Target) *endpointState {
-	s := t.endpoints[target.Endpoint]
+func (t *Tracker) limited(target protocol.EndpointProcess) *endpointState {
+	s := t.endpoints[target.ID]
 	if s == nil || s.limit == 0 || s.incarnation.Before(target.Incarnation) {
 		return nil
 	}
@@ -87,8 +81,8 @@
 // RecordAnswer records the limit that an answer of an endpoint names, 0 for none. The answer's
 // request was sent at sentAt. It returns what that changes, and the report to pass on if it is not
 // NoChange.
-func (t *Tracker) RecordAnswer(target Target, limit float64, sentAt, now time.Time) (Report, Change) {
-	if limit == 0 && t.endpoints[target.Endpoint] == nil {
+func (t *Tracker) RecordAnswer(target protocol.EndpointProcess, limit float64, sentAt, now time.Time) (Report, Change) {
+	if limit == 0 && t.endpoints[target.ID] == nil {
 		return Report{}, NoChange{}
 	}
 	r := t.newReport(target, protocol.RateLimitNamed, limit, now)
@@ -103,12 +97,12 @@
 }
 
 // newReport returns a report of this entry.
-func (t *Tracker) newReport(target Target, o protocol.RateObservation, limit float64, now time.Time) Report {
+func (t *Tracker) newReport(target protocol.EndpointProcess, o protocol.RateObservation, limit float64, now time.Time) Report {
 	// The number is at least the current time, so that the reports of a restarted entry have higher
 	// numbers than those before.
 	t.lastNumber = max(t.lastNumber+1, uint64(max(0, now.UnixNano())))
 	return Report{at: now, message: protocol.RateReport{
-		Endpoint: target.Endpoint, Incarnation: target.Incarnation, Observer: t.members.self, Number: t.lastNumber, Observation: o, Limit: limit,
+		Endpoint: target.ID, Incarnation: target.Incarnation, Observer: t.members.self, Number: t.lastNumber, Observation: o, Limit: limit,
 	}}
 }
 
--- a/coordination/ratelimit/tracker_test.go
+++ b/coordination/ratelimit/tracker_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"pinerun.example/pinerun/coordination/ratelimit"
+	"pinerun.example/pinerun/protocol"
 )
 
 // limitWindow, limitFactor and limitSlack are the platform's terms: within the window an endpoint may
@@ -110,7 +111,7 @@
 func TestRestartClearsTheLimit(t *testing.T) {
 	f := newFleet(2, 5)
 	f.name()
-	later := ratelimit.Target{Endpoint: endpoint.Endpoint, Incarnation: endpoint.Incarnation + 1}
+	later := protocol.EndpointProcess{ID: endpoint.ID, Incarnation: endpoint.Incarnation + 1}
 	require.Zero(t, f.trackers[0].Limit(later))
 	_, change := f.trackers[0].RecordAnswer(later, 9, f.now, f.now.Add(time.Second))
 	require.IsType(t, ratelimit.LimitChanged{}, change)
--- a/protocol/incarnation.go
+++ b/protocol/incarnation.go
@@ -16,5 +16,11 @@
 // either is unknown.
 func (i Incarnation) Before(other Incarnation) bool { return i.Known() && other.Known() && i < other }
 
+// EndpointProcess is one incarnation of an endpoint, 0 if it is not known which.
+type EndpointProcess struct {
+	ID          string
+	Incarnation Incarnation
+}
+
 // Start returns when the process started, by the clock of its machine.
 func (i Incarnation) Start() time.Time { return time.UnixMilli(int64(i)) }
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -55,7 +55,7 @@
 	pathChange       reroute.Tracker      // orders to change the path; exchange only
 	changeGraceUntil time.Time            // until when silence is expected from a path change; exchange only
 	pathChangedAt    time.Time            // when the path changed, zero after the next event; exchange only
-	incarnation      protocol.Incarnation // incarnation of the endpoint at the start; exchange only
+	incarnation      protocol.Incarnation // incarnation of the endpoint at the start
 	firstEventAt     time.Time            // when the first event was received; exchange only
 	isolated         bool                 // other quarantined work avoids the endpoint; exchange only
 	reportedBroken   bool                 // the work was reported as aborted there; exchange only
--- a/transport/forward/gate.go
+++ b/transport/forward/gate.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"pinerun.example/pinerun/coordination/path"
-	"pinerun.example/pinerun/coordination/ratelimit"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/fleet"
 	"pinerun.example/pinerun/state/registry"
@@ -34,7 +33,7 @@
 // Admits reports whether an endpoint takes a request now.
 func (g *gate) Admits(r *fleet.Runner, now time.Time) bool {
 	limits := g.forwarder.RateLimits
-	if limits.Limit(ratelimit.Target{Endpoint: r.Name()}) == 0 {
+	if limits.Limit(protocol.EndpointProcess{ID: r.Name()}) == 0 {
 		return true
 	}
 	target := g.forwarder.target(r)
@@ -45,8 +44,8 @@
 }
 
 // target returns the incarnation of an endpoint that a request is sent to.
-func (f *Forwarder) target(r *fleet.Runner) ratelimit.Target {
-	return ratelimit.Target{Endpoint: r.Name(), Incarnation: f.Registry.Incarnation(r.Name())}
+func (f *Forwarder) target(r *fleet.Runner) protocol.EndpointProcess {
+	return protocol.EndpointProcess{ID: r.Name(), Incarnation: f.Registry.Incarnation(r.Name())}
 }
 
 // pass passes the gate of every stage of a path that has none yet, and reports whether all are open.
@@ -55,7 +54,7 @@
 	if f.RateLimits == nil || f.RateLimits.Empty() {
 		return true
 	}
-	var targets []ratelimit.Target
+	var targets []protocol.EndpointProcess
 	for i := range p.Len() {
 		if r := p.Runner(i); before == nil || !before.Contains(r) {
 			targets = append(targets, f.target(r))
@@ -70,7 +69,7 @@
 	if f.RateLimits == nil || f.RateLimits.Empty() {
 		return true
 	}
-	return f.RateLimits.TakeAll([]ratelimit.Target{{Endpoint: endpoint, Incarnation: f.Registry.Incarnation(endpoint)}}, now)
+	return f.RateLimits.TakeAll([]protocol.EndpointProcess{{ID: endpoint, Incarnation: f.Registry.Incarnation(endpoint)}}, now)
 }
 
 // startOn starts an attempt over a path, or over the next that pick returns if other requests have
--- a/transport/forward/rate_limit.go
+++ b/transport/forward/rate_limit.go
@@ -19,15 +19,15 @@
 	// Empty reports whether no endpoint has a limit.
 	Empty() bool
 	// Limit returns the limit of an endpoint in requests a second, 0 for none.
-	Limit(target ratelimit.Target) float64
+	Limit(target protocol.EndpointProcess) float64
 	// RecordAnswer records the limit that an answer names, 0 for none. Its request was sent at sentAt.
-	RecordAnswer(target ratelimit.Target, limit float64, sentAt time.Time)
+	RecordAnswer(target protocol.EndpointProcess, limit float64, sentAt time.Time)
 	// Want notes that this entry has a request for an endpoint with a limit.
-	Want(target ratelimit.Target, now time.Time)
+	Want(target protocol.EndpointProcess, now time.Time)
 	// NextAt returns when this entry may send the next request, now or earlier if it may at once.
-	NextAt(target ratelimit.Target, now time.Time) time.Time
+	NextAt(target protocol.EndpointProcess, now time.Time) time.Time
 	// TakeAll takes one request from the share of each endpoint, if all shares allow it.
-	TakeAll(targets []ratelimit.Target, now time.Time) bool
+	TakeAll(targets []protocol.EndpointProcess, now time.Time) bool
 	// Maintain lends the shares that this entry does not use, and forgets endpoints that do not exist
 	// any more.
 	Maintain(exists func(endpoint string) bool, now time.Time)
@@ -40,7 +40,7 @@
 	if f.RateLimits == nil || status == http.StatusMisdirectedRequest || terms.BadRateLimit {
 		return
 	}
-	f.RateLimits.RecordAnswer(ratelimit.Target{Endpoint: a.endpoint.Name(), Incarnation: a.incarnation}, terms.RateLimit, a.sentAt)
+	f.RateLimits.RecordAnswer(protocol.EndpointProcess{ID: a.endpoint.Name(), Incarnation: a.incarnation}, terms.RateLimit, a.sentAt)
 }
 
 // rateLimit returns the rate limit of an endpoint as this entry knows it, 0 for none.
@@ -48,7 +48,7 @@
 	if f.RateLimits == nil {
 		return 0
 	}
-	return f.RateLimits.Limit(ratelimit.Target{Endpoint: endpoint})
+	return f.RateLimits.Limit(protocol.EndpointProcess{ID: endpoint})
 }
 
 // ApplyRateLimitChange logs and counts a change of an endpoint's rate limit.
--- a/transport/relay/ratelimits.go
+++ b/transport/relay/ratelimits.go
@@ -40,7 +40,7 @@
 func (l *RateLimits) Empty() bool { return !l.nonEmpty.Load() }
 
 // Limit returns the limit of an endpoint in requests a second, 0 for none.
-func (l *RateLimits) Limit(target ratelimit.Target) float64 {
+func (l *RateLimits) Limit(target protocol.EndpointProcess) float64 {
 	if l.Empty() {
 		return 0
 	}
@@ -51,7 +51,7 @@
 
 // RecordAnswer records the limit that an answer of an endpoint names, 0 for none. The answer's
 // request was sent at sentAt.
-func (l *RateLimits) RecordAnswer(target ratelimit.Target, limit float64, sentAt time.Time) {
+func (l *RateLimits) RecordAnswer(target protocol.EndpointProcess, limit float64, sentAt time.Time) {
 	if limit == 0 && l.Empty() {
 		return
 	}
@@ -65,7 +65,7 @@
 
 // Want notes that this entry has a request for an endpoint, and reports to the other entries if its
 // share of the endpoint's limit is too small.
-func (l *RateLimits) Want(target ratelimit.Target, now time.Time) {
+func (l *RateLimits) Want(target protocol.EndpointProcess, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if r, ok := l.tracker.Want(target, now); ok {
@@ -75,7 +75,7 @@
 
 // NextAt returns when this entry may send the next request to an endpoint, now or earlier if it may
 // at once.
-func (l *RateLimits) NextAt(target ratelimit.Target, now time.Time) time.Time {
+func (l *RateLimits) NextAt(target protocol.EndpointProcess, now time.Time) time.Time {
 	if l.Empty() {
 		return now
 	}
@@ -86,7 +86,7 @@
 
 // TakeAll takes one request from this entry's share of each of some endpoints, and reports whether
 // all allow it. If one does not, it takes none.
-func (l *RateLimits) TakeAll(targets []ratelimit.Target, now time.Time) bool {
+func (l *RateLimits) TakeAll(targets []protocol.EndpointProcess, now time.Time) bool {
 	if l.Empty() {
 		return true
 	}
