forward: order no path change for an attempt that was closed

Seen: TestWorkFollowsThePath failed in four of four turns on a case that rapid drew and kept; the code of fails on the same file. An engine's load counted 450 layer passes for a request that was no longer there, for ever.

Cause: of two open attempts whose paths had both lost a stage, the older is closed, so that the other may go on. When no further attempt was possible, the stages of the one just closed were replaced all the same: mayReplace asked whether one attempt was open, not which. The order is never answered, and the load of its new stage never taken back.

Change: mayReplace asks for the attempt itself. TestClosedAttemptGivesNoOrder failed before; rapid's file is kept beside the older one.

--- a/transport/forward/reroute.go
+++ b/transport/forward/reroute.go
@@ -115,10 +115,10 @@
 }
 
 // mayReplace reports whether stages of an attempt's path may be replaced: not the first stage,
-// whose engine receives the order, not while another attempt may deliver the next event, and not if
-// the work may have crashed them.
+// whose engine receives the order, not while another attempt may deliver the next event, not if the
+// work may have crashed them, and not if the attempt was closed meanwhile.
 func (x *exchange) mayReplace(a *attempt, stages []*fleet.Runner, now time.Time) bool {
-	return x.forwarder.PathChanger != nil && len(x.open) == 1 && a.pathChange.CanStart() && len(stages) > 0 &&
+	return x.forwarder.PathChanger != nil && len(x.open) == 1 && x.open[0] == a && a.pathChange.CanStart() && len(stages) > 0 &&
 		!slices.Contains(stages, a.endpoint) && x.mayChangeEndpoints(now)
 }
 
--- a/transport/forward/reroute_test.go
+++ b/transport/forward/reroute_test.go
@@ -181,3 +181,23 @@
 	x.handleLosses(time.Now())
 	require.Equal(t, 2, x.attempts)
 }
+
+// TestClosedAttemptGivesNoOrder guards against a path change for an attempt that was closed because
+// another one is still open: the load of its new stages would count for ever.
+func TestClosedAttemptGivesNoOrder(t *testing.T) {
+	s := newPathChangeHarness(t, silentEngines(t), true)
+	t.Cleanup(s.end)
+	x, now := s.exchange, time.Now()
+	closed := x.open[0]
+	require.Equal(t, silenceElsewhere, x.hedge(closed, []*fleet.Runner{closed.path.Runner(2)}, now))
+	x.attempts = maxAttempts
+	for _, a := range x.open {
+		a.path.Runner(1).MarkLost(now, now.Add(time.Minute))
+	}
+	x.handleLosses(now)
+	require.NotContains(t, x.open, closed)
+	_, ordered := closed.pathChange.OrderedPath()
+	require.False(t, ordered)
+	s.recordOrder()
+	s.check()
+}
