backoff: leave endpoints alone that ask for rest or leave

Cause: nobody read the words. What kept requests away was a pause of 0.15 s that doubles with each refusal and that the last resort of the choice ignores. Class: an endpoint says something in an answer, and the ways of sending do not know it.

Change: coordination/backoff tracks rest and leaving for each incarnation; the gate that every attempt passes asks it, beside the rate limits. After a rest one request is tried before the others follow. A request that no endpoint takes in time is refused at once with the earliest end, spread over 0.25 s; others wait in the queue. TestEveryWayToAnEndpointPassesTheGate closes the gate by each word and tries each way.

Ruled out: a check at each place that sends (that is how the fault came about), and a longer pause after refusals (it is guessed, and a rest is told).

--- a/transport/forward/dispatch.go
+++ b/transport/forward/dispatch.go
@@ -12,7 +12,6 @@
 	"pinerun.example/pinerun/coordination/path"
 	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/internal/event"
-	"pinerun.example/pinerun/internal/metric"
 )
 
 // maxAttempts bounds the attempts of one request, whatever its route allows: each further attempt
@@ -23,7 +22,6 @@
 // reports whether they do.
 func (x *exchange) startAttempt(p *path.Path) bool {
 	if !x.forwarder.pass(p, nil, clock.Now()) {
-		x.forwarder.Counters.Add(metric.LimitWaits, 1)
 		return false
 	}
 	x.attempts++
@@ -81,7 +79,7 @@
 func (x *exchange) pathQuery(now time.Time) path.Query {
 	return path.Query{
 		Now: now, Positions: max(1, x.terms.PromptTokens), OutputTokens: x.terms.AnswerTokens, Entries: x.forwarder.entriesPerDataCenter(x.service.Name),
-		Rand: x.rng, Avoid: x.avoidReserved(x.avoid, now), Gate: x.forwarder.gate(true),
+		Rand: x.rng, Avoid: x.avoidReserved(x.avoid, now), Gate: x.forwarder.gate(true, now),
 	}
 }
 
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -81,6 +81,7 @@
 	startup      startupGate
 	pool         connPool
 	inflight     inflightBytes
+	backoffs     backoffs
 	faultLocator faultLocator
 	crashProbes  crashcheck.Checker
 	queues       waitQueues
@@ -146,7 +147,7 @@
 			clock.Refresh()
 			f.pool.sweep(clock.Now())
 			f.inflight.sweep(f.Registry)
-			f.maintainRateLimits(clock.Now())
+			f.maintainGate(clock.Now())
 		case <-dispatchTick:
 			now := clock.Now()
 			f.checkSuspension(now)
--- a/transport/forward/queue.go
+++ b/transport/forward/queue.go
@@ -244,6 +244,9 @@
 	if !now.Before(deadline) {
 		return queue.retryAfter(now), false
 	}
+	if opensAt, closed := x.reopensAt(deadline, now); closed {
+		return x.spread(opensAt), false
+	}
 	priority := x.priority()
 	if x.headSent {
 		priority = resumePriority
--- a/transport/forward/rate_limit.go
+++ b/transport/forward/rate_limit.go
@@ -40,7 +40,7 @@
 	if f.RateLimits == nil || status == http.StatusMisdirectedRequest || terms.BadRateLimit {
 		return
 	}
-	f.RateLimits.RecordAnswer(protocol.EndpointProcess{ID: a.endpoint.Name(), Incarnation: a.incarnation}, terms.RateLimit, a.sentAt)
+	f.RateLimits.RecordAnswer(a.process(), terms.RateLimit, a.sentAt)
 }
 
 // rateLimit returns the rate limit of an endpoint as this entry knows it, 0 for none.
@@ -62,13 +62,3 @@
 	f.log(event.RateLimitChanged, slog.String("endpoint", r.Endpoint()), slog.String("witness", r.Observer()), slog.String("sign", r.Observation().String()),
 		slog.Float64("per_second", change.Limit()), slog.Float64("before", change.Before()))
 }
-
-// maintainRateLimits lends the shares of rate limits that this entry does not use, and forgets the
-// limits of endpoints that do not exist any more.
-func (f *Forwarder) maintainRateLimits(now time.Time) {
-	if f.RateLimits == nil || f.RateLimits.Empty() {
-		return
-	}
-	view := f.Registry.View()
-	f.RateLimits.Maintain(func(endpoint string) bool { return view.Runner(endpoint) != nil }, now)
-}
