forward: look up once per choice which endpoints keep requests away

While any endpoint names a limit or asks for rest, each choice of a path asked two locked tables for every engine that it weighed. The gate now takes the few endpoints that they track when a choice begins, and asks about those only. No change of what is decided: tests of forward and coordination pass.

--- a/coordination/backoff/backoff.go
+++ b/coordination/backoff/backoff.go
@@ -53,6 +53,13 @@
 // Empty reports whether no endpoint is tracked.
 func (t *Tracker) Empty() bool { return len(t.endpoints) == 0 }
 
+// AddTracked adds the IDs of the tracked endpoints to a set.
+func (t *Tracker) AddTracked(ids map[string]bool) {
+	for id := range t.endpoints {
+		ids[id] = true
+	}
+}
+
 // RecordAnswer records an answer, and reports whether it is the first by which the endpoint says that
 // it leaves.
 func (t *Tracker) RecordAnswer(endpoint protocol.EndpointProcess, a Answer, now time.Time) (leaves bool) {
--- a/coordination/ratelimit/tracker.go
+++ b/coordination/ratelimit/tracker.go
@@ -69,6 +69,15 @@
 	return 0
 }
 
+// AddTracked adds the IDs of the endpoints that have a limit to a set.
+func (t *Tracker) AddTracked(ids map[string]bool) {
+	for id, s := range t.endpoints {
+		if s.limit > 0 {
+			ids[id] = true
+		}
+	}
+}
+
 // limited returns the state of an endpoint that has a limit, nil if it has none.
 func (t *Tracker) limited(target protocol.EndpointProcess) *endpointState {
 	s := t.endpoints[target.ID]
--- a/transport/forward/gate.go
+++ b/transport/forward/gate.go
@@ -25,7 +25,8 @@
 type gate struct {
 	forwarder *Forwarder
 	now       time.Time
-	wants     bool // whether the entry has a request for the endpoints that it asks about
+	wants     bool            // whether the entry has a request for the endpoints that it asks about
+	tracked   map[string]bool // IDs of the endpoints that may keep requests away
 }
 
 // gate returns the gate for a choice among endpoints, nil if all take requests.
@@ -33,7 +34,12 @@
 	if f.gateOpen() {
 		return nil
 	}
-	return &gate{forwarder: f, now: now, wants: wants}
+	g := &gate{forwarder: f, now: now, wants: wants, tracked: make(map[string]bool)}
+	f.backoffs.addTracked(g.tracked)
+	if f.RateLimits != nil {
+		f.RateLimits.AddTracked(g.tracked)
+	}
+	return g
 }
 
 // gateOpen reports whether no endpoint keeps requests away.
@@ -43,13 +49,12 @@
 
 // Admits reports whether an endpoint takes a request at a time, now or later.
 func (g *gate) Admits(r *fleet.Runner, at time.Time) bool {
-	f := g.forwarder
-	e := protocol.EndpointProcess{ID: r.Name()}
-	if next, ever := f.nextAt(e, g.now); ever && !next.After(at) && f.rateLimit(e.ID) == 0 {
-		return true // whatever the incarnation
+	if !g.tracked[r.Name()] {
+		return true
 	}
-	e = f.process(r)
-	if g.wants && f.rateLimit(e.ID) > 0 {
+	f := g.forwarder
+	e := f.process(r)
+	if g.wants && f.RateLimits != nil {
 		f.RateLimits.Want(e, g.now)
 	}
 	next, ever := f.nextAt(e, g.now)
--- a/transport/forward/rate_limit.go
+++ b/transport/forward/rate_limit.go
@@ -18,6 +18,8 @@
 type RateLimits interface {
 	// Empty reports whether no endpoint has a limit.
 	Empty() bool
+	// AddTracked adds the IDs of the endpoints that have a limit to a set.
+	AddTracked(ids map[string]bool)
 	// Limit returns the limit of an endpoint in requests a second, 0 for none.
 	Limit(target protocol.EndpointProcess) float64
 	// RecordAnswer records the limit that an answer names, 0 for none. Its request was sent at sentAt.
--- a/transport/forward/rest.go
+++ b/transport/forward/rest.go
@@ -26,6 +26,13 @@
 // empty reports whether every endpoint takes requests.
 func (b *backoffs) empty() bool { return !b.nonEmpty.Load() }
 
+// addTracked adds the IDs of the tracked endpoints to a set.
+func (b *backoffs) addTracked(ids map[string]bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.tracker.AddTracked(ids)
+}
+
 // nextAt returns when an endpoint takes the next request, now or earlier if at once, and false if it
 // takes none any more.
 func (b *backoffs) nextAt(endpoint protocol.EndpointProcess, now time.Time) (at time.Time, ever bool) {
--- a/transport/relay/ratelimits.go
+++ b/transport/relay/ratelimits.go
@@ -39,6 +39,13 @@
 // Empty reports whether no endpoint has a limit.
 func (l *RateLimits) Empty() bool { return !l.nonEmpty.Load() }
 
+// AddTracked adds the IDs of the endpoints that have a limit to a set.
+func (l *RateLimits) AddTracked(ids map[string]bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.tracker.AddTracked(ids)
+}
+
 // Limit returns the limit of an endpoint in requests a second, 0 for none.
 func (l *RateLimits) Limit(target protocol.EndpointProcess) float64 {
 	if l.Empty() {
