soak: have endpoints limit requests

A series of its own, so that the other series draw the same faults from a seed as before, makes endpoints name changing limits.

--- a/soak/fault_series_test.go
+++ b/soak/fault_series_test.go
@@ -25,15 +25,17 @@
 	// recordFaults selects the faults that concern endpoint records. They have their own series,
 	// so that the other series draw the same faults from a seed as without them.
 	recordFaults bool
+	// answerFaults selects what endpoints say in their answers, for the same reason.
+	answerFaults bool
 }
 
-// run injects faults until f.until in count parallel series, plus one series of
-// record faults. It returns when all faults are over.
+// run injects faults until f.until in count parallel series, plus one series of record faults and one
+// of what endpoints say in their answers. It returns when all faults are over.
 func (f *faultInjection) run(rng *rand.Rand, count int) {
 	f.started = time.Now()
-	for i := range count + 1 {
+	for i := range count + 2 {
 		f.wait.Add(1)
-		go (&series{injection: f, rng: rand.New(rand.NewPCG(rng.Uint64(), 2)), recordFaults: i == count}).run()
+		go (&series{injection: f, rng: rand.New(rand.NewPCG(rng.Uint64(), 2)), recordFaults: i == count, answerFaults: i > count}).run()
 	}
 	f.wait.Wait()
 }
@@ -104,5 +106,8 @@
 	if s.recordFaults {
 		faults = []func(){s.restartEndpoint, s.writeInvalidRecords}
 	}
+	if s.answerFaults {
+		faults = []func(){s.nameLimit}
+	}
 	faults[s.rng.IntN(len(faults))]()
 }
--- a/soak/recovery_test.go
+++ b/soak/recovery_test.go
@@ -33,6 +33,7 @@
 	time.Sleep(settleTime)
 	r.checkTable()
 	r.checkDrain()
+	r.checkRateLimit()
 	r.checkCrashWork()
 	r.checkStop()
 	tb.checkAnswers(r.calls)
