soak: have endpoints ask for rest and leave by their answers

The series that makes endpoints name limits also makes them shed with Retry-After, and leave by Server-Leaving alone. Each rest is compared with what the entry that was asked sent there, by the callers' request IDs.

--- a/soak/answer_terms_test.go
+++ b/soak/answer_terms_test.go
@@ -18,6 +18,12 @@
 	// maxInWindow is how many requests an endpoint with that limit may get in a window: one and a half
 	// times what the limit allows, and five more.
 	maxInWindow = 17
+	// restGrace is how long after an endpoint asked an entry for rest requests may still be on their way,
+	// and maxInRest is how many of the entry's requests may reach it in the remaining rest.
+	restGrace = 500 * time.Millisecond
+	maxInRest = 2
+	// longestRest is the longest rest that an endpoint asks for.
+	longestRest = 4 * time.Second
 )
 
 // nameLimit makes an endpoint name one limit after another.
@@ -32,6 +38,65 @@
 	e.SetAnswerTerms(platformtest.AnswerTerms{})
 }
 
+// askForRest makes an endpoint turn requests away and ask for rest.
+func (s *series) askForRest() {
+	e := s.endpoint()
+	rest := time.Duration(100+s.rng.IntN(int(longestRest.Milliseconds())-100)) * time.Millisecond
+	s.injection.record(e.ID + " asks for rest")
+	e.SetAnswerTerms(platformtest.AnswerTerms{Rest: rest})
+	s.waitFaultDuration()
+	e.SetAnswerTerms(platformtest.AnswerTerms{})
+}
+
+// leaveByAnswer drains an endpoint that says only in its answers that it leaves.
+func (s *series) leaveByAnswer() {
+	tb := s.injection.testbed
+	old := s.reserveForCrash()
+	if old == nil {
+		return
+	}
+	s.injection.record(old.ID + " leaves by its answers")
+	tb.addEndpoint(old.engine, old.dataCenter)
+	old.SetAnswerTerms(platformtest.AnswerTerms{Leaving: true})
+	time.Sleep(drainBound)
+	s.pause(100, 500)
+	tb.remove(old)
+}
+
+// checkRests checks that endpoints got the rest that they asked for from each entry. Entries that were
+// started or paused meanwhile, and endpoints whose link was disturbed, are excused.
+func (tb *testbed) checkRests(calls []*call) {
+	entries := make(map[string]*entry, len(calls))
+	for _, c := range calls {
+		entries[c.id] = c.entry
+	}
+	for _, e := range tb.allEndpoints() {
+		received := e.Received()
+		for _, asked := range received {
+			by := entries[asked.ID]
+			if asked.Rest <= restGrace || by == nil || by.disturbedSince(asked.At) || e.link.changedSince(asked.At.Add(-deadline)) {
+				continue
+			}
+			n := 0
+			for _, r := range received {
+				if entries[r.ID] == by && r.At.After(asked.At.Add(restGrace)) && r.At.Before(asked.At.Add(asked.Rest)) {
+					n++
+				}
+			}
+			if n > maxInRest {
+				tb.reportProblem("%s got %d requests of %s in the %v of rest for which it had asked", e.ID, n, by.name, asked.Rest)
+			}
+		}
+	}
+}
+
+// disturbedSince reports whether the entry was started, paused or resumed after a time.
+func (e *entry) disturbedSince(at time.Time) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.lastPauseChange.After(at) || e.lastStart.After(at)
+}
+
 // checkRateLimit makes an endpoint of each service name a limit, and checks the requests that all
 // entries together send to it.
 func (r *recovery) checkRateLimit() {
--- a/soak/entry_test.go
+++ b/soak/entry_test.go
@@ -33,7 +33,8 @@
 	exited          chan struct{} // closed when the process has exited
 	exitExpected    bool          // the process was asked to stop, or killed
 	lastPauseChange time.Time     // when it was last paused or resumed
-	peakMB          int           // peak memory of all processes of this entry
+	lastStart       time.Time
+	peakMB          int // peak memory of all processes of this entry
 }
 
 func (tb *testbed) newEntry(dir, name, dataCenter string) *entry {
@@ -64,6 +65,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.process, e.exited, e.exitExpected = p, make(chan struct{}), false
+	e.lastStart = time.Now()
 	go (&processMonitor{entry: e, process: p, exited: e.exited}).run()
 }
 
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -34,6 +34,7 @@
 	stateChanged chan struct{} // closed when the state changes
 	conns        map[net.Conn]bool
 	closed       bool
+	changedAt    time.Time // when the link was last disturbed or restored
 }
 
 func newProxy(t testing.TB, target string) *proxy {
@@ -50,10 +51,18 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.state = s
+	p.changedAt = time.Now()
 	close(p.stateChanged)
 	p.stateChanged = make(chan struct{})
 }
 
+// changedSince reports whether the link was disturbed or restored after a time.
+func (p *proxy) changedSince(at time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.changedAt.After(at)
+}
+
 // setTarget changes the target of new connections.
 func (p *proxy) setTarget(target string) {
 	p.mutex.Lock()
@@ -71,6 +80,7 @@
 func (p *proxy) reset() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.changedAt = time.Now()
 	for c := range p.conns {
 		abort(c)
 	}
