ratelimit: forget a limit that has ended though its endpoint answers

Cause: each answer without a limit counted as use of the state of a limit that had ended, so it was never forgotten while requests came, and every choice of a path and every answer went on taking a lock for it. TestEndedLimitIsForgotten failed before.

--- a/coordination/ratelimit/tracker.go
+++ b/coordination/ratelimit/tracker.go
@@ -37,7 +37,7 @@
 	namedAt     time.Time // when an answer last named a limit
 	endedAt     time.Time // when the request was sent whose answer named none
 	reportedAt  time.Time // when the limit was last reported
-	usedAt      time.Time // when the state was last read or changed
+	usedAt      time.Time // when the endpoint last named a limit, or a request was to be sent to it under one
 	bucket      bucket
 	share       ownShare
 	peers       map[string]*peer // other entries that reported anything, by name
@@ -139,7 +139,6 @@
 	}
 	before := s.limit
 	s.advanceTo(r.message.Incarnation)
-	s.usedAt = now
 	if r.Observation() == protocol.RateLimitEnded {
 		s.applyEnd(r)
 		return changeOf(before, s.limit, false)
@@ -162,7 +161,7 @@
 	if !s.namedAt.Before(r.at) || r.at.Before(s.endedAt) {
 		return false
 	}
-	s.namedAt = r.at
+	s.namedAt, s.usedAt = r.at, now
 	s.setLimit(r.message.Limit, now)
 	if r.at.Sub(s.reportedAt) < confirmInterval {
 		return false
--- a/coordination/ratelimit/tracker_test.go
+++ b/coordination/ratelimit/tracker_test.go
@@ -207,3 +207,18 @@
 	}
 	f.pending = kept
 }
+
+// TestEndedLimitIsForgotten guards against a limit that has ended and costs every later choice a look,
+// for as long as its endpoint answers.
+func TestEndedLimitIsForgotten(t *testing.T) {
+	var tracker ratelimit.Tracker
+	tracker.SetMembers("one", []string{"one"})
+	now := time.Unix(1000, 0)
+	tracker.RecordAnswer(endpoint, 5, now, now)
+	for range 200 {
+		now = now.Add(time.Second)
+		tracker.RecordAnswer(endpoint, 0, now, now)
+		tracker.Sweep(func(string) bool { return true }, now)
+	}
+	require.True(t, tracker.Empty())
+}
