--- a/coordination/backoff/backoff.go
+++ b/coordination/backoff/backoff.go
@@ -1,11 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package backoff decides when an entry may send to an endpoint that asked for rest or that leaves.
+// Package backoff decides when an entry may send to an endpoint that asked for backoff or that leaves.
 //
 // An endpoint that turns a request away may say for how long it wants nothing more from the entry
 // that sent it. After that time its state is unknown, and all requests that waited would reach it at
 // once. So a single request is tried first, and the others follow when its answer asks for no further
-// rest. An endpoint that says that it leaves gets nothing more in that incarnation.
+// backoff. An endpoint that says that it leaves gets nothing more in that incarnation.
 //
 //	tracker.RecordAnswer(endpoint, answer, now)
 //	at, ever := tracker.NextAt(endpoint, now)  // when the endpoint takes the next request
@@ -19,7 +19,7 @@
 )
 
 const (
-	// trialTimeout is how long the answer to the request that is tried after a rest is awaited before
+	// trialTimeout is how long the answer to the request that is tried after a backoff is awaited before
 	// another one is tried: an answer begins within some tenths of a second.
 	trialTimeout = time.Second
 	// trialPoll is when others should look again while a request is tried.
@@ -30,12 +30,12 @@
 
 // Answer is what an answer of an endpoint says about further requests.
 type Answer struct {
-	RestUntil time.Time // until when the endpoint wants none from this entry, zero if it does not say so
-	Leaving   bool      // the endpoint wants none any more
-	SentAt    time.Time // when the request was sent
+	RetryAt time.Time // until when the endpoint wants none from this entry, zero if it does not say so
+	Leaving bool      // the endpoint wants none any more
+	SentAt  time.Time // when the request was sent
 }
 
-// Tracker tracks the endpoints that want no request, or whose rest is over and that were not tried
+// Tracker tracks the endpoints that want no request, or whose backoff is over and that were not tried
 // yet. The zero value tracks none.
 type Tracker struct {
 	endpoints map[string]*endpointState // by endpoint ID
@@ -44,7 +44,7 @@
 // endpointState is the state of one endpoint.
 type endpointState struct {
 	incarnation protocol.Incarnation
-	restUntil   time.Time
+	retryAt     time.Time
 	leaving     bool
 	trialUntil  time.Time // until when the answer to a tried request is awaited, zero if none was tried
 	heardAt     time.Time
@@ -64,7 +64,7 @@
 // it leaves.
 func (t *Tracker) RecordAnswer(endpoint protocol.EndpointProcess, a Answer, now time.Time) (leaves bool) {
 	s := t.endpoints[endpoint.ID]
-	if a.RestUntil.IsZero() && !a.Leaving {
+	if a.RetryAt.IsZero() && !a.Leaving {
 		if s != nil {
 			t.recordServed(s, endpoint, a.SentAt)
 		}
@@ -77,10 +77,10 @@
 		s = t.add(endpoint)
 	}
 	s.heardAt = now
-	if a.RestUntil.After(s.restUntil) {
-		s.restUntil = a.RestUntil
+	if a.RetryAt.After(s.retryAt) {
+		s.retryAt = a.RetryAt
 	}
-	if !a.RestUntil.IsZero() {
+	if !a.RetryAt.IsZero() {
 		s.trialUntil = time.Time{}
 	}
 	leaves = a.Leaving && !s.leaving
@@ -88,9 +88,9 @@
 	return leaves
 }
 
-// recordServed forgets the rest of an endpoint that was tried after it and asked for no other.
+// recordServed forgets the backoff of an endpoint that was tried after it and asked for no other.
 func (t *Tracker) recordServed(s *endpointState, endpoint protocol.EndpointProcess, sentAt time.Time) {
-	if !s.leaving && !sentAt.Before(s.restUntil) && !endpoint.Incarnation.Before(s.incarnation) {
+	if !s.leaving && !sentAt.Before(s.retryAt) && !endpoint.Incarnation.Before(s.incarnation) {
 		delete(t.endpoints, endpoint.ID)
 	}
 }
@@ -114,8 +114,8 @@
 		return now, true
 	case s.leaving:
 		return time.Time{}, false
-	case now.Before(s.restUntil):
-		return s.restUntil, true
+	case now.Before(s.retryAt):
+		return s.retryAt, true
 	case now.Before(s.trialUntil):
 		return now.Add(trialPoll), true
 	default:
@@ -123,7 +123,7 @@
 	}
 }
 
-// Take reports whether an endpoint takes a request now. The first one after a rest is a trial, whose
+// Take reports whether an endpoint takes a request now. The first one after a backoff is a trial, whose
 // answer is awaited before others are sent.
 func (t *Tracker) Take(endpoint protocol.EndpointProcess, now time.Time) bool {
 	if at, ever := t.NextAt(endpoint, now); !ever || at.After(now) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -63,7 +63,7 @@
 	EndpointRecovered   = Event{3017, "endpoint fast again", slog.LevelInfo}
 	EndpointRestarted   = Event{3018, "endpoint restarted", slog.LevelInfo}
 	RateLimitChanged    = Event{3019, "endpoint limits requests", slog.LevelWarn}
-	RestAsked           = Event{3020, "endpoint asks for rest", slog.LevelInfo}
+	BackoffAsked        = Event{3020, "endpoint asks for backoff", slog.LevelInfo}
 	LeavingTold         = Event{3021, "endpoint tells that it leaves", slog.LevelInfo}
 	ConfigInForce       = Event{4001, "configuration in force", slog.LevelInfo}
 	ConfigIgnored       = Event{4002, "configuration ignored", slog.LevelWarn}
@@ -103,7 +103,7 @@
 		PathOrdered, PathAnswered, WorkRefused, WorkReleased, RefusalIgnored, CrashUnresolved, IsolatedRunAwaited, StageLost,
 		RunnerConnected, RunnerLost, RunnerEjected, FrameBroken, ReportIgnored,
 		EndpointJoined, EndpointLeaving, EndpointGone, LayersChanged, LossReported,
-		RecordSuperseded, RecordDisproved, RecordUnusable, RecordUsable, EndpointSlow, EndpointRecovered, EndpointRestarted, RateLimitChanged, RestAsked, LeavingTold,
+		RecordSuperseded, RecordDisproved, RecordUnusable, RecordUsable, EndpointSlow, EndpointRecovered, EndpointRestarted, RateLimitChanged, BackoffAsked, LeavingTold,
 		ConfigInForce, ConfigIgnored,
 		PlatformUnreached, PlatformBack, PlatformCalled,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
--- a/protocol/forward.go
+++ b/protocol/forward.go
@@ -48,15 +48,15 @@
 	// BadRateLimit reports that the answer names a limit that can't be read. It says neither which
 	// limit there is nor that there is none.
 	BadRateLimit bool
-	// RestUntil is until when the endpoint wants no further request from this entry, zero if it does
+	// RetryAt is until when the endpoint wants no further request from this entry, zero if it does
 	// not ask for that.
-	RestUntil time.Time
+	RetryAt time.Time
 	// Leaving reports that the endpoint will end and wants no further request from any entry.
 	Leaving bool
 }
 
-// MaxRest is the longest rest that an endpoint may ask for. It bounds what nonsense may do.
-const MaxRest = 24 * time.Hour
+// MaxRetryAfter is the longest backoff that an endpoint may ask for. It bounds what nonsense may do.
+const MaxRetryAfter = 24 * time.Hour
 
 const (
 	// MinRateLimit is the least rate limit that is told apart from a lower one, in requests a second.
--- a/soak/answer_terms_test.go
+++ b/soak/answer_terms_test.go
@@ -18,12 +18,12 @@
 	// maxInWindow is how many requests an endpoint with that limit may get in a window: one and a half
 	// times what the limit allows, and five more.
 	maxInWindow = 17
-	// restGrace is how long after an endpoint asked an entry for rest requests may still be on their way,
-	// and maxInRest is how many of the entry's requests may reach it in the remaining rest.
-	restGrace = 500 * time.Millisecond
-	maxInRest = 2
-	// longestRest is the longest rest that an endpoint asks for.
-	longestRest = 4 * time.Second
+	// backoffGrace is how long after an endpoint asked an entry for backoff requests may still be on their way,
+	// and maxInBackoff is how many of the entry's requests may reach it in the remaining backoff.
+	backoffGrace = 500 * time.Millisecond
+	maxInBackoff = 2
+	// longestBackoff is the longest backoff that an endpoint asks for.
+	longestBackoff = 4 * time.Second
 )
 
 // nameLimit makes an endpoint name one limit after another.
@@ -38,12 +38,12 @@
 	e.SetAnswerTerms(platformtest.AnswerTerms{})
 }
 
-// askForRest makes an endpoint turn requests away and ask for rest.
-func (s *series) askForRest() {
+// askForBackoff makes an endpoint turn requests away and ask for backoff.
+func (s *series) askForBackoff() {
 	e := s.endpoint()
-	rest := time.Duration(100+s.rng.IntN(int(longestRest.Milliseconds())-100)) * time.Millisecond
-	s.injection.record(e.ID + " asks for rest")
-	e.SetAnswerTerms(platformtest.AnswerTerms{Rest: rest})
+	backoff := time.Duration(100+s.rng.IntN(int(longestBackoff.Milliseconds())-100)) * time.Millisecond
+	s.injection.record(e.ID + " asks for backoff")
+	e.SetAnswerTerms(platformtest.AnswerTerms{RetryAfter: backoff})
 	s.waitFaultDuration()
 	e.SetAnswerTerms(platformtest.AnswerTerms{})
 }
@@ -63,9 +63,9 @@
 	tb.remove(old)
 }
 
-// checkRests checks that endpoints got the rest that they asked for from each entry. Entries that were
+// checkBackoffs checks that endpoints got the backoff that they asked for from each entry. Entries that were
 // started or paused meanwhile, and endpoints whose link was disturbed, are excused.
-func (tb *testbed) checkRests(calls []*call) {
+func (tb *testbed) checkBackoffs(calls []*call) {
 	entries := make(map[string]*entry, len(calls))
 	for _, c := range calls {
 		entries[c.id] = c.entry
@@ -74,17 +74,17 @@
 		received := e.Received()
 		for _, asked := range received {
 			by := entries[asked.ID]
-			if asked.Rest <= restGrace || by == nil || by.disturbedSince(asked.At) || e.link.changedSince(asked.At.Add(-deadline)) {
+			if asked.RetryAfter <= backoffGrace || by == nil || by.disturbedSince(asked.At) || e.link.changedSince(asked.At.Add(-deadline)) {
 				continue
 			}
 			n := 0
 			for _, r := range received {
-				if entries[r.ID] == by && r.At.After(asked.At.Add(restGrace)) && r.At.Before(asked.At.Add(asked.Rest)) {
+				if entries[r.ID] == by && r.At.After(asked.At.Add(backoffGrace)) && r.At.Before(asked.At.Add(asked.RetryAfter)) {
 					n++
 				}
 			}
-			if n > maxInRest {
-				tb.reportProblem("%s got %d requests of %s in the %v of rest for which it had asked", e.ID, n, by.name, asked.Rest)
+			if n > maxInBackoff {
+				tb.reportProblem("%s got %d requests of %s in the %v of backoff for which it had asked", e.ID, n, by.name, asked.RetryAfter)
 			}
 		}
 	}
--- a/soak/fault_series_test.go
+++ b/soak/fault_series_test.go
@@ -107,7 +107,7 @@
 		faults = []func(){s.restartEndpoint, s.writeInvalidRecords}
 	}
 	if s.answerFaults {
-		faults = []func(){s.nameLimit, s.askForRest, s.leaveByAnswer}
+		faults = []func(){s.nameLimit, s.askForBackoff, s.leaveByAnswer}
 	}
 	faults[s.rng.IntN(len(faults))]()
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -98,7 +98,7 @@
 	tb.checkAnswers(cs.all())
 	tb.checkRuns(calls)
 	tb.checkPathChanges(calls)
-	tb.checkRests(calls)
+	tb.checkBackoffs(calls)
 	tb.checkRetryBudget(calls)
 	tb.checkLogs()
 	tb.checkMemory(cs.all())
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -191,7 +191,7 @@
 		return
 	}
 	a.recordRateLimit(head.StatusCode, &terms)
-	a.recordRest(head.StatusCode, &terms)
+	a.recordBackoff(head.StatusCode, &terms)
 	if head.StatusCode == http.StatusOK && isStream(head.Header) {
 		a.readStream(head, terms)
 		return
--- a/transport/forward/rest.go
+++ b/transport/forward/backoff.go
@@ -15,7 +15,7 @@
 	"pinerun.example/pinerun/protocol"
 )
 
-// backoffs holds the endpoints that asked this entry for rest, or that said that they leave. The zero
+// backoffs holds the endpoints that asked this entry for backoff, or that said that they leave. The zero
 // value has none.
 type backoffs struct {
 	mutex    sync.Mutex
@@ -65,7 +65,7 @@
 // recordAnswer records what an answer says about further requests, and reports whether it is the first
 // by which its endpoint says that it leaves.
 func (b *backoffs) recordAnswer(endpoint protocol.EndpointProcess, a backoff.Answer, now time.Time) (leaves bool) {
-	if b.empty() && a.RestUntil.IsZero() && !a.Leaving {
+	if b.empty() && a.RetryAt.IsZero() && !a.Leaving {
 		return false
 	}
 	b.mutex.Lock()
@@ -86,17 +86,17 @@
 	b.nonEmpty.Store(!b.tracker.Empty())
 }
 
-// recordRest records whether an answer asks for rest, and whether its endpoint leaves. An answer of
+// recordBackoff records whether an answer asks for backoff, and whether its endpoint leaves. An answer of
 // another process at the endpoint's address says nothing about the endpoint.
-func (a *attempt) recordRest(status int, terms *protocol.AnswerTerms) {
+func (a *attempt) recordBackoff(status int, terms *protocol.AnswerTerms) {
 	if status == http.StatusMisdirectedRequest {
 		return
 	}
 	f := a.forwarder
-	answer := backoff.Answer{RestUntil: terms.RestUntil, Leaving: terms.Leaving, SentAt: a.sentAt}
+	answer := backoff.Answer{RetryAt: terms.RetryAt, Leaving: terms.Leaving, SentAt: a.sentAt}
 	leaves := f.backoffs.recordAnswer(a.process(), answer, clock.Now())
-	if !terms.RestUntil.IsZero() {
-		f.log(event.RestAsked, slog.String("endpoint", a.endpoint.Name()), slog.String("request", a.id), slog.Int64("rest_ms", clock.Until(terms.RestUntil).Milliseconds()))
+	if !terms.RetryAt.IsZero() {
+		f.log(event.BackoffAsked, slog.String("endpoint", a.endpoint.Name()), slog.String("request", a.id), slog.Int64("retry_after_ms", clock.Until(terms.RetryAt).Milliseconds()))
 	}
 	if leaves {
 		f.log(event.LeavingTold, slog.String("endpoint", a.endpoint.Name()))
--- a/transport/forward/rest_test.go
+++ b/transport/forward/backoff_test.go
@@ -16,25 +16,25 @@
 	"pinerun.example/pinerun/protocol"
 )
 
-// These are the platform's terms for rest: from restGrace after an endpoint asked an entry for rest
-// until the end of the rest, it gets at most maxInRest requests from that entry.
+// These are the platform's terms for backoff: from backoffGrace after an endpoint asked an entry for backoff
+// until the end of the backoff, it gets at most maxInBackoff requests from that entry.
 const (
-	restGrace = 500 * time.Millisecond
-	maxInRest = 2
+	backoffGrace = 500 * time.Millisecond
+	maxInBackoff = 2
 )
 
-// sheddingEndpoint turns every request away and asks for rest during some time, and serves otherwise.
+// sheddingEndpoint turns every request away and asks for backoff during some time, and serves otherwise.
 type sheddingEndpoint struct {
 	*testEndpoint
-	rest  time.Duration
-	until time.Time
+	backoff time.Duration
+	until   time.Time
 
 	mutex sync.Mutex
-	asked map[string][]time.Time // when it asked for rest, by entry
+	asked map[string][]time.Time // when it asked for backoff, by entry
 }
 
-func shedRequests(e *testEndpoint, rest time.Duration, until time.Time) *sheddingEndpoint {
-	s := &sheddingEndpoint{testEndpoint: e, rest: rest, until: until, asked: map[string][]time.Time{}}
+func shedRequests(e *testEndpoint, backoff time.Duration, until time.Time) *sheddingEndpoint {
+	s := &sheddingEndpoint{testEndpoint: e, backoff: backoff, until: until, asked: map[string][]time.Time{}}
 	e.Respond = s.respond
 	return s
 }
@@ -47,12 +47,12 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.asked[entry] = append(s.asked[entry], now)
-	h.Set("Retry-After", strconv.FormatFloat(s.rest.Seconds(), 'g', -1, 64))
+	h.Set("Retry-After", strconv.FormatFloat(s.backoff.Seconds(), 'g', -1, 64))
 	return http.StatusServiceUnavailable
 }
 
-// mostInRest returns the highest number of requests from one entry in one rest.
-func (s *sheddingEndpoint) mostInRest() int {
+// mostInBackoff returns the highest number of requests from one entry in one backoff.
+func (s *sheddingEndpoint) mostInBackoff() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	highest := 0
@@ -60,7 +60,7 @@
 		for _, at := range asked {
 			n := 0
 			for _, a := range s.received() {
-				if a.entry == entry && !a.at.Before(at.Add(restGrace)) && a.at.Before(at.Add(s.rest)) {
+				if a.entry == entry && !a.at.Before(at.Add(backoffGrace)) && a.at.Before(at.Add(s.backoff)) {
 					n++
 				}
 			}
@@ -82,24 +82,24 @@
 	return endpoints
 }
 
-// TestEndpointThatAsksForRestGetsIt guards against an entry that goes on sending to an endpoint which
+// TestEndpointThatAsksForBackoffGetsIt guards against an entry that goes on sending to an endpoint which
 // turned it away with Retry-After, whether one or all endpoints of the service do so.
-func TestEndpointThatAsksForRestGetsIt(t *testing.T) {
+func TestEndpointThatAsksForBackoffGetsIt(t *testing.T) {
 	for _, service := range []string{"plain", "llm"} {
 		for _, shedding := range []int{1, 3} {
-			for _, rest := range []time.Duration{600 * time.Millisecond, 3 * time.Second, 8 * time.Second} {
-				t.Run(fmt.Sprint(service, " ", shedding, " of 3 for ", rest), func(t *testing.T) {
+			for _, backoff := range []time.Duration{600 * time.Millisecond, 3 * time.Second, 8 * time.Second} {
+				t.Run(fmt.Sprint(service, " ", shedding, " of 3 for ", backoff), func(t *testing.T) {
 					synctest.Test(t, func(t *testing.T) {
 						endpoints := newServiceEndpoints(service, 20*time.Millisecond)
 						var sheds []*sheddingEndpoint
 						for _, e := range endpoints[:shedding] {
-							sheds = append(sheds, shedRequests(e, rest, time.Now().Add(12*time.Second)))
+							sheds = append(sheds, shedRequests(e, backoff, time.Now().Add(12*time.Second)))
 						}
 						d := newTestFleet(t, 3, endpoints...)
 						d.loadAll(service, 10, 24*time.Second)
 						share, _ := d.served()
 						for _, s := range sheds {
-							require.LessOrEqual(t, s.mostInRest(), maxInRest, s.ID)
+							require.LessOrEqual(t, s.mostInBackoff(), maxInBackoff, s.ID)
 							require.True(t, s.received()[len(s.received())-1].at.After(s.until), "it serves again")
 						}
 						if shedding < len(endpoints) {
@@ -141,7 +141,7 @@
 				require.Greater(t, share, 0.99)
 				require.NotEmpty(t, told)
 				for _, a := range endpoints[0].received() {
-					require.False(t, a.at.After(told[a.entry].Add(restGrace)), "a request of %s after it was told", a.entry)
+					require.False(t, a.at.After(told[a.entry].Add(backoffGrace)), "a request of %s after it was told", a.entry)
 				}
 			})
 		})
--- a/transport/forward/gate.go
+++ b/transport/forward/gate.go
@@ -21,7 +21,7 @@
 const returnSpread = 250 * time.Millisecond
 
 // gate tells which endpoints take a request, by what they say in their answers: they limit the rate,
-// ask for rest, or leave. The choice of a path asks it, and every attempt passes it.
+// ask for backoff, or leave. The choice of a path asks it, and every attempt passes it.
 type gate struct {
 	forwarder *Forwarder
 	now       time.Time
--- a/transport/forward/gate_test.go
+++ b/transport/forward/gate_test.go
@@ -24,9 +24,9 @@
 		}
 		f.RateLimits.RecordAnswer(f.process(r), 5, time.Now())
 	},
-	"rest": func(f *Forwarder, r *fleet.Runner) {
+	"backoff": func(f *Forwarder, r *fleet.Runner) {
 		now := time.Now()
-		f.backoffs.recordAnswer(f.process(r), backoff.Answer{RestUntil: now.Add(time.Minute), SentAt: now}, now)
+		f.backoffs.recordAnswer(f.process(r), backoff.Answer{RetryAt: now.Add(time.Minute), SentAt: now}, now)
 	},
 	"leaving": func(f *Forwarder, r *fleet.Runner) {
 		now := time.Now()
@@ -130,15 +130,15 @@
 	}
 }
 
-// TestRequestIsRefusedAtOnceWhenNothingOpensInTime checks that a request does not wait for a rest that is
-// longer than its caller waits, and that the caller is told when the rest ends.
+// TestRequestIsRefusedAtOnceWhenNothingOpensInTime checks that a request does not wait for a backoff that is
+// longer than its caller waits, and that the caller is told when the backoff ends.
 func TestRequestIsRefusedAtOnceWhenNothingOpensInTime(t *testing.T) {
 	f, x := newGateForwarder(t)
 	now := time.Now()
-	rests := []time.Duration{time.Minute, 50 * time.Second, time.Hour}
+	backoffs := []time.Duration{time.Minute, 50 * time.Second, time.Hour}
 	i := 0
 	for _, r := range f.Registry.View().Runners() {
-		f.backoffs.recordAnswer(f.process(r), backoff.Answer{RestUntil: now.Add(rests[i]), SentAt: now}, now)
+		f.backoffs.recordAnswer(f.process(r), backoff.Answer{RetryAt: now.Add(backoffs[i]), SentAt: now}, now)
 		i++
 	}
 	fresh := newStreamExchange(t, f, x.service)
