relay: name the entry in reports of rate limits from the start

An entry that heard of a limit before it had counted the entries reported it without its own name. Peers reject such a report and with it the connection, again and again while it is kept (a minute): they would lose what they follow. TestReportsBeforeMembersAreKnownNameTheirEntry failed before.

--- a/transport/relay/ratelimits_test.go
+++ b/transport/relay/ratelimits_test.go
@@ -101,3 +101,19 @@
 		eventually(t, "the new entry knows the limit", func() bool { return limitsKnown([]*entry{late}, 5) == 1 })
 	})
 }
+
+// TestReportsBeforeMembersAreKnownNameTheirEntry guards against reports without a name, which peers
+// reject together with the connection, from an entry that has not counted the entries yet.
+func TestReportsBeforeMembersAreKnownNameTheirEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put(table, "one")
+		all := newEntries(t, s, 3)
+		for i, e := range all {
+			limit := float64(i + 1)
+			e.source.RateLimits().RecordAnswer(limitedEngine, limit, time.Now())
+			eventually(t, "all entries know of the limit", func() bool { return limitsKnown(all, limit) == len(all) })
+			time.Sleep(time.Second)
+		}
+	})
+}
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -96,6 +96,7 @@
 func (s *Source) Start() {
 	s.selector.source = s
 	s.quarantine.Self = s.Self.Name
+	s.rateLimits.SetMembers(s.Self.Name, nil) // names its reports until the entries are counted
 	s.rateLimits.OnChange = s.OnRateLimitChange
 	s.selector.start(clock.Now())
 	go s.selector.run()
