--- a/coordination/ratelimit/doc.go
+++ b/coordination/ratelimit/doc.go
@@ -7,7 +7,7 @@
 // limit bears so many, otherwise by those that a hash of their names and the endpoint's puts first.
 // (Far more entries than the limit would leave each less than one request in some seconds, and the
 // single requests of all of them together more than the limit.) Entries know one another from their
-// records in the platform, so no message decides who holds a share.
+// records in the platform, so no message decides which entry holds a share.
 //
 // Demand is uneven, and a share that its holder does not need is worth nothing to callers. So an
 // entry with more requests than its share allows reports that, and a holder without requests lends
