forward: take an attempt's header codec from its forwarder

An attempt holds its forwarder since it records what answers say, so the copy of the codec beside it was derived state. No change of behaviour; the package's tests and the linter pass.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -43,7 +43,6 @@
 	id               string // request ID, which the response must repeat
 	newConn          bool   // requires a new connection
 	forwarder        *Forwarder
-	headers          HeaderCodec
 	pool             *connPool
 	messages         chan<- message
 	reservation      *reservation // memory reserved for the request
@@ -184,7 +183,7 @@
 		return
 	}
 	defer head.Body.Close()
-	terms := a.headers.ParseResponse(head.StatusCode, head.Header, clock.Now())
+	terms := a.forwarder.Headers.ParseResponse(head.StatusCode, head.Header, clock.Now())
 	if terms.RequestID != "" && terms.RequestID != a.id {
 		a.closeConn()
 		a.post(attemptEnded{attempt: a, cause: errWrongResponse, stale: c.reused})
--- a/transport/forward/dispatch.go
+++ b/transport/forward/dispatch.go
@@ -35,7 +35,6 @@
 		id:             x.terms.RequestID,
 		newConn:        !x.route.MayRepeat() || x.needsNewConn(clock.Now()),
 		forwarder:      x.forwarder,
-		headers:        x.forwarder.Headers,
 		pool:           &x.forwarder.pool,
 		reservation:    &x.reservation,
 		messages:       x.messages,
