scheduling: tell an entry that was not run from one whose calls were lost

A loop that wakes ten times a second now logs how late it woke, with the kernel's account of this process's wait for a processor and of its own work (event 1007, loop_late_seconds). Events 4003 and 4004 say when keys lapse, how long the read that should confirm them has been waiting, whom the entry follows and when a call last failed.

The soak measures its own process in the same way, says which answer an unmet condition got, has entries log each call to the store, and writes the stacks of an entry that does not stop or serve in time.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -67,6 +67,8 @@
 	LeavingTold         = Event{3021, "endpoint tells that it leaves", slog.LevelInfo}
 	ConfigInForce       = Event{4001, "configuration in force", slog.LevelInfo}
 	ConfigIgnored       = Event{4002, "configuration ignored", slog.LevelWarn}
+	KeysUnconfirmed     = Event{4003, "keys unconfirmed", slog.LevelWarn}
+	KeysConfirmed       = Event{4004, "keys confirmed again", slog.LevelInfo}
 	PlatformUnreached   = Event{5001, "platform unreached", slog.LevelWarn}
 	PlatformBack        = Event{5002, "platform back", slog.LevelInfo}
 	PlatformCalled      = Event{5003, "platform called", slog.LevelDebug}
@@ -89,6 +91,7 @@
 	LeaseWriteUncertain = Event{8006, "lease write unsure", slog.LevelWarn}
 	LinesDropped        = Event{9101, "lines dropped", slog.LevelWarn}
 	VMSuspended         = Event{1006, "suspension noticed", slog.LevelWarn}
+	EntryRanLate        = Event{1007, "entry ran late", slog.LevelWarn}
 	SettingsRead        = Event{1004, "settings read", slog.LevelInfo}
 	SettingsIgnored     = Event{1005, "settings ignored", slog.LevelWarn}
 	PlanConfirmed       = Event{9001, "plan confirmed", slog.LevelInfo}
@@ -97,14 +100,14 @@
 // All returns all events in order of their numbers.
 func All() []Event {
 	return []Event{
-		EntryReady, EntryStopping, EntryStopped, SettingsRead, SettingsIgnored, VMSuspended,
+		EntryReady, EntryStopping, EntryStopped, SettingsRead, SettingsIgnored, VMSuspended, EntryRanLate,
 		RequestRefused, RequestRetried, RequestSent, RequestAnswered, SilenceSuspected, AttemptBroken,
 		StreamCut, CallerLeft, CallerUnbounded, AttemptNotRun, QueueWaitFailed, QueueWaitStarted, AnswerStopped, AnswerAborted,
 		PathOrdered, PathAnswered, WorkRefused, WorkReleased, RefusalIgnored, CrashUnresolved, IsolatedRunAwaited, StageLost,
 		RunnerConnected, RunnerLost, RunnerEjected, FrameBroken, ReportIgnored,
 		EndpointJoined, EndpointLeaving, EndpointGone, LayersChanged, LossReported,
 		RecordSuperseded, RecordDisproved, RecordUnusable, RecordUsable, EndpointSlow, EndpointRecovered, EndpointRestarted, RateLimitChanged, BackoffAsked, LeavingTold,
-		ConfigInForce, ConfigIgnored,
+		ConfigInForce, ConfigIgnored, KeysUnconfirmed, KeysConfirmed,
 		PlatformUnreached, PlatformBack, PlatformCalled,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
 		PeerConnected, PeerLost,
--- a/internal/metric/times.go
+++ b/internal/metric/times.go
@@ -47,7 +47,8 @@
 // longest time between two events of a stream. Detection is how long a stream was silent
 // when it was requested from another endpoint. StoreCall and EngineCall are calls to the
 // platform (except watches, which block) and to engines. QueueWait is the time in the wait
-// queue. PathChange is the pause of a stream whose path changed.
+// queue. PathChange is the pause of a stream whose path changed. LoopLate is how late a loop that
+// wakes ten times a second woke.
 const (
 	FirstEvent  Latency = "first_event"
 	WholeAnswer Latency = "whole_answer"
@@ -57,11 +58,12 @@
 	EngineCall  Latency = "engine_call"
 	QueueWait   Latency = "held"
 	PathChange  Latency = "path_change"
+	LoopLate    Latency = "loop_late"
 )
 
 // Latencies returns all latencies that a Set records.
 func Latencies() []Latency {
-	return []Latency{FirstEvent, WholeAnswer, Pause, Detection, StoreCall, EngineCall, QueueWait, PathChange}
+	return []Latency{FirstEvent, WholeAnswer, Pause, Detection, StoreCall, EngineCall, QueueWait, PathChange, LoopLate}
 }
 
 // Summary holds the count and percentiles of a histogram, in milliseconds.
--- a/soak/entry_test.go
+++ b/soak/entry_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -47,6 +48,7 @@
 		"bounds.retry_budget_ratio": retryShare, "bounds.retry_budget_slack": retrySlack,
 		"bounds.budget_window_s": retryWindow.Seconds(), "limits.memory_mb": memoryMB, "limits.max_fds": 8192, "internal_ports.0": platformtest.FreePort(),
 	})
+	text = strings.Replace(text, `"name":`, `"log_level": "debug", "name":`, 1)   // with each call to the store
 	text = strings.Replace(text, "127.0.0.1:9464", platformtest.FreeAddress(), 1) // all entries share this machine
 	e.settingsFile, e.logFile = filepath.Join(dir, name+".jsonc"), filepath.Join(dir, name+".log")
 	require.NoError(tb.t, os.WriteFile(e.settingsFile, []byte(text), 0o600))
@@ -120,6 +122,16 @@
 	return e.exited
 }
 
+// dumpStacks ends a process that is stuck, and has it write the stacks of its goroutines to its log.
+func (e *entry) dumpStacks() {
+	exited := e.expectExit()
+	e.signal(syscall.SIGQUIT)
+	select {
+	case <-exited:
+	case <-time.After(schedulingSlack):
+	}
+}
+
 func (e *entry) kill() {
 	exited := e.expectExit()
 	e.signal(os.Kill)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -58,6 +58,7 @@
 	case <-time.After(stopWithin + schedulingSlack):
 		if !e.pausedSince(stopSent) {
 			s.injection.testbed.reportProblem("%s did not stop in time", e.name)
+			e.dumpStacks()
 		}
 		e.kill()
 	}
--- a/soak/recovery_test.go
+++ b/soak/recovery_test.go
@@ -21,6 +21,7 @@
 	testbed *testbed
 	calls   []*call
 	seq     int
+	unmet   string // why the condition that within waits for was last not met
 
 	crashWorkRuns int // how often crashWork ran during recovery
 }
@@ -28,6 +29,9 @@
 func (r *recovery) run() {
 	tb := r.testbed
 	if !r.within(recoveryBound, "every entry serves again", r.allServe) {
+		for _, e := range tb.entries {
+			e.dumpStacks()
+		}
 		return
 	}
 	time.Sleep(settleTime)
@@ -41,12 +45,13 @@
 
 // within waits for a condition and reports a problem if it isn't met within a bound.
 func (r *recovery) within(bound time.Duration, what string, met func() bool) bool {
+	r.unmet = ""
 	for end := time.Now().Add(bound + schedulingSlack); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if met() {
 			return true
 		}
 	}
-	r.testbed.reportProblem("not within %v: %s", bound, what)
+	r.testbed.reportProblem("not within %v: %s: %s", bound, what, r.unmet)
 	return false
 }
 
@@ -64,12 +69,22 @@
 	return q
 }
 
+// describe says how a call ended.
+func describe(q *call) string {
+	return fmt.Sprintf("%s at %s got %d %v %q after %v", q.kind, q.entry.name, q.status, q.err, q.body, time.Since(q.sent).Round(time.Millisecond))
+}
+
 func answered(q *call) bool { return q.status == http.StatusOK && q.err == nil }
 
 func (r *recovery) allServe() bool {
 	for _, e := range r.testbed.entries {
 		for _, kind := range kinds {
-			if !e.isReady() || !answered(r.sendRequest(e, kind, permanentKey)) {
+			if !e.isReady() {
+				r.unmet = e.name + " is not ready"
+				return false
+			}
+			if q := r.sendRequest(e, kind, permanentKey); !answered(q) {
+				r.unmet = describe(q)
 				return false
 			}
 		}
@@ -83,7 +98,8 @@
 	allReturn := func(status int) func() bool {
 		return func() bool {
 			for _, e := range r.testbed.entries {
-				if r.sendRequest(e, idempotent, spareKey).status != status {
+				if q := r.sendRequest(e, idempotent, spareKey); q.status != status {
+					r.unmet = describe(q)
 					return false
 				}
 			}
@@ -172,5 +188,6 @@
 	case <-exited:
 	case <-time.After(stopWithin + schedulingSlack):
 		tb.reportProblem("%s did not stop in time", e.name)
+		e.dumpStacks()
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,18 +4,22 @@
 
 import (
 	"bufio"
+	"bytes"
 	"flag"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"pinerun.example/pinerun/internal/scheduling"
 	"pinerun.example/pinerun/platform/platformtest"
 )
 
@@ -84,6 +88,10 @@
 // runSeed injects faults into a new testbed, checks its recovery, then checks all calls of the run.
 func runSeed(t *testing.T, binary string, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 0))
+	var ownDelays delayLog
+	monitor := scheduling.Monitor{Logger: slog.New(slog.NewTextHandler(&ownDelays, nil))}
+	monitor.Start()
+	defer monitor.Close()
 	tb := newTestbed(t, binary, *entries)
 	cs := startCallers(tb, rng)
 	startSlowCallers(cs, seed)
@@ -107,11 +115,29 @@
 		t.Logf("seed %d: %s; slow callers: %s; %s", seed, summary(calls), tb.slowSummary(cs.all()), tb.crashSummary(calls, rec.crashWorkRuns))
 		return
 	}
-	t.Errorf("seed %d: %s\n  %s\ninjected faults:\n  %s", seed, summary(calls),
-		strings.Join(tb.problems[:min(len(tb.problems), 20)], "\n  "), strings.Join(injection.log, "\n  "))
+	t.Errorf("seed %d: %s\n  %s\ninjected faults since %s:\n  %s\nlate wake-ups of the test itself:\n%s", seed, summary(calls),
+		strings.Join(tb.problems[:min(len(tb.problems), 20)], "\n  "), injection.started.Format(time.RFC3339Nano), strings.Join(injection.log, "\n  "), ownDelays.String())
 	saveLogs(t, tb, seed)
 }
 
+// delayLog collects log lines.
+type delayLog struct {
+	mutex sync.Mutex
+	lines bytes.Buffer
+}
+
+func (d *delayLog) Write(line []byte) (int, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.lines.Write(line)
+}
+
+func (d *delayLog) String() string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.lines.String()
+}
+
 // summary counts the results of calls.
 func summary(calls []*call) string {
 	complete, refused, aborted := 0, 0, 0
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -16,6 +16,7 @@
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/lifecycle"
 	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/internal/scheduling"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/settings"
 	"pinerun.example/pinerun/state/fleet"
@@ -65,6 +66,8 @@
 	readiness         auxServer
 	metrics           auxServer
 	peers             auxServer
+	scheduling        scheduling.Monitor
+	keyTrust          keyTrust
 	stopping          atomic.Bool
 	platformReachable atomic.Bool // whether the last call to the platform was answered
 }
@@ -78,6 +81,7 @@
 		f.closeAddresses()
 		return err
 	}
+	f.scheduling.Start()
 	f.director.Start()
 	f.watch()
 	f.serve()
@@ -94,7 +98,8 @@
 // learns, so each of them needs its Front set before the first one starts.
 func (f *Front) assemble() {
 	s := &f.Settings
-	f.registration.front, f.refusals.front = f, f
+	f.registration.front, f.refusals.front, f.keyTrust.front = f, f, f
+	f.scheduling.Counters, f.scheduling.Logger = f.Counters, f.Logger
 	local := fleet.Entry{Name: s.Name, DataCenter: s.DataCenter}
 	f.endpoints.Entry = local
 	f.endpoints.DataCenters = s.DataCenters
@@ -288,6 +293,7 @@
 				event.EndpointGone.Log(f.Logger, slog.String("endpoint", e.ID), slog.String("reason", "did not come back after the platform did"))
 			}
 			f.checkRecords(now)
+			f.keyTrust.check(now)
 			f.callers.sweep(time.Now())
 		case <-f.done.Done():
 			return
--- a/transport/front/stop.go
+++ b/transport/front/stop.go
@@ -62,6 +62,7 @@
 // close stops every component.
 func (f *Front) close() {
 	f.done.Close()
+	f.scheduling.Close()
 	for _, w := range f.watchers {
 		w.Close()
 	}
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -154,6 +154,17 @@
 // Following reports whether this entry follows a peer.
 func (s *Source) Following() bool { return s.followedPeer() != nil }
 
+// FollowedName returns the name of the followed peer, "" for none.
+func (s *Source) FollowedName() string {
+	if l := s.followedPeer(); l != nil {
+		return l.peer.Name
+	}
+	return ""
+}
+
+// FailedAt returns when a call of this entry to the platform last failed, zero for never.
+func (s *Source) FailedAt() time.Time { return s.platformStatus().failedAt }
+
 func (s *Source) followedPeer() *link {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/transport/watch/confirm.go
+++ b/transport/watch/confirm.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"pinerun.example/pinerun/internal/clock"
@@ -46,9 +47,10 @@
 	Sink     Sink
 	Watchers []*Watcher
 
-	done       lifecycle.Done
-	wakeSignal lifecycle.Signal
-	lastFailed bool
+	done         lifecycle.Done
+	wakeSignal   lifecycle.Signal
+	lastFailed   bool
+	readingSince atomic.Pointer[time.Time] // nil between reads
 }
 
 // Start begins to read.
@@ -58,6 +60,14 @@
 // advance, and the last confirmation may have expired.
 func (c *Confirmer) Wake() { c.wakeSignal.Broadcast() }
 
+// ReadingSince returns when the read began that is waiting for its answer, zero for none.
+func (c *Confirmer) ReadingSince() time.Time {
+	if t := c.readingSince.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
 // Close stops the Confirmer.
 func (c *Confirmer) Close() { c.done.Close() }
 
@@ -87,7 +97,10 @@
 
 // read reads the object once.
 func (c *Confirmer) read(ctx context.Context) {
+	now := clock.Now()
+	c.readingSince.Store(&now)
 	r, err := c.Source.Read(ctx, c.Kind, c.Name)
+	c.readingSince.Store(nil)
 	if c.done.Closed() {
 		return
 	}
