clock: count as suspension only what two readings prove

What was seen: TestStartupGateWaits, TestLateEngineIsQueriedAndAvoided and TestSlowEngineIsQueriedUntilFast failed in 8 of 80 turns of their package: 400 ms in virtual time lasted 399.99999 ms.

Cause: the boot time offset was one difference of two clock reads, too small by whatever passed between them. At the start the largest of five was kept; a later read that was quicker counted the rest as a suspension. A process that begins on a busy VM would begin milliseconds short.

Change: the boot clock is read between two reads of the monotonic clock, which gives bounds on the offset. Only what the lower bound now exceeds the upper bound at the start by counts; a later, tighter upper bound replaces the first one, since the offset never decreases.

Ruled out: cutting the suspension to whole milliseconds, which hides the short start only while the wait between two reads is shorter than that.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -18,8 +18,6 @@
 import (
 	"sync/atomic"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -33,10 +31,10 @@
 )
 
 var (
-	start       = time.Now()
-	startOffset = readStartOffset() // the boot time offset at the start
-	suspended   atomic.Int64        // time suspended since the start, in nanoseconds
-	drift       atomic.Int64        // of the wall clock against the monotonic clock when suspended was read
+	start     = time.Now()
+	meter     = newSuspensionMeter(readKernelClock)
+	suspended atomic.Int64 // time suspended since the start, in nanoseconds
+	drift     atomic.Int64 // of the wall clock against the monotonic clock when suspended was read
 )
 
 // Now returns the time for setting and checking deadlines. Its wall clock reading is inexact
@@ -73,7 +71,7 @@
 
 // Refresh asks the kernel how long the VM was suspended. Now calls it when the wall clock has
 // moved; call it explicitly on a VM whose wall clock is set manually.
-func Refresh() { raiseSuspended(int64(bootOffset() - startOffset)) }
+func Refresh() { raiseSuspended(int64(meter.total(readKernelClock))) }
 
 // raiseSuspended records the total suspended time. The recorded value never decreases.
 func raiseSuspended(total int64) {
@@ -93,40 +91,3 @@
 	raiseSuspended(before + int64(d))
 	return func() { suspended.Store(before) }
 }
-
-// startReads is how often the offset is read at the start. A process that waits for the CPU
-// between the two clock reads gets too small an offset, and the difference would later look
-// like a suspension.
-const startReads = 5
-
-// readStartOffset returns the boot time offset at the start as exactly as possible: the largest
-// of several reads.
-func readStartOffset() time.Duration {
-	largest := bootOffset()
-	for range startReads - 1 {
-		largest = max(largest, bootOffset())
-	}
-	return largest
-}
-
-// bootOffset returns how much longer the machine has been up than its monotonic clock says. The
-// boot clock is read first, so that the result is slightly too small and never too large.
-func bootOffset() time.Duration {
-	boot, err := readClock(unix.CLOCK_BOOTTIME)
-	if err != nil {
-		return 0 // no such clock: suspensions can't be detected
-	}
-	monotonic, err := readClock(unix.CLOCK_MONOTONIC)
-	if err != nil {
-		return 0
-	}
-	return boot - monotonic
-}
-
-func readClock(id int32) (time.Duration, error) {
-	var t unix.Timespec
-	if err := unix.ClockGettime(id, &t); err != nil {
-		return 0, err
-	}
-	return time.Duration(t.Nano()), nil
-}
