routing: read a table and its confirmation at the same moment

What a team could see: a request with a withdrawn key is accepted. Admission read the table, then the time of the last confirmation. An entry that confirms again after an outage, or that waits for a processor between the two reads, paired the old table with the confirmation of the new one, which no longer has the key. Class: a bound measured at one moment and enforced at another.

Change: both are one value. Admission, readiness and the end of the startup wait use it.

Evidence: with two reads TestConfirmationNeverBelongsToALaterTable fails in 5 of 5 turns.

--- a/state/routing/routing_test.go
+++ b/state/routing/routing_test.go
@@ -4,6 +4,8 @@
 
 import (
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,3 +71,44 @@
 	require.Equal(t, "bbcccccc", got.String(), "a service without weight gets nothing")
 	require.Equal(t, "c", routing.PickService(r, 0.999999))
 }
+
+// tableReader reads the table in force while others replace it.
+type tableReader struct {
+	store   *routing.Store
+	done    <-chan struct{}
+	earlier atomic.Int64 // tables that came with the confirmation of a later one
+}
+
+func (r *tableReader) run() {
+	for {
+		select {
+		case <-r.done:
+			return
+		default:
+		}
+		if i := r.store.InForce(); i.Table() != nil && i.ConfirmedAt().Unix() > int64(i.Table().Version()) {
+			r.earlier.Add(1)
+		}
+	}
+}
+
+// TestConfirmationNeverBelongsToALaterTable replaces tables, each confirmed at a time that equals its
+// version. Read one after the other, an old table came with the confirmation of a new one, and a
+// withdrawn key was accepted.
+func TestConfirmationNeverBelongsToALaterTable(t *testing.T) {
+	const versions, readers = 50_000, 4
+	var s routing.Store
+	done := make(chan struct{})
+	r := &tableReader{store: &s, done: done}
+	var wait sync.WaitGroup
+	for range readers {
+		wait.Go(r.run)
+	}
+	for v := range uint64(versions) {
+		s.Offer(table(t, v))
+		s.Confirm(time.Unix(int64(v), 0))
+	}
+	close(done)
+	wait.Wait()
+	require.Zero(t, r.earlier.Load())
+}
--- a/transport/forward/admit.go
+++ b/transport/forward/admit.go
@@ -29,7 +29,8 @@
 	if f.refusing.Load() {
 		return protocol.Refuse(protocol.Stopping, "this entry is stopping").WithRetryAt(x.begun)
 	}
-	table := f.Routing.Current()
+	inForce := f.Routing.InForce()
+	table := inForce.Table()
 	if table == nil || !f.Registry.HasList() {
 		return protocol.Refuse(protocol.NoConfiguration, "no routing table was read yet").WithRetryAt(x.begun.Add(unconfirmedRetryAfter))
 	}
@@ -37,7 +38,7 @@
 	if limit := table.CallerLimits().HeaderBytes; limit > 0 && headBytes(x.request) > limit {
 		return protocol.Refuse(protocol.HeadTooLarge, "the head is longer than "+strconv.Itoa(limit)+" bytes")
 	}
-	unconfirmed := x.begun.Sub(f.Routing.ConfirmedAt()) > unconfirmedAfter
+	unconfirmed := x.begun.Sub(inForce.ConfirmedAt()) > unconfirmedAfter
 	target, _, _ := strings.Cut(x.request.RequestURI, "?")
 	x.route = table.Match(x.request.Host, target)
 	if x.route == nil {
@@ -46,7 +47,7 @@
 		}
 		return protocol.Refuse(protocol.UnknownService, "no route matches the host and path")
 	}
-	if refusal := x.admitTeam(unconfirmed); refusal != nil {
+	if refusal := x.admitTeam(inForce.ConfirmedAt(), unconfirmed); refusal != nil {
 		return refusal
 	}
 	x.deadline = x.route.Timeout(x.begun)
@@ -72,13 +73,13 @@
 }
 
 // admitTeam finds the team of the caller's key. It accepts a key only if the platform has confirmed
-// recently enough that the key is not withdrawn.
-func (x *exchange) admitTeam(unconfirmed bool) *protocol.Refusal {
+// the table recently enough that the key is not withdrawn.
+func (x *exchange) admitTeam(confirmedAt time.Time, unconfirmed bool) *protocol.Refusal {
 	if !x.table.RequiresKey() || x.route.Public {
 		return nil
 	}
 	f := x.forwarder
-	if x.begun.After(f.KeysTrustedUntil(f.Routing.ConfirmedAt())) {
+	if x.begun.After(f.KeysTrustedUntil(confirmedAt)) {
 		return protocol.Refuse(protocol.PlatformDown, "keys can't be confirmed").WithRetryAt(x.begun.Add(unconfirmedRetryAfter))
 	}
 	team := x.table.Team(x.terms.Key)
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -305,8 +305,9 @@
 // endpoints, it is not stopping, its memory budget has capacity left, and keys can still be
 // confirmed. If most entries have no capacity left, the load balancer uses all of them.
 func (f *Front) isReady(now time.Time) bool {
-	return !f.stopping.Load() && !f.memoryBudget.NearLimit() && f.routing.Current() != nil && f.endpoints.HasList() &&
-		now.Before(f.Settings.KeyUsableUntil(f.routing.ConfirmedAt()))
+	inForce := f.routing.InForce()
+	return !f.stopping.Load() && !f.memoryBudget.NearLimit() && inForce.Table() != nil && f.endpoints.HasList() &&
+		now.Before(f.Settings.KeyUsableUntil(inForce.ConfirmedAt()))
 }
 
 // endStartupWaitIfReady lets requests be served once the table, the endpoints, the refusals and the
@@ -315,8 +316,9 @@
 // between, 535 callers of 83 entries that started at once were refused because their keys could not
 // be confirmed (logs of 54 s).
 func (f *Front) endStartupWaitIfReady() {
-	t := f.routing.Current()
-	if t == nil || !f.endpoints.HasList() || !f.refusals.areLoaded() || t.RequiresKey() && f.routing.ConfirmedAt().IsZero() {
+	inForce := f.routing.InForce()
+	t := inForce.Table()
+	if t == nil || !f.endpoints.HasList() || !f.refusals.areLoaded() || t.RequiresKey() && inForce.ConfirmedAt().IsZero() {
 		return
 	}
 	f.forwarder.EndStartupWait()
