watch: an answer without changes confirms no time at which it may have been in transit

What a team could see: a withdrawn key is accepted for up to four seconds longer than the bound. A watch that ended without changes confirmed the time up to a second before its answer was read. But the platform may end a watch early, and the answer may be in transit, or unread by an entry that is not run, for seconds. Class: a bound measured at one moment and enforced at another.

Change: only an answer that is read when the wait is over, by a process that ran on time, confirms the wait; any other confirms the moment of the call. Reads of the table renew the trust in keys every 0.05 to 1.4 s and don't change.

Evidence: TestAnswerThatArrivesLateConfirmsNoLaterTime fails on the code before (confirmed 3 s after the call whose answer may be 4 s old). Found in reading; the stand-in of the store never ends a watch early, so the soak could not show it.

scheduling: count the time while the VM was suspended as late, too.

--- a/internal/scheduling/monitor.go
+++ b/internal/scheduling/monitor.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/lifecycle"
 	"pinerun.example/pinerun/internal/metric"
@@ -37,7 +38,7 @@
 
 // Start starts the loop.
 func (m *Monitor) Start() {
-	now := time.Now()
+	now := clock.Now()
 	m.awakeAt.Store(&now)
 	m.readAt, m.account = now, readAccount()
 	go m.run()
@@ -46,14 +47,15 @@
 // Close stops the loop.
 func (m *Monitor) Close() { m.done.Close() }
 
-// LateSince reports whether this process ran late at any moment since t, a time from time.Now. It
-// includes the present moment: the caller may run before the loop does.
+// LateSince reports whether this process ran late at any moment since t, a time from clock.Now. It
+// includes the present moment, since the caller may run before the loop does, and suspensions of the
+// VM.
 func (m *Monitor) LateSince(t time.Time) bool {
 	awakeAt := m.awakeAt.Load()
 	if awakeAt == nil || m.done.Closed() {
 		return false
 	}
-	if time.Since(*awakeAt) > interval+minLate {
+	if clock.Since(*awakeAt) > interval+minLate {
 		return true
 	}
 	lateUntil := m.lateUntil.Load()
@@ -66,7 +68,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			m.wake(time.Now())
+			m.wake(clock.Now())
 		case <-m.done.Done():
 			return
 		}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -176,9 +176,12 @@
 func (f *Front) watch() {
 	tables := &routingSink{front: f}
 	f.watchers = []*watch.Watcher{
-		{Source: &f.source, Kind: f.Dependencies.RoutingKind, Sink: tables, EntryCount: f.watcherCount},
-		{Source: &f.source, Kind: f.Dependencies.EndpointKind, Sink: &endpointSink{front: f}, EntryCount: f.watcherCount},
-		{Source: &f.source, Kind: coordinationKind, Sink: &coordinationSink{front: f}, EntryCount: f.watcherCount},
+		{Source: &f.source, Kind: f.Dependencies.RoutingKind, Sink: tables},
+		{Source: &f.source, Kind: f.Dependencies.EndpointKind, Sink: &endpointSink{front: f}},
+		{Source: &f.source, Kind: coordinationKind, Sink: &coordinationSink{front: f}},
+	}
+	for _, w := range f.watchers {
+		w.EntryCount, w.LateSince = f.watcherCount, f.scheduling.LateSince
 	}
 	f.confirmer = watch.Confirmer{
 		Source: &f.source, Kind: f.Dependencies.RoutingKind, Name: f.Dependencies.RoutingName,
--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -30,6 +30,9 @@
 	// blindWindow is how long before its end a watch may have missed a change: the platform's
 	// watches may deliver nothing for up to a second before the platform drops its history.
 	blindWindow = time.Second
+	// maxTransit is how long after its end the answer of a watch may arrive. A healthy platform takes
+	// a few milliseconds.
+	maxTransit = 250 * time.Millisecond
 	// batchDelayPerEntry is how long a watcher waits after a change before its next call, for each
 	// entry that watches the platform itself, within minBatchDelay and maxBatchDelay. Endpoints
 	// appear and change many at a time. Without the delay each change would end a call of every
@@ -69,6 +72,8 @@
 	Sink   Sink
 	// EntryCount returns how many entries call the platform in the same way; nil counts as one.
 	EntryCount func() int
+	// LateSince reports whether this process was not run for a while since a time; nil means never.
+	LateSince func(t time.Time) bool
 
 	done       lifecycle.Done
 	revision   uint64 // revision to watch from, 0 before a list
@@ -166,22 +171,27 @@
 	return nil
 }
 
-// confirmUnchanged handles an answer without changes. The platform may answer before the wait is
-// over, and a confirmation must not be later than the answer: computed from the full wait, it was
-// up to 3.99 s ahead, and keys would have been trusted for too long. After an answer that came much
-// too early, the watcher pauses before the next call.
+// confirmUnchanged handles an answer without changes. What it confirms depends on when the platform
+// answered, and only when the answer was read is known here. The platform may end a watch early, and
+// the answer may be in transit or unread for seconds. So only an answer that was read when the wait
+// was over confirms the wait; any other confirms no more than the moment of the call. After an answer
+// that came much too early, the watcher pauses before the next call.
 func (w *Watcher) confirmUnchanged(askedAt, now time.Time) {
 	deadline := askedAt.Add(PollTimeout)
-	if now.Before(deadline) {
-		w.Sink.Confirmed(now.Add(-blindWindow))
-	} else {
-		w.Sink.Confirmed(deadline.Add(-blindWindow))
+	heldAt := askedAt
+	if !now.Before(deadline) && !now.After(deadline.Add(maxTransit)) && !w.lateSince(askedAt) {
+		heldAt = deadline
 	}
+	w.Sink.Confirmed(heldAt.Add(-blindWindow))
 	if deadline.Sub(now) > blindWindow {
 		w.pause(w.batchDelay(now))
 	}
 }
 
+// lateSince reports whether an answer may have been unread for long since a time, because this
+// process was not run.
+func (w *Watcher) lateSince(t time.Time) bool { return w.LateSince != nil && w.LateSince(t) }
+
 // batchDelay returns how long to wait after a change.
 func (w *Watcher) batchDelay(now time.Time) time.Duration {
 	delay := batchDelayPerEntry
--- a/transport/watch/watch_test.go
+++ b/transport/watch/watch_test.go
@@ -175,6 +175,41 @@
 	})
 }
 
+// TestAnswerThatArrivesLateConfirmsNoLaterTime has answers without changes arrive while the wait lasts
+// and long after it. Each may have been given right after the call and been in transit since, so a
+// key that was withdrawn meanwhile would have stayed valid for up to the wait longer.
+func TestAnswerThatArrivesLateConfirmsNoLaterTime(t *testing.T) {
+	for _, delay := range []time.Duration{4 * time.Second, watch.PollTimeout - 1, watch.PollTimeout + time.Second} {
+		unchanged := response{changes: &protocol.Changes{}, delay: delay}
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			snk := &sink{}
+			w := &watch.Watcher{Source: &source{script: []response{listing(7), unchanged}}, Kind: "k", Sink: snk}
+			w.Start()
+			time.Sleep(delay + time.Millisecond)
+			synctest.Wait()
+			snk.locked(func() { require.False(t, snk.confirmed.After(began), "after %v", delay) })
+			w.Close()
+			synctest.Wait()
+		})
+	}
+}
+
+// TestAnswerReadByALateProcessConfirmsNoLaterTime has the process stand still for a moment of a watch.
+func TestAnswerReadByALateProcessConfirmsNoLaterTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		snk := &sink{}
+		w := &watch.Watcher{Source: &source{script: []response{listing(7)}}, Kind: "k", Sink: snk, LateSince: func(time.Time) bool { return true }}
+		w.Start()
+		time.Sleep(watch.PollTimeout + time.Millisecond)
+		synctest.Wait()
+		snk.locked(func() { require.False(t, snk.confirmed.After(began)) })
+		w.Close()
+		synctest.Wait()
+	})
+}
+
 // reader returns the errors of a script in turn. After the last one, reads succeed.
 type reader struct {
 	mutex     sync.Mutex
