forward: request a stream again whose connection is dead while its engine is heard

Cause: an engine that other streams hear counted as busy, however long one of them waited.

Engines work in passes over all their requests, so if a request that was sent after a stream's last event, and is no more urgent, received events through the same engines, the stream's own events were lost on the way. The rest is requested on a new connection, at the same endpoint if there is no other path. Silence while this entry was not run does not count, nor does a socket with unread bytes. One doubted stream for each endpoint, up to four after right guesses, none for 5 s after a wrong one.

--- a/protocol/forward.go
+++ b/protocol/forward.go
@@ -4,6 +4,9 @@
 
 import "time"
 
+// LeastUrgent is the least urgent rank of a request that engines know. The most urgent one is 0.
+const LeastUrgent = 9
+
 // RequestTerms holds what a caller specifies in addition to the request. A zero Deadline
 // means none. AnswerTokens is the caller's estimate or its maximum.
 type RequestTerms struct {
@@ -24,7 +27,7 @@
 	LastEvent   string
 	Path        []PathStage
 	HasPriority bool // whether Priority is sent
-	Priority    int  // 0 is the most urgent, 9 the least
+	Priority    int  // 0 is the most urgent, LeastUrgent the least
 }
 
 // PathStage is one engine of a path and the layers that it runs.
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -33,18 +33,19 @@
 	reportedAt       atomic.Int64  // unix nanoseconds
 	slowdown         atomic.Uint64 // running mean of actual over expected time, a float
 	deviation        atomic.Uint64
-	measuredAt       atomic.Int64  // unix nanoseconds
-	heardAt          atomic.Int64  // unix nanoseconds
-	usedByOthers     atomic.Uint64 // layer passes that other entries' requests held by the last report, a float
-	usedUntil        atomic.Int64  // unix nanoseconds until when usedByOthers is trusted
-	ejectedUntil     atomic.Int64  // unix nanoseconds
-	suspectUntil     atomic.Int64  // unix nanoseconds
-	lostAt           atomic.Int64  // unix nanoseconds of the observations that reported the runner lost
-	lostUntil        atomic.Int64  // unix nanoseconds at which they expire, 0 for none
-	reportedSlowdown atomic.Uint64 // slowdown by the reports of entries, a float
-	slowSince        atomic.Int64  // unix nanoseconds from which the reported slowdown holds
-	slowUntil        atomic.Int64  // unix nanoseconds at which it expires, 0 if the runner is not slow
-	onTimeAt         atomic.Int64  // unix nanoseconds of the last event that came through the runner without delay
+	measuredAt       atomic.Int64                           // unix nanoseconds
+	heardAt          atomic.Int64                           // unix nanoseconds
+	usedByOthers     atomic.Uint64                          // layer passes that other entries' requests held by the last report, a float
+	usedUntil        atomic.Int64                           // unix nanoseconds until when usedByOthers is trusted
+	ejectedUntil     atomic.Int64                           // unix nanoseconds
+	suspectUntil     atomic.Int64                           // unix nanoseconds
+	lostAt           atomic.Int64                           // unix nanoseconds of the observations that reported the runner lost
+	lostUntil        atomic.Int64                           // unix nanoseconds at which they expire, 0 for none
+	reportedSlowdown atomic.Uint64                          // slowdown by the reports of entries, a float
+	slowSince        atomic.Int64                           // unix nanoseconds from which the reported slowdown holds
+	slowUntil        atomic.Int64                           // unix nanoseconds at which it expires, 0 if the runner is not slow
+	onTimeAt         atomic.Int64                           // unix nanoseconds of the last event that came through the runner without delay
+	servedSentAt     [protocol.LeastUrgent + 1]atomic.Int64 // unix nanoseconds by urgency, see Served
 	failures         atomic.Int64
 	refusals         atomic.Int64
 	leaving          atomic.Bool // by the configuration or the engine itself
@@ -105,3 +106,25 @@
 
 // HeardAt returns when the runner last sent a message.
 func (r *Runner) HeardAt() time.Time { return time.Unix(0, r.heardAt.Load()) }
+
+// Served notes that an event of a request came through the runner. The request was sent at the given
+// time with an urgency from 0, the most urgent.
+func (r *Runner) Served(sentAt time.Time, urgency int) {
+	latest := &r.servedSentAt[min(max(0, urgency), protocol.LeastUrgent)]
+	for sent := sentAt.UnixNano(); ; {
+		before := latest.Load()
+		if sent <= before || latest.CompareAndSwap(before, sent) {
+			return
+		}
+	}
+}
+
+// ServedSentAt returns when the latest served request was sent that was no more urgent than the given
+// urgency.
+func (r *Runner) ServedSentAt(urgency int) time.Time {
+	latest := int64(0)
+	for u := min(max(0, urgency), protocol.LeastUrgent); u <= protocol.LeastUrgent; u++ {
+		latest = max(latest, r.servedSentAt[u].Load())
+	}
+	return time.Unix(0, latest)
+}
--- a/state/fleet/utilization_test.go
+++ b/state/fleet/utilization_test.go
@@ -120,3 +120,18 @@
 	r.RefusedForCapacity(time.Unix(100, 0))
 	require.Zero(t, r.Utilization(time.Unix(100, 0), 1000))
 }
+
+// TestServedSentAtCountsNoMoreUrgentRequest has urgent requests overtake others, which says nothing
+// about those that wait.
+func TestServedSentAtCountsNoMoreUrgentRequest(t *testing.T) {
+	r := fleet.NewRunner(protocol.Runner{Name: "r"}, "a")
+	at := func(s int64) time.Time { return time.Unix(s, 0) }
+	r.Served(at(5), 4)
+	r.Served(at(3), 4)
+	r.Served(at(9), 0)
+	r.Served(at(7), 100)
+	require.Equal(t, at(9), r.ServedSentAt(0))
+	require.Equal(t, at(7), r.ServedSentAt(4))
+	require.Equal(t, at(7), r.ServedSentAt(9))
+	require.True(t, fleet.NewRunner(protocol.Runner{Name: "other"}, "a").ServedSentAt(0).Before(at(1)))
+}
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -324,6 +324,7 @@
 	for i := range a.path.Len() {
 		if a.provesStage(i) {
 			x.forwarder.recordWorking(a.path.Runner(i), now)
+			a.path.Runner(i).Served(a.sentAt, x.urgency())
 		}
 	}
 }
--- a/transport/forward/encode.go
+++ b/transport/forward/encode.go
@@ -18,9 +18,6 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
-// leastUrgent is the least urgent rank that engines know.
-const leastUrgent = 9
-
 // ranksPerTeam is how many route ranks lie between two team ranks.
 const ranksPerTeam = 3
 
@@ -79,7 +76,7 @@
 	if x.team != nil {
 		rank += ranksPerTeam * x.team.Priority
 	}
-	return max(0, min(leastUrgent, rank))
+	return max(0, min(protocol.LeastUrgent, rank))
 }
 
 // stripHopHeaders removes the hop-by-hop headers.
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -45,6 +45,7 @@
 	suspended  time.Duration   // total suspension already handled
 	resumedAt  time.Time       // when the last suspension was noticed
 	open       []*attempt      // open attempts, oldest first
+	doubted    *attempt        // the open attempt whose connection is taken for dead, nil for none
 	avoid      []*fleet.Runner // runners that failed, refused or fell silent under this request
 	rng        *rand.Rand
 	reached    []*fleet.Runner // endpoints that received the request
@@ -149,6 +150,7 @@
 
 // closeAttempts closes every open attempt.
 func (x *exchange) closeAttempts() {
+	x.endDoubt()
 	for _, a := range x.open {
 		x.release(a)
 	}
@@ -158,6 +160,7 @@
 // closeAttempt closes an open attempt.
 func (x *exchange) closeAttempt(a *attempt) {
 	if i := slices.Index(x.open, a); i >= 0 {
+		x.endDoubt()
 		x.open = slices.Delete(x.open, i, i+1)
 		x.release(a)
 	}
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -68,6 +68,9 @@
 	Quarantine Quarantine
 	// OnResume is called after the VM was suspended. It may be nil.
 	OnResume func(now time.Time)
+	// LateSince reports whether this process was not run for a while since a time, so that a silence
+	// may be its own. If it is nil, it never was.
+	LateSince func(t time.Time) bool
 	// ReportSlowdown reports an observed slowdown of an endpoint to the other entries. It may be
 	// nil.
 	ReportSlowdown func(report protocol.SlownessReport, at time.Time)
@@ -82,6 +85,7 @@
 	pool         connPool
 	inflight     inflightBytes
 	backoffs     backoffs
+	connDoubts   connDoubts
 	faultLocator faultLocator
 	crashProbes  crashcheck.Checker
 	queues       waitQueues
@@ -147,6 +151,7 @@
 			clock.Refresh()
 			f.pool.sweep(clock.Now())
 			f.inflight.sweep(f.Registry)
+			f.connDoubts.sweep(f.Registry)
 			f.maintainGate(clock.Now())
 		case <-dispatchTick:
 			now := clock.Now()
--- a/transport/forward/handle.go
+++ b/transport/forward/handle.go
@@ -42,8 +42,9 @@
 // handleEvent passes an event on to the caller. The attempt that delivers the first event stays
 // open; a second attempt that was started because the first was silent is closed.
 func (x *exchange) handleEvent(m eventReceived) {
-	x.keepOnly(m.attempt)
 	now := clock.Now()
+	x.resolveDoubt(m.attempt, now)
+	x.keepOnly(m.attempt)
 	x.recordPathChange(m.attempt, now)
 	x.recordHeard(m.attempt, now)
 	if suspended := x.checkSuspension(now); x.timing.started && !suspended {
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"pinerun.example/pinerun/coordination/path"
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/state/fleet"
@@ -32,6 +33,7 @@
 	silenceTooLate       silenceAction = "slow, and late already: wait"
 	silenceQuarantined   silenceAction = "may end its endpoint: not at two"
 	silenceChanging      silenceAction = "change its path"
+	silenceDeadConn      silenceAction = "its connection seems dead: ask elsewhere"
 )
 
 // noRetryPossible reports whether the action is to wait because the request can't be sent
@@ -152,11 +154,11 @@
 
 // suspectsConn reports whether a silent attempt whose runners are heard on other streams more
 // likely waits on a dead connection than on busy runners: nothing was received for a second on a
-// reused connection. Devices on the network path may drop the state of open connections for good,
-// without a reset, while new ones work. Streams that have begun are exempt: where 2,000 callers
-// read nothing, the second attempts of their streams would take the capacity of others.
+// reused connection, or a stream in its middle got nothing while later requests were served. Devices
+// on the network path may drop the state of open connections for good, without a reset, while new
+// ones work.
 func (x *exchange) suspectsConn(silent *attempt, now time.Time) bool {
-	return silent.waitsOnReusedConn() && !now.Before(x.deadAt())
+	return silent.waitsOnReusedConn() && !now.Before(x.deadAt()) || x.suspectsDeadConn(silent, now)
 }
 
 // needsNewConn reports whether a further attempt must use a new connection: the idle ones may be as
@@ -192,29 +194,20 @@
 		return silenceQuarantined
 	}
 	avoidBefore := x.avoid
-	x.avoid = append(x.avoid, runners...)
-	if len(runners) == 0 {
-		x.avoid = append(x.avoid, silent.endpoint)
+	doubts := len(runners) == 0 && silent.hasEvent
+	p, action := x.chooseHedge(silent, runners, doubts, now)
+	if action == "" {
+		action = x.takeHedge(silent, &p, doubts, now)
 	}
-	p, found := x.pickPath(now)
-	action := silenceElsewhere
-	switch {
-	case !found || !pathHealthy(&p, now, x.avoid):
+	second := x.secondOnReusedConn(now)
+	if action == "" && !x.startAttempt(&p) {
+		x.endDoubt()
 		action = silenceNoPath
-	case !x.mayReach(&p):
-		action = silenceMaxAttempts
-	case !x.forwarder.retryBudgets.takeRetry(x.service.Name, now):
-		action = silenceNoBudget
 	}
-	if action != silenceElsewhere {
+	if action != "" {
 		x.avoid = avoidBefore
 		return action
 	}
-	second := x.secondOnReusedConn(now)
-	if !x.startAttempt(&p) {
-		x.avoid = avoidBefore
-		return silenceNoPath
-	}
 	x.forwarder.Counters.CountRetry(metric.Silence)
 	x.forwarder.Counters.RecordDuration(metric.Detection, now.Sub(x.timing.lastEvent))
 	x.closeUnresolved()
@@ -222,5 +215,43 @@
 		x.forwarder.pool.closeIdle(second.endpoint.Name())
 		x.closeAttempt(second) // closed only now that another attempt replaces it
 	}
-	return action
+	if doubts {
+		return silenceDeadConn
+	}
+	return silenceElsewhere
+}
+
+// chooseHedge chooses the path of a second attempt. It avoids the silent runners, or the endpoint
+// whose connection may be dead. If only the connection is doubted and no other path is healthy, a new
+// connection to the same endpoint will do. The action is "" if there is a path.
+func (x *exchange) chooseHedge(silent *attempt, runners []*fleet.Runner, doubts bool, now time.Time) (path.Path, silenceAction) {
+	before := x.avoid
+	x.avoid = append(x.avoid, runners...)
+	if len(runners) == 0 {
+		x.avoid = append(x.avoid, silent.endpoint)
+	}
+	p, found := x.pickPath(now)
+	if doubts && (!found || !pathHealthy(&p, now, x.avoid)) {
+		x.avoid = before
+		p, found = x.pickPath(now)
+	}
+	if !found || !pathHealthy(&p, now, x.avoid) {
+		return p, silenceNoPath
+	}
+	return p, ""
+}
+
+// takeHedge takes what a second attempt needs: an endpoint that the route allows, the doubt of a
+// connection, and a part of the retry budget. The action is "" if it has all.
+func (x *exchange) takeHedge(silent *attempt, p *path.Path, doubts bool, now time.Time) silenceAction {
+	switch {
+	case !x.mayReach(p):
+		return silenceMaxAttempts
+	case doubts && !x.beginDoubt(silent, now):
+		return silenceBusy
+	case !x.forwarder.retryBudgets.takeRetry(x.service.Name, now):
+		x.endDoubt()
+		return silenceNoBudget
+	}
+	return ""
 }
--- a/transport/forward/slow_caller.go
+++ b/transport/forward/slow_caller.go
@@ -183,7 +183,7 @@
 	case admitted:
 		x.caller.Assign(x.teamName(), x.urgency(), x.route.Resumable && x.route.MayRepeat())
 	default:
-		x.caller.Assign("", leastUrgent, true)
+		x.caller.Assign("", protocol.LeastUrgent, true)
 	}
 }
 
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -122,6 +122,7 @@
 		Quarantine:         f.source.Quarantine(),
 		RateLimits:         f.source.RateLimits(),
 		OnResume:           f.handleResume,
+		LateSince:          f.scheduling.LateSince,
 	}
 	if s.ChangePaths {
 		f.forwarder.PathChanger = f.Dependencies.Engines
