front: tell an entry that was not run from a platform that does not answer

Cause: an entry that runs again after a standstill took its own silence for that of others. Its last confirmation was too old, or the 0.5 s for its start were over, so it refused at once. Calls that had been open timed out, though their answers were there; that counted as an outage, so the next read came after 0.3 to 2.8 s, and the followed peer was left.

Change: a call that timed out while the entry was not run is repeated at once and says nothing about the platform or the peer. A request that would be refused as unconfirmed waits up to 0.3 s for the confirmation, unless a call to the platform failed since the last one. The time of the startup gate begins with the request at an entry that was not run since its start.

--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -90,6 +90,7 @@
 	PathOrders          Name = "path_orders"
 	IsolatedRuns        Name = "requests_tried_alone"
 	WorkRefused         Name = "work_refused"
+	ConfirmationWaits   Name = "confirmation_waits"
 )
 
 // Names returns all counters that count neither refusals nor retries.
@@ -103,6 +104,7 @@
 		RecordsSuperseded, RecordsDisproved, RestartsSeen,
 		HeldAnswerBytes, HeldBodyBytes, PressureStopped, PressureDropped, PressureEnded, ConnectionsClosed,
 		EndpointsSlow, SlownessReports, EndpointsLimited, LimitWaits, PathOrders, IsolatedRuns, WorkRefused,
+		ConfirmationWaits,
 	}
 }
 
--- a/state/routing/store.go
+++ b/state/routing/store.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"pinerun.example/pinerun/internal/lifecycle"
 )
 
 // InForce is the table in force together with its confirmation. The zero value holds no table.
@@ -24,8 +26,9 @@
 
 // Store holds the table in force. The zero value holds none.
 type Store struct {
-	mutex   sync.Mutex // held while inForce is replaced
-	inForce atomic.Pointer[InForce]
+	mutex     sync.Mutex // held while inForce is replaced
+	inForce   atomic.Pointer[InForce]
+	confirmed lifecycle.Signal // fires when the table in force is confirmed
 }
 
 // InForce returns the table in force and its confirmation, read at the same moment.
@@ -63,5 +66,9 @@
 	defer s.mutex.Unlock()
 	if current := s.InForce(); at.After(current.confirmedAt) {
 		s.inForce.Store(&InForce{table: current.table, confirmedAt: at})
+		s.confirmed.Broadcast()
 	}
 }
+
+// Confirmed returns a channel that is closed at the next confirmation.
+func (s *Store) Confirmed() <-chan struct{} { return s.confirmed.Changed() }
--- a/transport/forward/admit.go
+++ b/transport/forward/admit.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/routing"
 )
@@ -16,6 +17,10 @@
 const (
 	// unconfirmedRetryAfter is the Retry-After of an entry that can't reach the platform.
 	unconfirmedRetryAfter = 300 * time.Millisecond
+	// confirmationWait is how long a request waits for the confirmation of the routing table, if it
+	// would be refused otherwise and the platform is not known to be down. A call to a healthy
+	// platform takes some milliseconds.
+	confirmationWait = unconfirmedRetryAfter
 	// unconfirmedAfter is the age of the routing table's confirmation from which an unknown route
 	// or key is answered with a Retry-After instead of as unknown: the table may have changed. It
 	// is slightly longer than a watch takes.
@@ -29,6 +34,24 @@
 	if f.refusing.Load() {
 		return protocol.Refuse(protocol.Stopping, "this entry is stopping").WithRetryAt(x.begun)
 	}
+	refusal := x.match()
+	if refusal != nil && refusal.Kind() == protocol.PlatformDown && x.awaitConfirmation() {
+		refusal = x.match()
+	}
+	if refusal != nil {
+		return refusal
+	}
+	x.deadline = x.route.Timeout(x.begun)
+	if !x.terms.Deadline.IsZero() && x.terms.Deadline.Before(x.deadline) {
+		x.deadline = x.terms.Deadline
+	}
+	x.service = x.table.Service(routing.PickService(x.route, rand.Float64()))
+	return x.readBody(x.table.CallerLimits().BodyBytes)
+}
+
+// match finds the route and the team in the table in force.
+func (x *exchange) match() *protocol.Refusal {
+	f := x.forwarder
 	inForce := f.Routing.InForce()
 	table := inForce.Table()
 	if table == nil || !f.Registry.HasList() {
@@ -47,15 +70,33 @@
 		}
 		return protocol.Refuse(protocol.UnknownService, "no route matches the host and path")
 	}
-	if refusal := x.admitTeam(inForce.ConfirmedAt(), unconfirmed); refusal != nil {
-		return refusal
+	return x.admitTeam(inForce.ConfirmedAt(), unconfirmed)
+}
+
+// awaitConfirmation waits for the next confirmation of the routing table, and reports whether there
+// was one. It does not wait while the platform is known not to answer. Otherwise the last confirmation
+// is old because this entry was not run, or its VM was suspended: the next one is some milliseconds
+// away, and a refusal would cost the caller a retry.
+func (x *exchange) awaitConfirmation() bool {
+	f := x.forwarder
+	confirmed := f.Routing.Confirmed()
+	confirmedAt := f.Routing.ConfirmedAt()
+	if f.PlatformFailedAt == nil || f.PlatformFailedAt().After(confirmedAt) {
+		return false
 	}
-	x.deadline = x.route.Timeout(x.begun)
-	if !x.terms.Deadline.IsZero() && x.terms.Deadline.Before(x.deadline) {
-		x.deadline = x.terms.Deadline
+	if x.begun.Sub(confirmedAt) <= unconfirmedAfter {
+		return true // it was confirmed meanwhile
+	}
+	f.Counters.Add(metric.ConfirmationWaits, 1)
+	t := time.NewTimer(confirmationWait)
+	defer t.Stop()
+	select {
+	case <-confirmed:
+		return true
+	case <-t.C:
+	case <-x.request.Context().Done():
 	}
-	x.service = table.Service(routing.PickService(x.route, rand.Float64()))
-	return x.readBody(table.CallerLimits().BodyBytes)
+	return false
 }
 
 // headBytes returns the length of a request's head as far as net/http exposes it: the request line
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -55,6 +55,9 @@
 	Logger      *slog.Logger
 	// KeysTrustedUntil returns until when keys confirmed at a given time are accepted.
 	KeysTrustedUntil func(confirmed time.Time) time.Time
+	// PlatformFailedAt returns when a call of this entry to the platform last failed, zero for never.
+	// If it is nil, no request waits for the confirmation of its key.
+	PlatformFailedAt func() time.Time
 	// MemoryBudget bounds the bytes buffered for callers and for request bodies.
 	MemoryBudget *backlog.Budget
 	// ReportLoss reports an observation about an endpoint's health to the other entries. It may
@@ -109,6 +112,7 @@
 	f.faultLocator.forwarder = f
 	f.poller.forwarder = f
 	f.slowdowns.forwarder = f
+	f.startup.lateSince = f.LateSince
 	f.startup.start(clock.Now())
 	f.suspended = clock.Suspended()
 	go f.run()
--- a/transport/forward/startup.go
+++ b/transport/forward/startup.go
@@ -19,16 +19,18 @@
 
 // startupGate holds requests that arrive right after the start. The zero value holds none.
 type startupGate struct {
-	mutex    sync.Mutex
-	deadline time.Time
-	opened   chan struct{} // closed when waiting is no longer useful
+	lateSince func(t time.Time) bool // see Forwarder.LateSince
+
+	mutex     sync.Mutex
+	startedAt time.Time
+	opened    chan struct{} // closed when waiting is no longer useful
 }
 
 // start holds requests from now on.
 func (g *startupGate) start(now time.Time) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.deadline = now.Add(startupTimeout)
+	g.startedAt = now
 	g.opened = make(chan struct{})
 }
 
@@ -42,15 +44,20 @@
 	}
 }
 
-// wait returns once the gate is open, its deadline has passed or the caller has left.
+// wait returns once the gate is open, its time is over or the caller has left. The time begins when
+// the entry starts, but with the request if the entry was not run for a while since: it could not
+// learn anything meanwhile.
 func (g *startupGate) wait(caller context.Context) {
 	g.mutex.Lock()
-	opened, deadline := g.opened, g.deadline
+	opened, from := g.opened, g.startedAt
 	g.mutex.Unlock()
 	if opened == nil {
 		return
 	}
-	t := time.NewTimer(clock.Until(deadline))
+	if g.lateSince != nil && g.lateSince(from) {
+		from = clock.Now()
+	}
+	t := time.NewTimer(clock.Until(from.Add(startupTimeout)))
 	defer t.Stop()
 	select {
 	case <-opened:
--- a/transport/forward/startup_test.go
+++ b/transport/forward/startup_test.go
@@ -40,3 +40,27 @@
 		require.Equal(t, 50*time.Millisecond, waited(&gate, caller), "the caller has left")
 	})
 }
+
+// TestStartupGateCountsNoTimeInWhichTheEntryWasNotRun has callers arrive after the end of a gate whose
+// entry was stopped right after its start. They were refused at once before.
+func TestStartupGateCountsNoTimeInWhichTheEntryWasNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		late := true
+		gate := startupGate{lateSince: func(time.Time) bool { return late }}
+		gate.start(time.Now())
+		time.Sleep(3 * time.Second)
+		begun := time.Now()
+		time.AfterFunc(20*time.Millisecond, gate.open)
+		gate.wait(t.Context())
+		require.Equal(t, 20*time.Millisecond, time.Since(begun), "until the table is there")
+
+		gate.start(time.Now())
+		time.Sleep(3 * time.Second)
+		begun = time.Now()
+		gate.wait(t.Context())
+		require.Equal(t, startupTimeout, time.Since(begun), "as long as after a start")
+		late = false
+		gate.wait(t.Context())
+		require.Equal(t, startupTimeout, time.Since(begun), "an entry that ran has had its time")
+	})
+}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -75,13 +75,14 @@
 // Start opens the addresses and begins to serve.
 func (f *Front) Start() error {
 	f.assemble()
+	f.scheduling.Start()
 	f.forwarder.Start() // before the first caller, so that requests wait until the entry is ready
 	if err := f.listen(); err != nil {
+		f.scheduling.Close()
 		f.forwarder.Close()
 		f.closeAddresses()
 		return err
 	}
-	f.scheduling.Start()
 	f.director.Start()
 	f.watch()
 	f.serve()
@@ -123,6 +124,7 @@
 		RateLimits:         f.source.RateLimits(),
 		OnResume:           f.handleResume,
 		LateSince:          f.scheduling.LateSince,
+		PlatformFailedAt:   f.source.FailedAt,
 	}
 	if s.ChangePaths {
 		f.forwarder.PathChanger = f.Dependencies.Engines
@@ -156,6 +158,7 @@
 		Incarnation:       f.endpoints.Incarnation,
 		OnSlownessChange:  f.applySlownessChange,
 		OnRateLimitChange: f.forwarder.ApplyRateLimitChange,
+		LateSince:         f.scheduling.LateSince,
 	}
 }
 
--- a/transport/relay/link.go
+++ b/transport/relay/link.go
@@ -238,7 +238,9 @@
 			}
 			return c
 		case <-ctx.Done():
-			l.recordUnanswered()
+			if !l.source.lateSince(askedAt) {
+				l.recordUnanswered()
+			}
 			return confirmation{}
 		case <-l.done.Done():
 			return confirmation{}
--- a/transport/relay/read.go
+++ b/transport/relay/read.go
@@ -106,10 +106,16 @@
 // errUnconfirmed says that neither the peer nor the platform could confirm the object.
 var errUnconfirmed = errors.New("the followed entry can't confirm the object, and the platform was asked a moment ago")
 
+// readPlatform reads an object from the platform. A call whose time passed while this entry was not
+// run says nothing about the platform, so it is repeated at once.
 func (s *Source) readPlatform(ctx context.Context, kind, name string) (watch.Reading, error) {
 	askedAt := clock.Now()
 	o, err := s.Platform.Get(ctx, kind, name)
-	s.recordPlatformResult(ctx, err)
+	if s.timedOutLate(err, askedAt) && ctx.Err() == nil {
+		askedAt = clock.Now()
+		o, err = s.Platform.Get(ctx, kind, name)
+	}
+	s.recordPlatformResult(ctx, err, askedAt)
 	var missing *platform.NotFound
 	if errors.As(err, &missing) {
 		s.countReadResult(nil)
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -69,6 +69,9 @@
 	// OnRateLimitChange is called with a report that changes the rate limit of an endpoint; nil for no
 	// call.
 	OnRateLimitChange func(r ratelimit.Report, change ratelimit.LimitChanged)
+	// LateSince reports whether this process was not run for a while since a time, so that a call that
+	// got no answer since may have got one; nil means never.
+	LateSince func(t time.Time) bool
 	// Dial connects to a peer's address; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -251,7 +254,7 @@
 	}
 	askedAt := clock.Now()
 	l, err := s.Platform.List(ctx, kind)
-	s.recordPlatformResult(ctx, err)
+	s.recordPlatformResult(ctx, err, askedAt)
 	if err == nil {
 		s.mirror.ApplyList(kind, l)
 		s.confirmListed(kind, l, askedAt)
@@ -307,20 +310,21 @@
 }
 
 func (s *Source) watchPlatform(ctx context.Context, kind string, after uint64, wait time.Duration) (protocol.Changes, error) {
+	askedAt := clock.Now()
 	c, err := s.Platform.Watch(ctx, kind, after, wait)
-	s.recordPlatformResult(ctx, err)
+	s.recordPlatformResult(ctx, err, askedAt)
 	if err == nil && len(c.Changes) > 0 && !s.mirror.Apply(kind, mirror.Delta{After: after, To: c.Revision, Changes: c.Changes}) {
 		return protocol.Changes{}, &platform.Compacted{}
 	}
 	return c, err
 }
 
-// recordPlatformResult records whether the platform answered. A call that was canceled here says
-// nothing about it.
-func (s *Source) recordPlatformResult(ctx context.Context, err error) {
+// recordPlatformResult records whether the platform answered a call. A call that was canceled here, or
+// whose time passed while this entry was not run, says nothing about it.
+func (s *Source) recordPlatformResult(ctx context.Context, err error, askedAt time.Time) {
 	var compacted *platform.Compacted
 	var missing *platform.NotFound
-	if err == nil || errors.As(err, &compacted) || errors.As(err, &missing) || ctx.Err() != nil {
+	if err == nil || errors.As(err, &compacted) || errors.As(err, &missing) || ctx.Err() != nil || s.timedOutLate(err, askedAt) {
 		return
 	}
 	s.mutex.Lock()
@@ -331,3 +335,11 @@
 		s.selector.wake() // another peer may be fresher
 	}
 }
+
+// timedOutLate reports whether a call timed out while this process was not run for a while.
+func (s *Source) timedOutLate(err error, askedAt time.Time) bool {
+	return errors.Is(err, context.DeadlineExceeded) && s.lateSince(askedAt)
+}
+
+// lateSince reports whether this process was not run for a while since a time.
+func (s *Source) lateSince(t time.Time) bool { return s.LateSince != nil && s.LateSince(t) }
