platformtest: measure bounds by the time in which the test process ran

What was seen: TestFromAFailedRequestsIDToItsCause failed once with "Condition never satisfied" 10 s after the store went down, and was listed as an entry that still called itself ready.

Cause: a timer of the test. It fires after a time in which the process was not run, before the condition is looked at again. The entry is not ready then, which the old message did not say.

Change: platformtest.Await checks until the process has run for the bound; the time in which its own loop woke late by over 0.15 s is not counted. Bounds and conditions stay. The soak uses it for its bounds and for stops, too: its store, proxies and endpoints stand still with it.

--- a/internal/scheduling/monitor.go
+++ b/internal/scheduling/monitor.go
@@ -32,6 +32,7 @@
 	done      lifecycle.Done
 	awakeAt   atomic.Pointer[time.Time] // when the loop last woke
 	lateUntil atomic.Pointer[time.Time] // when it last woke late
+	lateTotal atomic.Int64              // nanoseconds
 	readAt    time.Time                 // when account was read
 	account   account
 }
@@ -62,6 +63,18 @@
 	return lateUntil != nil && !lateUntil.Before(t)
 }
 
+// Late returns for how long this process was not run since Start, as far as its loop noticed. It
+// includes the present moment.
+func (m *Monitor) Late() time.Duration {
+	total := time.Duration(m.lateTotal.Load())
+	if awakeAt := m.awakeAt.Load(); awakeAt != nil && !m.done.Closed() {
+		if late := clock.Since(*awakeAt) - interval; late > minLate {
+			total += late
+		}
+	}
+	return total
+}
+
 func (m *Monitor) run() {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
@@ -78,11 +91,12 @@
 // wake notes that the loop woke, and logs it if that was late.
 func (m *Monitor) wake(now time.Time) {
 	late := max(0, now.Sub(*m.awakeAt.Load())-interval)
+	m.awakeAt.Store(&now)
 	if late > minLate {
 		m.lateUntil.Store(&now)
+		m.lateTotal.Add(int64(late))
 		m.logLate(late, now)
 	}
-	m.awakeAt.Store(&now)
 	if m.Counters != nil {
 		m.Counters.RecordDuration(metric.LoopLate, late)
 	}
--- a/internal/scheduling/monitor_test.go
+++ b/internal/scheduling/monitor_test.go
@@ -45,6 +45,7 @@
 	require.True(t, m.LateSince(late))
 	require.False(t, m.LateSince(late.Add(1)), "what came after it is not affected")
 	require.Contains(t, log.String(), "late_ms=2650")
+	require.Equal(t, 2650*time.Millisecond, time.Duration(m.lateTotal.Load()))
 }
 
 // TestLateSinceIncludesThePresent asks before the loop of a process that was not run has woken.
@@ -53,6 +54,8 @@
 	awake := time.Now().Add(-time.Second)
 	m.awakeAt.Store(&awake)
 	require.True(t, m.LateSince(time.Now()))
+	require.GreaterOrEqual(t, m.Late(), time.Second-interval)
+	require.Less(t, (&Monitor{}).Late(), time.Second, "not started")
 }
 
 // TestAccountCountsWork checks that the kernel's account grows with this process's work.
--- a/soak/entry_test.go
+++ b/soak/entry_test.go
@@ -132,6 +132,18 @@
 	}
 }
 
+// stopsInTime waits for the exit of a process that was asked to stop, and reports whether it came in time.
+func stopsInTime(exited <-chan struct{}) bool {
+	return platformtest.Await(stopWithin+schedulingSlack, 20*time.Millisecond, func() bool {
+		select {
+		case <-exited:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
 func (e *entry) kill() {
 	exited := e.expectExit()
 	e.signal(os.Kill)
