forward: a time in which the entry was not run is no silence

Cause: after a standstill of the entry each of its streams seemed silent, so requests were hedged and engines suspected, for events that were waiting in its sockets. After a suspension of the VM that was handled; after a standstill of the process it was not.

Change: wake takes the time in which the process was not run out of the silence, and reads what arrived first. It takes no more than that time, so that an entry that always runs late still notices a dead engine.

Evidence: TestTimeInWhichTheEntryWasNotRunIsNoSilence.

--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -44,6 +44,7 @@
 	resumed    <-chan struct{} // closed after the VM was suspended
 	suspended  time.Duration   // total suspension already handled
 	resumedAt  time.Time       // when the last suspension was noticed
+	late       time.Duration   // total time in which this process was not run already handled
 	open       []*attempt      // open attempts, oldest first
 	doubted    *attempt        // the open attempt whose connection is taken for dead, nil for none
 	avoid      []*fleet.Runner // runners that failed, refused or fell silent under this request
@@ -83,6 +84,9 @@
 	x.losses = f.losses.Changed()
 	x.refusals = f.refusals.Changed()
 	x.resumed, x.suspended = f.resumed.Changed(), clock.Suspended()
+	if f.Late != nil {
+		x.late = f.Late()
+	}
 	x.timing.start(x.route, x.service, x.begun)
 	x.start(x.begun)
 	x.loop()
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -74,6 +74,8 @@
 	// LateSince reports whether this process was not run for a while since a time, so that a silence
 	// may be its own. If it is nil, it never was.
 	LateSince func(t time.Time) bool
+	// Late returns for how long this process was not run in all. If it is nil, it always ran.
+	Late func() time.Duration
 	// ReportSlowdown reports an observed slowdown of an endpoint to the other entries. It may be
 	// nil.
 	ReportSlowdown func(report protocol.SlownessReport, at time.Time)
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -63,6 +63,7 @@
 		x.checkCaller(now)
 		return
 	}
+	x.discountLateness(now)
 	if now.Before(x.timing.overdueAt()) {
 		return
 	}
--- a/transport/forward/suspension.go
+++ b/transport/forward/suspension.go
@@ -34,3 +34,18 @@
 	x.timing.resume(now)
 	return true
 }
+
+// discountLateness takes the time in which this process was not run out of the silence of the open
+// attempt. What arrived in the meantime is about to be read. Otherwise each request of an entry that runs
+// again would be hedged, and each of its engines suspected.
+func (x *exchange) discountLateness(now time.Time) {
+	if x.forwarder.Late == nil {
+		return
+	}
+	total := x.forwarder.Late()
+	late := total - x.late
+	x.late = total
+	if late > 0 {
+		x.timing.discount(late, now)
+	}
+}
--- a/transport/forward/timing.go
+++ b/transport/forward/timing.go
@@ -22,7 +22,7 @@
 	firstEventShare = 0.5
 	// silenceRecheckInterval is how often a lasting silence is checked again.
 	silenceRecheckInterval = 100 * time.Millisecond
-	// resumeGrace is how long after a suspension of the VM nothing counts as silent: all requests
+	// resumeGrace is how long after a time in which this process was not run nothing counts as silent: all requests
 	// of the entry have to be checked first, some hundreds at some tens of microseconds each.
 	resumeGrace = 200 * time.Millisecond
 	// pauseSmoothing is the weight of a new pause in the mean.
@@ -104,6 +104,15 @@
 	t.postpone(now.Add(max(resumeGrace, t.silenceLimit())))
 }
 
+// discount takes a time in which this process was not run out of the silence.
+func (t *eventTiming) discount(late time.Duration, now time.Time) {
+	t.lastEvent = t.lastEvent.Add(late)
+	if t.lastEvent.After(now) {
+		t.lastEvent = now
+	}
+	t.postpone(now.Add(resumeGrace))
+}
+
 // recheckLater delays the next check by silenceRecheckInterval.
 func (t *eventTiming) recheckLater(now time.Time) { t.overdue = now.Add(silenceRecheckInterval) }
 
--- a/transport/forward/timing_test.go
+++ b/transport/forward/timing_test.go
@@ -98,3 +98,18 @@
 		require.True(t, strings.HasPrefix(text, got))
 	})
 }
+
+// TestTimeInWhichTheEntryWasNotRunIsNoSilence checks that a stream is not overdue because its entry stood
+// still, and is as soon as before otherwise.
+func TestTimeInWhichTheEntryWasNotRunIsNoSilence(t *testing.T) {
+	now := time.Unix(100, 0)
+	var r eventTiming
+	r.start(&protocol.Route{TargetLatencyMS: 500, TargetPauseMS: 200}, &protocol.RoutedService{Engine: &protocol.EngineSpec{}}, now)
+	r.recordEvent(now)
+	resumed := now.Add(3 * time.Second)
+	r.discount(3*time.Second, resumed)
+	require.Equal(t, resumed, r.lastEvent, "no silence yet")
+	require.Equal(t, resumed.Add(resumeGrace), r.overdueAt(), "what arrived is read first")
+	r.discount(time.Hour, resumed)
+	require.Equal(t, resumed, r.lastEvent, "never in the future")
+}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -124,6 +124,7 @@
 		RateLimits:         f.source.RateLimits(),
 		OnResume:           f.handleResume,
 		LateSince:          f.scheduling.LateSince,
+		Late:               f.scheduling.Late,
 		PlatformFailedAt:   f.source.FailedAt,
 	}
 	if s.ChangePaths {
