--- a/transport/forward/conn.go
+++ b/transport/forward/conn.go
@@ -146,26 +146,54 @@
 	}
 }
 
-// usable reports whether an idle connection has received neither bytes nor a close.
+// usable reports whether an idle connection has received neither bytes nor a close. No goroutine may
+// be reading from it.
 func (c *conn) usable() bool {
-	s, ok := c.Conn.(syscall.Conn)
+	raw, ok := c.rawConn()
 	if !ok {
 		return false
 	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
 	empty := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	err := raw.Read(func(fd uintptr) bool {
+		_, err := peek(fd)
 		empty = err == syscall.EAGAIN
 		return true
 	})
 	return err == nil && empty
 }
 
+// hasUnread reports whether the socket holds unread bytes. It doesn't wait for a goroutine that reads.
+func (c *conn) hasUnread() bool {
+	raw, ok := c.rawConn()
+	if !ok {
+		return false
+	}
+	unread := false
+	err := raw.Control(func(fd uintptr) {
+		n, err := peek(fd)
+		unread = err == nil && n > 0
+	})
+	return err == nil && unread
+}
+
+// rawConn returns the connection's socket, if it has one.
+func (c *conn) rawConn() (syscall.RawConn, bool) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, false
+	}
+	raw, err := s.SyscallConn()
+	return raw, err == nil
+}
+
+// peek returns the number of bytes that can be read from a socket now, at most one, and leaves them
+// there.
+func peek(fd uintptr) (int, error) {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
 // keepAliveSeconds returns how many seconds the endpoint says it keeps an idle connection open.
 func keepAliveSeconds(h http.Header) (int, bool) {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
--- a/transport/forward/dead_conn.go
+++ b/transport/forward/dead_conn.go
@@ -4,7 +4,6 @@
 
 import (
 	"sync"
-	"syscall"
 	"time"
 
 	"pinerun.example/pinerun/coordination/deadconn"
@@ -110,23 +109,3 @@
 	defer a.mutex.Unlock()
 	return a.conn != nil && a.conn.hasUnread()
 }
-
-// hasUnread reports whether the socket holds unread bytes. Unlike usable, it does not wait for a
-// goroutine that reads.
-func (c *conn) hasUnread() bool {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unread := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unread = err == nil && n > 0
-	})
-	return err == nil && unread
-}
