forward: wait for a confirmation that is recent enough

A request that waits for the confirmation of its key was refused after the first one, even if that was itself old, as an answer of a peer from before the standstill is. It waits for the next ones now.

--- a/coordination/deadconn/deadconn_test.go
+++ b/coordination/deadconn/deadconn_test.go
@@ -36,14 +36,14 @@
 		var tracker deadconn.Tracker
 		now := time.Unix(100, 0)
 		open, allowed := 0, 1
-		var pausedBy time.Time
+		var pausedUntil time.Time
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0:
 				now = now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(t, "ms")) * time.Millisecond)
 			case 1:
 				began := tracker.Begin("e", now)
-				require.Equal(t, open < allowed && !now.Before(pausedBy), began)
+				require.Equal(t, open < allowed && !now.Before(pausedUntil), began)
 				if began {
 					open++
 				}
@@ -55,7 +55,7 @@
 			case 3:
 				if open > 0 {
 					tracker.Refute("e", now)
-					open, allowed, pausedBy = open-1, 1, now.Add(5*time.Second)
+					open, allowed, pausedUntil = open-1, 1, now.Add(5*time.Second)
 				}
 			case 4:
 				if open > 0 {
--- a/coordination/deadconn/tracker.go
+++ b/coordination/deadconn/tracker.go
@@ -20,9 +20,9 @@
 
 // doubts is the state of one endpoint.
 type doubts struct {
-	open      int // doubted streams
-	confirmed int // right guesses since the last wrong one
-	pausedBy  time.Time
+	open        int // doubted streams
+	confirmed   int // right guesses since the last wrong one
+	pausedUntil time.Time
 }
 
 // limit returns how many streams may be doubted at the same time.
@@ -41,7 +41,7 @@
 		d = &doubts{}
 		t.endpoints[endpoint] = d
 	}
-	if d.open >= d.limit() || now.Before(d.pausedBy) {
+	if d.open >= d.limit() || now.Before(d.pausedUntil) {
 		return false
 	}
 	d.open++
@@ -60,7 +60,7 @@
 func (t *Tracker) Refute(endpoint string, now time.Time) {
 	if d := t.end(endpoint); d != nil {
 		d.confirmed = 0
-		d.pausedBy = now.Add(refutedPause)
+		d.pausedUntil = now.Add(refutedPause)
 	}
 }
 
--- a/internal/scheduling/monitor.go
+++ b/internal/scheduling/monitor.go
@@ -16,11 +16,11 @@
 const (
 	// interval is how often the loop of a Monitor wakes.
 	interval = 100 * time.Millisecond
-	// minLate is by how much a wake-up must be late to count: less than any timeout in pinerun.
+	// minLate is by how much a wake-up must be late to count. No timeout in pinerun is shorter.
 	minLate = 150 * time.Millisecond
 	// accountingInterval is how often the kernel's account is read, so that an account of a late
-	// wake-up begins shortly before it.
-	accountingInterval = time.Second
+	// wake-up begins not long before it. A read opens a file for each thread.
+	accountingInterval = 10 * time.Second
 )
 
 // Monitor measures how late its own loop wakes. Set the exported fields before Start. The zero value
@@ -91,7 +91,7 @@
 // wake notes that the loop woke, and logs it if that was late.
 func (m *Monitor) wake(now time.Time) {
 	late := max(0, now.Sub(*m.awakeAt.Load())-interval)
-	m.awakeAt.Store(&now)
+	m.awakeAt.Store(&now) // first, so that Late never counts this time twice
 	if late > minLate {
 		m.lateUntil.Store(&now)
 		m.lateTotal.Add(int64(late))
--- a/internal/scheduling/monitor_test.go
+++ b/internal/scheduling/monitor_test.go
@@ -66,3 +66,9 @@
 	}
 	require.Greater(t, readAccount().ran, before.ran)
 }
+
+func BenchmarkReadAccount(b *testing.B) {
+	for range b.N {
+		readAccount()
+	}
+}
--- a/transport/forward/admit.go
+++ b/transport/forward/admit.go
@@ -73,30 +73,44 @@
 	return x.admitTeam(inForce.ConfirmedAt(), unconfirmed)
 }
 
-// awaitConfirmation waits for the next confirmation of the routing table, and reports whether there
-// was one. It does not wait while the platform is known not to answer. Otherwise the last confirmation
-// is old because this entry was not run, or its VM was suspended: the next one is some milliseconds
-// away, and a refusal would cost the caller a retry.
+// awaitConfirmation waits until the routing table is confirmed again, and reports whether it is. It does
+// not wait while the platform is known not to answer. Otherwise the last confirmation is old because
+// this entry was not run, or its VM was suspended: the next one is some milliseconds away, and a refusal
+// would cost the caller a retry.
 func (x *exchange) awaitConfirmation() bool {
 	f := x.forwarder
-	confirmed := f.Routing.Confirmed()
-	confirmedAt := f.Routing.ConfirmedAt()
-	if f.PlatformFailedAt == nil || f.PlatformFailedAt().After(confirmedAt) {
+	if f.PlatformFailedAt == nil {
 		return false
 	}
-	if x.begun.Sub(confirmedAt) <= unconfirmedAfter {
-		return true // it was confirmed meanwhile
+	if isConfirmed, waits := x.confirmation(); !waits {
+		return isConfirmed
 	}
 	f.Counters.Add(metric.ConfirmationWaits, 1)
 	t := time.NewTimer(confirmationWait)
 	defer t.Stop()
-	select {
-	case <-confirmed:
-		return true
-	case <-t.C:
-	case <-x.request.Context().Done():
+	for {
+		changed := f.Routing.Confirmed()
+		if isConfirmed, waits := x.confirmation(); !waits {
+			return isConfirmed
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			return false
+		case <-x.request.Context().Done():
+			return false
+		}
+	}
+}
+
+// confirmation reports whether the routing table is confirmed, and if not, whether it is worth waiting
+// for.
+func (x *exchange) confirmation() (isConfirmed, waits bool) {
+	confirmedAt := x.forwarder.Routing.ConfirmedAt()
+	if x.begun.Sub(confirmedAt) <= unconfirmedAfter {
+		return true, false
 	}
-	return false
+	return false, !x.forwarder.PlatformFailedAt().After(confirmedAt)
 }
 
 // headBytes returns the length of a request's head as far as net/http exposes it: the request line
