soak: a proxy goes on after a failed accept and says why

Cause: the test ran out of its 20,000 file descriptors. A proxy ended its loop at the first failed accept, without a word, so the link of an entry to the store or to callers was dead for the rest of the run.

TestProxyGoesOnAfterAShortage.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -4,12 +4,17 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"pinerun.example/pinerun/platform/platformtest"
 )
 
@@ -17,6 +22,9 @@
 // stand-ins are shorter.
 const chunkBytes = 16 << 10
 
+// acceptRetryInterval is the time between two attempts of a proxy to accept after an error.
+const acceptRetryInterval = 50 * time.Millisecond
+
 // linkState defines how a proxy delays or blocks the bytes of its connections.
 type linkState struct {
 	delay         time.Duration // added to every chunk
@@ -35,10 +43,13 @@
 	conns        map[net.Conn]bool
 	closed       bool
 	changedAt    time.Time // when the link was last disturbed or restored
+	// reportShortage reports that the test itself is short of something, such as file descriptors, so
+	// that connections fail which no fault was injected into.
+	reportShortage func(format string, args ...any)
 }
 
 func newProxy(t testing.TB, target string) *proxy {
-	p := &proxy{target: target, listener: platformtest.Listen(), stateChanged: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p := &proxy{target: target, listener: platformtest.Listen(), stateChanged: make(chan struct{}), conns: map[net.Conn]bool{}, reportShortage: t.Errorf}
 	go p.run()
 	t.Cleanup(p.close)
 	return p
@@ -95,13 +106,23 @@
 	p.reset()
 }
 
+// run accepts connections until the proxy is closed. An error is none of the entry's: without the report,
+// a link that had stopped to accept looked like an entry that doesn't serve.
 func (p *proxy) run() {
 	for {
 		in, err := p.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			p.reportShortage("a proxy can't accept: %v; run fewer seeds at once, or fewer in one process", err)
+			time.Sleep(acceptRetryInterval)
+			continue
+		}
 		out, err := net.Dial("tcp", p.currentTarget())
+		if errors.Is(err, syscall.EMFILE) {
+			p.reportShortage("a proxy can't connect: %v; run fewer seeds at once, or fewer in one process", err)
+		}
 		if err != nil {
 			abort(in) // as if no process listened on the port
 			continue
@@ -198,3 +219,36 @@
 		return
 	}
 }
+
+// failingListener returns an error before the connections of the real one.
+type failingListener struct {
+	net.Listener
+	err error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if err := l.err; err != nil {
+		l.err = nil
+		return nil, err
+	}
+	return l.Listener.Accept()
+}
+
+// TestProxyGoesOnAfterAShortage has a proxy run out of file descriptors. It stopped to accept without a
+// word, and entries behind it were listed as not serving within 12 s.
+func TestProxyGoesOnAfterAShortage(t *testing.T) {
+	store := platformtest.NewStore(t)
+	reported := make(chan string, 1)
+	p := &proxy{
+		target: store.Address(), listener: &failingListener{Listener: platformtest.Listen(), err: syscall.EMFILE},
+		stateChanged: make(chan struct{}), conns: map[net.Conn]bool{},
+		reportShortage: func(format string, args ...any) { reported <- fmt.Sprintf(format, args...) },
+	}
+	go p.run()
+	t.Cleanup(p.close)
+	res, err := http.Get("http://" + p.address() + "/objects/config")
+	require.NoError(t, err)
+	require.NoError(t, res.Body.Close())
+	require.Equal(t, http.StatusOK, res.StatusCode)
+	require.Contains(t, <-reported, "too many open files")
+}
