--- a/transport/forward/conn.go
+++ b/transport/forward/conn.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -156,7 +157,7 @@
 	empty := false
 	err := raw.Read(func(fd uintptr) bool {
 		_, err := peek(fd)
-		empty = err == syscall.EAGAIN
+		empty = errors.Is(err, syscall.EAGAIN)
 		return true
 	})
 	return err == nil && empty
