--- a/slow_callers_test.go
+++ b/slow_callers_test.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -66,6 +67,11 @@
 	}
 	p := newEntryProcessWithMemory(t, platformtest.Build(t, "."), "front-1", store.Address(), slowCallersMemoryMB)
 	p.start()
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(p.countEvents())
+		}
+	})
 	fullStream := ""
 	for n := range platformtest.StreamEvents {
 		fullStream += platformtest.Event(n + 1)
@@ -167,7 +173,7 @@
 		start := time.Now()
 		status, body, err := p.request(http.MethodPost, "/stream/x", fmt.Sprint("calm-", i), "other")
 		require.NoError(t, err)
-		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, http.StatusOK, status, body)
 		require.Equal(t, fullStream, body)
 		durations = append(durations, time.Since(start))
 	}
@@ -175,6 +181,18 @@
 	return durations
 }
 
+// countEvents returns how often the process logged each event, refusal and action on a silence.
+func (p *entryProcess) countEvents() map[string]int {
+	counts := map[string]int{}
+	for line := range strings.Lines(readFile(p.t, p.logFile)) {
+		var e struct{ Msg, Kind, Message, Action string }
+		if json.Unmarshal([]byte(line), &e) == nil {
+			counts[strings.Join([]string{e.Msg, e.Kind, e.Message, e.Action}, " ")]++
+		}
+	}
+	return counts
+}
+
 // requestCount returns the number of requests that reached the engines.
 func requestCount(engines []*platformtest.Endpoint) int {
 	n := 0
