scheduling: read what is known of the last wake-up as one value

- Monitor kept the last wake-up, the last late one and the total in three atomics.
A reader between two of the stores saw a late wake-up without its lateness, so Await could end early after a standstill.
- forward: note once an attempt, at its first event, when a served request was sent, and not at each event for each stage.
- forward: ask for the total lateness in one place; fleet: the new field keeps the others aligned as they were.

--- a/internal/scheduling/monitor.go
+++ b/internal/scheduling/monitor.go
@@ -29,18 +29,32 @@
 	Counters *metric.Set
 	Logger   *slog.Logger
 
-	done      lifecycle.Done
-	awakeAt   atomic.Pointer[time.Time] // when the loop last woke
-	lateUntil atomic.Pointer[time.Time] // when it last woke late
-	lateTotal atomic.Int64              // nanoseconds
-	readAt    time.Time                 // when account was read
-	account   account
+	done    lifecycle.Done
+	last    atomic.Pointer[wakeUp] // nil before Start
+	readAt  time.Time              // when account was read
+	account account
+}
+
+// wakeUp is what is known since the loop last woke. It is replaced as a whole, so that no reader sees a
+// late wake-up without its lateness.
+type wakeUp struct {
+	at        time.Time
+	lateUntil time.Time     // when the loop last woke late, zero for never
+	late      time.Duration // in all
+}
+
+// overdue returns by how much the next wake-up is late, 0 if that does not count.
+func (w *wakeUp) overdue(now time.Time) time.Duration {
+	if late := now.Sub(w.at) - interval; late > minLate {
+		return late
+	}
+	return 0
 }
 
 // Start starts the loop.
 func (m *Monitor) Start() {
 	now := clock.Now()
-	m.awakeAt.Store(&now)
+	m.last.Store(&wakeUp{at: now})
 	m.readAt, m.account = now, readAccount()
 	go m.run()
 }
@@ -52,27 +66,24 @@
 // includes the present moment, since the caller may run before the loop does, and suspensions of the
 // VM.
 func (m *Monitor) LateSince(t time.Time) bool {
-	awakeAt := m.awakeAt.Load()
-	if awakeAt == nil || m.done.Closed() {
+	last := m.last.Load()
+	if last == nil || m.done.Closed() {
 		return false
 	}
-	if clock.Since(*awakeAt) > interval+minLate {
-		return true
-	}
-	lateUntil := m.lateUntil.Load()
-	return lateUntil != nil && !lateUntil.Before(t)
+	return last.overdue(clock.Now()) > 0 || !last.lateUntil.IsZero() && !last.lateUntil.Before(t)
 }
 
 // Late returns for how long this process was not run since Start, as far as its loop noticed. It
 // includes the present moment.
 func (m *Monitor) Late() time.Duration {
-	total := time.Duration(m.lateTotal.Load())
-	if awakeAt := m.awakeAt.Load(); awakeAt != nil && !m.done.Closed() {
-		if late := clock.Since(*awakeAt) - interval; late > minLate {
-			total += late
-		}
+	last := m.last.Load()
+	switch {
+	case last == nil:
+		return 0
+	case m.done.Closed():
+		return last.late
 	}
-	return total
+	return last.late + last.overdue(clock.Now())
 }
 
 func (m *Monitor) run() {
@@ -90,15 +101,19 @@
 
 // wake notes that the loop woke, and logs it if that was late.
 func (m *Monitor) wake(now time.Time) {
-	late := max(0, now.Sub(*m.awakeAt.Load())-interval)
-	m.awakeAt.Store(&now) // first, so that Late never counts this time twice
-	if late > minLate {
-		m.lateUntil.Store(&now)
-		m.lateTotal.Add(int64(late))
+	last := m.last.Load()
+	next := &wakeUp{at: now, lateUntil: last.lateUntil, late: last.late}
+	late := last.overdue(now)
+	if late > 0 {
+		next.lateUntil = now
+		next.late += late
+	}
+	m.last.Store(next)
+	if late > 0 {
 		m.logLate(late, now)
 	}
 	if m.Counters != nil {
-		m.Counters.RecordDuration(metric.LoopLate, late)
+		m.Counters.RecordDuration(metric.LoopLate, max(0, now.Sub(last.at)-interval))
 	}
 	if now.Sub(m.readAt) >= accountingInterval {
 		m.readAt, m.account = now, readAccount()
--- a/internal/scheduling/monitor_test.go
+++ b/internal/scheduling/monitor_test.go
@@ -34,7 +34,7 @@
 	var log bytes.Buffer
 	m := &Monitor{Counters: &metric.Set{}, Logger: slog.New(slog.NewTextHandler(&log, nil))}
 	began := time.Now()
-	m.awakeAt.Store(&began)
+	m.last.Store(&wakeUp{at: began})
 	m.readAt = began
 	m.wake(began.Add(interval + minLate))
 	require.False(t, m.LateSince(began))
@@ -45,14 +45,13 @@
 	require.True(t, m.LateSince(late))
 	require.False(t, m.LateSince(late.Add(1)), "what came after it is not affected")
 	require.Contains(t, log.String(), "late_ms=2650")
-	require.Equal(t, 2650*time.Millisecond, time.Duration(m.lateTotal.Load()))
+	require.Equal(t, 2650*time.Millisecond, m.last.Load().late)
 }
 
 // TestLateSinceIncludesThePresent asks before the loop of a process that was not run has woken.
 func TestLateSinceIncludesThePresent(t *testing.T) {
 	m := &Monitor{}
-	awake := time.Now().Add(-time.Second)
-	m.awakeAt.Store(&awake)
+	m.last.Store(&wakeUp{at: time.Now().Add(-time.Second)})
 	require.True(t, m.LateSince(time.Now()))
 	require.GreaterOrEqual(t, m.Late(), time.Second-interval)
 	require.Less(t, (&Monitor{}).Late(), time.Second, "not started")
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -33,23 +33,25 @@
 	reportedAt       atomic.Int64  // unix nanoseconds
 	slowdown         atomic.Uint64 // running mean of actual over expected time, a float
 	deviation        atomic.Uint64
-	measuredAt       atomic.Int64                           // unix nanoseconds
-	heardAt          atomic.Int64                           // unix nanoseconds
-	usedByOthers     atomic.Uint64                          // layer passes that other entries' requests held by the last report, a float
-	usedUntil        atomic.Int64                           // unix nanoseconds until when usedByOthers is trusted
-	ejectedUntil     atomic.Int64                           // unix nanoseconds
-	suspectUntil     atomic.Int64                           // unix nanoseconds
-	lostAt           atomic.Int64                           // unix nanoseconds of the observations that reported the runner lost
-	lostUntil        atomic.Int64                           // unix nanoseconds at which they expire, 0 for none
-	reportedSlowdown atomic.Uint64                          // slowdown by the reports of entries, a float
-	slowSince        atomic.Int64                           // unix nanoseconds from which the reported slowdown holds
-	slowUntil        atomic.Int64                           // unix nanoseconds at which it expires, 0 if the runner is not slow
-	onTimeAt         atomic.Int64                           // unix nanoseconds of the last event that came through the runner without delay
-	servedSentAt     [protocol.LeastUrgent + 1]atomic.Int64 // unix nanoseconds by urgency, see Served
+	measuredAt       atomic.Int64  // unix nanoseconds
+	heardAt          atomic.Int64  // unix nanoseconds
+	usedByOthers     atomic.Uint64 // layer passes that other entries' requests held by the last report, a float
+	usedUntil        atomic.Int64  // unix nanoseconds until when usedByOthers is trusted
+	ejectedUntil     atomic.Int64  // unix nanoseconds
+	suspectUntil     atomic.Int64  // unix nanoseconds
+	lostAt           atomic.Int64  // unix nanoseconds of the observations that reported the runner lost
+	lostUntil        atomic.Int64  // unix nanoseconds at which they expire, 0 for none
+	reportedSlowdown atomic.Uint64 // slowdown by the reports of entries, a float
+	slowSince        atomic.Int64  // unix nanoseconds from which the reported slowdown holds
+	slowUntil        atomic.Int64  // unix nanoseconds at which it expires, 0 if the runner is not slow
+	onTimeAt         atomic.Int64  // unix nanoseconds of the last event that came through the runner without delay
 	failures         atomic.Int64
 	refusals         atomic.Int64
 	leaving          atomic.Bool // by the configuration or the engine itself
 	vmLeaving        atomic.Bool // by the platform's list of VMs
+
+	// servedSentAt holds unix nanoseconds by urgency, see Served.
+	servedSentAt [protocol.LeastUrgent + 1]atomic.Int64
 }
 
 // NewRunner returns a runner without measurements. The data center is that of the entry.
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -319,12 +319,15 @@
 	return nil
 }
 
-// recordHeard records as working every runner that the attempt certainly uses.
+// recordHeard records as working every runner that the attempt certainly uses. The first event says all
+// that there is to say about when the request was sent.
 func (x *exchange) recordHeard(a *attempt, now time.Time) {
 	for i := range a.path.Len() {
 		if a.provesStage(i) {
 			x.forwarder.recordWorking(a.path.Runner(i), now)
-			a.path.Runner(i).Served(a.sentAt, x.urgency())
+			if !a.hasEvent {
+				a.path.Runner(i).Served(a.sentAt, x.urgency())
+			}
 		}
 	}
 }
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -84,9 +84,7 @@
 	x.losses = f.losses.Changed()
 	x.refusals = f.refusals.Changed()
 	x.resumed, x.suspended = f.resumed.Changed(), clock.Suspended()
-	if f.Late != nil {
-		x.late = f.Late()
-	}
+	x.late = f.totalLateness()
 	x.timing.start(x.route, x.service, x.begun)
 	x.start(x.begun)
 	x.loop()
--- a/transport/forward/suspension.go
+++ b/transport/forward/suspension.go
@@ -39,13 +39,18 @@
 // attempt. What arrived in the meantime is about to be read. Otherwise each request of an entry that runs
 // again would be hedged, and each of its engines suspected.
 func (x *exchange) discountLateness(now time.Time) {
-	if x.forwarder.Late == nil {
-		return
-	}
-	total := x.forwarder.Late()
+	total := x.forwarder.totalLateness()
 	late := total - x.late
 	x.late = total
 	if late > 0 {
 		x.timing.discount(late, now)
 	}
 }
+
+// totalLateness returns for how long this process was not run in all, as far as that is measured.
+func (f *Forwarder) totalLateness() time.Duration {
+	if f.Late == nil {
+		return 0
+	}
+	return f.Late()
+}
--- a/transport/forward/timing.go
+++ b/transport/forward/timing.go
@@ -22,8 +22,9 @@
 	firstEventShare = 0.5
 	// silenceRecheckInterval is how often a lasting silence is checked again.
 	silenceRecheckInterval = 100 * time.Millisecond
-	// resumeGrace is how long after a time in which this process was not run nothing counts as silent: all requests
-	// of the entry have to be checked first, some hundreds at some tens of microseconds each.
+	// resumeGrace is how long after a time in which this process was not run nothing counts as
+	// silent: all requests of the entry have to be checked first, some hundreds at some tens of
+	// microseconds each.
 	resumeGrace = 200 * time.Millisecond
 	// pauseSmoothing is the weight of a new pause in the mean.
 	pauseSmoothing = 0.2
