deployed: measure the bound of a wait by the time in which the test ran

The twin of the waits of platform and soak: a timer fires after a standstill before the condition is looked at again. Bound and condition stay. The other 15 waits by require.Eventually, in packages without processes, are not changed.

--- a/deployed_test.go
+++ b/deployed_test.go
@@ -76,7 +76,7 @@
 // waitUntil fails the test if the condition does not hold within waitTimeout.
 func (p *entryProcess) waitUntil(condition func() bool, what string) {
 	p.t.Helper()
-	require.Eventually(p.t, condition, waitTimeout, 10*time.Millisecond, what)
+	require.True(p.t, platformtest.Await(waitTimeout, 10*time.Millisecond, condition), what)
 }
 
 func (p *entryProcess) isReady() bool {
