front: log tables that are passed over and the era of the store

No logic is changed: the era is noted and used for nothing yet.

Ruled out as a sign: the age of the last confirmation in refusals, which is the time of a read and not of a table in force.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -69,9 +69,11 @@
 	ConfigIgnored       = Event{4002, "configuration ignored", slog.LevelWarn}
 	KeysUnconfirmed     = Event{4003, "keys unconfirmed", slog.LevelWarn}
 	KeysConfirmed       = Event{4004, "keys confirmed again", slog.LevelInfo}
+	ConfigPassedOver    = Event{4005, "configuration passed over", slog.LevelWarn}
 	PlatformUnreached   = Event{5001, "platform unreached", slog.LevelWarn}
 	PlatformBack        = Event{5002, "platform back", slog.LevelInfo}
 	PlatformCalled      = Event{5003, "platform called", slog.LevelDebug}
+	StoreRestored       = Event{5004, "store restored", slog.LevelWarn}
 	ClaimShardLoaded    = Event{6001, "claim shard loaded", slog.LevelInfo}
 	ClaimWriteRaced     = Event{6002, "claim write raced", slog.LevelInfo}
 	ClaimAnswerLost     = Event{6003, "claim write answer lost", slog.LevelWarn}
@@ -107,8 +109,8 @@
 		RunnerConnected, RunnerLost, RunnerEjected, FrameBroken, ReportIgnored,
 		EndpointJoined, EndpointLeaving, EndpointGone, LayersChanged, LossReported,
 		RecordSuperseded, RecordDisproved, RecordUnusable, RecordUsable, EndpointSlow, EndpointRecovered, EndpointRestarted, RateLimitChanged, BackoffAsked, LeavingTold,
-		ConfigInForce, ConfigIgnored, KeysUnconfirmed, KeysConfirmed,
-		PlatformUnreached, PlatformBack, PlatformCalled,
+		ConfigInForce, ConfigIgnored, KeysUnconfirmed, KeysConfirmed, ConfigPassedOver,
+		PlatformUnreached, PlatformBack, PlatformCalled, StoreRestored,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
 		PeerConnected, PeerLost,
 		EntriesCounted, PeerFollowed, PeerLeft, FollowerGone, EntryIgnored,
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -11,6 +11,7 @@
 
 import (
 	"expvar"
+	"strconv"
 	"sync"
 	"time"
 
@@ -91,6 +92,8 @@
 	IsolatedRuns        Name = "requests_tried_alone"
 	WorkRefused         Name = "work_refused"
 	ConfirmationWaits   Name = "confirmation_waits"
+	ConfigPassedOver    Name = "config_passed_over"
+	StoreRestores       Name = "store_restores"
 )
 
 // Names returns all counters that count neither refusals nor retries.
@@ -104,7 +107,7 @@
 		RecordsSuperseded, RecordsDisproved, RestartsSeen,
 		HeldAnswerBytes, HeldBodyBytes, PressureStopped, PressureDropped, PressureEnded, ConnectionsClosed,
 		EndpointsSlow, SlownessReports, EndpointsLimited, LimitWaits, PathOrders, IsolatedRuns, WorkRefused,
-		ConfirmationWaits,
+		ConfirmationWaits, ConfigPassedOver, StoreRestores,
 	}
 }
 
@@ -158,6 +161,11 @@
 	s.counters.Add("platform_calls_by."+string(call)+" "+kind, 1)
 }
 
+// CountPlatformStatus counts an answer of the platform with that HTTP status.
+func (s *Set) CountPlatformStatus(status int) {
+	s.counters.Add("platform_answers_by."+strconv.Itoa(status), 1)
+}
+
 // Add increases a counter by delta.
 func (s *Set) Add(n Name, delta int64) { s.counters.Add(string(n), delta) }
 
--- a/internal/metric/times.go
+++ b/internal/metric/times.go
@@ -48,7 +48,8 @@
 // when it was requested from another endpoint. StoreCall and EngineCall are calls to the
 // platform (except watches, which block) and to engines. QueueWait is the time in the wait
 // queue. PathChange is the pause of a stream whose path changed. LoopLate is how late a loop that
-// wakes ten times a second woke.
+// wakes ten times a second woke. ConfigAge is the most that a routing table can have been accepted
+// before it was in force: the time since the platform last confirmed the one before.
 const (
 	FirstEvent  Latency = "first_event"
 	WholeAnswer Latency = "whole_answer"
@@ -59,11 +60,12 @@
 	QueueWait   Latency = "held"
 	PathChange  Latency = "path_change"
 	LoopLate    Latency = "loop_late"
+	ConfigAge   Latency = "config_age"
 )
 
 // Latencies returns all latencies that a Set records.
 func Latencies() []Latency {
-	return []Latency{FirstEvent, WholeAnswer, Pause, Detection, StoreCall, EngineCall, QueueWait, PathChange, LoopLate}
+	return []Latency{FirstEvent, WholeAnswer, Pause, Detection, StoreCall, EngineCall, QueueWait, PathChange, LoopLate, ConfigAge}
 }
 
 // Summary holds the count and percentiles of a histogram, in milliseconds.
--- a/transport/front/dependencies.go
+++ b/transport/front/dependencies.go
@@ -26,6 +26,8 @@
 type Objects interface {
 	watch.Source
 	director.Objects
+	// Era returns the latest era that the store named, 0 for none.
+	Era() uint64
 	// ListStale returns the objects of a kind as the platform held them some seconds ago.
 	ListStale(ctx context.Context, kind string) (protocol.Listing, error)
 	// PageStale returns the first page of ListStale that follows a name.
--- a/transport/front/gauges.go
+++ b/transport/front/gauges.go
@@ -65,6 +65,12 @@
 	}
 }
 
+// writeStoreEra writes the latest era that the store named.
+func writeStoreEra(w io.Writer, era uint64) error {
+	_, err := fmt.Fprintf(w, "pinerun_store_era %d\n", era)
+	return err
+}
+
 // writeGauges writes the current state in the text format of Prometheus.
 func writeGauges(w io.Writer, s protocol.FleetStatus) error {
 	gauges := gaugeWriter{out: w}
--- a/transport/front/handlers.go
+++ b/transport/front/handlers.go
@@ -32,6 +32,9 @@
 		if err := f.Counters.WriteText(c.Response()); err != nil {
 			return err
 		}
+		if err := writeStoreEra(c.Response(), f.Dependencies.Objects.Era()); err != nil {
+			return err
+		}
 		return writeGauges(c.Response(), f.fleetStatus(clock.Now()))
 	})
 	e.GET("/fleet", func(c echo.Context) error {
--- a/transport/front/registration_test.go
+++ b/transport/front/registration_test.go
@@ -87,6 +87,8 @@
 	return l, nil
 }
 
+func (s *lateStore) Era() uint64 { return 0 }
+
 func (s *lateStore) ListStale(ctx context.Context, kind string) (protocol.Listing, error) {
 	return s.List(ctx, kind)
 }
--- a/transport/front/routing_sink.go
+++ b/transport/front/routing_sink.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
@@ -20,6 +21,7 @@
 
 	mutex          sync.Mutex
 	latestRevision uint64 // highest revision applied; the object is read more often than it changes
+	passedOver     uint64 // revision that was passed over last
 	unusable       bool   // the table of that revision can't be used
 }
 
@@ -27,14 +29,14 @@
 func (s *routingSink) Listed(objects []protocol.Object, _ time.Time) {
 	s.front.platformAnswered()
 	for _, o := range objects {
-		s.apply(o)
+		s.apply(o, "list")
 	}
 }
 
 // Changed applies a changed table.
 func (s *routingSink) Changed(c protocol.Change, _ time.Time) {
 	if !c.Deleted {
-		s.apply(c.Object)
+		s.apply(c.Object, "change")
 	}
 }
 
@@ -54,11 +56,15 @@
 func (s *routingSink) Failed(err error, now time.Time) { s.front.watchFailed("routing", err, now) }
 
 // apply puts a table in force unless its revision was applied before.
-func (s *routingSink) apply(o protocol.Object) {
+func (s *routingSink) apply(o protocol.Object, source string) {
 	f := s.front
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if o.Name != f.Dependencies.RoutingName || o.Version <= s.latestRevision {
+	if o.Name != f.Dependencies.RoutingName {
+		return
+	}
+	if o.Version <= s.latestRevision {
+		s.logPassedOver(o, source)
 		return
 	}
 	s.latestRevision = o.Version
@@ -71,6 +77,23 @@
 	}
 }
 
+// logPassedOver logs that an object was not applied because its revision is not higher than that of
+// the last one. The mutex is held.
+func (s *routingSink) logPassedOver(o protocol.Object, source string) {
+	if o.Version == s.latestRevision || o.Version == s.passedOver {
+		return
+	}
+	s.passedOver = o.Version
+	f := s.front
+	f.Counters.Add(metric.ConfigPassedOver, 1)
+	inForce := uint64(0)
+	if t := f.routing.Current(); t != nil {
+		inForce = t.Version()
+	}
+	event.ConfigPassedOver.Log(f.Logger, slog.Uint64("revision", o.Version), slog.Uint64("latest", s.latestRevision),
+		slog.Uint64("in_force", inForce), slog.String("source", source))
+}
+
 // install puts a table in force unless the one in force is as new.
 func (s *routingSink) install(o protocol.Object) error {
 	f := s.front
@@ -88,6 +111,9 @@
 	// The services of the table are set first: from the moment the table is in force, requests look
 	// for their endpoints.
 	f.endpoints.SetServices(t.Services())
+	if at := f.routing.ConfirmedAt(); !at.IsZero() {
+		f.Counters.RecordDuration(metric.ConfigAge, clock.Since(at))
+	}
 	f.routing.Offer(t)
 	f.Counters.Add(metric.ConfigAccepted, 1)
 	event.ConfigInForce.Log(f.Logger, slog.Uint64("version", t.Version()), slog.Uint64("revision", o.Version),
