--- a/coordination/census/census.go
+++ b/coordination/census/census.go
@@ -42,7 +42,7 @@
 
 // record is the version of an entry's record and when it was first seen.
 type record struct {
-	version        uint64
+	version        protocol.Revision
 	unchangedSince time.Time // from when this entry has seen the version unchanged
 }
 
@@ -83,14 +83,14 @@
 // StaleRecord is a record that its entry no longer renews.
 type StaleRecord struct {
 	name    string
-	version uint64
+	version protocol.Revision
 }
 
 // Name returns the name of the record.
 func (r StaleRecord) Name() string { return r.name }
 
 // Version returns the version that the record must still have when it is removed.
-func (r StaleRecord) Version() uint64 { return r.version }
+func (r StaleRecord) Version() protocol.Revision { return r.version }
 
 // Stale returns the records to remove.
 func (c *Counter) Stale(now time.Time) []StaleRecord {
--- a/coordination/census/census_test.go
+++ b/coordination/census/census_test.go
@@ -15,7 +15,7 @@
 func records(versions ...uint64) []protocol.Object {
 	var all []protocol.Object
 	for i, v := range versions {
-		all = append(all, protocol.Object{Name: string(rune('a' + i)), Version: v})
+		all = append(all, protocol.Object{Name: string(rune('a' + i)), Version: protocol.Revision{Number: v}})
 	}
 	return all
 }
--- a/coordination/claim/action.go
+++ b/coordination/claim/action.go
@@ -13,16 +13,16 @@
 // Write asks for one conditional write.
 type Write struct {
 	slot            int
-	expectedVersion uint64
+	expectedVersion protocol.Revision
 	batch           protocol.ClaimBatch
 }
 
 // Slot returns the slot to write.
 func (w Write) Slot() int { return w.slot }
 
-// ExpectedVersion returns the version that the slot must have; 0 means that it must not
-// exist.
-func (w Write) ExpectedVersion() uint64 { return w.expectedVersion }
+// ExpectedVersion returns the version that the slot must have; the zero one means that it
+// must not exist.
+func (w Write) ExpectedVersion() protocol.Revision { return w.expectedVersion }
 
 // Batch returns the batch to write.
 func (w Write) Batch() protocol.ClaimBatch { return w.batch }
@@ -41,11 +41,11 @@
 func (Read) action()  {}
 func (Idle) action()  {}
 
-// StoredSlot is the content of a slot in the platform. A slot that does not exist has
-// version 0.
+// StoredSlot is the content of a slot in the platform. A slot that does not exist has the
+// zero version.
 type StoredSlot struct {
 	Slot    int
-	Version uint64
+	Version protocol.Revision
 	Batch   protocol.ClaimBatch
 }
 
--- a/coordination/claim/log.go
+++ b/coordination/claim/log.go
@@ -43,7 +43,7 @@
 
 // slot is what is known of one slot: its version, and until when its records must be kept.
 type slot struct {
-	version uint64
+	version protocol.Revision
 	expiry  time.Time
 }
 
@@ -155,7 +155,7 @@
 }
 
 // WriteSucceeded records that the write in flight succeeded.
-func (l *Log) WriteSucceeded(version uint64) {
+func (l *Log) WriteSucceeded(version protocol.Revision) {
 	batch := protocol.ClaimBatch{Sequence: l.next, Records: slices.Clone(l.pending[:l.inFlight])}
 	for _, r := range batch.Records {
 		v := Kept
@@ -181,7 +181,7 @@
 func (l *Log) SlotRead(s StoredSlot) {
 	l.uncertain, l.refresh = false, false
 	switch {
-	case s.Version == 0:
+	case s.Version.IsZero():
 		delete(l.slots, l.nextSlot())
 	case s.Batch.Sequence == l.next:
 		l.apply(s)
--- a/coordination/claim/log_test.go
+++ b/coordination/claim/log_test.go
@@ -80,10 +80,10 @@
 func (s *simulation) put(write claim.Write) (uint64, bool) {
 	version := s.slots[write.Slot()].Version
 	if version != write.ExpectedVersion() && s.mutant != unconditional {
-		return version, false
+		return version.Number, false
 	}
 	s.version++
-	s.slots[write.Slot()] = claim.StoredSlot{Slot: write.Slot(), Version: s.version, Batch: write.Batch()}
+	s.slots[write.Slot()] = claim.StoredSlot{Slot: write.Slot(), Version: protocol.Revision{Number: s.version}, Batch: write.Batch()}
 	return s.version, true
 }
 
@@ -135,7 +135,7 @@
 		w.log.WriteFailed()
 	case answered:
 		if version, done := s.put(write); done {
-			w.log.WriteSucceeded(version)
+			w.log.WriteSucceeded(protocol.Revision{Number: version})
 		} else {
 			w.log.WriteUncertain()
 		}
@@ -146,7 +146,7 @@
 			s.delayed = append(s.delayed, write)
 		}
 		if s.mutant == assumesSuccess {
-			w.log.WriteSucceeded(s.version + 1)
+			w.log.WriteSucceeded(protocol.Revision{Number: s.version + 1})
 			return
 		}
 		w.log.WriteUncertain()
@@ -420,6 +420,6 @@
 
 func writeAll(l *claim.Log, version uint64) {
 	if _, ok := l.Next(epoch).(claim.Write); ok {
-		l.WriteSucceeded(version)
+		l.WriteSucceeded(protocol.Revision{Number: version})
 	}
 }
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -26,7 +26,11 @@
 // that checks it rejects the orders of an earlier holder.
 package lease
 
-import "time"
+import (
+	"time"
+
+	"pinerun.example/pinerun/protocol"
+)
 
 const (
 	// TTL is how long a lease lasts without renewal.
@@ -56,13 +60,13 @@
 
 // Write asks for a conditional write.
 type Write struct {
-	expectedVersion uint64
+	expectedVersion protocol.Revision
 	record          Record
 }
 
-// ExpectedVersion returns the version that the object must still have; 0 means
+// ExpectedVersion returns the version that the object must still have; the zero one means
 // that it must not exist.
-func (w Write) ExpectedVersion() uint64 { return w.expectedVersion }
+func (w Write) ExpectedVersion() protocol.Revision { return w.expectedVersion }
 
 // Record returns the content to write.
 func (w Write) Record() Record { return w.record }
@@ -88,7 +92,7 @@
 	known           bool // version and record reflect what was last read, reported or written
 	uncertain       bool // the effect of the last write is unknown
 	receivesReports bool // other entries report each change
-	version         uint64
+	version         protocol.Revision
 	record          Record
 	unchangedSince  time.Time // from when this entry has seen the version unchanged
 	readAt          time.Time // when the object was last read
@@ -105,7 +109,7 @@
 		return Read{}
 	case l.isHolder():
 		return l.renew(now)
-	case l.version == 0 || l.record.Holder == "" || now.Sub(l.unchangedSince) > TTL:
+	case l.version.IsZero() || l.record.Holder == "" || now.Sub(l.unchangedSince) > TTL:
 		return l.acquire(l.record.Epoch+1, now)
 	case l.receivesReports:
 		return Wait{until: l.unchangedSince.Add(TTL)}
@@ -117,11 +121,11 @@
 }
 
 // ObserveReport applies the state of the object as another entry reported it.
-// Version 0 means that the object does not exist. A report does not resolve an
+// The zero version means that the object does not exist. A report does not resolve an
 // uncertain write, and a report of an older version has no effect.
-func (l *Lease) ObserveReport(version uint64, r Record, now time.Time) {
+func (l *Lease) ObserveReport(version protocol.Revision, r Record, now time.Time) {
 	l.receivesReports = true
-	if l.uncertain || l.known && version <= l.version {
+	if l.uncertain || l.known && !l.version.Before(version) {
 		return
 	}
 	l.Observe(version, r, now)
@@ -139,7 +143,7 @@
 }
 
 // Released records that the write of Release succeeded.
-func (l *Lease) Released(version uint64) { l.committed(version) }
+func (l *Lease) Released(version protocol.Revision) { l.committed(version) }
 
 // isHolder reports whether the last known record is this entry's own and this
 // entry has not given the lease up. A lease of its own that has expired must be
@@ -174,18 +178,18 @@
 }
 
 // WriteSucceeded records that the write in flight succeeded.
-func (l *Lease) WriteSucceeded(version uint64) { l.holdFrom(version) }
+func (l *Lease) WriteSucceeded(version protocol.Revision) { l.holdFrom(version) }
 
 // holdFrom records that the write in flight took effect and this entry holds the
 // lease. The time counts from when Next returned the write, since other entries
 // may have seen its effect at any time after that.
-func (l *Lease) holdFrom(version uint64) {
+func (l *Lease) holdFrom(version protocol.Revision) {
 	l.committed(version)
 	l.heldUntil = l.pendingSince.Add(TTL - SafetyMargin)
 }
 
 // committed records that the platform holds the content of the write in flight.
-func (l *Lease) committed(version uint64) {
+func (l *Lease) committed(version protocol.Revision) {
 	l.version = version
 	l.record = l.pending
 	l.unchangedSince = l.pendingSince
@@ -199,16 +203,16 @@
 	l.uncertain = true
 }
 
-// Observe applies the state of the object as read from the platform. Version 0
-// means that the object does not exist.
-func (l *Lease) Observe(version uint64, r Record, now time.Time) {
+// Observe applies the state of the object as read from the platform. The zero
+// version means that the object does not exist.
+func (l *Lease) Observe(version protocol.Revision, r Record, now time.Time) {
 	l.known = true
 	l.uncertain = false
 	l.readAt = now
-	if version != 0 && (r.Epoch == 0 || r.Epoch > version) {
+	if !version.IsZero() && (r.Epoch == 0 || r.Epoch > version.Number) {
 		r = unknownRecord(version)
 	}
-	if version != 0 && r == l.pending && version != l.version {
+	if !version.IsZero() && r == l.pending && version != l.version {
 		if r.Holder == "" {
 			l.Released(version)
 		} else {
@@ -233,7 +237,9 @@
 // unknownRecord returns the record that replaces one that no entry has written. Its
 // holder is unknown, so the lease lasts as long as any other. Each epoch took a
 // write, so no earlier epoch is greater than the version.
-func unknownRecord(version uint64) Record { return Record{Holder: unknownHolder, Epoch: version} }
+func unknownRecord(version protocol.Revision) Record {
+	return Record{Holder: unknownHolder, Epoch: version.Number}
+}
 
 // Epoch returns the epoch to put into an order, and reports whether this entry may
 // give one now.
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"pinerun.example/pinerun/coordination/lease"
+	"pinerun.example/pinerun/protocol"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -76,9 +77,9 @@
 	e.inFlight = nil
 	switch a := action.(type) {
 	case lease.Read:
-		e.lease.Observe(s.version, s.record, s.clock(e))
+		e.lease.Observe(protocol.Revision{Number: s.version}, s.record, s.clock(e))
 	case lease.Write:
-		if s.version != a.ExpectedVersion() && s.mutant != unconditional {
+		if s.version != a.ExpectedVersion().Number && s.mutant != unconditional {
 			e.releasing = false
 			e.lease.WriteUncertain()
 			return
@@ -90,9 +91,9 @@
 		case lost:
 			e.lease.WriteUncertain()
 		case e.releasing:
-			e.lease.Released(s.version)
+			e.lease.Released(protocol.Revision{Number: s.version})
 		default:
-			e.lease.WriteSucceeded(s.version)
+			e.lease.WriteSucceeded(protocol.Revision{Number: s.version})
 		}
 	}
 	e.releasing = false
@@ -115,7 +116,7 @@
 func (s *simulation) deliverDelayed(i int) {
 	write := s.delayed[i]
 	s.delayed = append(s.delayed[:i:i], s.delayed[i+1:]...)
-	if write.ExpectedVersion() == s.version {
+	if write.ExpectedVersion().Number == s.version {
 		s.version++
 		s.record = write.Record()
 		s.history = append(s.history, s.record)
@@ -142,7 +143,7 @@
 	if version > 0 {
 		r = s.history[version-1]
 	}
-	e.lease.ObserveReport(version, r, s.clock(e))
+	e.lease.ObserveReport(protocol.Revision{Number: version}, r, s.clock(e))
 }
 
 // release lets an entry without a pending order release the lease.
@@ -260,7 +261,7 @@
 	settle(0)
 	s.decideOrder(0)
 	if m == unconditional {
-		s.entries[1].lease.Observe(0, lease.Record{}, s.clock(s.entries[1]))
+		s.entries[1].lease.Observe(protocol.Revision{}, lease.Record{}, s.clock(s.entries[1]))
 		settle(1) // writes over a lease that it has not seen
 		return s
 	}
@@ -341,16 +342,16 @@
 // a write of its own is uncertain.
 func TestReportedLeaseNeedsNoRead(t *testing.T) {
 	l := lease.Lease{Self: "me"}
-	l.ObserveReport(4, lease.Record{Holder: "other", Epoch: 2}, start)
+	l.ObserveReport(protocol.Revision{Number: 4}, lease.Record{Holder: "other", Epoch: 2}, start)
 	require.Equal(t, start.Add(lease.TTL), l.Next(start.Add(2*time.Second)).(lease.Wait).Until())
-	l.ObserveReport(5, lease.Record{Holder: "other", Epoch: 2, Nonce: 1}, start.Add(2*time.Second))
-	l.ObserveReport(4, lease.Record{Holder: "other", Epoch: 2}, start.Add(4*time.Second))
+	l.ObserveReport(protocol.Revision{Number: 5}, lease.Record{Holder: "other", Epoch: 2, Nonce: 1}, start.Add(2*time.Second))
+	l.ObserveReport(protocol.Revision{Number: 4}, lease.Record{Holder: "other", Epoch: 2}, start.Add(4*time.Second))
 	require.IsType(t, lease.Wait{}, l.Next(start.Add(4*time.Second)), "the lease was renewed since")
-	l.ObserveReport(6, lease.Record{Epoch: 2, Nonce: 2}, start.Add(4*time.Second))
+	l.ObserveReport(protocol.Revision{Number: 6}, lease.Record{Epoch: 2, Nonce: 2}, start.Add(4*time.Second))
 	write := l.Next(start.Add(4 * time.Second)).(lease.Write)
 	require.EqualValues(t, 6, write.ExpectedVersion(), "the lease was released")
 	l.WriteUncertain()
-	l.ObserveReport(7, write.Record(), start.Add(4*time.Second))
+	l.ObserveReport(protocol.Revision{Number: 7}, write.Record(), start.Add(4*time.Second))
 	require.Equal(t, lease.Read{}, l.Next(start.Add(4*time.Second)), "only a read of the platform resolves an uncertain write")
 	_, holds := l.Epoch(start.Add(4 * time.Second))
 	require.False(t, holds)
@@ -364,14 +365,14 @@
 	held := lease.Record{Holder: "other", Epoch: 2, Nonce: 1}
 	expired := start.Add(lease.TTL + time.Millisecond)
 	earlier := lease.Lease{Self: "me", Incarnation: 1000}
-	earlier.ObserveReport(3, held, start)
+	earlier.ObserveReport(protocol.Revision{Number: 3}, held, start)
 	delayed := earlier.Next(expired).(lease.Write)
 	current := lease.Lease{Self: "me", Incarnation: 2000}
-	current.ObserveReport(3, held, start)
+	current.ObserveReport(protocol.Revision{Number: 3}, held, start)
 	again := current.Next(expired.Add(time.Second)).(lease.Write)
 	require.Equal(t, delayed.ExpectedVersion(), again.ExpectedVersion())
 	current.WriteUncertain() // the delayed write took effect in between
-	current.Observe(4, delayed.Record(), expired.Add(time.Second))
+	current.Observe(protocol.Revision{Number: 4}, delayed.Record(), expired.Add(time.Second))
 	_, holds := current.Epoch(expired.Add(time.Second))
 	require.False(t, holds)
 	require.IsType(t, lease.Wait{}, current.Next(expired.Add(time.Second)), "the lease lasts like one of another entry")
@@ -406,7 +407,7 @@
 func TestUnreadableLeaseExpiresAsUsual(t *testing.T) {
 	for _, unreadable := range []lease.Record{{}, {Holder: "me"}, {Holder: "other", Epoch: 1 << 63}} {
 		l := lease.Lease{Self: "me"}
-		l.Observe(40, unreadable, start)
+		l.Observe(protocol.Revision{Number: 40}, unreadable, start)
 		_, holds := l.Epoch(start)
 		require.False(t, holds)
 		_, writes := l.Next(start).(lease.Write)
--- a/coordination/member/member_test.go
+++ b/coordination/member/member_test.go
@@ -119,9 +119,9 @@
 
 func TestSweepMeasuresAgeByOwnObservation(t *testing.T) {
 	var s member.Sweep
-	objects := []protocol.Object{{Name: "a", Version: 1}, {Name: "b", Version: 2}}
+	objects := []protocol.Object{{Name: "a", Version: protocol.Revision{Number: 1}}, {Name: "b", Version: protocol.Revision{Number: 2}}}
 	require.Empty(t, s.Stale(objects, now))
-	objects[0].Version = 3 // a is written again
+	objects[0].Version = protocol.Revision{Number: 3} // a is written again
 	require.Empty(t, s.Stale(objects, now.Add(10*time.Minute)))
 	stale := s.Stale(objects, now.Add(16*time.Minute))
 	require.Len(t, stale, 1)
--- a/coordination/member/sweep.go
+++ b/coordination/member/sweep.go
@@ -23,7 +23,7 @@
 
 // observation is a record's version and when it was first seen.
 type observation struct {
-	version        uint64
+	version        protocol.Revision
 	unchangedSince time.Time
 }
 
--- a/coordination/ratelimit/cost_test.go
+++ b/coordination/ratelimit/cost_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"pinerun.example/pinerun/coordination/ratelimit"
@@ -25,7 +26,7 @@
 		Endpoint: "i-18ab123cab", Incarnation: 1_764_771_484_000, Observer: "front-gyor-b-2", Number: 1_764_771_484_000_000_000,
 		Observation: protocol.RateLimitLent, Limit: 4.2, Borrower: "front-gyor-b-1", Share: 1.0 / 7, AgoMS: 3.25,
 	}
-	b, err := protocol.EncodeRelay([]protocol.RateReport{message})
+	b, err := cbor.Marshal([]protocol.RateReport{message})
 	require.NoError(t, err)
 	for _, entries := range []int{7, 985, 1970} {
 		t.Run(fmt.Sprint(entries, " entries"), func(t *testing.T) {
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -142,8 +142,8 @@
 	FallbackCallers int
 	// OwnVersion is the version that this entry has of the confirmed object, and PeerVersion that
 	// of the peer.
-	OwnVersion  uint64
-	PeerVersion uint64
+	OwnVersion  protocol.Revision
+	PeerVersion protocol.Revision
 	// HasFollowers says that other entries follow this one.
 	HasFollowers bool
 	// Jitter is a random number from 0 to 1 that is drawn for each followed peer. It spreads the
@@ -191,7 +191,7 @@
 func Decide(q Query) Action {
 	fresh := !q.ConfirmedAt.IsZero() && !q.Now.After(q.TrustedUntil())
 	switch {
-	case fresh && q.OwnVersion >= q.PeerVersion:
+	case fresh && (q.PeerVersion.IsZero() || !q.OwnVersion.Before(q.PeerVersion)):
 		return TrustPeer{}
 	case !q.Now.Before(q.nextAskAt()):
 		return AskPlatform{}
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -114,14 +114,14 @@
 		q := relay.Query{
 			Now: now, ConfirmedAt: ago(t, "confirmed"), AskedAt: ago(t, "asked"),
 			HasFollowers: rapid.Bool().Draw(t, "has followers"), Jitter: rapid.Float64Range(0, 1).Draw(t, "jitter"),
-			Unanswered: rapid.IntRange(0, 3).Draw(t, "unanswered"), OwnVersion: uint64(rapid.IntRange(0, 3).Draw(t, "own version")), PeerVersion: uint64(rapid.IntRange(0, 3).Draw(t, "peer version")),
+			Unanswered: rapid.IntRange(0, 3).Draw(t, "unanswered"), OwnVersion: drawRevision(t, "own version"), PeerVersion: drawRevision(t, "peer version"),
 		}
 		if rapid.Bool().Draw(t, "never") {
 			q.ConfirmedAt = time.Time{}
 		}
 		switch relay.Decide(q).(type) {
 		case relay.TrustPeer:
-			require.GreaterOrEqual(t, q.OwnVersion, q.PeerVersion, "changes are missing")
+			require.True(t, q.PeerVersion.IsZero() || !q.OwnVersion.Before(q.PeerVersion), "changes are missing")
 			limit := relay.MaxConfirmationAge
 			if !q.HasFollowers {
 				limit += relay.MaxTrustExtension
@@ -145,3 +145,7 @@
 	q.FollowedAt = now.Add(-100 * time.Millisecond)
 	require.False(t, relay.ShouldStopFollowing(q, now.Add(10*time.Millisecond)), "the peer had no time to ask")
 }
+
+func drawRevision(t *rapid.T, label string) protocol.Revision {
+	return protocol.Revision{Era: uint64(rapid.IntRange(0, 2).Draw(t, label+", era")), Number: uint64(rapid.IntRange(0, 3).Draw(t, label))}
+}
--- a/coordination/relay/share_test.go
+++ b/coordination/relay/share_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pinerun.example/pinerun/coordination/relay"
+	"pinerun.example/pinerun/protocol"
 )
 
 // TestFallbackCallsAreShared counts the calls of entries that have no confirmation for a minute.
@@ -20,7 +21,7 @@
 		calls := 0
 		for i := range entries {
 			q := relay.Query{
-				ConfirmedAt: start, LastConfirmedAt: start, FollowedAt: start.Add(-time.Hour), OwnVersion: 1, PeerVersion: 1,
+				ConfirmedAt: start, LastConfirmedAt: start, FollowedAt: start.Add(-time.Hour), OwnVersion: protocol.Revision{Number: 1}, PeerVersion: protocol.Revision{Number: 1},
 				FallbackCallers: entries, Jitter: float64(i) / float64(entries),
 			}
 			asked := false
--- a/protocol/incarnation_test.go
+++ b/protocol/incarnation_test.go
@@ -23,11 +23,11 @@
 
 func TestLossReportRequiresValidIncarnation(t *testing.T) {
 	for incarnation, valid := range map[protocol.Incarnation]bool{0: true, 1: true, -1: false} {
-		b, err := protocol.EncodeRelay(protocol.RelayRequest{Losses: []protocol.LossReport{
+		b, err := protocol.RelayArrays.Encode(&protocol.RelayRequest{Losses: []protocol.LossReport{
 			{Endpoint: "e", Incarnation: incarnation, Observer: "w", Observation: protocol.LossMismatch},
 		}})
 		require.NoError(t, err)
-		got, err := protocol.DecodeRelayRequest(b)
+		got, err := protocol.RelayArrays.DecodeRequest(b)
 		if !valid {
 			require.Error(t, err)
 			continue
--- a/protocol/object.go
+++ b/protocol/object.go
@@ -6,12 +6,12 @@
 const MaxObjectBytes = 1 << 20
 
 // Object is a value in the platform with the version that conditional updates
-// compare. Version 0 means that the object does not exist.
+// compare: the revision of its last change. The zero Version means that the object does not exist.
 type Object struct {
-	Kind    string `json:"kind"`
-	Name    string `json:"name"`
-	Version uint64 `json:"version"`
-	Value   []byte `json:"value"`
+	Kind    string   `json:"kind"`
+	Name    string   `json:"name"`
+	Version Revision `json:"version"`
+	Value   []byte   `json:"value"`
 }
 
 // VM is an item of the platform's list of VMs. The list lags behind the actual state.
@@ -38,7 +38,7 @@
 // holds now.
 type Listing struct {
 	Objects  []Object
-	Revision uint64
+	Revision Revision
 	Relayed  bool
 }
 
@@ -54,7 +54,7 @@
 // the platform holds now.
 type Changes struct {
 	Changes  []Change
-	Revision uint64
+	Revision Revision
 	Relayed  bool
 }
 
--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -100,41 +100,49 @@
 }
 
 func FuzzDecodeRelay(f *testing.F) {
-	for _, m := range []any{
-		protocol.RelayHello{Name: "e1", Known: []protocol.KindRevision{{Kind: "k", Revision: 3}}},
-		protocol.RelayRequest{Number: 7, HoldMS: 400},
-		protocol.RelayRequest{Losses: []protocol.LossReport{{Endpoint: "e", Observer: "w", Observation: protocol.LossSilent, AgoMS: 3}}},
-		protocol.RelayFrame{
-			Deltas: []protocol.RelayDelta{{Kind: "k", After: 3, Revision: 9, Changes: []protocol.RelayChange{{Name: "o", Version: 4, Value: []byte("{}")}}}},
-			Answer: &protocol.RelayAnswer{Number: 7, ConfirmedMS: 3.5, HeldMS: 120, Version: 4}, FailedMS: -1,
+	for _, m := range []protocol.RelayMessage{
+		&protocol.RelayHello{Name: "e1", Known: []protocol.KindRevision{{Kind: "k", Revision: protocol.Revision{Number: 3}}}},
+		&protocol.RelayRequest{Number: 7, HoldMS: 400},
+		&protocol.RelayRequest{Losses: []protocol.LossReport{{Endpoint: "e", Observer: "w", Observation: protocol.LossSilent, AgoMS: 3}}},
+		&protocol.RelayFrame{
+			Deltas: []protocol.RelayDelta{{Kind: "k", After: protocol.Revision{Number: 3}, Revision: protocol.Revision{Number: 9}, Changes: []protocol.RelayChange{{Name: "o", Version: 4, Value: []byte("{}")}}}},
+			Answer: &protocol.RelayAnswer{Number: 7, ConfirmedMS: 3.5, HeldMS: 120, Version: protocol.Revision{Number: 4}}, FailedMS: -1,
 		},
 	} {
-		good, err := protocol.EncodeRelay(m)
-		require.NoError(f, err)
-		f.Add(good)
+		for _, form := range []protocol.RelayForm{protocol.RelayArrays, protocol.RelayMaps} {
+			good, err := form.Encode(m)
+			require.NoError(f, err)
+			f.Add(good)
+		}
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		if h, err := protocol.DecodeRelayHello(b); err == nil && (h.Name == "" || len(h.Known) == 0) {
-			t.Fatalf("a hello without a name or kinds was accepted: %+v", h)
-		}
-		if a, err := protocol.DecodeRelayRequest(b); err == nil && !(a.HoldMS >= 0) {
-			t.Fatalf("a delay of %v ms was accepted", a.HoldMS)
-		}
-		frame, err := protocol.DecodeRelayFrame(b)
-		if err != nil {
-			return
-		}
-		for _, r := range frame.Deltas {
-			if r.Kind == "" || r.After >= r.Revision {
-				t.Fatalf("a delta that does not advance the revision was accepted: %+v", r)
-			}
-		}
-		if a := frame.Answer; a != nil && (a.ConfirmedMS < 0 && a.ConfirmedMS != -1 || !(a.HeldMS >= 0)) {
-			t.Fatalf("a confirmation in the future was accepted: %+v", a)
-		}
+		decodeRelay(t, protocol.RelayArrays, b)
+		decodeRelay(t, protocol.RelayMaps, b)
 	})
 }
 
+// decodeRelay decodes arbitrary bytes as each message and checks what is accepted.
+func decodeRelay(t *testing.T, form protocol.RelayForm, b []byte) {
+	if h, err := form.DecodeHello(b); err == nil && (h.Name == "" || len(h.Known) == 0) {
+		t.Fatalf("a hello without a name or kinds was accepted: %+v", h)
+	}
+	if a, err := form.DecodeRequest(b); err == nil && !(a.HoldMS >= 0) {
+		t.Fatalf("a delay of %v ms was accepted", a.HoldMS)
+	}
+	frame, err := form.DecodeFrame(b)
+	if err != nil {
+		return
+	}
+	for _, r := range frame.Deltas {
+		if r.Kind == "" || !r.After.Before(r.Revision) {
+			t.Fatalf("a delta that does not advance the revision was accepted: %+v", r)
+		}
+	}
+	if a := frame.Answer; a != nil && (a.ConfirmedMS < 0 && a.ConfirmedMS != -1 || !(a.HeldMS >= 0)) {
+		t.Fatalf("a confirmation in the future was accepted: %+v", a)
+	}
+}
+
 func FuzzDecodePeer(f *testing.F) {
 	good, err := protocol.EncodePeer(protocol.PeerFrame{
 		Hello:         &protocol.Member{Name: "e1", Address: "127.0.0.1:1"},
--- a/protocol/rate_test.go
+++ b/protocol/rate_test.go
@@ -13,9 +13,9 @@
 
 func TestRateReportValidation(t *testing.T) {
 	good := protocol.RateReport{Endpoint: "e", Incarnation: 7, Observer: "w", Number: 3, Observation: protocol.RateLimitLent, Limit: 4.2, Borrower: "b", Share: 0.5, AgoMS: 4}
-	b, err := protocol.EncodeRelay(protocol.RelayFrame{FailedMS: -1, Rates: []protocol.RateReport{good}})
+	b, err := protocol.RelayArrays.Encode(&protocol.RelayFrame{FailedMS: -1, Rates: []protocol.RateReport{good}})
 	require.NoError(t, err)
-	f, err := protocol.DecodeRelayFrame(b)
+	f, err := protocol.RelayArrays.DecodeFrame(b)
 	require.NoError(t, err)
 	require.Equal(t, []protocol.RateReport{good}, f.Rates)
 	for name, corrupt := range map[string]func(r *protocol.RateReport){
@@ -40,9 +40,9 @@
 		t.Run(name, func(t *testing.T) {
 			bad := good
 			corrupt(&bad)
-			b, err := protocol.EncodeRelay(protocol.RelayRequest{Rates: []protocol.RateReport{bad}})
+			b, err := protocol.RelayArrays.Encode(&protocol.RelayRequest{Rates: []protocol.RateReport{bad}})
 			require.NoError(t, err)
-			_, err = protocol.DecodeRelayRequest(b)
+			_, err = protocol.RelayArrays.DecodeRequest(b)
 			require.Error(t, err)
 		})
 	}
--- a/protocol/relay.go
+++ b/protocol/relay.go
@@ -30,51 +30,47 @@
 	Record EntryRecord `json:"record"`
 }
 
-// RelayHello is the first frame of a follower. It has the follower's name and the revision of
+// RelayHello is the first message of a follower. It has the follower's name and the revision of
 // each kind that it knows. ReportsOnly means that the follower does not reach the platform
 // either: it follows to receive the reports that entries exchange, even from an entry whose
 // platform data is no more recent than its own.
 type RelayHello struct {
-	_           struct{} `cbor:",toarray"`
-	Name        string
-	Known       []KindRevision
-	ReportsOnly bool
+	Name        string         `cbor:"1,keyasint"`
+	Known       []KindRevision `cbor:"2,keyasint"`
+	ReportsOnly bool           `cbor:"3,keyasint,omitempty"`
 }
 
 // KindRevision is the revision of a kind.
 type KindRevision struct {
-	_        struct{} `cbor:",toarray"`
-	Kind     string
-	Revision uint64
+	Kind     string   `cbor:"1,keyasint"`
+	Revision Revision `cbor:"2,keyasint"`
 }
 
 // RelayRequest asks how recent the data of the followed entry is. The answer may be delayed by up
-// to HoldMS milliseconds until that changes. A frame with Number 0 carries only reports and
+// to HoldMS milliseconds until that changes. A message with Number 0 carries only reports and
 // asks nothing. Losses, Slow, Work and Rates are the reports of the requesting entry about lost endpoints,
 // slow endpoints, work under which endpoints may have crashed, and rate limits.
 type RelayRequest struct {
-	_      struct{} `cbor:",toarray"`
-	Number uint64
-	HoldMS float64
-	Losses []LossReport
-	Slow   []SlownessReport
-	Work   []WorkReport
-	Rates  []RateReport
+	Number uint64           `cbor:"1,keyasint"`
+	HoldMS float64          `cbor:"2,keyasint,omitempty"`
+	Losses []LossReport     `cbor:"3,keyasint,omitempty"`
+	Slow   []SlownessReport `cbor:"4,keyasint,omitempty"`
+	Work   []WorkReport     `cbor:"5,keyasint,omitempty"`
+	Rates  []RateReport     `cbor:"6,keyasint,omitempty"`
 }
 
 // RelayFrame is what the followed entry sends: changes as they arrive, and the answer to a
 // RelayRequest.
 type RelayFrame struct {
-	_      struct{} `cbor:",toarray"`
-	Deltas []RelayDelta
-	Answer *RelayAnswer
+	Deltas []RelayDelta `cbor:"1,keyasint,omitempty"`
+	Answer *RelayAnswer `cbor:"2,keyasint,omitempty"`
 	// FailedMS is the time since the platform last failed to answer the sender, in
 	// milliseconds, or -1 if it never failed.
-	FailedMS int64
-	Losses   []LossReport
-	Slow     []SlownessReport
-	Work     []WorkReport
-	Rates    []RateReport
+	FailedMS int64            `cbor:"3,keyasint"`
+	Losses   []LossReport     `cbor:"4,keyasint,omitempty"`
+	Slow     []SlownessReport `cbor:"5,keyasint,omitempty"`
+	Work     []WorkReport     `cbor:"6,keyasint,omitempty"`
+	Rates    []RateReport     `cbor:"7,keyasint,omitempty"`
 }
 
 // RelayDelta takes a follower that knows a kind at revision After to Revision. A ListDiff is
@@ -83,17 +79,16 @@
 // A large delta has Packed, the compressed encoding (raw DEFLATE) of its changes, instead of
 // Changes.
 type RelayDelta struct {
-	_        struct{} `cbor:",toarray"`
-	Kind     string
-	After    uint64
-	Revision uint64
-	ListDiff bool
-	Snapshot bool
-	Changes  []RelayChange
-	Packed   []byte
+	Kind     string        `cbor:"1,keyasint"`
+	After    Revision      `cbor:"2,keyasint"`
+	Revision Revision      `cbor:"3,keyasint"`
+	ListDiff bool          `cbor:"4,keyasint,omitempty"`
+	Snapshot bool          `cbor:"5,keyasint,omitempty"`
+	Changes  []RelayChange `cbor:"6,keyasint,omitempty"`
+	Packed   []byte        `cbor:"7,keyasint,omitempty"`
 }
 
-// RelayChange is a changed or deleted object.
+// RelayChange is a changed or deleted object. Its version is of the era of the delta's Revision.
 type RelayChange struct {
 	_       struct{} `cbor:",toarray"`
 	Name    string
@@ -107,64 +102,61 @@
 // -1 if the object was never read. Version is the version that was read. The answer was
 // delayed by HeldMS milliseconds.
 type RelayAnswer struct {
-	_           struct{} `cbor:",toarray"`
-	Number      uint64
-	ConfirmedMS float64
-	HeldMS      float64
-	Version     uint64
+	Number      uint64   `cbor:"1,keyasint"`
+	ConfirmedMS float64  `cbor:"2,keyasint"`
+	HeldMS      float64  `cbor:"3,keyasint,omitempty"`
+	Version     Revision `cbor:"4,keyasint"`
 	// Unsent holds the object itself if no delta has carried that version yet, because the
 	// watch of the platform may have stalled.
-	Unsent *RelayDelta
+	Unsent *RelayDelta `cbor:"5,keyasint,omitempty"`
 }
 
-// EncodeRelay encodes a RelayHello, a RelayRequest, a RelayFrame or the changes of a delta.
-func EncodeRelay(message any) ([]byte, error) {
-	switch m := message.(type) {
-	case RelayRequest:
-		return EncodeRelay(&m)
-	case *RelayRequest:
-		if len(m.Rates) == 0 {
-			message = m.withoutRates()
-		}
-	case RelayFrame:
-		return EncodeRelay(&m)
-	case *RelayFrame:
-		if len(m.Rates) == 0 {
-			message = m.withoutRates()
-		}
+// RelayForm is the encoding of the messages between an entry and its follower.
+type RelayForm uint8
+
+const (
+	// RelayArrays encodes messages as arrays, without eras. Entries of earlier versions know no
+	// other form.
+	RelayArrays RelayForm = iota
+	// RelayMaps encodes messages as maps with numbered fields. A reader skips the fields that it
+	// does not know, so fields can be added.
+	RelayMaps
+)
+
+// relayMapsProtocol is the WebSocket subprotocol of RelayMaps.
+const relayMapsProtocol = "pinerun.relay.maps"
+
+// RelaySubprotocols returns the WebSocket subprotocols that an entry offers and accepts.
+func RelaySubprotocols() []string { return []string{relayMapsProtocol} }
+
+// RelayFormOf returns the form of a connection with the negotiated subprotocol, "" for none.
+func RelayFormOf(subprotocol string) RelayForm {
+	if subprotocol == relayMapsProtocol {
+		return RelayMaps
 	}
-	return encoder.Marshal(message)
+	return RelayArrays
 }
 
-// relayRequestWithoutRates is a RelayRequest without reports of rate limits. Entries of earlier
-// versions know no other, and an array of CBOR can't be read with more elements than expected.
-type relayRequestWithoutRates struct {
-	_      struct{} `cbor:",toarray"`
-	Number uint64
-	HoldMS float64
-	Losses []LossReport
-	Slow   []SlownessReport
-	Work   []WorkReport
-}
+// HasEras reports whether messages of this form tell the era of a revision.
+func (f RelayForm) HasEras() bool { return f == RelayMaps }
 
-func (r *RelayRequest) withoutRates() *relayRequestWithoutRates {
-	return &relayRequestWithoutRates{Number: r.Number, HoldMS: r.HoldMS, Losses: r.Losses, Slow: r.Slow, Work: r.Work}
+// RelayMessage is a message between an entry and its follower: a *RelayHello, *RelayRequest or
+// *RelayFrame, or one of them as an array.
+type RelayMessage interface {
+	// array returns the message as an array.
+	array() any
 }
 
-// relayFrameWithoutRates is a RelayFrame without reports of rate limits, for the same reason.
-type relayFrameWithoutRates struct {
-	_        struct{} `cbor:",toarray"`
-	Deltas   []RelayDelta
-	Answer   *RelayAnswer
-	FailedMS int64
-	Losses   []LossReport
-	Slow     []SlownessReport
-	Work     []WorkReport
+// Encode encodes a message.
+func (f RelayForm) Encode(m RelayMessage) ([]byte, error) {
+	if f == RelayArrays {
+		return encoder.Marshal(m.array())
+	}
+	return encoder.Marshal(m)
 }
 
-func (f *RelayFrame) withoutRates() *relayFrameWithoutRates {
-	return &relayFrameWithoutRates{Deltas: f.Deltas, Answer: f.Answer, FailedMS: f.FailedMS, Losses: f.Losses, Slow: f.Slow, Work: f.Work}
-}
+// EncodeRelayChanges encodes the changes of a delta, in the same way for every form.
+func EncodeRelayChanges(c []RelayChange) ([]byte, error) { return encoder.Marshal(c) }
 
 // DecodeRelayChanges decodes the changes of a delta.
 func DecodeRelayChanges(b []byte) ([]RelayChange, error) {
@@ -175,10 +167,16 @@
 	return c, nil
 }
 
-// DecodeRelayHello decodes and validates a RelayHello.
-func DecodeRelayHello(b []byte) (RelayHello, error) {
+// DecodeHello decodes and validates a RelayHello.
+func (f RelayForm) DecodeHello(b []byte) (RelayHello, error) {
 	var h RelayHello
-	if err := decodeFrame("relay hello", b, &h); err != nil {
+	var err error
+	if f == RelayArrays {
+		h, err = decodeHelloArray(b)
+	} else {
+		err = decodeFrame("relay hello", b, &h)
+	}
+	if err != nil {
 		return RelayHello{}, err
 	}
 	if h.Name == "" || len(h.Known) == 0 {
@@ -187,41 +185,47 @@
 	return h, nil
 }
 
-// DecodeRelayRequest decodes and validates a RelayRequest.
-func DecodeRelayRequest(b []byte) (RelayRequest, error) {
-	var a RelayRequest
-	var plain relayRequestWithoutRates
-	if err := decodeFrame("relay ask", b, &plain); err == nil {
-		a = RelayRequest{Number: plain.Number, HoldMS: plain.HoldMS, Losses: plain.Losses, Slow: plain.Slow, Work: plain.Work}
-	} else if err := decodeFrame("relay ask", b, &a); err != nil {
+// DecodeRequest decodes and validates a RelayRequest.
+func (f RelayForm) DecodeRequest(b []byte) (RelayRequest, error) {
+	var r RelayRequest
+	var err error
+	if f == RelayArrays {
+		r, err = decodeRequestArray(b)
+	} else {
+		err = decodeFrame("relay ask", b, &r)
+	}
+	if err != nil {
 		return RelayRequest{}, err
 	}
-	if !(a.HoldMS >= 0) || !validLosses(a.Losses) || !validSlowness(a.Slow) || !validWork(a.Work) || !validRates(a.Rates) {
+	if !(r.HoldMS >= 0) || !validLosses(r.Losses) || !validSlowness(r.Slow) || !validWork(r.Work) || !validRates(r.Rates) {
 		return RelayRequest{}, &FrameError{kind: "relay ask"}
 	}
-	return a, nil
-}
-
-// DecodeRelayFrame decodes and validates a RelayFrame. Each delta must advance the revision,
-// and an answer must not lie in the future.
-func DecodeRelayFrame(b []byte) (RelayFrame, error) {
-	var f RelayFrame
-	var plain relayFrameWithoutRates
-	if err := decodeFrame("relay", b, &plain); err == nil {
-		f = RelayFrame{Deltas: plain.Deltas, Answer: plain.Answer, FailedMS: plain.FailedMS, Losses: plain.Losses, Slow: plain.Slow, Work: plain.Work}
-	} else if err := decodeFrame("relay", b, &f); err != nil {
+	return r, nil
+}
+
+// DecodeFrame decodes and validates a RelayFrame. Each delta must advance the revision, and an answer
+// must not lie in the future.
+func (f RelayForm) DecodeFrame(b []byte) (RelayFrame, error) {
+	var frame RelayFrame
+	var err error
+	if f == RelayArrays {
+		frame, err = decodeFrameArray(b)
+	} else {
+		err = decodeFrame("relay", b, &frame)
+	}
+	if err != nil {
 		return RelayFrame{}, err
 	}
-	for i := range f.Deltas {
-		if r := &f.Deltas[i]; r.Kind == "" || r.After >= r.Revision {
+	for i := range frame.Deltas {
+		if d := &frame.Deltas[i]; d.Kind == "" || !d.After.Before(d.Revision) {
 			return RelayFrame{}, &FrameError{kind: "relay"}
 		}
 	}
-	if !validLosses(f.Losses) || !validSlowness(f.Slow) || !validWork(f.Work) || !validRates(f.Rates) {
+	if !validLosses(frame.Losses) || !validSlowness(frame.Slow) || !validWork(frame.Work) || !validRates(frame.Rates) {
 		return RelayFrame{}, &FrameError{kind: "relay"}
 	}
-	if a := f.Answer; a != nil && (!(a.ConfirmedMS >= 0 || a.ConfirmedMS == -1) || !(a.HeldMS >= 0)) {
+	if a := frame.Answer; a != nil && (!(a.ConfirmedMS >= 0 || a.ConfirmedMS == -1) || !(a.HeldMS >= 0)) {
 		return RelayFrame{}, &FrameError{kind: "relay"}
 	}
-	return f, nil
+	return frame, nil
 }
--- a/protocol/slowness_test.go
+++ b/protocol/slowness_test.go
@@ -13,9 +13,9 @@
 
 func TestSlownessReportValidation(t *testing.T) {
 	good := protocol.SlownessReport{Endpoint: "e", Incarnation: 7, Observer: "w", Number: 3, Observation: protocol.SlowReported, Slowdown: 12, AgoMS: 4}
-	b, err := protocol.EncodeRelay(protocol.RelayFrame{FailedMS: -1, Slow: []protocol.SlownessReport{good}})
+	b, err := protocol.RelayArrays.Encode(&protocol.RelayFrame{FailedMS: -1, Slow: []protocol.SlownessReport{good}})
 	require.NoError(t, err)
-	f, err := protocol.DecodeRelayFrame(b)
+	f, err := protocol.RelayArrays.DecodeFrame(b)
 	require.NoError(t, err)
 	require.Equal(t, []protocol.SlownessReport{good}, f.Slow)
 	for name, corrupt := range map[string]func(s *protocol.SlownessReport){
@@ -32,9 +32,9 @@
 		t.Run(name, func(t *testing.T) {
 			bad := good
 			corrupt(&bad)
-			b, err := protocol.EncodeRelay(protocol.RelayRequest{Slow: []protocol.SlownessReport{bad}})
+			b, err := protocol.RelayArrays.Encode(&protocol.RelayRequest{Slow: []protocol.SlownessReport{bad}})
 			require.NoError(t, err)
-			_, err = protocol.DecodeRelayRequest(b)
+			_, err = protocol.RelayArrays.DecodeRequest(b)
 			require.Error(t, err)
 		})
 	}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -47,7 +47,7 @@
 
 	mutex   sync.Mutex
 	objects map[objectKey]protocol.Object
-	version uint64
+	version uint64 // number of the last revision
 	changed chan struct{}
 	faults  Faults
 	calls   Calls
@@ -154,10 +154,10 @@
 	switch {
 	case !found:
 		http.Error(w, "no such object", http.StatusNotFound)
-	case q.URL.Query().Has("watch") && o.Version == known:
+	case q.URL.Query().Has("watch") && o.Version.Number == known:
 		w.WriteHeader(http.StatusNotModified)
 	default:
-		w.Header().Set("ETag", etag(o.Version))
+		w.Header().Set("ETag", etag(o.Version.Number))
 		_, _ = w.Write(o.Value)
 	}
 }
@@ -175,7 +175,7 @@
 		}
 		changed, down := p.changed, p.faults.Down
 		p.mutex.Unlock()
-		if !watch || o.Version != known || down {
+		if !watch || o.Version.Number != known || down {
 			return o, found
 		}
 		select {
@@ -229,7 +229,7 @@
 func (p *Platform) put(k objectKey, want uint64, value []byte) (uint64, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if current := p.objects[k].Version; current != want {
+	if current := p.objects[k].Version.Number; current != want {
 		return current, false
 	}
 	if p.objects == nil {
@@ -237,7 +237,7 @@
 	}
 	p.version++
 	p.calls.Bytes += int64(len(value))
-	p.objects[k] = protocol.Object{Kind: k.kind, Name: k.name, Version: p.version, Value: value}
+	p.objects[k] = protocol.Object{Kind: k.kind, Name: k.name, Version: protocol.Revision{Number: p.version}, Value: value}
 	p.wakeWatches()
 	return p.version, true
 }
@@ -270,7 +270,7 @@
 	want, ok := expectedVersion(q)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if current := p.objects[keyOf(q)].Version; !ok || current != want {
+	if current := p.objects[keyOf(q)].Version.Number; !ok || current != want {
 		http.Error(w, "the version is another", http.StatusPreconditionFailed)
 		return
 	}
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -32,8 +32,8 @@
 // between two lists, does not: it lacks objects that were created and deleted between them.
 // A Snapshot holds all objects at To, and applies to any state.
 type Delta struct {
-	After    uint64
-	To       uint64
+	After    protocol.Revision
+	To       protocol.Revision
 	ListDiff bool
 	Snapshot bool
 	Changes  []protocol.Change
@@ -58,19 +58,19 @@
 // kindState holds the objects of one kind.
 type kindState struct {
 	objects  map[string]protocol.Object
-	revision uint64
+	revision protocol.Revision
 	deltas   []Delta // the latest deltas, each starting where the previous one ends
 	bytes    int     // of the values in the deltas
 }
 
-// Revision returns the revision up to which a kind is known, 0 before its first list.
-func (m *Mirror) Revision(name string) uint64 {
+// Revision returns the revision up to which a kind is known, the zero one before its first list.
+func (m *Mirror) Revision(name string) protocol.Revision {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if k := m.kinds[name]; k != nil {
 		return k.revision
 	}
-	return 0
+	return protocol.Revision{}
 }
 
 // Object returns an object and whether it exists.
@@ -99,15 +99,16 @@
 // applyList is ApplyList for a caller that holds the mutex.
 func (m *Mirror) applyList(name string, l protocol.Listing) {
 	k := m.state(name)
-	if k.revision == 0 {
-		k.revision = max(1, l.Revision)
+	if k.revision.IsZero() {
+		k.revision = l.Revision
+		k.revision.Number = max(1, l.Revision.Number)
 		for _, o := range l.Objects {
 			k.objects[o.Name] = o
 		}
 		m.changed.Broadcast()
 		return
 	}
-	if l.Revision <= k.revision {
+	if !k.revision.Before(l.Revision) {
 		return // nothing new, or requested before newer changes arrived
 	}
 	k.append(k.diffTo(l))
@@ -120,7 +121,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	k := m.kinds[name]
-	if k == nil || k.revision == 0 {
+	if k == nil || k.revision.IsZero() {
 		return protocol.Listing{}, false
 	}
 	l := protocol.Listing{Revision: k.revision, Objects: make([]protocol.Object, 0, len(k.objects))}
@@ -160,10 +161,10 @@
 		return true
 	}
 	k := m.state(name)
-	if d.To <= k.revision {
+	if !k.revision.Before(d.To) {
 		return true
 	}
-	if k.revision == 0 || d.After > k.revision || d.ListDiff && d.After != k.revision {
+	if k.revision.IsZero() || k.revision.Before(d.After) || d.ListDiff && d.After != k.revision {
 		return false
 	}
 	d.After = k.revision
@@ -175,22 +176,22 @@
 
 // Since returns the changes after a revision as one delta, and whether they are all kept.
 // If an object changed several times, the delta has only its last change.
-func (m *Mirror) Since(name string, after uint64) (Delta, bool) {
+func (m *Mirror) Since(name string, after protocol.Revision) (Delta, bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	k := m.kinds[name]
-	if k == nil || after >= k.revision {
+	if k == nil || !after.Before(k.revision) {
 		return Delta{After: after, To: after}, true
 	}
 	merged := Delta{After: after, To: after}
-	if len(k.deltas) == 0 || k.deltas[0].After > after {
+	if len(k.deltas) == 0 || after.Before(k.deltas[0].After) {
 		return merged, false
 	}
 	for _, d := range k.deltas {
-		if d.To <= after {
+		if !after.Before(d.To) {
 			continue
 		}
-		if d.ListDiff && d.After < after {
+		if d.ListDiff && d.After.Before(after) {
 			return merged, false
 		}
 		merged.Changes = append(merged.Changes, d.Changes...)
@@ -238,7 +239,7 @@
 	listed := make(map[string]bool, len(l.Objects))
 	for _, o := range l.Objects {
 		listed[o.Name] = true
-		if known, ok := k.objects[o.Name]; !ok || known.Version < o.Version {
+		if known, ok := k.objects[o.Name]; !ok || known.Version.Before(o.Version) {
 			d.Changes = append(d.Changes, protocol.Change{Object: o})
 		}
 	}
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -21,6 +22,29 @@
 	history   []protocol.Change
 	revisions []uint64 // revision of each change
 	revision  uint64
+	era       uint64
+	copied    map[string]protocol.Object // the copy to restore
+	copiedAt  uint64
+	oldest    uint64 // revision from which the history is kept
+}
+
+// at returns the revision with a number in the current era.
+func (p *platform) at(number uint64) protocol.Revision {
+	return protocol.Revision{Era: p.era, Number: number}
+}
+
+// makeCopy keeps a copy to restore.
+func (p *platform) makeCopy() { p.copied, p.copiedAt = maps.Clone(p.objects), p.revision }
+
+// restore goes back to the copy and begins a new era without a history.
+func (p *platform) restore() {
+	p.objects, p.revision = maps.Clone(p.copied), p.copiedAt
+	p.era++
+	for name, o := range p.objects {
+		o.Version.Era = p.era
+		p.objects[name] = o
+	}
+	p.history, p.revisions, p.oldest = nil, nil, p.copiedAt
 }
 
 func (p *platform) change(t *rapid.T) {
@@ -31,12 +55,12 @@
 		// A removal has the revision of the object's last change, or one of its own.
 		o := p.objects[name]
 		if rapid.Bool().Draw(t, "own revision") {
-			o.Version = p.revision
+			o.Version = p.at(p.revision)
 		}
 		delete(p.objects, name)
 		p.history = append(p.history, protocol.Change{Object: o, Deleted: true})
 	} else {
-		o := protocol.Object{Kind: kind, Name: name, Version: p.revision}
+		o := protocol.Object{Kind: kind, Name: name, Version: p.at(p.revision)}
 		p.objects[name] = o
 		p.history = append(p.history, protocol.Change{Object: o})
 	}
@@ -44,16 +68,16 @@
 }
 
 func (p *platform) list() protocol.Listing {
-	l := protocol.Listing{Revision: p.revision}
+	l := protocol.Listing{Revision: p.at(p.revision)}
 	for _, o := range p.objects {
 		l.Objects = append(l.Objects, o)
 	}
 	return l
 }
 
-// delta returns the answer of a watch from a revision.
+// delta returns the answer of a watch from a revision of the current era.
 func (p *platform) delta(after uint64) mirror.Delta {
-	d := mirror.Delta{After: after, To: p.revision}
+	d := mirror.Delta{After: p.at(after), To: p.at(p.revision)}
 	for i, c := range p.history {
 		if p.revisions[i] > after {
 			d.Changes = append(d.Changes, c)
@@ -79,27 +103,37 @@
 	rapid.Check(t, func(t *rapid.T) {
 		p := &platform{objects: map[string]protocol.Object{}, revision: 1}
 		var source, follower mirror.Mirror
+		p.makeCopy()
 		source.ApplyList(kind, p.list())
 		follower.ApplyList(kind, p.list())
 		downstream := map[string]protocol.Object{} // objects of a follower of the follower
 		apply(downstream, p.delta(0).Changes)
 		revision := follower.Revision(kind)
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
 			case 0, 1:
 				p.change(t)
 			case 2:
 				source.ApplyList(kind, p.list())
 			case 3:
-				require.True(t, source.Apply(kind, p.delta(source.Revision(kind))))
+				if known := source.Revision(kind); known.Era == p.era && known.Number >= p.oldest {
+					require.True(t, source.Apply(kind, p.delta(known.Number)))
+				}
 			case 4: // the follower's own watch, which overlaps the deltas from the source
-				require.True(t, follower.Apply(kind, p.delta(uint64(rapid.IntRange(1, int(follower.Revision(kind))).Draw(t, "from")))))
+				if known := follower.Revision(kind); known.Era == p.era && known.Number >= p.oldest {
+					from := uint64(rapid.IntRange(int(max(1, p.oldest)), int(known.Number)).Draw(t, "from"))
+					require.True(t, follower.Apply(kind, p.delta(from)))
+				}
 			case 5:
 				catchUp(t, &source, &follower)
 			case 6:
 				require.True(t, follower.Apply(kind, source.Snapshot(kind)))
+			case 7:
+				p.makeCopy()
+			case 8:
+				p.restore()
 			}
-			require.Equal(t, revision, min(revision, follower.Revision(kind)), "the revision never decreases")
+			require.False(t, follower.Revision(kind).Before(revision), "the revision never decreases")
 			if rapid.Bool().Draw(t, "reads") {
 				revision = readChanges(t, &follower, revision, downstream)
 			}
@@ -118,13 +152,13 @@
 	if !ok {
 		delta = source.Snapshot(kind)
 	}
-	if delta.To > follower.Revision(kind) {
+	if follower.Revision(kind).Before(delta.To) {
 		require.True(t, follower.Apply(kind, delta))
 	}
 }
 
 // readChanges applies the changes since a revision, and returns the revision that they lead to.
-func readChanges(t *rapid.T, m *mirror.Mirror, revision uint64, objects map[string]protocol.Object) uint64 {
+func readChanges(t *rapid.T, m *mirror.Mirror, revision protocol.Revision, objects map[string]protocol.Object) protocol.Revision {
 	delta, ok := m.Since(kind, revision)
 	require.True(t, ok)
 	apply(objects, delta.Changes)
@@ -135,9 +169,9 @@
 	var source, follower mirror.Mirror
 	_, ok := source.List(kind)
 	require.False(t, ok)
-	source.ApplyList(kind, protocol.Listing{Revision: 5, Objects: []protocol.Object{{Kind: kind, Name: "b", Version: 3}, {Kind: kind, Name: "a", Version: 4}}})
+	source.ApplyList(kind, protocol.Listing{Revision: protocol.Revision{Number: 5}, Objects: []protocol.Object{{Kind: kind, Name: "b", Version: protocol.Revision{Number: 3}}, {Kind: kind, Name: "a", Version: protocol.Revision{Number: 4}}}})
 	require.True(t, follower.Apply(kind, source.Snapshot(kind)))
-	require.Equal(t, uint64(5), follower.Revision(kind))
+	require.Equal(t, protocol.Revision{Number: 5}, follower.Revision(kind))
 	all, ok := follower.List(kind)
 	require.True(t, ok)
 	require.Len(t, all.Objects, 2)
@@ -146,46 +180,46 @@
 
 func TestDeltaWithGapIsRejected(t *testing.T) {
 	var m mirror.Mirror
-	require.False(t, m.Apply(kind, mirror.Delta{After: 1, To: 2}), "the kind was never listed")
-	m.ApplyList(kind, protocol.Listing{Revision: 5})
-	require.False(t, m.Apply(kind, mirror.Delta{After: 6, To: 8}))
-	require.Equal(t, uint64(5), m.Revision(kind))
+	require.False(t, m.Apply(kind, mirror.Delta{After: protocol.Revision{Number: 1}, To: protocol.Revision{Number: 2}}), "the kind was never listed")
+	m.ApplyList(kind, protocol.Listing{Revision: protocol.Revision{Number: 5}})
+	require.False(t, m.Apply(kind, mirror.Delta{After: protocol.Revision{Number: 6}, To: protocol.Revision{Number: 8}}))
+	require.Equal(t, protocol.Revision{Number: 5}, m.Revision(kind))
 }
 
 func TestSinceFailsForDroppedChanges(t *testing.T) {
 	var m mirror.Mirror
-	m.ApplyList(kind, protocol.Listing{Revision: 1})
+	m.ApplyList(kind, protocol.Listing{Revision: protocol.Revision{Number: 1}})
 	for n := uint64(2); n < 1000; n++ {
-		o := protocol.Object{Kind: kind, Name: "o", Version: n}
-		require.True(t, m.Apply(kind, mirror.Delta{After: n - 1, To: n, Changes: []protocol.Change{{Object: o}}}))
+		o := protocol.Object{Kind: kind, Name: "o", Version: protocol.Revision{Number: n}}
+		require.True(t, m.Apply(kind, mirror.Delta{After: protocol.Revision{Number: n - 1}, To: protocol.Revision{Number: n}, Changes: []protocol.Change{{Object: o}}}))
 	}
-	_, ok := m.Since(kind, 2)
+	_, ok := m.Since(kind, protocol.Revision{Number: 2})
 	require.False(t, ok)
-	delta, ok := m.Since(kind, 990)
+	delta, ok := m.Since(kind, protocol.Revision{Number: 990})
 	require.True(t, ok)
-	require.Equal(t, []protocol.Change{{Object: protocol.Object{Kind: kind, Name: "o", Version: 999}}}, delta.Changes, "only the last change of an object")
+	require.Equal(t, []protocol.Change{{Object: protocol.Object{Kind: kind, Name: "o", Version: protocol.Revision{Number: 999}}}}, delta.Changes, "only the last change of an object")
 	m.Forget(kind)
 	require.Zero(t, m.Revision(kind))
 }
 
 func TestLargeValuesAreDroppedEarlier(t *testing.T) {
 	var m mirror.Mirror
-	m.ApplyList(kind, protocol.Listing{Revision: 1})
+	m.ApplyList(kind, protocol.Listing{Revision: protocol.Revision{Number: 1}})
 	value := make([]byte, 1<<20)
 	for n := uint64(2); n < 12; n++ {
-		o := protocol.Object{Kind: kind, Name: "o", Version: n, Value: value}
-		require.True(t, m.Apply(kind, mirror.Delta{After: n - 1, To: n, Changes: []protocol.Change{{Object: o}}}))
+		o := protocol.Object{Kind: kind, Name: "o", Version: protocol.Revision{Number: n}, Value: value}
+		require.True(t, m.Apply(kind, mirror.Delta{After: protocol.Revision{Number: n - 1}, To: protocol.Revision{Number: n}, Changes: []protocol.Change{{Object: o}}}))
 	}
-	_, ok := m.Since(kind, 3)
+	_, ok := m.Since(kind, protocol.Revision{Number: 3})
 	require.False(t, ok)
-	_, ok = m.Since(kind, 9)
+	_, ok = m.Since(kind, protocol.Revision{Number: 9})
 	require.True(t, ok)
 }
 
 func TestChangedClosesOnChange(t *testing.T) {
 	var m mirror.Mirror
 	changed := m.Changed()
-	m.ApplyList(kind, protocol.Listing{Revision: 1})
+	m.ApplyList(kind, protocol.Listing{Revision: protocol.Revision{Number: 1}})
 	<-changed
 }
 
@@ -194,12 +228,12 @@
 // its creation. The difference between the two lists does not remove it.
 func TestListDiffAppliesOnlyToItsBaseRevision(t *testing.T) {
 	var source, follower mirror.Mirror
-	source.ApplyList(kind, protocol.Listing{Revision: 1})
-	source.ApplyList(kind, protocol.Listing{Revision: 9})
-	follower.ApplyList(kind, protocol.Listing{Revision: 5, Objects: []protocol.Object{{Kind: kind, Name: "o", Version: 4}}})
-	_, ok := source.Since(kind, 5)
+	source.ApplyList(kind, protocol.Listing{Revision: protocol.Revision{Number: 1}})
+	source.ApplyList(kind, protocol.Listing{Revision: protocol.Revision{Number: 9}})
+	follower.ApplyList(kind, protocol.Listing{Revision: protocol.Revision{Number: 5}, Objects: []protocol.Object{{Kind: kind, Name: "o", Version: protocol.Revision{Number: 4}}}})
+	_, ok := source.Since(kind, protocol.Revision{Number: 5})
 	require.False(t, ok)
-	delta, ok := source.Since(kind, 1)
+	delta, ok := source.Since(kind, protocol.Revision{Number: 1})
 	require.True(t, ok)
 	require.False(t, follower.Apply(kind, delta))
 }
--- a/transport/claims/store_test.go
+++ b/transport/claims/store_test.go
@@ -117,7 +117,7 @@
 		client := &platform.Client{Base: "http://" + p.Address()}
 		measure(b, 100, func(i int) {
 			for {
-				if _, err := client.Put(context.Background(), "claim", fmt.Sprint(i), 0, []byte("x")); err == nil {
+				if _, err := client.Put(context.Background(), "claim", fmt.Sprint(i), protocol.Revision{}, []byte("x")); err == nil {
 					return
 				}
 				time.Sleep(20 * time.Millisecond)
@@ -172,7 +172,7 @@
 				}
 				value, err := protocol.EncodeClaims(batch)
 				require.NoError(b, err)
-				_, err = client.Put(context.Background(), "claim-0", fmt.Sprint(n), 0, value)
+				_, err = client.Put(context.Background(), "claim-0", fmt.Sprint(n), protocol.Revision{}, value)
 				require.NoError(b, err)
 			}
 			b.ResetTimer()
--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -62,8 +62,9 @@
 type Objects interface {
 	// Get returns an object, or *platform.NotFound.
 	Get(ctx context.Context, kind, name string) (protocol.Object, error)
-	// Put writes an object whose version is still known, 0 to create it, and returns the new version.
-	Put(ctx context.Context, kind, name string, known uint64, value []byte) (uint64, error)
+	// Put writes an object whose version is still known, or creates it if known is zero, and returns the
+	// new version.
+	Put(ctx context.Context, kind, name string, known protocol.Revision, value []byte) (protocol.Revision, error)
 }
 
 // Director plans and sends the orders of one entry. Set the exported fields before Start.
--- a/transport/director/fixture_test.go
+++ b/transport/director/fixture_test.go
@@ -57,30 +57,31 @@
 	switch {
 	case f.down:
 		return protocol.Object{}, platform.NewUnavailable(errors.New("down"))
-	case f.object.Version == 0:
+	case f.object.Version.IsZero():
 		return protocol.Object{}, platform.NewNotFound("k", "n")
 	}
 	return f.object, nil
 }
 
-func (f *fixture) Put(_ context.Context, _, _ string, known uint64, value []byte) (uint64, error) {
+func (f *fixture) Put(_ context.Context, _, _ string, known protocol.Revision, value []byte) (protocol.Revision, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.calls++
 	switch {
 	case f.down:
-		return 0, platform.NewUnavailable(errors.New("down"))
+		return protocol.Revision{}, platform.NewUnavailable(errors.New("down"))
 	case known != f.object.Version:
-		return 0, platform.NewConflict(f.object.Version)
+		return protocol.Revision{}, platform.NewConflict(f.object.Version)
 	}
-	f.object = protocol.Object{Version: known + 1, Value: value}
+	next := protocol.Revision{Era: known.Era, Number: known.Number + 1}
+	f.object = protocol.Object{Version: next, Value: value}
 	for _, d := range f.observers {
-		d.ObserveLease(known+1, value, time.Now())
+		d.ObserveLease(next, value, time.Now())
 	}
 	if f.loseWriteAnswers {
-		return 0, platform.NewUncertain(errors.New("lost"))
+		return protocol.Revision{}, platform.NewUncertain(errors.New("lost"))
 	}
-	return known + 1, nil
+	return next, nil
 }
 
 // setDown sets whether every call fails, and returns the number of calls so far.
--- a/transport/director/lease.go
+++ b/transport/director/lease.go
@@ -13,6 +13,7 @@
 	"pinerun.example/pinerun/coordination/lease"
 	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/transport/platform"
 )
 
@@ -141,7 +142,7 @@
 	o, err := d.Objects.Get(ctx, d.LeaseKind, LeaseName)
 	var missing *platform.NotFound
 	if errors.As(err, &missing) {
-		d.lease.Observe(0, lease.Record{}, clock.Now())
+		d.lease.Observe(protocol.Revision{}, lease.Record{}, clock.Now())
 		return true
 	}
 	if err != nil {
@@ -186,10 +187,10 @@
 }
 
 // putLease writes the lease under its condition and returns the new version.
-func (d *Director) putLease(ctx context.Context, w lease.Write) (uint64, error) {
+func (d *Director) putLease(ctx context.Context, w lease.Write) (protocol.Revision, error) {
 	value, err := json.Marshal(leaseRecord{Record: w.Record(), Orders: d.pendingOrderRecords(clock.Now())})
 	if err != nil {
-		return 0, err
+		return protocol.Revision{}, err
 	}
 	return d.Objects.Put(ctx, d.LeaseKind, LeaseName, w.ExpectedVersion(), value)
 }
--- a/transport/director/lease_record.go
+++ b/transport/director/lease_record.go
@@ -33,14 +33,14 @@
 
 // leaseChange is the state of the lease as another entry reported it.
 type leaseChange struct {
-	version uint64
+	version protocol.Revision
 	value   []byte
 	at      time.Time
 }
 
-// ObserveLease stores a reported change of the lease for the next check, with version 0 if the
-// lease was deleted. An entry that receives every change does not read the lease from the platform.
-func (d *Director) ObserveLease(version uint64, value []byte, now time.Time) {
+// ObserveLease stores a reported change of the lease for the next check, with the zero
+// version if the lease was deleted. An entry that receives every change does not read the lease from the platform.
+func (d *Director) ObserveLease(version protocol.Revision, value []byte, now time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.leaseChange = &leaseChange{version: version, value: value, at: now}
@@ -56,7 +56,7 @@
 		return
 	}
 	var r leaseRecord
-	if change.version != 0 {
+	if !change.version.IsZero() {
 		r = d.decodeLease(change.value)
 	}
 	d.lease.ObserveReport(change.version, r.Record, change.at)
--- a/transport/director/lease_test.go
+++ b/transport/director/lease_test.go
@@ -36,7 +36,7 @@
 func TestUndecodableLeaseIsReplaced(t *testing.T) {
 	for _, foreign := range []string{`"mine"`, `{}`, `{"holder":7}`, `{"holder":"x","epoch":-1}`, "\xff", `{"holder":"x","epoch":1,"orders":"none"}`} {
 		f := newFixture(2)
-		f.object = protocol.Object{Version: 7, Value: []byte(foreign)}
+		f.object = protocol.Object{Version: protocol.Revision{Number: 7}, Value: []byte(foreign)}
 		runDirectors(t, f, 2, 12*time.Second)
 		require.Equal(t, 2, f.orders(), foreign)
 		for _, e := range f.engines {
@@ -109,7 +109,7 @@
 			for i := range 10 {
 				d := f.director(t, fmt.Sprint("d", i))
 				if observed {
-					d.ObserveLease(0, nil, time.Now())
+					d.ObserveLease(protocol.Revision{}, nil, time.Now())
 					f.observers = append(f.observers, d)
 				}
 				all = append(all, d)
@@ -150,11 +150,11 @@
 			if recorded {
 				value = `{"holder":"","epoch":3,"nonce":7,"orders":[{"endpoint":"e1","from":4,"to":10,"left_ms":5000}]}`
 			}
-			f.object = protocol.Object{Version: 6, Value: []byte(value)}
-			d.ObserveLease(5, []byte(`{"holder":"other","epoch":3,"nonce":6}`), time.Now())
+			f.object = protocol.Object{Version: protocol.Revision{Number: 6}, Value: []byte(value)}
+			d.ObserveLease(protocol.Revision{Number: 5}, []byte(`{"holder":"other","epoch":3,"nonce":6}`), time.Now())
 			d.Start()
 			time.Sleep(200 * time.Millisecond)
-			d.ObserveLease(6, []byte(value), time.Now())
+			d.ObserveLease(protocol.Revision{Number: 6}, []byte(value), time.Now())
 			time.Sleep(4500 * time.Millisecond)
 			require.Equal(t, recorded, f.orders() == 0)
 			time.Sleep(4 * time.Second)
--- a/transport/entry/confirm.go
+++ b/transport/entry/confirm.go
@@ -96,7 +96,7 @@
 
 // replaceManifest writes the next manifest if the platform's manifest still has the given
 // version.
-func (e *Entry) replaceManifest(ctx context.Context, version uint64, next *protocol.Manifest) error {
+func (e *Entry) replaceManifest(ctx context.Context, version protocol.Revision, next *protocol.Manifest) error {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return err
@@ -115,7 +115,7 @@
 		if change.Remove {
 			continue
 		}
-		_, err := e.platform.Put(ctx, protocol.ObjectPart, change.Ref.Hash, 0, change.Content)
+		_, err := e.platform.Put(ctx, protocol.ObjectPart, change.Ref.Hash, protocol.Revision{}, change.Content)
 		var exists *platform.Conflict
 		if err != nil && !errors.As(err, &exists) {
 			return err
--- a/transport/entry/director.go
+++ b/transport/entry/director.go
@@ -115,7 +115,7 @@
 	object, err := d.entry.platform.Get(ctx, protocol.ObjectLease, directorLease)
 	var missing *platform.NotFound
 	if errors.As(err, &missing) {
-		d.lease.Observe(0, lease.Record{}, clock.Now())
+		d.lease.Observe(protocol.Revision{}, lease.Record{}, clock.Now())
 		return nil
 	}
 	if err != nil {
--- a/transport/entry/director_test.go
+++ b/transport/entry/director_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pinerun.example/pinerun/coordination/lease"
+	"pinerun.example/pinerun/protocol"
 )
 
 // TestDirectorWithoutConfigurationGivesNoOrders guards against a panic in a
@@ -19,10 +20,10 @@
 	d := &director{entry: e, holdsLease: true}
 	d.lease.Self = "e1"
 	now := time.Now()
-	d.lease.Observe(0, lease.Record{}, now)
+	d.lease.Observe(protocol.Revision{}, lease.Record{}, now)
 	_, writes := d.lease.Next(now).(lease.Write)
 	require.True(t, writes)
-	d.lease.WriteSucceeded(1)
+	d.lease.WriteSucceeded(protocol.Revision{Number: 1})
 	_, holding := d.lease.Epoch(now)
 	require.True(t, holding)
 	require.NotPanics(t, func() { d.reconcile(t.Context()) })
--- a/transport/entry/membership.go
+++ b/transport/entry/membership.go
@@ -30,7 +30,7 @@
 // records of other entries.
 type registration struct {
 	entry     *Entry
-	version   uint64 // of this entry's record, 0 if unknown
+	version   protocol.Revision // of this entry's record, zero if unknown
 	refreshAt time.Time
 	listed    bool
 	sweep     member.Sweep
--- a/transport/entry/plans.go
+++ b/transport/entry/plans.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := e.writePlan(ctx, protocol.ObjectPlan, p, 0); err != nil {
+	if _, err := e.writePlan(ctx, protocol.ObjectPlan, p, protocol.Revision{}); err != nil {
 		return platformRefusal(err)
 	}
 	return c.JSON(http.StatusOK, p)
@@ -82,30 +82,30 @@
 
 // writePlan writes a plan over the given version of its object and returns the new
 // version.
-func (e *Entry) writePlan(ctx context.Context, kind string, p *plan.Plan, version uint64) (uint64, error) {
+func (e *Entry) writePlan(ctx context.Context, kind string, p *plan.Plan, version protocol.Revision) (protocol.Revision, error) {
 	value, err := json.Marshal(p)
 	if err != nil {
-		return 0, err
+		return protocol.Revision{}, err
 	}
 	if len(value) > protocol.MaxObjectBytes {
-		return 0, protocol.Refuse(protocol.BodyTooLarge, "the plan is larger than the platform holds; change fewer parts at once")
+		return protocol.Revision{}, protocol.Refuse(protocol.BodyTooLarge, "the plan is larger than the platform holds; change fewer parts at once")
 	}
 	return e.platform.Put(ctx, kind, p.ID, version, value)
 }
 
 // readPlan returns an open plan and the version of its object.
-func (e *Entry) readPlan(ctx context.Context, id string) (*plan.Plan, uint64, error) {
+func (e *Entry) readPlan(ctx context.Context, id string) (*plan.Plan, protocol.Revision, error) {
 	object, err := e.platform.Get(ctx, protocol.ObjectPlan, id)
 	var missing *platform.NotFound
 	if errors.As(err, &missing) {
-		return nil, 0, protocol.Refuse(protocol.UnknownPlan, "there is no open plan "+id)
+		return nil, protocol.Revision{}, protocol.Refuse(protocol.UnknownPlan, "there is no open plan "+id)
 	}
 	if err != nil {
-		return nil, 0, err
+		return nil, protocol.Revision{}, err
 	}
 	var p plan.Plan
 	if err := json.Unmarshal(object.Value, &p); err != nil || p.ID != id {
-		return nil, 0, protocol.Refuse(protocol.UnknownPlan, "the object of plan "+id+" is not a plan").WithCause(err)
+		return nil, protocol.Revision{}, protocol.Refuse(protocol.UnknownPlan, "the object of plan "+id+" is not a plan").WithCause(err)
 	}
 	return &p, object.Version, nil
 }
@@ -161,8 +161,8 @@
 }
 
 // archivePlan moves a plan to the audit trail of the current day.
-func (e *Entry) archivePlan(ctx context.Context, p *plan.Plan, version uint64) {
-	_, err := e.writePlan(ctx, auditKind(time.Now()), p, 0)
+func (e *Entry) archivePlan(ctx context.Context, p *plan.Plan, version protocol.Revision) {
+	_, err := e.writePlan(ctx, auditKind(time.Now()), p, protocol.Revision{})
 	var exists *platform.Conflict
 	if err == nil || errors.As(err, &exists) {
 		_ = e.platform.Delete(ctx, protocol.ObjectPlan, p.ID, version)
--- a/transport/follow/follow.go
+++ b/transport/follow/follow.go
@@ -49,8 +49,8 @@
 	mutex           sync.Mutex // guards the fields below and the order of versions
 	store           config.Store
 	previous        *config.Config
-	heardAt         time.Time // when a peer last sent its version
-	manifestVersion uint64    // platform version of the last manifest
+	heardAt         time.Time         // when a peer last sent its version
+	manifestVersion protocol.Revision // platform version of the last manifest
 	platformReached bool
 	startedAt       time.Time
 	applyMutex      sync.Mutex        // held while a manifest's parts are fetched
--- a/transport/follow/follow_test.go
+++ b/transport/follow/follow_test.go
@@ -71,7 +71,7 @@
 	client   platform.Client
 	nodes    []*node
 	members  []protocol.Member
-	manifest uint64 // platform version of the manifest
+	manifest protocol.Revision // platform version of the manifest
 	teams    map[string]protocol.PartRef
 	version  uint64
 }
@@ -95,7 +95,7 @@
 	content, err := json.Marshal(team)
 	require.NoError(t, err)
 	hash := protocol.HashPart(content)
-	_, err = c.client.Put(context.Background(), protocol.ObjectPart, hash, 0, content)
+	_, err = c.client.Put(context.Background(), protocol.ObjectPart, hash, protocol.Revision{}, content)
 	require.NoError(t, err)
 	c.teams[name] = protocol.PartRef{Kind: protocol.TeamPart, Name: name, Hash: hash}
 }
--- a/transport/front/address_probe.go
+++ b/transport/front/address_probe.go
@@ -30,7 +30,7 @@
 			slog.String("occupant", change.Owner()), slog.Bool("used", change.Used()))
 	}
 	for _, e := range f.endpoints.TakeRestarted() {
-		f.recordRestart(e, 0)
+		f.recordRestart(e, protocol.Revision{})
 	}
 	for _, p := range f.endpoints.DueProbes(f.source.Following(), now) {
 		f.startProbe(p)
@@ -67,14 +67,14 @@
 
 // recordRestart records that an endpoint restarted under the same ID. The revision is that of the
 // record that shows the restart, 0 if the endpoint's report or a list shows it.
-func (f *Front) recordRestart(e protocol.Endpoint, revision uint64) {
+func (f *Front) recordRestart(e protocol.Endpoint, revision protocol.Revision) {
 	f.director.RecordRestart(e.ID)
 	if e.Incarnation.Known() {
 		f.source.Quarantine().RecordCrash(e.ID, e.Incarnation-1, clock.Now()) // the incarnations before this one
 	}
 	f.Counters.Add(metric.RestartsSeen, 1)
 	event.EndpointRestarted.Log(f.Logger, slog.String("endpoint", e.ID), slog.Int64("lifetime", int64(e.Incarnation)),
-		slog.String("layers", e.Layers.String()), slog.Uint64("revision", revision))
+		slog.String("layers", e.Layers.String()), revision.LogAttr())
 }
 
 // addressProbe asks an address which endpoint owns it, and an engine whose layers are uncertain
--- a/transport/front/coordination_sink.go
+++ b/transport/front/coordination_sink.go
@@ -24,7 +24,7 @@
 			return
 		}
 	}
-	s.front.director.ObserveLease(0, nil, now)
+	s.front.director.ObserveLease(protocol.Revision{}, nil, now)
 }
 
 // Changed applies a change of a refusal or of the lease. The lease is never removed.
--- a/transport/front/dependencies.go
+++ b/transport/front/dependencies.go
@@ -6,6 +6,7 @@
 	"context"
 
 	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/era"
 	"pinerun.example/pinerun/transport/director"
 	"pinerun.example/pinerun/transport/forward"
 	"pinerun.example/pinerun/transport/watch"
@@ -14,6 +15,7 @@
 // Dependencies is everything that a front uses of one platform.
 type Dependencies struct {
 	Objects      Objects
+	Eras         *era.Tracker // of the store that Objects calls; nil if it names no eras
 	Engines      Engines
 	Headers      forward.HeaderCodec
 	Decoder      Decoder
@@ -26,8 +28,6 @@
 type Objects interface {
 	watch.Source
 	director.Objects
-	// Era returns the latest era that the store named, 0 for none.
-	Era() uint64
 	// ListStale returns the objects of a kind as the platform held them some seconds ago.
 	ListStale(ctx context.Context, kind string) (protocol.Listing, error)
 	// PageStale returns the first page of ListStale that follows a name.
@@ -35,7 +35,7 @@
 	// GetStale returns an object as the platform held it some seconds ago.
 	GetStale(ctx context.Context, kind, name string) (protocol.Object, error)
 	// Delete removes an object if its version is the known one.
-	Delete(ctx context.Context, kind, name string, known uint64) error
+	Delete(ctx context.Context, kind, name string, known protocol.Revision) error
 }
 
 // Engines is the client of the model engines.
--- a/transport/front/endpoint_sink.go
+++ b/transport/front/endpoint_sink.go
@@ -44,7 +44,7 @@
 		f.source.Quarantine().RecordCrash(c.Object.Name, f.endpoints.Incarnation(c.Object.Name), now)
 		if f.endpoints.Remove(c.Object.Name, now) {
 			event.EndpointGone.Log(f.Logger, slog.String("endpoint", c.Object.Name), slog.String("reason", "record gone"),
-				slog.Uint64("revision", c.Object.Version))
+				c.Object.Version.LogAttr())
 		}
 		return
 	}
@@ -63,18 +63,18 @@
 		return
 	}
 	if e.Leaving {
-		event.EndpointLeaving.Log(f.Logger, slog.String("endpoint", e.ID), slog.Uint64("revision", c.Object.Version))
+		event.EndpointLeaving.Log(f.Logger, slog.String("endpoint", e.ID), c.Object.Version.LogAttr())
 		return
 	}
 	event.LayersChanged.Log(f.Logger, slog.String("endpoint", e.ID), slog.String("layers", e.Layers.String()),
-		slog.Uint64("revision", c.Object.Version))
+		c.Object.Version.LogAttr())
 }
 
 // logJoined logs an endpoint that was unknown.
-func (s *endpointSink) logJoined(e protocol.Endpoint, revision uint64) {
+func (s *endpointSink) logJoined(e protocol.Endpoint, revision protocol.Revision) {
 	event.EndpointJoined.Log(s.front.Logger, slog.String("endpoint", e.ID), slog.String("service", e.Service),
 		slog.String("address", e.Address), slog.String("data_center", e.DataCenter), slog.String("accelerator", e.Accelerator),
-		slog.String("layers", e.Layers.String()), slog.Bool("leaving", e.Leaving), slog.Uint64("revision", revision))
+		slog.String("layers", e.Layers.String()), slog.Bool("leaving", e.Leaving), revision.LogAttr())
 }
 
 // Confirmed does nothing: each endpoint record carries its own state.
@@ -95,7 +95,7 @@
 	f.records.setDecodeFault(o, err)
 	if f.endpoints.Discard(o.Name) {
 		event.EndpointGone.Log(f.Logger, slog.String("endpoint", o.Name), slog.String("reason", "record unusable"),
-			slog.Uint64("revision", o.Version))
+			o.Version.LogAttr())
 	}
 	return protocol.Endpoint{}, false
 }
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -69,6 +69,7 @@
 	scheduling        scheduling.Monitor
 	keyTrust          keyTrust
 	stopping          atomic.Bool
+	restoresSeen      int         // restores of the platform that were logged
 	platformReachable atomic.Bool // whether the last call to the platform was answered
 }
 
@@ -153,6 +154,7 @@
 		ConfirmedName:     f.Dependencies.RoutingName,
 		Counters:          f.Counters,
 		Logger:            f.Logger,
+		Eras:              f.Dependencies.Eras,
 		OnPlatformFailure: f.endpoints.MarkOutage,
 		EndpointCount:     f.endpoints.Count,
 		OnLossChange:      f.applyLossChange,
@@ -190,7 +192,7 @@
 	}
 	f.confirmer = watch.Confirmer{
 		Source: &f.source, Kind: f.Dependencies.RoutingKind, Name: f.Dependencies.RoutingName,
-		Sink: tables, Watchers: f.watchers,
+		Sink: tables, Watchers: f.watchers, Eras: f.Dependencies.Eras,
 	}
 	f.source.Start()
 	for _, w := range f.watchers {
@@ -292,7 +294,10 @@
 	checks := time.NewTicker(recordCheckInterval)
 	defer checks.Stop()
 	for {
+		restored := f.Dependencies.Eras.Restored()
+		f.checkRestores()
 		select {
+		case <-restored:
 		case <-checks.C:
 			f.records.checkAgainstTable(&f.endpoints)
 		case <-sweeps.C:
@@ -309,6 +314,17 @@
 	}
 }
 
+// checkRestores logs a restore of the platform since the last check.
+func (f *Front) checkRestores() {
+	restores := f.Dependencies.Eras.Restores()
+	if restores == f.restoresSeen {
+		return
+	}
+	f.Counters.Add(metric.StoreRestores, int64(restores-f.restoresSeen))
+	f.restoresSeen = restores
+	event.StoreRestored.Log(f.Logger, slog.Uint64("era", f.Dependencies.Eras.Latest()), slog.String("peer", f.source.FollowedName()))
+}
+
 // isReady reports whether new callers should connect to this entry: it has a table and the list of
 // endpoints, it is not stopping, its memory budget has capacity left, and keys can still be
 // confirmed. If most entries have no capacity left, the load balancer uses all of them.
--- a/transport/front/handlers.go
+++ b/transport/front/handlers.go
@@ -32,7 +32,7 @@
 		if err := f.Counters.WriteText(c.Response()); err != nil {
 			return err
 		}
-		if err := writeStoreEra(c.Response(), f.Dependencies.Objects.Era()); err != nil {
+		if err := writeStoreEra(c.Response(), f.Dependencies.Eras.Latest()); err != nil {
 			return err
 		}
 		return writeGauges(c.Response(), f.fleetStatus(clock.Now()))
--- a/transport/front/records.go
+++ b/transport/front/records.go
@@ -44,7 +44,7 @@
 	}
 	if r.setFault(r.decodeFaults, o.Name, fault) {
 		event.RecordUnusable.Log(r.logger, slog.String("endpoint", o.Name), slog.String("reason", string(fault)),
-			slog.Uint64("revision", o.Version), slog.String("cause", err.Error()))
+			o.Version.LogAttr(), slog.String("cause", err.Error()))
 	}
 }
 
--- a/transport/front/records_test.go
+++ b/transport/front/records_test.go
@@ -49,7 +49,7 @@
 
 func (f *recordFixture) object(name, value string) protocol.Object {
 	f.revision++
-	return protocol.Object{Name: name, Version: f.revision, Value: []byte(value)}
+	return protocol.Object{Name: name, Version: protocol.Revision{Number: f.revision}, Value: []byte(value)}
 }
 
 func (f *recordFixture) list(values map[string]string) {
@@ -154,7 +154,7 @@
 	if string(o.Value) == "broken" {
 		return protocol.Routing{}, errors.New("broken")
 	}
-	return protocol.Routing{Version: o.Version, Services: []protocol.RoutedService{{Name: string(o.Value)}}}, nil
+	return protocol.Routing{Version: o.Version.Number, Services: []protocol.RoutedService{{Name: string(o.Value)}}}, nil
 }
 
 // TestUnreadableTableKeepsPrevious writes a broken table, and then a valid one.
--- a/transport/front/refusals.go
+++ b/transport/front/refusals.go
@@ -57,7 +57,7 @@
 
 // storedRefusal is a refusal as the platform holds it.
 type storedRefusal struct {
-	version   uint64
+	version   protocol.Revision
 	wasActive bool // it had evidence and had not expired when it was applied
 }
 
@@ -164,8 +164,8 @@
 	w.writeAt = clock.Now().Add(writeRetryDelay + rand.N(r.spreadOverEntries()))
 }
 
-// storedVersion returns the version of the refusal that the platform holds, 0 if none is known.
-func (r *refusals) storedVersion(work protocol.Fingerprint) uint64 {
+// storedVersion returns the version of the refusal that the platform holds, zero if none is known.
+func (r *refusals) storedVersion(work protocol.Fingerprint) protocol.Revision {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return r.stored[work].version
@@ -225,7 +225,7 @@
 	var refused protocol.RefusedWork
 	err := json.Unmarshal(o.Value, &refused)
 	if err != nil {
-		event.RefusalIgnored.Log(r.front.Logger, slog.String("fingerprint", work.String()), slog.Uint64("revision", o.Version),
+		event.RefusalIgnored.Log(r.front.Logger, slog.String("fingerprint", work.String()), o.Version.LogAttr(),
 			slog.String("cause", err.Error()))
 		return
 	}
@@ -291,7 +291,7 @@
 }
 
 // deleteRefusal removes a refusal from the platform if its version is still the known one.
-func (r *refusals) deleteRefusal(work protocol.Fingerprint, version uint64) {
+func (r *refusals) deleteRefusal(work protocol.Fingerprint, version protocol.Revision) {
 	ctx, cancel := context.WithTimeout(context.Background(), refusalCallTimeout)
 	defer cancel()
 	err := r.front.Dependencies.Objects.Delete(ctx, coordinationKind, refusedPrefix+work.String(), version)
--- a/transport/front/refusals_test.go
+++ b/transport/front/refusals_test.go
@@ -22,7 +22,7 @@
 	count atomic.Int64
 }
 
-func (d *deletionCounter) Delete(context.Context, string, string, uint64) error {
+func (d *deletionCounter) Delete(context.Context, string, string, protocol.Revision) error {
 	d.count.Add(1)
 	return nil
 }
@@ -45,7 +45,7 @@
 	value, _ := json.Marshal(refused) // numbers and names never fail
 	for i := range f.count {
 		work := protocol.Fingerprint{1, byte(i), byte(i >> 8)}
-		f.refusals.applyRefusal(work, protocol.Object{Name: refusedPrefix + work.String(), Version: uint64(i + 1), Value: value}, clock.Now())
+		f.refusals.applyRefusal(work, protocol.Object{Name: refusedPrefix + work.String(), Version: protocol.Revision{Number: uint64(i + 1)}, Value: value}, clock.Now())
 	}
 }
 
--- a/transport/front/registration.go
+++ b/transport/front/registration.go
@@ -39,7 +39,7 @@
 
 	done        lifecycle.Done
 	census      census.Counter
-	version     uint64 // of the own record, 0 if unknown
+	version     protocol.Revision // of the own record, zero if unknown
 	heartbeat   uint64
 	renewAt     time.Time
 	reads       int // at startup
@@ -48,7 +48,7 @@
 	seedEntries seedEntries
 	started     bool // startup is over: the own record was seen, or a peer reports all records
 	nextRead    time.Time
-	revision    uint64 // of the records that were counted last
+	revision    protocol.Revision // of the records that were counted last
 	entryCount  int
 	members     []string     // names of the entries that count
 	dataCenters atomic.Int64 // number of data centers that have entries
@@ -153,7 +153,7 @@
 	}
 	r.entryCount = n
 	r.front.forwarder.SetEntryCount(n)
-	event.EntriesCounted.Log(r.front.Logger, slog.Int("entries", n), slog.Uint64("revision", r.revision))
+	event.EntriesCounted.Log(r.front.Logger, slog.Int("entries", n), r.revision.LogAttr())
 }
 
 // learnEntries reports to the source which entries it can follow, counts their data centers, and
--- a/transport/front/registration_test.go
+++ b/transport/front/registration_test.go
@@ -50,25 +50,25 @@
 	}
 }
 
-func (s *lateStore) Put(_ context.Context, kind, name string, known uint64, value []byte) (uint64, error) {
+func (s *lateStore) Put(_ context.Context, kind, name string, known protocol.Revision, value []byte) (protocol.Revision, error) {
 	if kind == seedEntriesKind {
-		s.seedEntries = protocol.Object{Kind: kind, Name: name, Version: s.seedEntries.Version + 1, Value: value}
+		s.seedEntries = protocol.Object{Kind: kind, Name: name, Version: protocol.Revision{Number: s.seedEntries.Version.Number + 1}, Value: value}
 		return s.seedEntries.Version, nil
 	}
-	var revision uint64
+	var revision protocol.Revision
 	err := s.call(func() error {
 		if held := s.objects[name].Version; held != known {
 			return platform.NewConflict(held)
 		}
 		s.revision++
-		revision = s.revision
+		revision = protocol.Revision{Number: s.revision}
 		s.objects[name] = protocol.Object{Name: name, Version: revision, Value: value}
 		return nil
 	})
 	return revision, err
 }
 
-func (s *lateStore) Delete(_ context.Context, _, name string, known uint64) error {
+func (s *lateStore) Delete(_ context.Context, _, name string, known protocol.Revision) error {
 	return s.call(func() error {
 		if held := s.objects[name].Version; held != known {
 			return platform.NewConflict(held)
@@ -80,15 +80,13 @@
 }
 
 func (s *lateStore) List(context.Context, string) (protocol.Listing, error) {
-	l := protocol.Listing{Revision: s.revision}
+	l := protocol.Listing{Revision: protocol.Revision{Number: s.revision}}
 	for _, o := range s.objects {
 		l.Objects = append(l.Objects, o)
 	}
 	return l, nil
 }
 
-func (s *lateStore) Era() uint64 { return 0 }
-
 func (s *lateStore) ListStale(ctx context.Context, kind string) (protocol.Listing, error) {
 	return s.List(ctx, kind)
 }
@@ -100,7 +98,7 @@
 }
 
 func (s *lateStore) Get(_ context.Context, kind, name string) (protocol.Object, error) {
-	if kind == seedEntriesKind && s.seedEntries.Version > 0 {
+	if kind == seedEntriesKind && !s.seedEntries.Version.IsZero() {
 		return s.seedEntries, nil
 	}
 	if o, ok := s.objects[name]; ok {
@@ -113,7 +111,7 @@
 	return s.Get(ctx, kind, name)
 }
 
-func (s *lateStore) Watch(context.Context, string, uint64, time.Duration) (protocol.Changes, error) {
+func (s *lateStore) Watch(context.Context, string, protocol.Revision, time.Duration) (protocol.Changes, error) {
 	return protocol.Changes{}, nil
 }
 
@@ -200,7 +198,7 @@
 	store.delayed = true
 	require.Error(t, r.renew(t.Context()))
 	store.delayed = false
-	require.NoError(t, store.Delete(t.Context(), entryKind, "me", store.objects["me"].Version))
+	require.NoError(t, store.Delete(t.Context(), entryKind, "me", protocol.Revision{Number: store.objects["me"].Version.Number}))
 	store.applyLate(false)
 	require.Empty(t, store.objects, "a late renewal must not bring back a removed record")
 	require.NoError(t, r.renew(t.Context()))
@@ -213,7 +211,7 @@
 	store := newLateStore()
 	require.NoError(t, newRegistration(store, "valid").renew(t.Context()))
 	for name, value := range map[string]string{"foreign": `"x"`, "typed": `{"beat":"seven"}`, "me": "\xff"} {
-		_, err := store.Put(t.Context(), entryKind, name, 0, []byte(value))
+		_, err := store.Put(t.Context(), entryKind, name, protocol.Revision{}, []byte(value))
 		require.NoError(t, err)
 	}
 	r := newRegistration(store, "me")
--- a/transport/front/routing_sink.go
+++ b/transport/front/routing_sink.go
@@ -19,24 +19,23 @@
 type routingSink struct {
 	front *Front
 
-	mutex          sync.Mutex
-	latestRevision uint64 // highest revision applied; the object is read more often than it changes
-	passedOver     uint64 // revision that was passed over last
-	unusable       bool   // the table of that revision can't be used
+	mutex    sync.Mutex
+	latest   protocol.Revision // latest revision applied; the object is read more often than it changes
+	unusable bool              // the table of that revision can't be used
 }
 
 // Listed applies the table from a list.
 func (s *routingSink) Listed(objects []protocol.Object, _ time.Time) {
 	s.front.platformAnswered()
 	for _, o := range objects {
-		s.apply(o, "list")
+		s.apply(o)
 	}
 }
 
 // Changed applies a changed table.
 func (s *routingSink) Changed(c protocol.Change, _ time.Time) {
 	if !c.Deleted {
-		s.apply(c.Object, "change")
+		s.apply(c.Object)
 	}
 }
 
@@ -56,42 +55,21 @@
 func (s *routingSink) Failed(err error, now time.Time) { s.front.watchFailed("routing", err, now) }
 
 // apply puts a table in force unless its revision was applied before.
-func (s *routingSink) apply(o protocol.Object, source string) {
+func (s *routingSink) apply(o protocol.Object) {
 	f := s.front
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if o.Name != f.Dependencies.RoutingName {
+	if o.Name != f.Dependencies.RoutingName || !s.latest.Before(o.Version) {
 		return
 	}
-	if o.Version <= s.latestRevision {
-		s.logPassedOver(o, source)
-		return
-	}
-	s.latestRevision = o.Version
+	s.latest = o.Version
 	err := s.install(o)
 	s.unusable = err != nil
 	f.endStartupWaitIfReady()
 	if err != nil {
 		f.Counters.Add(metric.ConfigIgnored, 1)
-		event.ConfigIgnored.Log(f.Logger, slog.Uint64("revision", o.Version), slog.String("cause", err.Error()))
-	}
-}
-
-// logPassedOver logs that an object was not applied because its revision is not higher than that of
-// the last one. The mutex is held.
-func (s *routingSink) logPassedOver(o protocol.Object, source string) {
-	if o.Version == s.latestRevision || o.Version == s.passedOver {
-		return
+		event.ConfigIgnored.Log(f.Logger, o.Version.LogAttr(), slog.String("cause", err.Error()))
 	}
-	s.passedOver = o.Version
-	f := s.front
-	f.Counters.Add(metric.ConfigPassedOver, 1)
-	inForce := uint64(0)
-	if t := f.routing.Current(); t != nil {
-		inForce = t.Version()
-	}
-	event.ConfigPassedOver.Log(f.Logger, slog.Uint64("revision", o.Version), slog.Uint64("latest", s.latestRevision),
-		slog.Uint64("in_force", inForce), slog.String("source", source))
 }
 
 // install puts a table in force unless the one in force is as new.
@@ -106,6 +84,7 @@
 		return err
 	}
 	if c := f.routing.Current(); c != nil && t.Version() <= c.Version() {
+		s.logPassedOver(o, t, c)
 		return nil
 	}
 	// The services of the table are set first: from the moment the table is in force, requests look
@@ -116,7 +95,16 @@
 	}
 	f.routing.Offer(t)
 	f.Counters.Add(metric.ConfigAccepted, 1)
-	event.ConfigInForce.Log(f.Logger, slog.Uint64("version", t.Version()), slog.Uint64("revision", o.Version),
+	event.ConfigInForce.Log(f.Logger, slog.Uint64("version", t.Version()), o.Version.LogAttr(),
 		slog.Int("routes", len(decoded.Routes)), slog.Int("teams", len(decoded.Teams)))
 	return nil
 }
+
+// logPassedOver logs that the platform holds an older table than the one in force.
+func (s *routingSink) logPassedOver(o protocol.Object, t, inForce *routing.Table) {
+	if t.Version() == inForce.Version() {
+		return
+	}
+	s.front.Counters.Add(metric.ConfigPassedOver, 1)
+	event.ConfigPassedOver.Log(s.front.Logger, slog.Uint64("version", t.Version()), slog.Uint64("in_force", inForce.Version()), o.Version.LogAttr())
+}
--- a/transport/front/search.go
+++ b/transport/front/search.go
@@ -18,8 +18,8 @@
 // the square of the number of entries.
 type peerSearch struct {
 	objects  []protocol.Object
-	revision uint64 // the lowest revision of the pages
-	after    string // the name that the next page follows
+	revision protocol.Revision // the lowest revision of the pages
+	after    string            // the name that the next page follows
 	started  bool
 	wrapped  bool // the pages continued from the first name
 }
@@ -52,7 +52,7 @@
 
 // addPage adds the records of a page, and reports whether it was the last page that was missing.
 func (s *peerSearch) addPage(p *protocol.Page, start string) bool {
-	if s.revision == 0 || p.Revision < s.revision {
+	if s.revision.IsZero() || p.Revision.Before(s.revision) {
 		s.revision = p.Revision
 	}
 	for _, o := range p.Objects {
--- a/transport/front/search_test.go
+++ b/transport/front/search_test.go
@@ -39,7 +39,7 @@
 
 func (s *pagedStore) PageStale(_ context.Context, _, after string) (protocol.Page, error) {
 	s.pages++
-	p := protocol.Page{Listing: protocol.Listing{Revision: uint64(100 - s.pages)}}
+	p := protocol.Page{Listing: protocol.Listing{Revision: protocol.Revision{Number: uint64(100 - s.pages)}}}
 	for _, o := range s.records {
 		switch {
 		case o.Name <= after:
@@ -56,7 +56,7 @@
 func (s *pagedStore) put(t require.TestingT, r protocol.EntryRecord) {
 	value, err := json.Marshal(r)
 	require.NoError(t, err)
-	s.records = append(s.records, protocol.Object{Name: r.Name, Version: 1, Value: value})
+	s.records = append(s.records, protocol.Object{Name: r.Name, Version: protocol.Revision{Number: 1}, Value: value})
 	slices.SortFunc(s.records, func(a, b protocol.Object) int { return cmp.Compare(a.Name, b.Name) })
 }
 
@@ -81,7 +81,7 @@
 				continue
 			}
 			require.ElementsMatch(t, s.records, list.Objects)
-			require.Equal(t, uint64(100-s.pages), list.Revision, "the list is as old as its oldest page")
+			require.Equal(t, protocol.Revision{Number: uint64(100 - s.pages)}, list.Revision, "the list is as old as its oldest page")
 			return
 		}
 	})
--- a/transport/front/seed_entries.go
+++ b/transport/front/seed_entries.go
@@ -28,8 +28,8 @@
 
 // seedEntries is what this entry knows of the object that holds the seed entries.
 type seedEntries struct {
-	version uint64 // of the object, 0 if it is unknown or does not exist
-	value   []byte // that this entry wrote last
+	version protocol.Revision // of the object, zero if it is unknown or does not exist
+	value   []byte            // that this entry wrote last
 }
 
 // writeSeedEntries writes the object with the seed entries if they have changed since this entry
--- a/transport/front/sinks_test.go
+++ b/transport/front/sinks_test.go
@@ -36,7 +36,7 @@
 	}
 	var records []protocol.Object
 	for i := range 5000 { // building the view takes a while
-		records = append(records, protocol.Object{Name: fmt.Sprint("e", i), Version: uint64(i + 1)})
+		records = append(records, protocol.Object{Name: fmt.Sprint("e", i), Version: protocol.Revision{Number: uint64(i + 1)}})
 	}
 	(&endpointSink{front: f}).Listed(records, time.Now())
 	found := make(chan bool)
@@ -46,7 +46,7 @@
 		}
 		found <- f.endpoints.View().Model(registry.ModelName("plain", "")) != nil
 	}()
-	(&routingSink{front: f}).Listed([]protocol.Object{{Name: "main", Version: 9000}}, time.Now())
+	(&routingSink{front: f}).Listed([]protocol.Object{{Name: "main", Version: protocol.Revision{Number: 9000}}}, time.Now())
 	require.True(t, <-found)
 }
 
@@ -57,7 +57,7 @@
 	endpoints := &endpointSink{front: f}
 	tables := &routingSink{front: f}
 	began := time.Now()
-	endpoints.Listed([]protocol.Object{{Name: "e1", Version: 1}}, began)
+	endpoints.Listed([]protocol.Object{{Name: "e1", Version: protocol.Revision{Number: 1}}}, began)
 	endpoints.Failed(errors.New("down"), began.Add(time.Second))
 	tables.Failed(errors.New("down"), began.Add(3*time.Second))
 	endpoints.Listed(nil, began.Add(3500*time.Millisecond))
@@ -78,7 +78,7 @@
 	s := &endpointSink{front: f}
 	now := time.Now()
 	for i, incarnation := range []int{1, 2, 1, 2} {
-		o := protocol.Object{Name: "e", Version: uint64(i + 1), Value: make([]byte, incarnation)}
+		o := protocol.Object{Name: "e", Version: protocol.Revision{Number: uint64(i + 1)}, Value: make([]byte, incarnation)}
 		s.Changed(protocol.Change{Object: o}, now.Add(time.Duration(i)*time.Second))
 	}
 	require.EqualValues(t, 1, f.Counters.Value(string(metric.RestartsSeen)))
@@ -91,7 +91,7 @@
 	s := &endpointSink{front: f}
 	now := time.Now()
 	for i, incarnation := range []int{1, 2, 1, 2} {
-		o := protocol.Object{Name: "e", Version: uint64(i + 1), Value: make([]byte, incarnation)}
+		o := protocol.Object{Name: "e", Version: protocol.Revision{Number: uint64(i + 1)}, Value: make([]byte, incarnation)}
 		s.Listed([]protocol.Object{o}, now.Add(time.Duration(i)*time.Second))
 		f.checkRecords(now.Add(time.Duration(i) * time.Second))
 	}
--- a/transport/front/startup_test.go
+++ b/transport/front/startup_test.go
@@ -60,7 +60,7 @@
 			f.refusals.applyList(nil, now)
 			(&endpointSink{front: f}).Listed(nil, now)
 			tables := &routingSink{front: f}
-			tables.Listed([]protocol.Object{{Name: "main", Version: 1}}, now)
+			tables.Listed([]protocol.Object{{Name: "main", Version: protocol.Revision{Number: 1}}}, now)
 			synctest.Wait()
 			require.Equal(t, wantWait, !c.done, "has keys: %v", hasKeys)
 			tables.Confirmed(now)
@@ -89,7 +89,7 @@
 		now := time.Now()
 		(&endpointSink{front: f}).Listed(nil, now)
 		tables := &routingSink{front: f}
-		tables.Listed([]protocol.Object{{Name: "main", Version: 1}}, now)
+		tables.Listed([]protocol.Object{{Name: "main", Version: protocol.Revision{Number: 1}}}, now)
 		tables.Confirmed(now)
 		synctest.Wait()
 		require.False(t, c.done)
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -36,15 +36,15 @@
 )
 
 // Conflict reports that an object has another version than the write expected.
-type Conflict struct{ version uint64 }
+type Conflict struct{ version protocol.Revision }
 
 // Error names the current version and the remedy.
 func (c *Conflict) Error() string {
-	return fmt.Sprintf("the object is at version %d; read it and decide again", c.version)
+	return fmt.Sprintf("the object is at version %s; read it and decide again", c.version)
 }
 
-// Version returns the version in the platform, 0 if the object does not exist.
-func (c *Conflict) Version() uint64 { return c.version }
+// Version returns the version in the platform, the zero one if the object does not exist.
+func (c *Conflict) Version() protocol.Revision { return c.version }
 
 // Unavailable reports that a call had no effect because the platform refused it or could not be
 // reached.
@@ -94,11 +94,11 @@
 
 // Watch returns the object once its version differs from known, or without a value if the platform
 // ended the wait first.
-func (c *Client) Watch(ctx context.Context, kind, name string, known uint64) (protocol.Object, error) {
+func (c *Client) Watch(ctx context.Context, kind, name string, known protocol.Revision) (protocol.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	o, err := c.read(ctx, kind, name, "?watch="+strconv.FormatUint(known, 10))
-	if o.Version == 0 && err == nil {
+	o, err := c.read(ctx, kind, name, "?watch="+strconv.FormatUint(known.Number, 10))
+	if o.Version.IsZero() && err == nil {
 		o.Version = known
 	}
 	return o, err
@@ -127,42 +127,43 @@
 	}
 }
 
-// Put writes an object if its version is still known, 0 to create it, and returns the new version.
-func (c *Client) Put(ctx context.Context, kind, name string, known uint64, value []byte) (uint64, error) {
+// Put writes an object if its version is still known, or creates it if known is zero, and returns
+// the new version.
+func (c *Client) Put(ctx context.Context, kind, name string, known protocol.Revision, value []byte) (protocol.Revision, error) {
 	return c.write(ctx, http.MethodPut, kind, name, known, value)
 }
 
 // Delete removes an object if its version is still known.
-func (c *Client) Delete(ctx context.Context, kind, name string, known uint64) error {
+func (c *Client) Delete(ctx context.Context, kind, name string, known protocol.Revision) error {
 	_, err := c.write(ctx, http.MethodDelete, kind, name, known, nil)
 	return err
 }
 
 // write makes a conditional write and maps the response to an error type.
-func (c *Client) write(ctx context.Context, method, kind, name string, known uint64, value []byte) (uint64, error) {
+func (c *Client) write(ctx context.Context, method, kind, name string, known protocol.Revision, value []byte) (protocol.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	header, condition := "If-Match", `"`+strconv.FormatUint(known, 10)+`"`
-	if known == 0 {
+	header, condition := "If-Match", `"`+strconv.FormatUint(known.Number, 10)+`"`
+	if known.IsZero() {
 		header, condition = "If-None-Match", "*"
 	}
 	res, err := c.call(ctx, method, "/objects/"+kind+"/"+name, value, header, condition)
 	if neverSent(err) {
-		return 0, &Unavailable{cause: err}
+		return protocol.Revision{}, &Unavailable{cause: err}
 	}
 	if err != nil {
-		return 0, &Uncertain{cause: err}
+		return protocol.Revision{}, &Uncertain{cause: err}
 	}
 	defer res.Body.Close()
 	switch res.StatusCode {
 	case http.StatusOK, http.StatusNoContent:
 		return versionOf(res), nil
 	case http.StatusPreconditionFailed:
-		return 0, &Conflict{version: versionOf(res)}
+		return protocol.Revision{}, &Conflict{version: versionOf(res)}
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusBadRequest:
-		return 0, &Unavailable{cause: errors.New(res.Status)}
+		return protocol.Revision{}, &Unavailable{cause: errors.New(res.Status)}
 	default:
-		return 0, &Uncertain{cause: errors.New(res.Status)}
+		return protocol.Revision{}, &Uncertain{cause: errors.New(res.Status)}
 	}
 }
 
@@ -220,10 +221,10 @@
 	return res, err
 }
 
-// versionOf returns the object version in the ETag header, 0 if there is none.
-func versionOf(res *http.Response) uint64 {
+// versionOf returns the object version in the ETag header, the zero one if there is none.
+func versionOf(res *http.Response) protocol.Revision {
 	v, _ := strconv.ParseUint(strings.Trim(res.Header.Get("ETag"), `"`), 10, 64)
-	return v
+	return protocol.Revision{Number: v}
 }
 
 // neverSent reports whether no connection was made, in which case the write has no effect.
--- a/transport/platform/errors.go
+++ b/transport/platform/errors.go
@@ -2,6 +2,8 @@
 
 package platform
 
+import "pinerun.example/pinerun/protocol"
+
 // Compacted reports that the platform no longer has the changes since a revision.
 type Compacted struct{}
 
@@ -16,9 +18,9 @@
 // NewUncertain returns the error of a write that may have taken effect.
 func NewUncertain(cause error) error { return &Uncertain{cause: cause} }
 
-// NewConflict returns the error of a write that found another version, 0 if the object does not
-// exist.
-func NewConflict(version uint64) error { return &Conflict{version: version} }
+// NewConflict returns the error of a write that found another version, the zero one if the object
+// does not exist.
+func NewConflict(version protocol.Revision) error { return &Conflict{version: version} }
 
 // NewNotFound returns the error for an object that does not exist.
 func NewNotFound(kind, name string) error { return &NotFound{kind: kind, name: name} }
--- a/transport/relay/codec.go
+++ b/transport/relay/codec.go
@@ -34,10 +34,10 @@
 // snapshot returns a snapshot of a kind for a follower that knows it up to a revision. It reuses
 // the last one as long as the mirror still has the changes since, which the follower gets next:
 // hundreds of followers may connect at once while the kind changes all the time.
-func (e *deltaEncoder) snapshot(m *mirror.Mirror, kind string, known uint64) (protocol.RelayDelta, error) {
+func (e *deltaEncoder) snapshot(m *mirror.Mirror, kind string, known protocol.Revision) (protocol.RelayDelta, error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if last, ok := e.snapshots[kind]; ok && last.Revision > known {
+	if last, ok := e.snapshots[kind]; ok && known.Before(last.Revision) {
 		if _, inHistory := m.Since(kind, last.Revision); inHistory {
 			return last, nil
 		}
@@ -69,7 +69,7 @@
 func uncompressed(kind string, d mirror.Delta) (encoded protocol.RelayDelta, bytes int) {
 	encoded = protocol.RelayDelta{Kind: kind, After: d.After, Revision: d.To, ListDiff: d.ListDiff, Snapshot: d.Snapshot}
 	for _, c := range d.Changes {
-		change := protocol.RelayChange{Name: c.Object.Name, Version: c.Object.Version, Deleted: c.Deleted}
+		change := protocol.RelayChange{Name: c.Object.Name, Version: c.Object.Version.Number, Deleted: c.Deleted}
 		if !c.Deleted {
 			change.Value = c.Object.Value
 			bytes += len(change.Value)
@@ -99,7 +99,7 @@
 
 // compress replaces the changes of a delta by their compressed form. The caller holds the mutex.
 func (e *deltaEncoder) compress(d *protocol.RelayDelta) error {
-	changes, err := protocol.EncodeRelay(d.Changes)
+	changes, err := protocol.EncodeRelayChanges(d.Changes)
 	if err != nil {
 		return err
 	}
@@ -153,7 +153,7 @@
 		changes = decompressed
 	}
 	for _, c := range changes {
-		object := protocol.Object{Kind: encoded.Kind, Name: c.Name, Version: c.Version, Value: c.Value}
+		object := protocol.Object{Kind: encoded.Kind, Name: c.Name, Version: protocol.Revision{Era: encoded.Revision.Era, Number: c.Version}, Value: c.Value}
 		delta.Changes = append(delta.Changes, protocol.Change{Object: object, Deleted: c.Deleted})
 	}
 	return delta, nil
--- a/transport/relay/codec_test.go
+++ b/transport/relay/codec_test.go
@@ -17,9 +17,9 @@
 // TestDeltaRoundTrip encodes and decodes random deltas, both short ones and compressed ones.
 func TestDeltaRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		delta := mirror.Delta{After: 3, To: 9, ListDiff: rapid.Bool().Draw(t, "list diff"), Snapshot: rapid.Bool().Draw(t, "snapshot")}
+		delta := mirror.Delta{After: protocol.Revision{Number: 3}, To: protocol.Revision{Number: 9}, ListDiff: rapid.Bool().Draw(t, "list diff"), Snapshot: rapid.Bool().Draw(t, "snapshot")}
 		for i := range rapid.IntRange(0, 5).Draw(t, "changes") {
-			o := protocol.Object{Kind: "k", Name: fmt.Sprint("o", i), Version: uint64(i + 4)}
+			o := protocol.Object{Kind: "k", Name: fmt.Sprint("o", i), Version: protocol.Revision{Number: uint64(i + 4)}}
 			gone := rapid.Bool().Draw(t, "gone")
 			if !gone {
 				o.Value = bytes.Repeat([]byte{byte('a' + i)}, rapid.IntRange(1, 2*minCompressSize).Draw(t, "length"))
@@ -41,8 +41,8 @@
 // difference between two lists, which only a follower at exactly its first revision can apply.
 func TestListDiffIsNotReusedForChanges(t *testing.T) {
 	var encoder deltaEncoder
-	o := protocol.Object{Kind: "k", Name: "o", Version: 9, Value: make([]byte, minCompressSize)}
-	delta := mirror.Delta{After: 3, To: 9, Changes: []protocol.Change{{Object: o}}}
+	o := protocol.Object{Kind: "k", Name: "o", Version: protocol.Revision{Number: 9}, Value: make([]byte, minCompressSize)}
+	delta := mirror.Delta{After: protocol.Revision{Number: 3}, To: protocol.Revision{Number: 9}, Changes: []protocol.Change{{Object: o}}}
 	_, err := encoder.encode("k", delta)
 	require.NoError(t, err)
 	delta.ListDiff = true
@@ -55,19 +55,19 @@
 	var encoder deltaEncoder
 	packed, err := encoder.deflate(make([]byte, maxUnpackedSize+1))
 	require.NoError(t, err)
-	_, err = decode(&protocol.RelayDelta{Kind: "k", Revision: 1, Packed: packed})
+	_, err = decode(&protocol.RelayDelta{Kind: "k", Revision: protocol.Revision{Number: 1}, Packed: packed})
 	require.ErrorIs(t, err, errTooLarge)
 }
 
 // testObject returns an object of kind "k" at a version.
 func testObject(i int, version uint64) protocol.Object {
-	return protocol.Object{Kind: "k", Name: fmt.Sprint("o-", i), Version: version, Value: fmt.Appendf(nil, "%0100d", version)}
+	return protocol.Object{Kind: "k", Name: fmt.Sprint("o-", i), Version: protocol.Revision{Number: version}, Value: fmt.Appendf(nil, "%0100d", version)}
 }
 
 // newSourceWithObjects returns a source that has a number of objects.
 func newSourceWithObjects(objects int) *Source {
 	s := &Source{}
-	list := protocol.Listing{Revision: 1}
+	list := protocol.Listing{Revision: protocol.Revision{Number: 1}}
 	for i := range objects {
 		list.Objects = append(list.Objects, testObject(i, 1))
 	}
@@ -78,7 +78,8 @@
 // changeObject changes one object.
 func changeObject(t testing.TB, s *Source) {
 	at := s.mirror.Revision("k")
-	applied := s.mirror.Apply("k", mirror.Delta{After: at, To: at + 1, Changes: []protocol.Change{{Object: testObject(int(at%100), at+1)}}})
+	next := protocol.Revision{Number: at.Number + 1}
+	applied := s.mirror.Apply("k", mirror.Delta{After: at, To: next, Changes: []protocol.Change{{Object: testObject(int(at.Number%100), next.Number)}}})
 	require.True(t, applied)
 }
 
@@ -114,7 +115,7 @@
 		changeObject(t, s)
 		f := &follower{source: s, encoder: encoder, known: []protocol.KindRevision{{Kind: "k"}}}
 		var known mirror.Mirror
-		for known.Revision("k") < s.mirror.Revision("k") {
+		for known.Revision("k").Before(s.mirror.Revision("k")) {
 			var frame protocol.RelayFrame
 			require.NoError(t, f.addDeltas(&frame))
 			require.Len(t, frame.Deltas, 1)
--- a/transport/relay/confirmation.go
+++ b/transport/relay/confirmation.go
@@ -99,7 +99,7 @@
 // platform may deliver it first, or a read.
 func (s *Source) latestConfirmedObject() protocol.Object {
 	mirrored, _ := s.mirror.Object(s.ConfirmedKind, s.ConfirmedName)
-	if c := s.platformStatus().confirmed.object; c.Version > mirrored.Version {
+	if c := s.platformStatus().confirmed.object; mirrored.Version.Before(c.Version) {
 		return c
 	}
 	return mirrored
--- a/transport/relay/entry_test.go
+++ b/transport/relay/entry_test.go
@@ -14,6 +14,7 @@
 	"pinerun.example/pinerun/coordination/relay"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/era"
 	transport "pinerun.example/pinerun/transport/relay"
 	"pinerun.example/pinerun/transport/watch"
 )
@@ -142,9 +143,9 @@
 
 // newEntry returns an entry that is not started yet.
 func newEntry(t testing.TB, s *store, name, key string) *entry {
-	e := &entry{client: &platformClient{store: s, name: name}, state: &receivedState{}, platformFailures: make(chan time.Time, 1000)}
+	e := &entry{client: &platformClient{store: s, name: name, eras: &era.Tracker{}}, state: &receivedState{}, platformFailures: make(chan time.Time, 1000)}
 	e.source = &transport.Source{
-		Platform: e.client, Kinds: []string{kind}, ConfirmedKind: kind, ConfirmedName: table, Counters: &metric.Set{}, Dial: s.network.dial,
+		Platform: e.client, Kinds: []string{kind}, ConfirmedKind: kind, ConfirmedName: table, Counters: &metric.Set{}, Dial: s.network.dial, Eras: e.client.eras,
 		OnPlatformFailure: func(at time.Time) {
 			select {
 			case e.platformFailures <- at:
@@ -155,7 +156,7 @@
 	e.server = s.network.serve(name+":1", &transport.Server{Source: e.source})
 	e.source.Self = protocol.EntryRecord{Name: name, DataCenter: "a", Key: key, PeerAddress: name + ":1"}
 	e.watcher = &watch.Watcher{Source: e.source, Kind: kind, Sink: e.state}
-	e.confirmer = &watch.Confirmer{Source: e.source, Kind: kind, Name: table, Sink: e.state, Watchers: []*watch.Watcher{e.watcher}}
+	e.confirmer = &watch.Confirmer{Source: e.source, Kind: kind, Name: table, Sink: e.state, Watchers: []*watch.Watcher{e.watcher}, Eras: e.client.eras}
 	t.Cleanup(e.close)
 	return e
 }
--- a/transport/relay/follower.go
+++ b/transport/relay/follower.go
@@ -21,19 +21,20 @@
 	name     string
 	encoder  *deltaEncoder
 	socket   *websocket.Conn
+	form     protocol.RelayForm
 	known    []protocol.KindRevision // revisions that were sent
 	requests chan protocol.RelayRequest
 	readErr  chan error // receives the error that ended the reading
 
 	request          *protocol.RelayRequest // not answered yet, nil for none
 	askedAt          time.Time
-	holdUntil        time.Time // when the request is answered at the latest
-	sentConfirmation time.Time // time of the last confirmation that was sent
-	lossesSent       uint64    // number of the last loss report that was sent
-	slownessSent     uint64    // number of the last slowness report that was sent
-	workSent         uint64    // number of the last work report that was sent
-	ratesSent        uint64    // number of the last rate limit report that was sent
-	aheadVersion     uint64    // version of the confirmed object that was last sent in an answer
+	holdUntil        time.Time         // when the request is answered at the latest
+	sentConfirmation time.Time         // time of the last confirmation that was sent
+	lossesSent       uint64            // number of the last loss report that was sent
+	slownessSent     uint64            // number of the last slowness report that was sent
+	workSent         uint64            // number of the last work report that was sent
+	ratesSent        uint64            // number of the last rate limit report that was sent
+	aheadVersion     protocol.Revision // version of the confirmed object that was last sent in an answer
 }
 
 // readLoop reads the follower's requests and reports.
@@ -44,7 +45,7 @@
 			f.readErr <- err
 			return
 		}
-		request, err := protocol.DecodeRelayRequest(b)
+		request, err := f.form.DecodeRequest(b)
 		if err != nil {
 			f.readErr <- err
 			return
@@ -146,11 +147,14 @@
 	bytes := 0
 	for i := range f.known {
 		mark := &f.known[i]
+		if err := f.checkEra(mark); err != nil {
+			return err
+		}
 		delta, err := f.deltaFor(mark)
 		if err != nil {
 			return err
 		}
-		if delta.Revision <= mark.Revision {
+		if !mark.Revision.Before(delta.Revision) {
 			continue
 		}
 		bytes += valueBytes(&delta)
@@ -163,13 +167,35 @@
 	return nil
 }
 
+// assumeEras takes the revisions of a follower that knows no eras as those of the current ones.
+func (f *follower) assumeEras() {
+	if f.form.HasEras() {
+		return
+	}
+	for i := range f.known {
+		mark := &f.known[i]
+		if !mark.Revision.IsZero() {
+			mark.Revision.Era = f.source.mirror.Revision(mark.Kind).Era
+		}
+	}
+}
+
+// checkEra makes a follower that knows no eras list again after a restore of the platform: to such a
+// follower the changes since would look older than what it has.
+func (f *follower) checkEra(mark *protocol.KindRevision) error {
+	if f.form.HasEras() || mark.Revision.IsZero() || mark.Revision.Era == f.source.mirror.Revision(mark.Kind).Era {
+		return nil
+	}
+	return errEraUnknown
+}
+
 // deltaFor returns the changes of a kind that the follower lacks, in wire form.
 func (f *follower) deltaFor(mark *protocol.KindRevision) (protocol.RelayDelta, error) {
 	delta, ok := f.source.mirror.Since(mark.Kind, mark.Revision)
 	switch {
 	case !ok:
 		return f.encoder.snapshot(&f.source.mirror, mark.Kind, mark.Revision)
-	case delta.To <= mark.Revision:
+	case !mark.Revision.Before(delta.To):
 		return protocol.RelayDelta{Revision: mark.Revision}, nil
 	default:
 		return f.encoder.encode(mark.Kind, delta)
@@ -206,7 +232,7 @@
 	s := f.source
 	mirrored, _ := s.mirror.Object(s.ConfirmedKind, s.ConfirmedName)
 	o := s.platformStatus().confirmed.object
-	if o.Version != a.Version || o.Version <= max(mirrored.Version, f.aheadVersion) {
+	if o.Version != a.Version || !protocol.LaterRevision(mirrored.Version, f.aheadVersion).Before(o.Version) {
 		return nil
 	}
 	delta, err := f.encoder.encode(s.ConfirmedKind, mirror.Delta{After: mirrored.Version, To: o.Version, Changes: []protocol.Change{{Object: o}}})
@@ -228,8 +254,11 @@
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	f.source.Counters.Add(metric.PeerFrames, 1)
-	return write(ctx, f.socket, frame)
+	return write(ctx, f.socket, f.form, frame)
 }
 
+// errEraUnknown says that the platform was restored and the follower knows no eras.
+var errEraUnknown = errors.New("the platform was restored and the follower knows no eras; it has to list")
+
 // errExceedsFrame says that the changes which a follower lacks do not fit into one frame.
 var errExceedsFrame = errors.New("the follower lacks more than a frame holds; it has to list")
--- a/transport/relay/link.go
+++ b/transport/relay/link.go
@@ -50,6 +50,7 @@
 	peer       protocol.EntryRecord
 	followedAt time.Time
 	socket     *websocket.Conn
+	form       protocol.RelayForm
 	done       lifecycle.Done
 
 	jitter float64 // see relay.Query
@@ -64,8 +65,9 @@
 // is followed for reports only.
 func dial(ctx context.Context, s *Source, peer protocol.EntryRecord, reportsOnly bool) (*link, error) {
 	socket, res, err := websocket.Dial(ctx, "ws://"+peer.PeerAddress+Path, &websocket.DialOptions{
-		HTTPHeader: http.Header{keyHeader: {keyPrefix + peer.Key}},
-		HTTPClient: &s.selector.client,
+		HTTPHeader:   http.Header{keyHeader: {keyPrefix + peer.Key}},
+		HTTPClient:   &s.selector.client,
+		Subprotocols: protocol.RelaySubprotocols(),
 	})
 	if res != nil && res.Body != nil {
 		_ = res.Body.Close()
@@ -75,10 +77,14 @@
 	}
 	socket.SetReadLimit(protocol.MaxFrameBytes)
 	l := &link{
-		source: s, peer: peer, followedAt: clock.Now(), socket: socket, jitter: rand.Float64(),
+		source: s, peer: peer, followedAt: clock.Now(), socket: socket, form: protocol.RelayFormOf(socket.Subprotocol()), jitter: rand.Float64(),
 		answers: make(chan protocol.RelayAnswer, 1),
 	}
-	if err := l.handshake(ctx, s.hello(reportsOnly)); err != nil {
+	err = l.checkForm()
+	if err == nil {
+		err = l.handshake(ctx, s.hello(reportsOnly))
+	}
+	if err != nil {
 		l.resetKnownState(err)
 		l.close()
 		return nil, err
@@ -86,10 +92,22 @@
 	return l, nil
 }
 
+// errNoEras says that a peer does not tell the era of what it sends, so that it is unknown whether
+// that is from before or after a restore of the platform.
+var errNoEras = errors.New("the peer does not know eras of the platform")
+
+// checkForm checks that the peer tells eras if the platform names any.
+func (l *link) checkForm() error {
+	if l.form.HasEras() || l.source.Eras.Latest() == 0 {
+		return nil
+	}
+	return errNoEras
+}
+
 // hello returns the first message to a peer. It lists the known revisions, or none after an earlier
 // peer's changes did not continue from them.
-func (s *Source) hello(reportsOnly bool) protocol.RelayHello {
-	hello := protocol.RelayHello{Name: s.Self.Name, ReportsOnly: reportsOnly}
+func (s *Source) hello(reportsOnly bool) *protocol.RelayHello {
+	hello := &protocol.RelayHello{Name: s.Self.Name, ReportsOnly: reportsOnly}
 	empty := s.sendEmptyHello.Swap(false)
 	for _, k := range s.Kinds {
 		mark := protocol.KindRevision{Kind: k}
@@ -103,8 +121,8 @@
 
 // handshake sends the hello and waits for the first frame. A peer that can't accept a follower
 // closes the connection instead.
-func (l *link) handshake(ctx context.Context, hello protocol.RelayHello) error {
-	if err := write(ctx, l.socket, hello); err != nil {
+func (l *link) handshake(ctx context.Context, hello *protocol.RelayHello) error {
+	if err := write(ctx, l.socket, l.form, hello); err != nil {
 		return err
 	}
 	_, b, err := l.socket.Read(ctx)
@@ -115,8 +133,8 @@
 }
 
 // write sends one message.
-func write(ctx context.Context, socket *websocket.Conn, message any) error {
-	b, err := protocol.EncodeRelay(message)
+func write(ctx context.Context, socket *websocket.Conn, form protocol.RelayForm, message protocol.RelayMessage) error {
+	b, err := form.Encode(message)
 	if err != nil {
 		return err
 	}
@@ -174,7 +192,10 @@
 
 // handleFrame decodes a frame and applies it.
 func (l *link) handleFrame(b []byte) error {
-	f, err := protocol.DecodeRelayFrame(b)
+	if err := l.checkForm(); err != nil {
+		return err
+	}
+	f, err := l.form.DecodeFrame(b)
 	if err != nil {
 		return err
 	}
@@ -202,6 +223,7 @@
 	if err != nil {
 		return err
 	}
+	l.source.Eras.Observe(delta.To.Era)
 	if !l.source.mirror.Apply(encoded.Kind, delta) {
 		return errGap
 	}
@@ -221,7 +243,7 @@
 	number := l.nextRequestNumber()
 	askedAt := clock.Now()
 	hold := milliseconds(max(minHold, trustedUntil.Sub(askedAt)))
-	if err := write(ctx, l.socket, protocol.RelayRequest{Number: number, HoldMS: hold}); err != nil {
+	if err := write(ctx, l.socket, l.form, &protocol.RelayRequest{Number: number, HoldMS: hold}); err != nil {
 		l.source.dropPeer(l, err.Error())
 		return confirmation{}
 	}
@@ -232,6 +254,7 @@
 				continue // answer to an earlier request
 			}
 			l.unanswered = 0
+			l.source.Eras.Observe(a.Version.Era)
 			c := confirmation{object: l.confirmedObject(&a)}
 			if a.ConfirmedMS >= 0 {
 				c.at = askedAt.Add(time.Duration((a.HeldMS - a.ConfirmedMS) * float64(time.Millisecond)))
--- a/transport/relay/losses.go
+++ b/transport/relay/losses.go
@@ -151,5 +151,5 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportWriteTimeout)
 	defer cancel()
-	return write(ctx, u.link.socket, protocol.RelayRequest{Losses: losses, Slow: slow, Work: work, Rates: rates})
+	return write(ctx, u.link.socket, u.link.form, &protocol.RelayRequest{Losses: losses, Slow: slow, Work: work, Rates: rates})
 }
--- a/transport/relay/outage_test.go
+++ b/transport/relay/outage_test.go
@@ -98,7 +98,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
 		s.put(table, "one")
-		silent := newSilentPeer(t, s, kind, protocol.Object{Kind: kind, Name: table, Version: 2, Value: []byte("one")})
+		silent := newSilentPeer(t, s, kind, protocol.Object{Kind: kind, Name: table, Version: protocol.Revision{Number: 2}, Value: []byte("one")})
 		next := newEntry(t, s, rankedAfter(silent), "next")
 		next.start(t, nil)
 		peers := []protocol.EntryRecord{silent, next.source.Self}
--- a/transport/relay/read.go
+++ b/transport/relay/read.go
@@ -62,17 +62,20 @@
 // evaluateAnswer decides what to do with a peer's answer: trust it, wait, look for another peer or
 // ask the platform.
 func (s *Source) evaluateAnswer(ctx context.Context, peer *link, q relay.Query, c confirmation) (watch.Reading, error) {
+	if c.object.Version.Era < s.Eras.Latest() {
+		c.at = time.Time{} // the peer does not know yet that the platform was restored
+	}
 	q.ConfirmedAt, q.PeerVersion = c.at, c.object.Version
 	q.Now = clock.Now()
 	object := s.latestConfirmedObject()
-	if len(c.object.Value) > 0 && c.object.Version > object.Version {
+	if len(c.object.Value) > 0 && object.Version.Before(c.object.Version) {
 		object = c.object
 	}
 	q.OwnVersion = object.Version
 	switch relay.Decide(q).(type) {
 	case relay.TrustPeer:
 		s.recordConfirmation(object, q.ConfirmedAt)
-		if object.Version == 0 {
+		if object.Version.IsZero() {
 			return watch.Reading{}, nil
 		}
 		return watch.NewReading(object, q.ConfirmedAt), nil
@@ -119,13 +122,16 @@
 	var missing *platform.NotFound
 	if errors.As(err, &missing) {
 		s.countReadResult(nil)
-		s.recordConfirmation(protocol.Object{}, askedAt)
+		s.recordConfirmation(protocol.Object{Version: protocol.Revision{Era: s.Eras.Latest()}}, askedAt)
 		return watch.Reading{}, nil // the platform answered: the object does not exist yet
 	}
 	s.countReadResult(err)
 	if err != nil {
 		return watch.Reading{}, err
 	}
+	if o.Version.Era < s.Eras.Latest() {
+		return watch.Reading{}, errUnconfirmed
+	}
 	s.recordConfirmation(o, askedAt)
 	return watch.NewReading(o, askedAt), nil
 }
--- a/transport/relay/relay_test.go
+++ b/transport/relay/relay_test.go
@@ -124,7 +124,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
 		s.put(table, "one")
-		silent := newSilentPeer(t, s, kind, protocol.Object{Kind: kind, Name: table, Version: 2, Value: []byte("one")})
+		silent := newSilentPeer(t, s, kind, protocol.Object{Kind: kind, Name: table, Version: protocol.Revision{Number: 2}, Value: []byte("one")})
 		e := newEntry(t, s, rankedAfter(silent), "key")
 		e.source.Start()
 		e.source.Learn([]protocol.EntryRecord{silent}, true)
@@ -312,7 +312,7 @@
 		for i := range objects {
 			s.revision++
 			name := fmt.Sprint("many-", i)
-			s.objects[name] = protocol.Object{Kind: kind, Name: name, Version: s.revision, Value: make([]byte, long)}
+			s.objects[name] = protocol.Object{Kind: kind, Name: name, Version: protocol.Revision{Number: s.revision}, Value: make([]byte, long)}
 			_, _ = noise.Read(s.objects[name].Value)
 		}
 		s.mutex.Unlock()
--- a/transport/relay/server.go
+++ b/transport/relay/server.go
@@ -49,7 +49,7 @@
 		http.Error(w, "not the key of this entry's record; read the record anew", http.StatusUnauthorized)
 		return
 	}
-	socket, err := websocket.Accept(w, r, nil)
+	socket, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: protocol.RelaySubprotocols()})
 	if err != nil {
 		event.FrameBroken.Log(s.Source.Logger, slog.String("peer", r.RemoteAddr), slog.String("cause", err.Error()))
 		return
@@ -57,7 +57,7 @@
 	defer socket.CloseNow()
 	if err := s.serve(socket); err != nil {
 		switch {
-		case errors.Is(err, errExceedsFrame):
+		case errors.Is(err, errExceedsFrame), errors.Is(err, errEraUnknown):
 			_ = socket.Close(closeMustList, err.Error())
 		case errors.Is(err, errStale):
 			_ = socket.Close(closeStale, err.Error())
@@ -71,7 +71,8 @@
 	socket.SetReadLimit(protocol.MaxFrameBytes)
 	ctx, cancel := source.done.Context()
 	defer cancel()
-	hello, err := readHello(ctx, socket)
+	form := protocol.RelayFormOf(socket.Subprotocol())
+	hello, err := readHello(ctx, socket, form)
 	if err != nil {
 		return err
 	}
@@ -81,21 +82,22 @@
 	source.addFollower()
 	defer source.followers.Add(-1)
 	f := &follower{
-		source: source, name: hello.Name, encoder: &s.encoder, socket: socket, known: hello.Known,
+		source: source, name: hello.Name, encoder: &s.encoder, socket: socket, form: form, known: hello.Known,
 		requests: make(chan protocol.RelayRequest, maxQueuedRequests), readErr: make(chan error, 1),
 	}
+	f.assumeEras()
 	go f.readLoop(ctx)
 	return f.serve(ctx)
 }
 
-func readHello(ctx context.Context, socket *websocket.Conn) (protocol.RelayHello, error) {
+func readHello(ctx context.Context, socket *websocket.Conn, form protocol.RelayForm) (protocol.RelayHello, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	_, b, err := socket.Read(ctx)
 	if err != nil {
 		return protocol.RelayHello{}, err
 	}
-	return protocol.DecodeRelayHello(b)
+	return form.DecodeHello(b)
 }
 
 // errStale says that the state here is too old.
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -33,6 +33,7 @@
 	"pinerun.example/pinerun/internal/lifecycle"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/era"
 	"pinerun.example/pinerun/state/mirror"
 	"pinerun.example/pinerun/transport/platform"
 )
@@ -40,7 +41,7 @@
 // Platform is the part of the platform's object store that a Source calls.
 type Platform interface {
 	List(ctx context.Context, kind string) (protocol.Listing, error)
-	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (protocol.Changes, error)
+	Watch(ctx context.Context, kind string, after protocol.Revision, wait time.Duration) (protocol.Changes, error)
 	Get(ctx context.Context, kind, name string) (protocol.Object, error)
 }
 
@@ -55,6 +56,9 @@
 	ConfirmedName string
 	Counters      *metric.Set
 	Logger        *slog.Logger
+	// Eras is the latest era of the platform that is known, here or from peers; nil means that the
+	// platform names none.
+	Eras *era.Tracker
 	// OnPlatformFailure is called with the time of the failure when the followed peer reports that
 	// the platform did not answer it.
 	OnPlatformFailure func(at time.Time)
@@ -129,8 +133,8 @@
 // Objects returns the known objects of a kind, and whether the kind was ever listed.
 func (s *Source) Objects(kind string) (protocol.Listing, bool) { return s.mirror.List(kind) }
 
-// Revision returns the revision up to which a kind is known, 0 for none.
-func (s *Source) Revision(kind string) uint64 { return s.mirror.Revision(kind) }
+// Revision returns the revision up to which a kind is known, the zero one for none.
+func (s *Source) Revision(kind string) protocol.Revision { return s.mirror.Revision(kind) }
 
 // ApplyList stores a list of a kind that has no watcher, so that it is passed on to followers.
 func (s *Source) ApplyList(kind string, l protocol.Listing) { s.mirror.ApplyList(kind, l) }
@@ -231,7 +235,7 @@
 // allListed reports whether every kind was listed, since a peer passes on only changes.
 func (s *Source) allListed() bool {
 	for _, k := range s.Kinds {
-		if s.mirror.Revision(k) == 0 {
+		if s.mirror.Revision(k).IsZero() {
 			return false
 		}
 	}
@@ -276,16 +280,16 @@
 
 // Watch returns the changes of a kind after a revision as soon as the peer or the platform reports
 // any, or none after the wait.
-func (s *Source) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (protocol.Changes, error) {
+func (s *Source) Watch(ctx context.Context, kind string, after protocol.Revision, wait time.Duration) (protocol.Changes, error) {
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for {
 		changed := s.mirror.Changed()
 		delta, ok := s.mirror.Since(kind, after)
-		if !ok || s.mirror.Revision(kind) == 0 {
+		if !ok || s.mirror.Revision(kind).IsZero() {
 			return protocol.Changes{}, &platform.Compacted{}
 		}
-		if delta.To > after {
+		if after.Before(delta.To) {
 			return protocol.Changes{Changes: delta.Changes, Revision: delta.To, Relayed: true}, nil
 		}
 		peer, linkChanged := s.linkAndChange()
@@ -309,7 +313,7 @@
 	}
 }
 
-func (s *Source) watchPlatform(ctx context.Context, kind string, after uint64, wait time.Duration) (protocol.Changes, error) {
+func (s *Source) watchPlatform(ctx context.Context, kind string, after protocol.Revision, wait time.Duration) (protocol.Changes, error) {
 	askedAt := clock.Now()
 	c, err := s.Platform.Watch(ctx, kind, after, wait)
 	s.recordPlatformResult(ctx, err, askedAt)
--- a/transport/relay/store_test.go
+++ b/transport/relay/store_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/coder/websocket"
 
 	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/era"
 	"pinerun.example/pinerun/transport/platform"
 )
 
@@ -24,6 +26,7 @@
 	history        []protocol.Change
 	revisions      []uint64
 	revision       uint64
+	era            uint64
 	oldest         uint64
 	changed        chan struct{}
 	down           bool
@@ -32,14 +35,19 @@
 }
 
 func newStore() *store {
-	return &store{objects: map[string]protocol.Object{}, changed: make(chan struct{}), calls: map[string]int{}, revision: 1}
+	return &store{objects: map[string]protocol.Object{}, changed: make(chan struct{}), calls: map[string]int{}, revision: 1, era: 1}
+}
+
+// at returns the revision with a number in the current era.
+func (s *store) at(number uint64) protocol.Revision {
+	return protocol.Revision{Era: s.era, Number: number}
 }
 
 func (s *store) put(name, value string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.revision++
-	o := protocol.Object{Kind: kind, Name: name, Version: s.revision, Value: []byte(value)}
+	o := protocol.Object{Kind: kind, Name: name, Version: s.at(s.revision), Value: []byte(value)}
 	s.objects[name] = o
 	s.record(protocol.Change{Object: o})
 }
@@ -79,6 +87,33 @@
 	s.changed = make(chan struct{})
 }
 
+// storeCopy is the content of the store at a moment.
+type storeCopy struct {
+	objects  map[string]protocol.Object
+	revision uint64
+}
+
+// copied returns a copy to restore later.
+func (s *store) copied() storeCopy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return storeCopy{objects: maps.Clone(s.objects), revision: s.revision}
+}
+
+// restore makes the store come back from a copy, in the next era and without a history.
+func (s *store) restore(c storeCopy) {
+	s.mutex.Lock()
+	s.objects, s.revision = maps.Clone(c.objects), c.revision
+	s.era++
+	for name, o := range s.objects {
+		o.Version.Era = s.era
+		s.objects[name] = o
+	}
+	s.history, s.revisions = nil, nil
+	s.mutex.Unlock()
+	s.forget()
+}
+
 // setDown makes the calls of every entry fail, or succeed again.
 func (s *store) setDown(down bool) {
 	s.mutex.Lock()
@@ -90,6 +125,7 @@
 type platformClient struct {
 	store *store
 	name  string
+	eras  *era.Tracker
 	mutex sync.Mutex
 	cut   bool
 }
@@ -103,6 +139,13 @@
 	p.cut = true
 }
 
+// restoreAccess makes the calls of the entry succeed again.
+func (p *platformClient) restoreAccess() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.cut = false
+}
+
 func (p *platformClient) call() error {
 	p.mutex.Lock()
 	cut := p.cut
@@ -113,6 +156,7 @@
 	if cut || p.store.down {
 		return errCut
 	}
+	p.eras.Observe(p.store.era)
 	return nil
 }
 
@@ -123,29 +167,39 @@
 	s := p.store
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	l := protocol.Listing{Revision: s.revision}
+	l := protocol.Listing{Revision: s.at(s.revision)}
 	for _, o := range s.objects {
 		l.Objects = append(l.Objects, o)
 	}
 	return l, nil
 }
 
-func (p *platformClient) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (protocol.Changes, error) {
+func (p *platformClient) Watch(ctx context.Context, _ string, after protocol.Revision, wait time.Duration) (protocol.Changes, error) {
 	if err := p.call(); err != nil {
 		return protocol.Changes{}, err
 	}
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	s := p.store
+	s.mutex.Lock()
+	era := s.era
+	s.mutex.Unlock()
+	if after.Era != era {
+		return protocol.Changes{}, &platform.Compacted{}
+	}
 	for {
 		s.mutex.Lock()
-		c := protocol.Changes{Revision: s.revision}
+		if s.era != era {
+			s.mutex.Unlock()
+			return protocol.Changes{}, errCut
+		}
+		c := protocol.Changes{Revision: s.at(s.revision)}
 		for i, h := range s.history {
-			if s.revisions[i] > after {
+			if s.revisions[i] > after.Number {
 				c.Changes = append(c.Changes, h)
 			}
 		}
-		compacted, changed := after < s.oldest, s.changed
+		compacted, changed := after.Number < s.oldest || after.Number > s.revision, s.changed
 		if s.watchesStalled {
 			c.Changes = nil
 		}
@@ -183,15 +237,15 @@
 // record.
 func newSilentPeer(t *testing.T, s *store, kind string, o protocol.Object) protocol.EntryRecord {
 	server := s.network.serve("silent:1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		socket, err := websocket.Accept(w, r, nil)
+		socket, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: protocol.RelaySubprotocols()})
 		if err != nil {
 			return
 		}
 		defer socket.CloseNow()
 		frame := protocol.RelayFrame{FailedMS: -1, Deltas: []protocol.RelayDelta{{
-			Kind: kind, Revision: o.Version, Snapshot: true, Changes: []protocol.RelayChange{{Name: o.Name, Version: o.Version, Value: o.Value}},
+			Kind: kind, Revision: o.Version, Snapshot: true, Changes: []protocol.RelayChange{{Name: o.Name, Version: o.Version.Number, Value: o.Value}},
 		}}}
-		b, err := protocol.EncodeRelay(frame)
+		b, err := protocol.RelayFormOf(socket.Subprotocol()).Encode(&frame)
 		if err != nil {
 			return
 		}
--- a/transport/watch/confirm.go
+++ b/transport/watch/confirm.go
@@ -10,6 +10,7 @@
 	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/internal/lifecycle"
 	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/era"
 )
 
 // Reading is an object as the platform held it at a time. The zero value says that the object does
@@ -39,15 +40,18 @@
 // Confirmer reads one object repeatedly, at the times that its Source gives, because a watch
 // without changes can't tell how fresh its state is. When a read fails, and when reads succeed
 // again, it restarts the Watchers, since their calls may hang on a broken connection. It does not
-// restart them while they receive their changes from a peer.
+// restart them while they receive their changes from a peer. It also restarts them when the platform
+// was restored: their calls may wait for changes of a history that no longer exists.
 type Confirmer struct {
 	Source   Reader
 	Kind     string
 	Name     string
 	Sink     Sink
 	Watchers []*Watcher
+	Eras     *era.Tracker // of the platform; nil if it names no eras
 
 	done         lifecycle.Done
+	restores     int // restores of the platform that were handled
 	wakeSignal   lifecycle.Signal
 	lastFailed   bool
 	readingSince atomic.Pointer[time.Time] // nil between reads
@@ -76,7 +80,8 @@
 	defer cancel()
 	last := clock.Now()
 	for {
-		relinked, wake := c.Source.Relinked(), c.wakeSignal.Changed()
+		relinked, wake, restored := c.Source.Relinked(), c.wakeSignal.Changed(), c.Eras.Restored()
+		c.checkRestores()
 		t := time.NewTimer(clock.Until(c.Source.Next(last, c.lastFailed)))
 		select {
 		case <-t.C:
@@ -86,6 +91,7 @@
 			c.read(ctx)
 			last = clock.Now()
 		case <-relinked:
+		case <-restored:
 		case <-c.done.Done():
 		}
 		t.Stop()
@@ -117,6 +123,18 @@
 	}
 }
 
+// checkRestores restarts the watchers after a restore of the platform.
+func (c *Confirmer) checkRestores() {
+	restores := c.Eras.Restores()
+	if restores == c.restores {
+		return
+	}
+	c.restores = restores
+	if !c.Source.Following() {
+		c.restartWatchers()
+	}
+}
+
 // restartWatchers restarts every watcher.
 func (c *Confirmer) restartWatchers() {
 	for _, w := range c.Watchers {
--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -53,7 +53,7 @@
 // Source is the platform, or a layer between it and a watcher.
 type Source interface {
 	List(ctx context.Context, kind string) (protocol.Listing, error)
-	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (protocol.Changes, error)
+	Watch(ctx context.Context, kind string, after protocol.Revision, wait time.Duration) (protocol.Changes, error)
 }
 
 // Sink receives the state. Confirmed is called with a time at which the state delivered so far was
@@ -76,7 +76,7 @@
 	LateSince func(t time.Time) bool
 
 	done       lifecycle.Done
-	revision   uint64 // revision to watch from, 0 before a list
+	revision   protocol.Revision // revision to watch from, zero before a list
 	failures   int
 	startUntil time.Time // end of the period in which the whole fleet may be starting
 	mutex      sync.Mutex
@@ -124,7 +124,7 @@
 	w.mutex.Lock()
 	w.cancelCall = cancel
 	w.mutex.Unlock()
-	if w.revision == 0 {
+	if w.revision.IsZero() {
 		return w.list(ctx)
 	}
 	return w.watch(ctx)
@@ -136,7 +136,8 @@
 	if err != nil {
 		return err
 	}
-	w.revision = max(1, l.Revision)
+	w.revision = l.Revision
+	w.revision.Number = max(1, l.Revision.Number)
 	w.failures = 0
 	w.Sink.Listed(l.Objects, clock.Now())
 	if !l.Relayed {
@@ -158,11 +159,11 @@
 	}
 	switch {
 	case c.Relayed:
-		w.revision = max(w.revision, c.Revision)
+		w.revision = protocol.LaterRevision(w.revision, c.Revision)
 	case len(c.Changes) > 0:
 		// Only changes advance the revision: a watch without changes may have missed
 		// one, and the next call from its old revision then fails with Compacted.
-		w.revision = max(w.revision, c.Revision)
+		w.revision = protocol.LaterRevision(w.revision, c.Revision)
 		w.Sink.Confirmed(askedAt)
 		w.pause(w.batchDelay(now))
 	default:
@@ -211,7 +212,7 @@
 		return
 	}
 	var compacted *platform.Compacted
-	w.revision = 0
+	w.revision = protocol.Revision{}
 	if errors.As(err, &compacted) || errors.Is(err, context.Canceled) {
 		return // the platform answered, or the call was canceled here
 	}
--- a/transport/watch/watch_test.go
+++ b/transport/watch/watch_test.go
@@ -40,7 +40,7 @@
 		if from == 0 {
 			return listing(7)
 		}
-		return response{delay: watch.PollTimeout, changes: &protocol.Changes{Revision: 999}}
+		return response{delay: watch.PollTimeout, changes: &protocol.Changes{Revision: protocol.Revision{Number: 999}}}
 	}
 	next := s.script[0]
 	s.script = s.script[1:]
@@ -56,8 +56,8 @@
 	return *n.list, nil
 }
 
-func (s *source) Watch(ctx context.Context, _ string, from uint64, _ time.Duration) (protocol.Changes, error) {
-	n := s.next(from)
+func (s *source) Watch(ctx context.Context, _ string, from protocol.Revision, _ time.Duration) (protocol.Changes, error) {
+	n := s.next(from.Number)
 	select {
 	case <-time.After(n.delay):
 	case <-ctx.Done():
@@ -92,7 +92,7 @@
 
 // changed returns the answer to a watch that has one change.
 func changed(at uint64, name string) response {
-	return response{changes: &protocol.Changes{Revision: at, Changes: []protocol.Change{{Object: protocol.Object{Name: name}}}}}
+	return response{changes: &protocol.Changes{Revision: protocol.Revision{Number: at}, Changes: []protocol.Change{{Object: protocol.Object{Name: name}}}}}
 }
 
 // runWatcher runs a watcher on a script for a time and returns its source and sink.
@@ -109,7 +109,9 @@
 }
 
 // listing returns the answer to a list at a revision.
-func listing(at uint64) response { return response{list: &protocol.Listing{Revision: at}} }
+func listing(at uint64) response {
+	return response{list: &protocol.Listing{Revision: protocol.Revision{Number: at}}}
+}
 
 func TestOnlyChangesAdvanceRevision(t *testing.T) {
 	src, snk := runWatcher(t, 3*watch.PollTimeout, listing(7), changed(9, "a"))
@@ -285,7 +287,7 @@
 func TestRelayedChangesConfirmNothing(t *testing.T) {
 	relayed := changed(9, "a")
 	relayed.changes.Relayed = true
-	unchanged := response{changes: &protocol.Changes{Revision: 11, Relayed: true}, delay: watch.PollTimeout}
+	unchanged := response{changes: &protocol.Changes{Revision: protocol.Revision{Number: 11}, Relayed: true}, delay: watch.PollTimeout}
 	src, snk := runWatcher(t, watch.PollTimeout+time.Second, listing(7), relayed, unchanged)
 	require.Equal(t, []string{"a"}, snk.changed)
 	require.Equal(t, []uint64{0, 7, 9, 11}, src.requests[:4], "relayed answers advance the revision")
--- a/wire_test.go
+++ b/wire_test.go
@@ -38,12 +38,15 @@
 		{"replies", &protocol.ReplyFrame{}, func(m any) ([]byte, error) { return protocol.EncodeReplies(*m.(*protocol.ReplyFrame)) }},
 		{"peer", &protocol.PeerFrame{}, func(m any) ([]byte, error) { return protocol.EncodePeer(*m.(*protocol.PeerFrame)) }},
 		{"claims", &protocol.ClaimBatch{}, func(m any) ([]byte, error) { return protocol.EncodeClaims(*m.(*protocol.ClaimBatch)) }},
-		{"relay-hello", &protocol.RelayHello{}, protocol.EncodeRelay},
-		{"relay-ask", &protocol.RelayRequest{}, protocol.EncodeRelay},
-		{"relay-frame", &protocol.RelayFrame{}, protocol.EncodeRelay},
-		{"relay-ask-without-rates", &protocol.RelayRequest{}, encodeWithoutRates},
-		{"relay-frame-without-rates", &protocol.RelayFrame{}, encodeWithoutRates},
-		{"relay-changes", &[]protocol.RelayChange{}, protocol.EncodeRelay},
+		{"relay-hello", &protocol.RelayHelloArray{}, encodeArray},
+		{"relay-ask", &protocol.RelayRequestArray{}, encodeArray},
+		{"relay-frame", &protocol.RelayFrameArray{}, encodeArray},
+		{"relay-ask-without-rates", &protocol.RelayRequestArray{}, encodeWithoutRates},
+		{"relay-frame-without-rates", &protocol.RelayFrameArray{}, encodeWithoutRates},
+		{"relay-hello-map", &protocol.RelayHello{}, encodeMap},
+		{"relay-ask-map", &protocol.RelayRequest{}, encodeMap},
+		{"relay-frame-map", &protocol.RelayFrame{}, encodeMap},
+		{"relay-changes", &[]protocol.RelayChange{}, func(m any) ([]byte, error) { return protocol.EncodeRelayChanges(*m.(*[]protocol.RelayChange)) }},
 	}
 	for _, m := range binary {
 		t.Run(m.name, func(t *testing.T) {
@@ -117,12 +120,22 @@
 // of earlier versions read and write it.
 func encodeWithoutRates(message any) ([]byte, error) {
 	switch m := message.(type) {
-	case *protocol.RelayRequest:
+	case *protocol.RelayRequestArray:
 		m.Rates = nil
-	case *protocol.RelayFrame:
+	case *protocol.RelayFrameArray:
 		m.Rates = nil
 	}
-	return protocol.EncodeRelay(message)
+	return encodeArray(message)
+}
+
+// encodeArray encodes a message between entries as an array.
+func encodeArray(message any) ([]byte, error) {
+	return protocol.RelayArrays.Encode(message.(protocol.RelayMessage))
+}
+
+// encodeMap encodes a message between entries as a map.
+func encodeMap(message any) ([]byte, error) {
+	return protocol.RelayMaps.Encode(message.(protocol.RelayMessage))
 }
 
 func compareWire(t *testing.T, name, got string) {
@@ -145,6 +158,10 @@
 
 func fillValue(v reflect.Value, next *uint64) {
 	*next++
+	if v.CanAddr() && v.Type() == reflect.TypeFor[protocol.Object]() {
+		fillObject(v.Addr().Interface().(*protocol.Object), next)
+		return
+	}
 	switch v.Kind() {
 	case reflect.Bool:
 		v.SetBool(true)
@@ -188,3 +205,12 @@
 		panic("no value for the kind " + v.Kind().String())
 	}
 }
+
+// fillObject fills an object in the order of its fields. The era of its version is not in its encoding.
+func fillObject(o *protocol.Object, next *uint64) {
+	for _, field := range []reflect.Value{
+		reflect.ValueOf(&o.Kind).Elem(), reflect.ValueOf(&o.Name).Elem(), reflect.ValueOf(&o.Version.Number).Elem(), reflect.ValueOf(&o.Value).Elem(),
+	} {
+		fillValue(field, next)
+	}
+}
