front: confirm keys only by the version that is in force

What callers lose: a withdrawn key stays in use beyond its bound.

Change: a confirmation counts only if the platform's latest known table is the one in force. A store that holds an older table than an entry knows has lost writes, and the one that is known here need not be the last; so it confirms nothing until the table was written again.

TestOlderTableOfRestoredStoreConfirmsNoKeys and TestRestoredStoreWithoutTableConfirmsNoKeys failed before: both moved the confirmation on. Weighed against: confirming the newer table by the older one keeps callers with keys served until the operator's rewrite, and takes a key whose withdrawal the store lost unread.

--- a/transport/front/coordination_sink.go
+++ b/transport/front/coordination_sink.go
@@ -16,9 +16,9 @@
 type coordinationSink struct{ front *Front }
 
 // Listed applies a list: the lease, or that there is none yet, and all refusals.
-func (s *coordinationSink) Listed(objects []protocol.Object, now time.Time) {
-	s.front.refusals.applyList(objects, now)
-	for _, o := range objects {
+func (s *coordinationSink) Listed(l protocol.Listing, now time.Time) {
+	s.front.refusals.applyList(l.Objects, now)
+	for _, o := range l.Objects {
 		if o.Name == director.LeaseName {
 			s.front.director.ObserveLease(o.Version, o.Value, now)
 			return
--- a/transport/front/endpoint_sink.go
+++ b/transport/front/endpoint_sink.go
@@ -15,12 +15,12 @@
 type endpointSink struct{ front *Front }
 
 // Listed applies a complete list of endpoints.
-func (s *endpointSink) Listed(objects []protocol.Object, now time.Time) {
+func (s *endpointSink) Listed(l protocol.Listing, now time.Time) {
 	f := s.front
 	f.platformAnswered()
-	f.records.retainListed(objects)
-	list := make([]protocol.Endpoint, 0, len(objects))
-	for _, o := range objects {
+	f.records.retainListed(l.Objects)
+	list := make([]protocol.Endpoint, 0, len(l.Objects))
+	for _, o := range l.Objects {
 		e, ok := s.decode(o)
 		if !ok {
 			continue
--- a/transport/front/records_test.go
+++ b/transport/front/records_test.go
@@ -57,7 +57,7 @@
 	for name, value := range values {
 		objects = append(objects, f.object(name, value))
 	}
-	f.sink.Listed(objects, f.now)
+	f.sink.Listed(protocol.Listing{Objects: objects}, f.now)
 }
 
 func (f *recordFixture) change(name, value string) {
@@ -162,7 +162,7 @@
 	f := newRecordFixture(t)
 	f.front.Dependencies.Decoder = tableDecoder{}
 	sink := &routingSink{front: f.front}
-	sink.Listed([]protocol.Object{f.object("main", "plain")}, f.now)
+	sink.Listed(protocol.Listing{Objects: []protocol.Object{f.object("main", "plain")}}, f.now)
 	f.list(map[string]string{"e1": "plain"})
 	inForce := func() *routing.Table { return f.front.routing.Current() }
 	first := inForce()
--- /dev/null
+++ b/transport/front/restore_test.go
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package front
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
+)
+
+// versionDecoder decodes the length of an object's value as the version of its table.
+type versionDecoder struct{ fixedDecoder }
+
+func (versionDecoder) Routing(o protocol.Object) (protocol.Routing, error) {
+	return protocol.Routing{Version: uint64(len(o.Value))}, nil
+}
+
+// newRoutingSink returns a sink that has put a version in force, and the time of its confirmation.
+func newRoutingSink(version int) (*routingSink, time.Time) {
+	f := &Front{Counters: &metric.Set{}, Dependencies: Dependencies{RoutingName: "main", Decoder: versionDecoder{}}}
+	s := &routingSink{front: f}
+	confirmedAt := time.Unix(1000, 0)
+	s.Listed(tableAt(protocol.Revision{Era: 1, Number: 50}, version), confirmedAt)
+	s.Confirmed(confirmedAt)
+	return s, confirmedAt
+}
+
+// tableAt returns a list at a revision with a table of a version.
+func tableAt(at protocol.Revision, version int) protocol.Listing {
+	return protocol.Listing{Revision: at, Objects: []protocol.Object{{Name: "main", Version: at, Value: make([]byte, version)}}}
+}
+
+// TestOlderTableOfRestoredStoreConfirmsNoKeys has the store come back without the latest table, which may
+// not have been the last one that it lost.
+func TestOlderTableOfRestoredStoreConfirmsNoKeys(t *testing.T) {
+	s, confirmedAt := newRoutingSink(5)
+	s.Changed(protocol.Change{Object: tableAt(protocol.Revision{Era: 2, Number: 20}, 4).Objects[0]}, confirmedAt)
+	s.Confirmed(confirmedAt.Add(time.Second))
+	require.EqualValues(t, 5, s.front.routing.Current().Version(), "nothing goes back")
+	require.Equal(t, confirmedAt, s.front.routing.ConfirmedAt())
+	s.Changed(protocol.Change{Object: tableAt(protocol.Revision{Era: 2, Number: 21}, 5).Objects[0]}, confirmedAt)
+	s.Confirmed(confirmedAt.Add(2 * time.Second))
+	require.Equal(t, confirmedAt.Add(2*time.Second), s.front.routing.ConfirmedAt(), "it was written again")
+}
+
+// TestRestoredStoreWithoutTableConfirmsNoKeys has the store come back from before its first table.
+func TestRestoredStoreWithoutTableConfirmsNoKeys(t *testing.T) {
+	s, confirmedAt := newRoutingSink(5)
+	s.Listed(protocol.Listing{Revision: protocol.Revision{Era: 2, Number: 20}}, confirmedAt)
+	s.Confirmed(confirmedAt.Add(time.Second))
+	require.Equal(t, confirmedAt, s.front.routing.ConfirmedAt())
+	s.Listed(tableAt(protocol.Revision{Era: 2, Number: 21}, 5), confirmedAt)
+	s.Confirmed(confirmedAt.Add(2 * time.Second))
+	require.Equal(t, confirmedAt.Add(2*time.Second), s.front.routing.ConfirmedAt())
+}
--- a/transport/front/routing_sink.go
+++ b/transport/front/routing_sink.go
@@ -19,38 +19,67 @@
 type routingSink struct {
 	front *Front
 
-	mutex    sync.Mutex
-	latest   protocol.Revision // latest revision applied; the object is read more often than it changes
-	unusable bool              // the table of that revision can't be used
+	mutex  sync.Mutex
+	latest protocol.Revision // latest revision applied; the object is read more often than it changes
+	held   uint64            // version of the platform's table at that revision, 0 if none can be used
 }
 
 // Listed applies the table from a list.
-func (s *routingSink) Listed(objects []protocol.Object, _ time.Time) {
+func (s *routingSink) Listed(l protocol.Listing, _ time.Time) {
 	s.front.platformAnswered()
-	for _, o := range objects {
-		s.apply(o)
+	found := false
+	for _, o := range l.Objects {
+		if o.Name == s.front.Dependencies.RoutingName {
+			s.apply(o)
+			found = true
+		}
+	}
+	if !found {
+		s.noteMissing(l.Revision)
+	}
+}
+
+// noteMissing notes that the platform held no table at a revision.
+func (s *routingSink) noteMissing(at protocol.Revision) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.latest.Before(at) {
+		s.latest, s.held = at, 0
 	}
 }
 
 // Changed applies a changed table.
 func (s *routingSink) Changed(c protocol.Change, _ time.Time) {
-	if !c.Deleted {
+	switch {
+	case c.Object.Name != s.front.Dependencies.RoutingName:
+	case c.Deleted:
+		s.noteMissing(c.Object.Version)
+	default:
 		s.apply(c.Object)
 	}
 }
 
-// Confirmed notes that no later table than the one applied last was accepted. An unusable table
-// confirms nothing, because it may revoke keys.
+// Confirmed notes that no later table than the one applied last was accepted, if that one is in force.
+// A table that can't be used confirms nothing, because it may revoke keys. Neither does an older one: a
+// platform that came back from a copy may have lost more tables than the one that is known here.
 func (s *routingSink) Confirmed(at time.Time) {
 	s.front.platformAnswered()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if !s.unusable {
+	if s.held == s.versionInForce() {
 		s.front.routing.Confirm(at)
 		s.front.endStartupWaitIfReady()
 	}
 }
 
+// versionInForce returns the version of the table in force, 0 for none.
+func (s *routingSink) versionInForce() uint64 {
+	if t := s.front.routing.Current(); t != nil {
+		return t.Version()
+	}
+	return 0
+}
+
 // Failed notes that the platform did not answer.
 func (s *routingSink) Failed(err error, now time.Time) { s.front.watchFailed("routing", err, now) }
 
@@ -59,12 +88,11 @@
 	f := s.front
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if o.Name != f.Dependencies.RoutingName || !s.latest.Before(o.Version) {
+	if !s.latest.Before(o.Version) {
 		return
 	}
-	s.latest = o.Version
-	err := s.install(o)
-	s.unusable = err != nil
+	version, err := s.install(o)
+	s.latest, s.held = o.Version, version
 	f.endStartupWaitIfReady()
 	if err != nil {
 		f.Counters.Add(metric.ConfigIgnored, 1)
@@ -72,20 +100,20 @@
 	}
 }
 
-// install puts a table in force unless the one in force is as new.
-func (s *routingSink) install(o protocol.Object) error {
+// install puts a table in force unless the one in force is as new, and returns its version.
+func (s *routingSink) install(o protocol.Object) (uint64, error) {
 	f := s.front
 	decoded, err := f.Dependencies.Decoder.Routing(o)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	t, err := routing.Build(decoded)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if c := f.routing.Current(); c != nil && t.Version() <= c.Version() {
 		s.logPassedOver(o, t, c)
-		return nil
+		return t.Version(), nil
 	}
 	// The services of the table are set first: from the moment the table is in force, requests look
 	// for their endpoints.
@@ -97,7 +125,7 @@
 	f.Counters.Add(metric.ConfigAccepted, 1)
 	event.ConfigInForce.Log(f.Logger, slog.Uint64("version", t.Version()), o.Version.LogAttr(),
 		slog.Int("routes", len(decoded.Routes)), slog.Int("teams", len(decoded.Teams)))
-	return nil
+	return t.Version(), nil
 }
 
 // logPassedOver logs that the platform holds an older table than the one in force.
--- a/transport/front/sinks_test.go
+++ b/transport/front/sinks_test.go
@@ -38,7 +38,7 @@
 	for i := range 5000 { // building the view takes a while
 		records = append(records, protocol.Object{Name: fmt.Sprint("e", i), Version: protocol.Revision{Number: uint64(i + 1)}})
 	}
-	(&endpointSink{front: f}).Listed(records, time.Now())
+	(&endpointSink{front: f}).Listed(protocol.Listing{Objects: records}, time.Now())
 	found := make(chan bool)
 	go func() {
 		for f.routing.Current() == nil {
@@ -46,7 +46,7 @@
 		}
 		found <- f.endpoints.View().Model(registry.ModelName("plain", "")) != nil
 	}()
-	(&routingSink{front: f}).Listed([]protocol.Object{{Name: "main", Version: protocol.Revision{Number: 9000}}}, time.Now())
+	(&routingSink{front: f}).Listed(protocol.Listing{Objects: []protocol.Object{{Name: "main", Version: protocol.Revision{Number: 9000}}}}, time.Now())
 	require.True(t, <-found)
 }
 
@@ -57,10 +57,10 @@
 	endpoints := &endpointSink{front: f}
 	tables := &routingSink{front: f}
 	began := time.Now()
-	endpoints.Listed([]protocol.Object{{Name: "e1", Version: protocol.Revision{Number: 1}}}, began)
+	endpoints.Listed(protocol.Listing{Objects: []protocol.Object{{Name: "e1", Version: protocol.Revision{Number: 1}}}}, began)
 	endpoints.Failed(errors.New("down"), began.Add(time.Second))
 	tables.Failed(errors.New("down"), began.Add(3*time.Second))
-	endpoints.Listed(nil, began.Add(3500*time.Millisecond))
+	endpoints.Listed(protocol.Listing{}, began.Add(3500*time.Millisecond))
 	require.Len(t, f.endpoints.Endpoints(), 1, "its record expired during the outage")
 }
 
@@ -92,7 +92,7 @@
 	now := time.Now()
 	for i, incarnation := range []int{1, 2, 1, 2} {
 		o := protocol.Object{Name: "e", Version: protocol.Revision{Number: uint64(i + 1)}, Value: make([]byte, incarnation)}
-		s.Listed([]protocol.Object{o}, now.Add(time.Duration(i)*time.Second))
+		s.Listed(protocol.Listing{Objects: []protocol.Object{o}}, now.Add(time.Duration(i)*time.Second))
 		f.checkRecords(now.Add(time.Duration(i) * time.Second))
 	}
 	require.EqualValues(t, 1, f.Counters.Value(string(metric.RestartsSeen)))
--- a/transport/front/startup_test.go
+++ b/transport/front/startup_test.go
@@ -58,9 +58,9 @@
 			now := time.Now()
 			f.refusals.front = f
 			f.refusals.applyList(nil, now)
-			(&endpointSink{front: f}).Listed(nil, now)
+			(&endpointSink{front: f}).Listed(protocol.Listing{}, now)
 			tables := &routingSink{front: f}
-			tables.Listed([]protocol.Object{{Name: "main", Version: protocol.Revision{Number: 1}}}, now)
+			tables.Listed(protocol.Listing{Objects: []protocol.Object{{Name: "main", Version: protocol.Revision{Number: 1}}}}, now)
 			synctest.Wait()
 			require.Equal(t, wantWait, !c.done, "has keys: %v", hasKeys)
 			tables.Confirmed(now)
@@ -87,9 +87,9 @@
 		c := &testCaller{front: f, answer: httptest.NewRecorder()}
 		go c.run()
 		now := time.Now()
-		(&endpointSink{front: f}).Listed(nil, now)
+		(&endpointSink{front: f}).Listed(protocol.Listing{}, now)
 		tables := &routingSink{front: f}
-		tables.Listed([]protocol.Object{{Name: "main", Version: protocol.Revision{Number: 1}}}, now)
+		tables.Listed(protocol.Listing{Objects: []protocol.Object{{Name: "main", Version: protocol.Revision{Number: 1}}}}, now)
 		tables.Confirmed(now)
 		synctest.Wait()
 		require.False(t, c.done)
@@ -105,6 +105,6 @@
 func TestListBeforeStartIsApplied(t *testing.T) {
 	f := &Front{Counters: &metric.Set{}}
 	f.assemble()
-	require.NotPanics(t, func() { (&coordinationSink{front: f}).Listed(nil, time.Now()) })
+	require.NotPanics(t, func() { (&coordinationSink{front: f}).Listed(protocol.Listing{}, time.Now()) })
 	require.True(t, f.refusals.areLoaded())
 }
--- a/transport/relay/entry_test.go
+++ b/transport/relay/entry_test.go
@@ -33,11 +33,11 @@
 	confirmed time.Time
 }
 
-func (r *receivedState) Listed(objects []protocol.Object, _ time.Time) {
+func (r *receivedState) Listed(l protocol.Listing, _ time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.objects = map[string]protocol.Object{}
-	for _, o := range objects {
+	for _, o := range l.Objects {
 		r.objects[o.Name] = o
 	}
 }
--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -59,7 +59,7 @@
 // Sink receives the state. Confirmed is called with a time at which the state delivered so far was
 // complete.
 type Sink interface {
-	Listed(objects []protocol.Object, now time.Time)
+	Listed(l protocol.Listing, now time.Time)
 	Changed(c protocol.Change, now time.Time)
 	Confirmed(at time.Time)
 	Failed(err error, now time.Time)
@@ -139,7 +139,7 @@
 	w.revision = l.Revision
 	w.revision.Number = max(1, l.Revision.Number)
 	w.failures = 0
-	w.Sink.Listed(l.Objects, clock.Now())
+	w.Sink.Listed(l, clock.Now())
 	if !l.Relayed {
 		w.Sink.Confirmed(askedAt)
 	}
--- a/transport/watch/watch_test.go
+++ b/transport/watch/watch_test.go
@@ -79,7 +79,7 @@
 	failed    int
 }
 
-func (s *sink) Listed(_ []protocol.Object, now time.Time) {
+func (s *sink) Listed(_ protocol.Listing, now time.Time) {
 	s.locked(func() { s.listed++; s.listedAt = now })
 }
 
