relay: pass a table that the platform lost from entry to entry

What callers lose: an entry that started after a restore took withdrawn keys. It read the copy's table, or had it from its peer, and put it in force as the latest, while its peers knew the later one that the store had lost.

Change: while the platform holds an older table than the one in force, an entry reports the later one to the entries that it follows and that follow it, before anything that the platform holds now; they put it in force and pass it on. Nothing confirms it until the platform holds it again, and then the report ends. An entry that starts and follows no peer asks three peers for such a report before it reads (TableServer, which does not wait for its own start); with a store that names no eras it does not ask.

TestLostTableReachesEveryEntry: above, below, connected later. What no entry had read before the store lost it can't be known.

Tried and dropped: not to send a report back to the peer that it came from. That peer may have been restarted since and know nothing.

--- a/protocol/relay.go
+++ b/protocol/relay.go
@@ -57,6 +57,8 @@
 	Slow   []SlownessReport `cbor:"4,keyasint,omitempty"`
 	Work   []WorkReport     `cbor:"5,keyasint,omitempty"`
 	Rates  []RateReport     `cbor:"6,keyasint,omitempty"`
+	// LostTable is not part of the form RelayArrays.
+	LostTable *TableReport `cbor:"7,keyasint,omitempty"`
 }
 
 // RelayFrame is what the followed entry sends: changes as they arrive, and the answer to a
@@ -71,6 +73,27 @@
 	Slow     []SlownessReport `cbor:"5,keyasint,omitempty"`
 	Work     []WorkReport     `cbor:"6,keyasint,omitempty"`
 	Rates    []RateReport     `cbor:"7,keyasint,omitempty"`
+	// LostTable is not part of the form RelayArrays.
+	LostTable *TableReport `cbor:"8,keyasint,omitempty"`
+}
+
+// TableReport is a routing table that the platform accepted and lost: it came back from a copy that
+// lacks it. Version is the operator's version of the table, Packed the compressed (raw DEFLATE) object.
+type TableReport struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Packed  []byte `cbor:"2,keyasint"`
+}
+
+// EncodeTableReport encodes a TableReport.
+func EncodeTableReport(r *TableReport) ([]byte, error) { return encoder.Marshal(r) }
+
+// DecodeTableReport decodes a TableReport.
+func DecodeTableReport(b []byte) (*TableReport, error) {
+	var r TableReport
+	if err := decodeFrame("table report", b, &r); err != nil {
+		return nil, err
+	}
+	return &r, nil
 }
 
 // RelayDelta takes a follower that knows a kind at revision After to Revision. A ListDiff is
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -52,6 +52,7 @@
 
 	done              lifecycle.Done
 	routing           routing.Store
+	tables            routingSink
 	endpoints         registry.Registry
 	records           recordFaults
 	forwarder         forward.Forwarder
@@ -100,7 +101,7 @@
 // learns, so each of them needs its Front set before the first one starts.
 func (f *Front) assemble() {
 	s := &f.Settings
-	f.registration.front, f.refusals.front, f.keyTrust.front = f, f, f
+	f.registration.front, f.refusals.front, f.keyTrust.front, f.tables.front = f, f, f, f
 	f.scheduling.Counters, f.scheduling.Logger = f.Counters, f.Logger
 	local := fleet.Entry{Name: s.Name, DataCenter: s.DataCenter}
 	f.endpoints.Entry = local
@@ -161,6 +162,7 @@
 		Incarnation:       f.endpoints.Incarnation,
 		OnSlownessChange:  f.applySlownessChange,
 		OnRateLimitChange: f.forwarder.ApplyRateLimitChange,
+		OnLostTable:       f.tables.applyLost,
 		LateSince:         f.scheduling.LateSince,
 	}
 }
@@ -181,9 +183,8 @@
 
 // watch begins to follow the platform's objects.
 func (f *Front) watch() {
-	tables := &routingSink{front: f}
 	f.watchers = []*watch.Watcher{
-		{Source: &f.source, Kind: f.Dependencies.RoutingKind, Sink: tables},
+		{Source: &f.source, Kind: f.Dependencies.RoutingKind, Sink: &f.tables},
 		{Source: &f.source, Kind: f.Dependencies.EndpointKind, Sink: &endpointSink{front: f}},
 		{Source: &f.source, Kind: coordinationKind, Sink: &coordinationSink{front: f}},
 	}
@@ -192,7 +193,7 @@
 	}
 	f.confirmer = watch.Confirmer{
 		Source: &f.source, Kind: f.Dependencies.RoutingKind, Name: f.Dependencies.RoutingName,
-		Sink: tables, Watchers: f.watchers, Eras: f.Dependencies.Eras,
+		Sink: &f.tables, Watchers: f.watchers, Eras: f.Dependencies.Eras,
 	}
 	f.source.Start()
 	for _, w := range f.watchers {
@@ -201,6 +202,9 @@
 	f.confirmer.Start()
 }
 
+// FollowedName returns the name of the entry that this one follows, "" for none.
+func (f *Front) FollowedName() string { return f.source.FollowedName() }
+
 // watcherCount returns how many entries watch the platform, or a peer's copy of it, in the same way
 // as this entry. That is 1 for the entry that all others follow, the number of data centers for an
 // entry that follows another and is followed, and the number of all entries otherwise.
@@ -269,6 +273,7 @@
 	f.metrics.serve(f.metricsHandler())
 	mux := http.NewServeMux()
 	mux.Handle(relay.Path, &relay.Server{Source: &f.source})
+	mux.Handle(relay.TablePath, &relay.TableServer{Source: &f.source})
 	f.peers.serve(mux)
 }
 
--- a/transport/front/routing_sink.go
+++ b/transport/front/routing_sink.go
@@ -22,6 +22,7 @@
 	mutex  sync.Mutex
 	latest protocol.Revision // latest revision applied; the object is read more often than it changes
 	held   uint64            // version of the platform's table at that revision, 0 if none can be used
+	value  []byte            // the object of the table in force
 }
 
 // Listed applies the table from a list.
@@ -44,10 +45,37 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.latest.Before(at) {
-		s.latest, s.held = at, 0
+		s.setHeld(at, 0)
 	}
 }
 
+// setHeld notes which version the platform holds at a revision. A later one that is known here is passed
+// on to the peers until the platform holds it again. The mutex is held.
+func (s *routingSink) setHeld(at protocol.Revision, version uint64) {
+	s.latest, s.held = at, version
+	s.front.source.WithdrawTable(version)
+	if inForce := s.versionInForce(); version < inForce && at.Era > 0 {
+		s.front.source.ReportTable(inForce, s.value)
+	}
+}
+
+// applyLost puts a table in force that peers know and the platform lost, and reports whether it is later
+// than the one in force. The platform does not hold it, so nothing confirms it until it does.
+func (s *routingSink) applyLost(version uint64, value []byte) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	f := s.front
+	if version <= s.versionInForce() {
+		return false
+	}
+	installed, err := s.install(protocol.Object{Name: f.Dependencies.RoutingName, Value: value})
+	if err != nil || installed != version {
+		event.ConfigIgnored.Log(f.Logger, slog.Uint64("version", version), slog.String("cause", "a peer reported a table that can't be used"))
+		return false
+	}
+	return true
+}
+
 // Changed applies a changed table.
 func (s *routingSink) Changed(c protocol.Change, _ time.Time) {
 	switch {
@@ -92,7 +120,7 @@
 		return
 	}
 	version, err := s.install(o)
-	s.latest, s.held = o.Version, version
+	s.setHeld(o.Version, version)
 	f.endStartupWaitIfReady()
 	if err != nil {
 		f.Counters.Add(metric.ConfigIgnored, 1)
@@ -122,6 +150,7 @@
 		f.Counters.RecordDuration(metric.ConfigAge, clock.Since(at))
 	}
 	f.routing.Offer(t)
+	s.value = o.Value
 	f.Counters.Add(metric.ConfigAccepted, 1)
 	event.ConfigInForce.Log(f.Logger, slog.Uint64("version", t.Version()), o.Version.LogAttr(),
 		slog.Int("routes", len(decoded.Routes)), slog.Int("teams", len(decoded.Teams)))
--- a/transport/relay/codec.go
+++ b/transport/relay/codec.go
@@ -146,11 +146,13 @@
 	delta := mirror.Delta{After: encoded.After, To: encoded.Revision, ListDiff: encoded.ListDiff, Snapshot: encoded.Snapshot}
 	changes := encoded.Changes
 	if len(encoded.Packed) > 0 {
-		decompressed, err := decompress(encoded.Packed)
+		content, err := decompress(encoded.Packed)
 		if err != nil {
 			return delta, err
 		}
-		changes = decompressed
+		if changes, err = protocol.DecodeRelayChanges(content); err != nil {
+			return delta, err
+		}
 	}
 	for _, c := range changes {
 		object := protocol.Object{Kind: encoded.Kind, Name: c.Name, Version: protocol.Revision{Era: encoded.Revision.Era, Number: c.Version}, Value: c.Value}
@@ -159,7 +161,7 @@
 	return delta, nil
 }
 
-func decompress(packed []byte) ([]protocol.RelayChange, error) {
+func decompress(packed []byte) ([]byte, error) {
 	content, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedSize+1))
 	if err != nil {
 		return nil, err
@@ -167,5 +169,5 @@
 	if len(content) > maxUnpackedSize {
 		return nil, errTooLarge
 	}
-	return protocol.DecodeRelayChanges(content)
+	return content, nil
 }
--- a/transport/relay/entry_test.go
+++ b/transport/relay/entry_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -31,6 +32,8 @@
 	mutex     sync.Mutex
 	objects   map[string]protocol.Object
 	confirmed time.Time
+	lost      string // table that a peer reported
+	version   uint64 // of that table
 }
 
 func (r *receivedState) Listed(l protocol.Listing, _ time.Time) {
@@ -65,6 +68,23 @@
 
 func (r *receivedState) Failed(error, time.Time) {} // the store counts the calls
 
+// applyLost stores a table that a peer reported, if it is later than the last one.
+func (r *receivedState) applyLost(version uint64, value []byte) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if version <= r.version {
+		return false
+	}
+	r.version, r.lost = version, string(value)
+	return true
+}
+
+func (r *receivedState) lostTable() string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.lost
+}
+
 func (r *receivedState) value(name string) string {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -146,6 +166,7 @@
 	e := &entry{client: &platformClient{store: s, name: name, eras: &era.Tracker{}}, state: &receivedState{}, platformFailures: make(chan time.Time, 1000)}
 	e.source = &transport.Source{
 		Platform: e.client, Kinds: []string{kind}, ConfirmedKind: kind, ConfirmedName: table, Counters: &metric.Set{}, Dial: s.network.dial, Eras: e.client.eras,
+		OnLostTable: e.state.applyLost,
 		OnPlatformFailure: func(at time.Time) {
 			select {
 			case e.platformFailures <- at:
@@ -153,7 +174,10 @@
 			}
 		},
 	}
-	e.server = s.network.serve(name+":1", &transport.Server{Source: e.source})
+	routes := http.NewServeMux()
+	routes.Handle(transport.Path, &transport.Server{Source: e.source})
+	routes.Handle(transport.TablePath, &transport.TableServer{Source: e.source})
+	e.server = s.network.serve(name+":1", routes)
 	e.source.Self = protocol.EntryRecord{Name: name, DataCenter: "a", Key: key, PeerAddress: name + ":1"}
 	e.watcher = &watch.Watcher{Source: e.source, Kind: kind, Sink: e.state}
 	e.confirmer = &watch.Confirmer{Source: e.source, Kind: kind, Name: table, Sink: e.state, Watchers: []*watch.Watcher{e.watcher}, Eras: e.client.eras}
--- a/transport/relay/follower.go
+++ b/transport/relay/follower.go
@@ -34,6 +34,7 @@
 	slownessSent     uint64            // number of the last slowness report that was sent
 	workSent         uint64            // number of the last work report that was sent
 	ratesSent        uint64            // number of the last rate limit report that was sent
+	lostSent         uint64            // version of the lost table that was last sent
 	aheadVersion     protocol.Revision // version of the confirmed object that was last sent in an answer
 }
 
@@ -54,6 +55,7 @@
 		f.source.receiveSlowness(request.Slow, f.name)
 		f.source.receiveWork(request.Work, f.name)
 		f.source.rateLimits.Receive(request.Rates, f.name)
+		f.source.receiveTable(request.LostTable, f.name)
 		if request.Number == 0 {
 			continue // the message had reports only
 		}
@@ -89,11 +91,12 @@
 		slowness := f.source.slowness.log.changed.Changed()
 		work := f.source.quarantine.log.changed.Changed()
 		rates := f.source.rateLimits.log.changed.Changed()
+		lost := f.source.lost.changed.Changed()
 		frame, err := f.nextFrame()
 		if err != nil {
 			return err
 		}
-		if first || len(frame.Deltas) > 0 || len(frame.Losses) > 0 || len(frame.Slow) > 0 || len(frame.Work) > 0 || len(frame.Rates) > 0 || frame.Answer != nil {
+		if first || len(frame.Deltas) > 0 || len(frame.Losses) > 0 || len(frame.Slow) > 0 || len(frame.Work) > 0 || len(frame.Rates) > 0 || frame.LostTable != nil || frame.Answer != nil {
 			if err := f.write(ctx, &frame); err != nil {
 				return err
 			}
@@ -106,6 +109,7 @@
 		case <-slowness:
 		case <-work:
 		case <-rates:
+		case <-lost:
 		case <-holdTimer.C:
 		case a := <-f.requests:
 			now := clock.Now()
@@ -134,6 +138,11 @@
 	frame.Slow, f.slownessSent = f.source.slowness.since(f.slownessSent, f.name, clock.Now())
 	frame.Work, f.workSent = f.source.quarantine.messagesFor(f.workSent, f.name, clock.Now())
 	frame.Rates, f.ratesSent = f.source.rateLimits.ReportsSince(f.ratesSent, f.name, clock.Now())
+	if f.form.HasEras() {
+		if frame.LostTable = f.source.lost.since(f.lostSent); frame.LostTable != nil {
+			f.lostSent = frame.LostTable.Version
+		}
+	}
 	return frame, nil
 }
 
--- a/transport/relay/link.go
+++ b/transport/relay/link.go
@@ -206,6 +206,7 @@
 	l.source.receiveSlowness(f.Slow, l.peer.Name)
 	l.source.receiveWork(f.Work, l.peer.Name)
 	l.source.rateLimits.Receive(f.Rates, l.peer.Name)
+	l.source.receiveTable(f.LostTable, l.peer.Name) // before anything that the platform holds now
 	for i := range f.Deltas {
 		if err := l.applyDelta(&f.Deltas[i]); err != nil {
 			return err
--- a/transport/relay/losses.go
+++ b/transport/relay/losses.go
@@ -110,6 +110,7 @@
 	slownessSent uint64
 	workSent     uint64
 	ratesSent    uint64
+	lostSent     uint64 // version of the lost table that was last sent
 }
 
 func (u *upstreamReporter) run() {
@@ -121,6 +122,7 @@
 		slowness := l.source.slowness.log.changed.Changed()
 		work := l.source.quarantine.log.changed.Changed()
 		rates := l.source.rateLimits.log.changed.Changed()
+		lost := l.source.lost.changed.Changed()
 		if err := u.send(ctx); err != nil {
 			l.fail(err)
 			return
@@ -130,6 +132,7 @@
 		case <-slowness:
 		case <-work:
 		case <-rates:
+		case <-lost:
 		case <-l.done.Done():
 			return
 		}
@@ -146,10 +149,16 @@
 	work, u.workSent = u.link.source.quarantine.messagesFor(u.workSent, u.link.peer.Name, clock.Now())
 	var rates []protocol.RateReport
 	rates, u.ratesSent = u.link.source.rateLimits.ReportsSince(u.ratesSent, u.link.peer.Name, clock.Now())
-	if len(losses) == 0 && len(slow) == 0 && len(work) == 0 && len(rates) == 0 {
+	var lost *protocol.TableReport
+	if u.link.form.HasEras() {
+		if lost = u.link.source.lost.since(u.lostSent); lost != nil {
+			u.lostSent = lost.Version
+		}
+	}
+	if len(losses) == 0 && len(slow) == 0 && len(work) == 0 && len(rates) == 0 && lost == nil {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportWriteTimeout)
 	defer cancel()
-	return write(ctx, u.link.socket, u.link.form, &protocol.RelayRequest{Losses: losses, Slow: slow, Work: work, Rates: rates})
+	return write(ctx, u.link.socket, u.link.form, &protocol.RelayRequest{Losses: losses, Slow: slow, Work: work, Rates: rates, LostTable: lost})
 }
--- a/transport/relay/restore_test.go
+++ b/transport/relay/restore_test.go
@@ -117,3 +117,26 @@
 		require.Equal(t, protocol.Revision{Era: 2, Number: s.revision}, all[1].source.Revision(kind))
 	})
 }
+
+// TestLostTableReachesEveryEntry has one entry know a table that the platform lost: above it and below it,
+// entries hear of it, and so does one that connects later.
+func TestLostTableReachesEveryEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put(table, "one")
+		all := newEntriesAcross(t, s, 5, 2)
+		all[1].source.ReportTable(7, []byte("lost"))
+		all = append(all, startFollower(t, s, all[2]))
+		for _, e := range all {
+			if e != all[1] {
+				eventually(t, e.client.name+" knows the table", func() bool { return e.state.lostTable() == "lost" })
+			}
+		}
+		all[0].source.WithdrawTable(7)
+		all[0].source.ReportTable(6, []byte("older"))
+		all[0].source.ReportTable(8, []byte("newer"))
+		for _, e := range all[1:] {
+			eventually(t, e.client.name+" knows the later table", func() bool { return e.state.lostTable() == "newer" })
+		}
+	})
+}
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -73,6 +73,9 @@
 	// OnRateLimitChange is called with a report that changes the rate limit of an endpoint; nil for no
 	// call.
 	OnRateLimitChange func(r ratelimit.Report, change ratelimit.LimitChanged)
+	// OnLostTable is called with a table that peers know and the platform lost. It reports whether the
+	// table is later than the one that this entry knew; nil for no call.
+	OnLostTable func(version uint64, value []byte) bool
 	// LateSince reports whether this process was not run for a while since a time, so that a call that
 	// got no answer since may have got one; nil means never.
 	LateSince func(t time.Time) bool
@@ -85,6 +88,7 @@
 	slowness        slownessReports
 	quarantine      Quarantine
 	rateLimits      RateLimits
+	lost            lostTable
 	selector        peerSelector
 	followers       atomic.Int64
 	mutex           sync.Mutex
--- a/transport/relay/start.go
+++ b/transport/relay/start.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"pinerun.example/pinerun/protocol"
 )
 
 const (
@@ -53,17 +55,26 @@
 // lists instead of 2 by four entries, in 15 of 32 starts with up to 30 ms between search and
 // decision).
 func (s *peerSelector) stillStarting(result searchResult, now time.Time) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	select {
 	case <-s.started:
 		return false
 	default:
 	}
-	alone := s.source.Self.PeerAddress == "" || result.complete && (!result.retry || now.After(s.retryUntil))
-	if s.source.Following() || alone || now.After(s.startDeadline) {
-		close(s.started)
-		return false
+	records, ended := s.startEnded(result, now)
+	if !ended {
+		return true
+	}
+	if !s.source.Following() {
+		s.source.askForLostTable(records)
 	}
-	return true
+	close(s.started)
+	return false
+}
+
+// startEnded returns the known records, and whether the start period is over.
+func (s *peerSelector) startEnded(result searchResult, now time.Time) ([]protocol.EntryRecord, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	alone := s.source.Self.PeerAddress == "" || result.complete && (!result.retry || now.After(s.retryUntil))
+	return s.records, s.source.Following() || alone || now.After(s.startDeadline)
 }
