lease: take no lease for free right after a restore of the platform

What callers lose: two entries give orders at the same time, and undo each other's layers. A copy lacks the last writes of the lease, so a lease that was held a moment ago looked absent or released and was taken at once, while its holder may act for two seconds more. Epochs went back with the copy, and one above its own revision counted as foreign.

Change: a lease that is first seen in an era is not free before TTL has passed, also for an entry that has just started; its former holder takes it again like any other. A write that was based on an earlier era does not hold, whether it was answered or not. Epochs carry the era in their upper bits, so those of a later era are above all that were ever given, lost ones included, and a record counts as foreign above what its era and revision allow. Orders in the first record of an era are the copy's and are not adopted: those that entries know are newer.

TestLeaseLostByRestoreIsNotFree and TestWriteThatCrossesRestoreDoesNotHold failed before.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -24,6 +24,11 @@
 //
 // The epoch rises with each new holder and is part of every order, so an endpoint
 // that checks it rejects the orders of an earlier holder.
+//
+// A platform that comes back from a copy may have lost the last write of the lease,
+// and its holder may give orders until its own deadline. So a lease that is first
+// seen in a new era of the platform is not free before TTL has passed, whatever the
+// copy holds, and its former holder acquires it again like any other entry.
 package lease
 
 import (
@@ -42,6 +47,10 @@
 	SafetyMargin = time.Second
 	// readInterval is how often entries other than the holder read the lease.
 	readInterval = 500 * time.Millisecond
+	// eraShift is the number of bits of an epoch below the era of the platform in which it was
+	// given. So epochs of a later era are above all of earlier eras, also of those that the
+	// platform lost. JSON numbers are exact up to 2^53, which leaves room for 2^21 eras.
+	eraShift = 32
 )
 
 // Record is the content of a lease in the platform.
@@ -95,8 +104,10 @@
 	version         protocol.Revision
 	record          Record
 	unchangedSince  time.Time // from when this entry has seen the version unchanged
+	freeAt          time.Time // when the lease can be free at the earliest, after a restore of the platform
 	readAt          time.Time // when the object was last read
 	pending         Record    // content of the write in flight
+	pendingEra      uint64    // era of the version that it was based on
 	pendingSince    time.Time // when that write was returned by Next or Release
 	heldUntil       time.Time // by this entry's clock, SafetyMargin deducted
 	writeCount      uint64
@@ -109,8 +120,10 @@
 		return Read{}
 	case l.isHolder():
 		return l.renew(now)
+	case now.Before(l.freeAt):
+		return Wait{until: l.freeAt}
 	case l.version.IsZero() || l.record.Holder == "" || now.Sub(l.unchangedSince) > TTL:
-		return l.acquire(l.record.Epoch+1, now)
+		return l.acquire(l.nextEpoch(), now)
 	case l.receivesReports:
 		return Wait{until: l.unchangedSince.Add(TTL)}
 	case now.Sub(l.readAt) >= readInterval:
@@ -155,7 +168,7 @@
 	if now.After(l.heldUntil) {
 		// The write succeeds only if no other entry has acquired the lease since.
 		l.heldUntil = time.Time{}
-		return l.acquire(l.record.Epoch+1, now)
+		return l.acquire(l.nextEpoch(), now)
 	}
 	if next := l.pendingSince.Add(renewInterval); now.Before(next) {
 		return Wait{until: next}
@@ -163,6 +176,9 @@
 	return l.acquire(l.record.Epoch, now)
 }
 
+// nextEpoch returns an epoch above all that were given.
+func (l *Lease) nextEpoch() uint64 { return max(l.record.Epoch, l.version.Era<<eraShift) + 1 }
+
 // acquire returns the write that acquires or renews the lease.
 func (l *Lease) acquire(epoch uint64, now time.Time) Write {
 	return l.write(Record{Holder: l.Self, Epoch: epoch}, now)
@@ -172,13 +188,20 @@
 func (l *Lease) write(r Record, now time.Time) Write {
 	l.writeCount++
 	r.Nonce = l.Incarnation + l.writeCount
-	l.pending = r
+	l.pending, l.pendingEra = r, l.version.Era
 	l.pendingSince = now
 	return Write{expectedVersion: l.version, record: r}
 }
 
-// WriteSucceeded records that the write in flight succeeded.
-func (l *Lease) WriteSucceeded(version protocol.Revision) { l.holdFrom(version) }
+// WriteSucceeded records that the write in flight succeeded. If the platform was restored
+// meanwhile, it took effect over a lease that this entry has not seen.
+func (l *Lease) WriteSucceeded(version protocol.Revision) {
+	if version.Era != l.pendingEra {
+		l.WriteUncertain()
+		return
+	}
+	l.holdFrom(version)
+}
 
 // holdFrom records that the write in flight took effect and this entry holds the
 // lease. The time counts from when Next returned the write, since other entries
@@ -209,9 +232,13 @@
 	l.known = true
 	l.uncertain = false
 	l.readAt = now
-	if !version.IsZero() && (r.Epoch == 0 || r.Epoch > version.Number) {
+	if !version.IsZero() && (r.Epoch == 0 || r.Epoch > maxEpoch(version)) {
 		r = unknownRecord(version)
 	}
+	if l.version.Era < version.Era {
+		l.observeRestore(version, r, now)
+		return
+	}
 	if !version.IsZero() && r == l.pending && version != l.version {
 		if r.Holder == "" {
 			l.Released(version)
@@ -230,17 +257,28 @@
 	l.record = r
 }
 
+// observeRestore applies the first state of the lease that is seen in a new era of the platform.
+func (l *Lease) observeRestore(version protocol.Revision, r Record, now time.Time) {
+	l.version, l.record = version, r
+	l.unchangedSince = now
+	l.freeAt = now.Add(TTL)
+	l.heldUntil = time.Time{}
+}
+
 // unknownHolder is the holder in place of a record that can't be decoded. No entry
 // has this name.
 const unknownHolder = "\x00"
 
 // unknownRecord returns the record that replaces one that no entry has written. Its
-// holder is unknown, so the lease lasts as long as any other. Each epoch took a
-// write, so no earlier epoch is greater than the version.
+// holder is unknown, so the lease lasts as long as any other.
 func unknownRecord(version protocol.Revision) Record {
-	return Record{Holder: unknownHolder, Epoch: version.Number}
+	return Record{Holder: unknownHolder, Epoch: maxEpoch(version)}
 }
 
+// maxEpoch returns the largest epoch that can have been given up to a version: each took a
+// write in its era.
+func maxEpoch(version protocol.Revision) uint64 { return version.Era<<eraShift + version.Number }
+
 // Epoch returns the epoch to put into an order, and reports whether this entry may
 // give one now.
 func (l *Lease) Epoch(now time.Time) (uint64, bool) {
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -32,9 +32,10 @@
 type simulation struct {
 	mutant       mutant
 	now          time.Time
-	version      uint64
+	version      protocol.Revision
 	record       lease.Record
-	history      []lease.Record // by version, from 1 on
+	history      []storedLease // every state so far
+	copied       storedLease   // the copy to restore
 	entries      []*entry
 	delayed      []lease.Write // writes sent and not answered; each may take effect later
 	incarnations uint64        // number of restarts so far
@@ -43,6 +44,12 @@
 	twoHolders   bool          // two entries believed to hold the lease at the same time
 }
 
+// storedLease is the lease as the platform held it at a version.
+type storedLease struct {
+	version protocol.Revision
+	record  lease.Record
+}
+
 type entry struct {
 	lease     lease.Lease
 	skew      time.Duration
@@ -77,23 +84,21 @@
 	e.inFlight = nil
 	switch a := action.(type) {
 	case lease.Read:
-		e.lease.Observe(protocol.Revision{Number: s.version}, s.record, s.clock(e))
+		e.lease.Observe(s.version, s.record, s.clock(e))
 	case lease.Write:
-		if s.version != a.ExpectedVersion().Number && s.mutant != unconditional {
+		if s.version.Number != a.ExpectedVersion().Number && s.mutant != unconditional {
 			e.releasing = false
 			e.lease.WriteUncertain()
 			return
 		}
-		s.version++
-		s.record = a.Record()
-		s.history = append(s.history, s.record)
+		s.write(a.Record())
 		switch {
-		case lost:
+		case lost || !a.ExpectedVersion().IsZero() && a.ExpectedVersion().Era != s.version.Era:
 			e.lease.WriteUncertain()
 		case e.releasing:
-			e.lease.Released(protocol.Revision{Number: s.version})
+			e.lease.Released(s.version)
 		default:
-			e.lease.WriteSucceeded(protocol.Revision{Number: s.version})
+			e.lease.WriteSucceeded(s.version)
 		}
 	}
 	e.releasing = false
@@ -116,13 +121,28 @@
 func (s *simulation) deliverDelayed(i int) {
 	write := s.delayed[i]
 	s.delayed = append(s.delayed[:i:i], s.delayed[i+1:]...)
-	if write.ExpectedVersion().Number == s.version {
-		s.version++
-		s.record = write.Record()
-		s.history = append(s.history, s.record)
+	if write.ExpectedVersion().Number == s.version.Number {
+		s.write(write.Record())
 	}
 }
 
+// write replaces the lease.
+func (s *simulation) write(r lease.Record) {
+	s.version.Number++
+	s.record = r
+	s.history = append(s.history, storedLease{version: s.version, record: r})
+}
+
+// makeCopy keeps a copy of the lease to restore.
+func (s *simulation) makeCopy() { s.copied = storedLease{version: s.version, record: s.record} }
+
+// restore makes the platform come back from the copy, in the next era.
+func (s *simulation) restore() {
+	s.version = protocol.Revision{Era: s.version.Era + 1, Number: s.copied.version.Number}
+	s.record = s.copied.record
+	s.history = append(s.history, storedLease{version: s.version, record: s.record})
+}
+
 // restart replaces an entry's process by a new incarnation with the same name.
 func (s *simulation) restart(i int) {
 	e := s.entries[i]
@@ -134,16 +154,16 @@
 }
 
 // report reports a current or earlier state of the lease to an entry.
-func (s *simulation) report(i int, version uint64) {
+func (s *simulation) report(i, state int) {
 	e := s.entries[i]
 	if e.paused || e.inFlight != nil {
 		return
 	}
-	var r lease.Record
-	if version > 0 {
-		r = s.history[version-1]
+	var reported storedLease
+	if state > 0 {
+		reported = s.history[state-1]
 	}
-	e.lease.ObserveReport(protocol.Revision{Number: version}, r, s.clock(e))
+	e.lease.ObserveReport(reported.version, reported.record, s.clock(e))
 }
 
 // release lets an entry without a pending order release the lease.
@@ -211,7 +231,7 @@
 			s.step(rapid.IntRange(0, len(s.entries)-1).Draw(t, "entry"), rapid.IntRange(0, 3).Draw(t, "lost") == 0)
 		},
 		"report": func(t *rapid.T) {
-			s.report(rapid.IntRange(0, len(s.entries)-1).Draw(t, "entry"), uint64(rapid.IntRange(0, len(s.history)).Draw(t, "version")))
+			s.report(rapid.IntRange(0, len(s.entries)-1).Draw(t, "entry"), rapid.IntRange(0, len(s.history)).Draw(t, "state"))
 		},
 		"delay":   func(t *rapid.T) { s.delayWrite(rapid.IntRange(0, len(s.entries)-1).Draw(t, "entry")) },
 		"restart": func(t *rapid.T) { s.restart(rapid.IntRange(0, len(s.entries)-1).Draw(t, "entry")) },
@@ -220,6 +240,9 @@
 				s.deliverDelayed(rapid.IntRange(0, len(s.delayed)-1).Draw(t, "write"))
 			}
 		},
+		"settle":  func(t *rapid.T) { s.settle(rapid.IntRange(0, len(s.entries)-1).Draw(t, "entry")) },
+		"copy":    func(*rapid.T) { s.makeCopy() },
+		"restore": func(*rapid.T) { s.restore() },
 		"release": func(t *rapid.T) { s.release(rapid.IntRange(0, len(s.entries)-1).Draw(t, "entry")) },
 		"decide":  func(t *rapid.T) { s.decideOrder(rapid.IntRange(0, len(s.entries)-1).Draw(t, "entry")) },
 		"send":    func(t *rapid.T) { s.sendOrder(rapid.IntRange(0, len(s.entries)-1).Draw(t, "entry")) },
@@ -234,8 +257,8 @@
 	})
 }
 
-// TestAtMostOneHolder pauses and restarts entries and loses and delays writes at
-// random. No two entries may give orders at the same time, and a fenced endpoint
+// TestAtMostOneHolder pauses and restarts entries, loses and delays writes, and restores copies
+// of the platform at random. No two entries may give orders at the same time, and a fenced endpoint
 // never takes an order after one of a later holder.
 func TestAtMostOneHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -302,6 +325,13 @@
 	require.True(t, holds)
 }
 
+// settle lets an entry that runs act until it has nothing to do.
+func (s *simulation) settle(i int) {
+	if !s.entries[i].paused {
+		s.acquires(i)
+	}
+}
+
 // acquires lets an entry act until it has nothing to do and reports whether it holds
 // the lease then.
 func (s *simulation) acquires(i int) bool {
@@ -349,7 +379,7 @@
 	require.IsType(t, lease.Wait{}, l.Next(start.Add(4*time.Second)), "the lease was renewed since")
 	l.ObserveReport(protocol.Revision{Number: 6}, lease.Record{Epoch: 2, Nonce: 2}, start.Add(4*time.Second))
 	write := l.Next(start.Add(4 * time.Second)).(lease.Write)
-	require.EqualValues(t, 6, write.ExpectedVersion(), "the lease was released")
+	require.Equal(t, protocol.Revision{Number: 6}, write.ExpectedVersion(), "the lease was released")
 	l.WriteUncertain()
 	l.ObserveReport(protocol.Revision{Number: 7}, write.Record(), start.Add(4*time.Second))
 	require.Equal(t, lease.Read{}, l.Next(start.Add(4*time.Second)), "only a read of the platform resolves an uncertain write")
@@ -413,7 +443,64 @@
 		_, writes := l.Next(start).(lease.Write)
 		require.False(t, writes, "its holder may be alive")
 		write := l.Next(start.Add(lease.TTL + time.Millisecond)).(lease.Write)
-		require.EqualValues(t, 40, write.ExpectedVersion())
+		require.Equal(t, protocol.Revision{Number: 40}, write.ExpectedVersion())
 		require.EqualValues(t, 41, write.Record().Epoch, "above every epoch given before")
 	}
 }
+
+// TestLeaseLostByRestoreIsNotFree restores a copy without the lease, or with a released one, while its holder
+// may still give orders.
+func TestLeaseLostByRestoreIsNotFree(t *testing.T) {
+	for name, copiedAfter := range map[string]int{"absent": 0, "released": 1} {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(correct, 3)
+			s.makeCopy()
+			if copiedAfter > 0 {
+				require.True(t, s.acquires(1))
+				s.release(1)
+				s.step(1, false)
+				s.makeCopy()
+			}
+			require.True(t, s.acquires(0))
+			require.False(t, s.acquires(1))
+			epoch := s.record.Epoch
+			s.restore()
+			require.False(t, s.acquires(1), "an entry that knew the holder")
+			require.False(t, s.acquires(2), "an entry that has just started")
+			s.now = s.now.Add(lease.TTL + time.Millisecond)
+			require.True(t, s.acquires(2))
+			require.Greater(t, s.record.Epoch, epoch, "epochs stay above all that were given")
+			s.check()
+			require.False(t, s.twoHolders)
+		})
+	}
+}
+
+// TestWriteThatCrossesRestoreDoesNotHold has a write meet the expected number in the next era, over the
+// lease of a holder that the copy lacks.
+func TestWriteThatCrossesRestoreDoesNotHold(t *testing.T) {
+	for name, answered := range map[string]bool{"answered": true, "unanswered": false} {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(correct, 2)
+			s.makeCopy()
+			s.step(0, false)
+			s.step(0, false) // sees no lease
+			s.step(0, false) // begins to acquire it
+			require.IsType(t, lease.Write{}, s.entries[0].inFlight)
+			s.step(1, false)
+			s.step(1, false)
+			require.True(t, s.acquires(1))
+			s.restore()
+			if answered {
+				s.step(0, false)
+			} else {
+				s.delayWrite(0)
+				s.deliverDelayed(0)
+			}
+			require.Equal(t, "e0", s.record.Holder, "it took effect")
+			require.False(t, s.acquires(0))
+			s.check()
+			require.False(t, s.twoHolders)
+		})
+	}
+}
--- a/transport/director/director.go
+++ b/transport/director/director.go
@@ -24,6 +24,7 @@
 	"pinerun.example/pinerun/internal/lifecycle"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/state/era"
 	"pinerun.example/pinerun/state/registry"
 	"pinerun.example/pinerun/state/routing"
 )
@@ -75,9 +76,10 @@
 	Registry     *registry.Registry
 	Engines      Engines
 	Objects      Objects
-	EntryCount   func() int  // number of entries that may attempt to acquire the lease
-	Following    func() bool // whether this entry follows a peer; nil means never
-	HasFollowers func() bool // whether other entries follow this one; nil means never
+	Eras         *era.Tracker // of the platform; nil if it names no eras
+	EntryCount   func() int   // number of entries that may attempt to acquire the lease
+	Following    func() bool  // whether this entry follows a peer; nil means never
+	HasFollowers func() bool  // whether other entries follow this one; nil means never
 	Counters     *metric.Set
 	Logger       *slog.Logger
 	// OnMisdirected, if set, is called when another process answered an order to an endpoint.
@@ -102,6 +104,7 @@
 	wakeRequested bool                    // an engine was found lost or recovered
 	leaseChange   *leaseChange            // reported by another entry and not applied yet
 	leaseObserved bool                    // whether a change of the lease was ever applied
+	leaseEra      uint64                  // era of the platform of the last record of the lease
 	pendingOrders map[string]pendingOrder // by endpoint ID; their effect has not been seen
 	backoffs      map[string]backoff      // by endpoint ID
 	plans         map[string]cachedPlan   // by service
--- a/transport/director/lease.go
+++ b/transport/director/lease.go
@@ -142,7 +142,7 @@
 	o, err := d.Objects.Get(ctx, d.LeaseKind, LeaseName)
 	var missing *platform.NotFound
 	if errors.As(err, &missing) {
-		d.lease.Observe(protocol.Revision{}, lease.Record{}, clock.Now())
+		d.lease.Observe(protocol.Revision{Era: d.Eras.Latest()}, lease.Record{}, clock.Now())
 		return true
 	}
 	if err != nil {
@@ -152,7 +152,7 @@
 	r := d.decodeLease(o.Value)
 	now := clock.Now()
 	d.lease.Observe(o.Version, r.Record, now)
-	d.adoptOrders(&r, now, pendingTimeout)
+	d.observeOrders(o.Version, &r, now, pendingTimeout)
 	return true
 }
 
--- a/transport/director/lease_record.go
+++ b/transport/director/lease_record.go
@@ -64,8 +64,17 @@
 	if !d.leaseObserved {
 		limit = listGrace // the record may have been written long before
 	}
-	d.leaseObserved = true
-	d.adoptOrders(&r, change.at, limit)
+	d.observeOrders(change.version, &r, change.at, limit)
+}
+
+// observeOrders adopts the orders of a record that another holder has written. The first record of a new
+// era is from a copy: its orders are older than those that are known here.
+func (d *Director) observeOrders(version protocol.Revision, r *leaseRecord, now time.Time, limit time.Duration) {
+	fromCopy := d.leaseObserved && d.leaseEra < version.Era
+	d.leaseObserved, d.leaseEra = true, version.Era
+	if !fromCopy {
+		d.adoptOrders(r, now, limit)
+	}
 }
 
 // adoptOrders treats the orders of another holder's record as pending, for no longer than the
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -140,6 +140,7 @@
 		Registry:      &f.endpoints,
 		Engines:       f.Dependencies.Engines,
 		Objects:       f.Dependencies.Objects,
+		Eras:          f.Dependencies.Eras,
 		EntryCount:    f.watcherCount,
 		Following:     f.source.Following,
 		HasFollowers:  f.source.Followed,
