front: write refusals of work again that a restore has lost

What callers lose: endpoints. A refusal of work that crashes endpoints was written a moment before the store came back from a copy; its absence from the next list counted as an operator's release, and the work ran again at every entry.

Change: a refusal that is missing in a later era than the one it was seen in was lost, so it stays in force and one of the entries writes it again, spread as for a new one. A difference between two lists gives what it removes the revision of the later list, which tells the era; so does the absence of the lease.

TestRefusalLostByRestoreIsWrittenAgain fails without the rule, by list and by change. Open: work that an operator released right before a restore is refused again by the copy, until the refusal ends.

--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -245,6 +245,7 @@
 	}
 	for _, o := range k.objects {
 		if !listed[o.Name] {
+			o.Version = l.Revision // it was deleted by then
 			d.Changes = append(d.Changes, protocol.Change{Object: o, Deleted: true})
 		}
 	}
--- a/transport/front/coordination_sink.go
+++ b/transport/front/coordination_sink.go
@@ -17,22 +17,25 @@
 
 // Listed applies a list: the lease, or that there is none yet, and all refusals.
 func (s *coordinationSink) Listed(l protocol.Listing, now time.Time) {
-	s.front.refusals.applyList(l.Objects, now)
+	s.front.refusals.applyList(l, now)
 	for _, o := range l.Objects {
 		if o.Name == director.LeaseName {
 			s.front.director.ObserveLease(o.Version, o.Value, now)
 			return
 		}
 	}
-	s.front.director.ObserveLease(protocol.Revision{}, nil, now)
+	s.front.director.ObserveLease(protocol.Revision{Era: l.Revision.Era}, nil, now)
 }
 
-// Changed applies a change of a refusal or of the lease. The lease is never removed.
+// Changed applies a change of a refusal or of the lease. The lease is never removed, but a platform that
+// was restored may lack it.
 func (s *coordinationSink) Changed(c protocol.Change, now time.Time) {
 	switch {
 	case c.Object.Name != director.LeaseName:
 		s.front.refusals.applyChange(c, now)
-	case !c.Deleted:
+	case c.Deleted:
+		s.front.director.ObserveLease(protocol.Revision{Era: c.Object.Version.Era}, nil, now)
+	default:
 		s.front.director.ObserveLease(c.Object.Version, c.Object.Value, now)
 	}
 }
--- a/transport/front/refusals.go
+++ b/transport/front/refusals.go
@@ -58,12 +58,14 @@
 // storedRefusal is a refusal as the platform holds it.
 type storedRefusal struct {
 	version   protocol.Revision
+	value     []byte
 	wasActive bool // it had evidence and had not expired when it was applied
 }
 
 // pendingWrite is a refusal that has to be written.
 type pendingWrite struct {
-	refusal quarantine.Refusal
+	work    protocol.Fingerprint
+	value   []byte
 	writeAt time.Time
 }
 
@@ -112,15 +114,25 @@
 	return len(r.stored)+len(r.pending) > 0
 }
 
-// scheduleWrite sets when to write a refusal, unless another entry has written it by then.
+// scheduleWrite sets when to write a new refusal, unless another entry has written it by then.
 func (r *refusals) scheduleWrite(refusal quarantine.Refusal, now time.Time) {
-	spread := r.spreadOverEntries()
+	until := time.Now().Add(refusal.Until().Sub(now))
+	value, err := json.Marshal(protocol.RefusedWork{Crashes: refusal.Crashes(), UntilMS: until.UnixMilli()})
+	if err != nil {
+		event.RefusalIgnored.Log(r.front.Logger, slog.String("fingerprint", refusal.Work().String()), slog.String("cause", err.Error()))
+		return
+	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.schedule(refusal.Work(), value, now)
+}
+
+// schedule sets when to write a refusal. The mutex is held.
+func (r *refusals) schedule(work protocol.Fingerprint, value []byte, now time.Time) {
 	if r.pending == nil {
 		r.pending = make(map[protocol.Fingerprint]*pendingWrite)
 	}
-	r.pending[refusal.Work()] = &pendingWrite{refusal: refusal, writeAt: now.Add(rand.N(spread))}
+	r.pending[work] = &pendingWrite{work: work, value: value, writeAt: now.Add(rand.N(r.spreadOverEntries()))}
 }
 
 // spreadOverEntries returns the time over which all entries spread what one of them has to do.
@@ -143,21 +155,14 @@
 
 // writeRefusal writes a refusal to the platform.
 func (r *refusals) writeRefusal(w *pendingWrite) {
-	work := w.refusal.Work()
-	remaining := clock.Until(w.refusal.Until())
-	value, err := json.Marshal(protocol.RefusedWork{Crashes: w.refusal.Crashes(), UntilMS: time.Now().Add(remaining).UnixMilli()})
-	if err != nil {
-		event.RefusalIgnored.Log(r.front.Logger, slog.String("fingerprint", work.String()), slog.String("cause", err.Error()))
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), refusalCallTimeout)
 	defer cancel()
-	_, err = r.front.Dependencies.Objects.Put(ctx, coordinationKind, refusedPrefix+work.String(), r.storedVersion(work), value)
+	_, err := r.front.Dependencies.Objects.Put(ctx, coordinationKind, refusedPrefix+w.work.String(), r.storedVersion(w.work), w.value)
 	var conflict *platform.Conflict
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if err == nil || errors.As(err, &conflict) {
-		delete(r.pending, work) // this or another entry wrote it; the watch reports it
+		delete(r.pending, w.work) // this or another entry wrote it; the watch reports it
 		return
 	}
 	r.front.platformFailed("refusals", err)
@@ -172,10 +177,10 @@
 }
 
 // applyList applies the list of all refusals in the platform. A known refusal that the list lacks
-// was removed.
-func (r *refusals) applyList(objects []protocol.Object, now time.Time) {
+// was removed, or lost by a restore.
+func (r *refusals) applyList(l protocol.Listing, now time.Time) {
 	listed := make(map[protocol.Fingerprint]bool)
-	for _, o := range objects {
+	for _, o := range l.Objects {
 		if work, ok := workFromName(o.Name); ok {
 			listed[work] = true
 			r.applyRefusal(work, o, now)
@@ -183,7 +188,7 @@
 	}
 	for _, work := range r.storedWork() {
 		if !listed[work] {
-			r.applyRemoval(work, now)
+			r.applyRemoval(work, l.Revision, now)
 		}
 	}
 	r.mutex.Lock()
@@ -205,7 +210,7 @@
 	switch {
 	case !ok:
 	case c.Deleted:
-		r.applyRemoval(work, now)
+		r.applyRemoval(work, c.Object.Version, now)
 	default:
 		r.applyRefusal(work, c.Object, now)
 	}
@@ -238,7 +243,7 @@
 		return
 	}
 	active := r.front.source.Quarantine().RestoreRefusal(work, &refused, now, time.Now())
-	r.stored[work] = storedRefusal{version: o.Version, wasActive: active || r.stored[work].wasActive}
+	r.stored[work] = storedRefusal{version: o.Version, value: o.Value, wasActive: active || r.stored[work].wasActive}
 	delete(r.pending, work)
 	r.mutex.Unlock()
 	r.received.Broadcast()
@@ -247,10 +252,18 @@
 	}
 }
 
-// applyRemoval applies the removal of a refusal: an operator released the work, or an entry removed
-// a refusal that had expired.
-func (r *refusals) applyRemoval(work protocol.Fingerprint, now time.Time) {
+// applyRemoval applies the removal of a refusal up to a revision: an operator released the work, or an
+// entry removed a refusal that had expired. A refusal of an earlier era was lost by a restore of the
+// platform, so it is written again.
+func (r *refusals) applyRemoval(work protocol.Fingerprint, at protocol.Revision, now time.Time) {
 	r.mutex.Lock()
+	if lost, known := r.stored[work]; known && lost.version.Era < at.Era {
+		delete(r.stored, work)
+		r.schedule(work, lost.value, now)
+		r.mutex.Unlock()
+		r.received.Broadcast()
+		return
+	}
 	delete(r.stored, work)
 	delete(r.pending, work)
 	r.mutex.Unlock()
--- a/transport/front/restore_test.go
+++ b/transport/front/restore_test.go
@@ -3,13 +3,16 @@
 package front
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/transport/forward"
 )
 
 // versionDecoder decodes the length of an object's value as the version of its table.
@@ -57,3 +60,38 @@
 	s.Confirmed(confirmedAt.Add(2 * time.Second))
 	require.Equal(t, confirmedAt.Add(2*time.Second), s.front.routing.ConfirmedAt())
 }
+
+// TestRefusalLostByRestoreIsWrittenAgain has the store come back without a refusal of work that crashes
+// endpoints. The work was released, and crashed the next endpoints.
+func TestRefusalLostByRestoreIsWrittenAgain(t *testing.T) {
+	now := clock.Now()
+	refused := protocol.RefusedWork{UntilMS: now.Add(10 * time.Minute).UnixMilli()}
+	for i, name := range []string{"a", "b", "c"} {
+		refused.Crashes = append(refused.Crashes, protocol.WorkCrash{Endpoint: name, Incarnation: 1, AtMS: now.Add(time.Duration(i-9) * time.Second).UnixMilli()})
+	}
+	value, err := json.Marshal(refused)
+	require.NoError(t, err)
+	work := protocol.Fingerprint{1}
+	o := protocol.Object{Name: refusedPrefix + work.String(), Version: protocol.Revision{Era: 1, Number: 9}, Value: value}
+	gone := o
+	gone.Version = protocol.Revision{Era: 2, Number: 4}
+	for name, lose := range map[string]func(s *coordinationSink){
+		"list":   func(s *coordinationSink) { s.Listed(protocol.Listing{Revision: gone.Version}, now) },
+		"change": func(s *coordinationSink) { s.Changed(protocol.Change{Object: gone, Deleted: true}, now) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &Front{Counters: &metric.Set{}}
+			f.refusals.front = f
+			f.forwarder = forward.Forwarder{Routing: &f.routing, Registry: &f.endpoints, Headers: noHeaders{}, Counters: f.Counters, Quarantine: f.source.Quarantine()}
+			f.forwarder.InitRetryBudget(forward.RetryBudget{Share: 0.2, Slack: 100, WindowEnd: func(t time.Time) time.Time { return t.Add(time.Second) }}, 1, now)
+			s := &coordinationSink{front: f}
+			s.Listed(protocol.Listing{Revision: o.Version, Objects: []protocol.Object{o}}, now)
+			require.Contains(t, f.source.Quarantine().StoredRefusals(), work)
+			lose(s)
+			require.Contains(t, f.source.Quarantine().StoredRefusals(), work, "the work stays refused")
+			due := f.refusals.dueWrites(now.Add(time.Hour))
+			require.Len(t, due, 1)
+			require.Equal(t, value, due[0].value)
+		})
+	}
+}
--- a/transport/front/startup_test.go
+++ b/transport/front/startup_test.go
@@ -57,7 +57,7 @@
 			go c.run()
 			now := time.Now()
 			f.refusals.front = f
-			f.refusals.applyList(nil, now)
+			f.refusals.applyList(protocol.Listing{}, now)
 			(&endpointSink{front: f}).Listed(protocol.Listing{}, now)
 			tables := &routingSink{front: f}
 			tables.Listed(protocol.Listing{Objects: []protocol.Object{{Name: "main", Version: protocol.Revision{Number: 1}}}}, now)
@@ -93,7 +93,7 @@
 		tables.Confirmed(now)
 		synctest.Wait()
 		require.False(t, c.done)
-		f.refusals.applyList(nil, now)
+		f.refusals.applyList(protocol.Listing{}, now)
 		synctest.Wait()
 		require.True(t, c.done)
 	})
