watch: pause when the platform never has the history since a list

What callers lose: time of the store, and with it changes.

Change: the first such refusal is listed again at once, as before; from the second in a row on the watcher pauses, 0.1 s and then longer, as after failed calls.

--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -78,6 +78,7 @@
 	done       lifecycle.Done
 	revision   protocol.Revision // revision to watch from, zero before a list
 	failures   int
+	compacted  int       // lists in a row from whose revision the platform had no changes
 	startUntil time.Time // end of the period in which the whole fleet may be starting
 	mutex      sync.Mutex
 	cancelCall context.CancelFunc // cancels the waiting call
@@ -153,7 +154,7 @@
 		return err
 	}
 	now := clock.Now()
-	w.failures = 0
+	w.failures, w.compacted = 0, 0
 	for _, change := range c.Changes {
 		w.Sink.Changed(change, now)
 	}
@@ -213,13 +214,24 @@
 	}
 	var compacted *platform.Compacted
 	w.revision = protocol.Revision{}
-	if errors.As(err, &compacted) || errors.Is(err, context.Canceled) {
-		return // the platform answered, or the call was canceled here
+	switch {
+	case errors.Is(err, context.Canceled): // canceled here
+	case errors.As(err, &compacted): // the platform answered
+		if w.compacted > 0 {
+			w.pause(retryDelay(w.compacted - 1))
+		}
+		w.compacted++
+	default:
+		w.Sink.Failed(err, clock.Now())
+		delay := retryDelay(w.failures)
+		w.failures++
+		w.pause(delay)
 	}
-	w.Sink.Failed(err, clock.Now())
-	delay := min(maxRetryDelay, initialRetryDelay<<min(w.failures, 10))
-	w.failures++
-	w.pause(delay)
+}
+
+// retryDelay returns how long to wait after a number of failures in a row before this one.
+func retryDelay(failures int) time.Duration {
+	return min(maxRetryDelay, initialRetryDelay<<min(failures, 10))
 }
 
 func (w *Watcher) pause(d time.Duration) {
--- a/transport/watch/watch_test.go
+++ b/transport/watch/watch_test.go
@@ -311,3 +311,15 @@
 		synctest.Wait()
 	})
 }
+
+// TestHistoryThatIsNeverReachedIsNotAskedForWithoutPause has every watch fail from the revision that the
+// list before it returned, as when the list is not of the history that the platform keeps.
+func TestHistoryThatIsNeverReachedIsNotAskedForWithoutPause(t *testing.T) {
+	var script []response
+	for range 1000 {
+		script = append(script, response{list: listing(7).list, delay: time.Millisecond}, response{err: &platform.Compacted{}})
+	}
+	src, _ := runWatcher(t, 10*time.Second, script...)
+	require.LessOrEqual(t, len(src.requests), 24)
+	require.Greater(t, len(src.requests), 8, "it goes on")
+}
