registry: let no endpoint go back with a restored store

What callers lose: requests that go to endpoints which have ended or leave, and endpoints that run and are not used. A copy has the records of some seconds ago: one that was gone came back, one that was leaving looked ready, fewer heartbeats looked like a restart and dropped what was known, and an endpoint that had recorded itself since the copy was gone at once.

Change: the first record of an endpoint in a new era counts at once only if it was certainly written later than what is known (incarnation, heartbeats) or says the same. Otherwise the known state stays, also that the endpoint is gone, and the record counts if it remains for five seconds: a running process overwrites it with its next heartbeat. Endpoints whose records are missing are kept for 1.5 s, as after an outage, since the store may have been away too briefly to be noticed.

Tried: letting the known state win for good. The model's engines that hold what the copy says write no change, so the known state stuck.

--- a/protocol/routing.go
+++ b/protocol/routing.go
@@ -153,6 +153,8 @@
 	// Heartbeats is how often the endpoint has written its record since it started, 0 if it
 	// does not report this.
 	Heartbeats int
+	// Era is the era of the platform's store in which the record was read.
+	Era uint64
 }
 
 // EngineReport is the state that an engine reports when asked.
--- a/state/registry/engine_state.go
+++ b/state/registry/engine_state.go
@@ -24,7 +24,8 @@
 	Joined
 	// Restarted means that the endpoint has restarted and lost everything it held before.
 	Restarted
-	// Stale means that the record is of an earlier incarnation. It changes nothing.
+	// Stale means that the record is of an earlier incarnation, or may be older than what is known since
+	// the platform was restored. It changes nothing.
 	Stale
 )
 
@@ -43,6 +44,9 @@
 		r.addLateRecord(e, now)
 		return Stale // an earlier incarnation wrote it, and the write took effect late
 	}
+	if r.holdBack(e, now) {
+		return Stale
+	}
 	delete(r.lateRecords, e.ID)
 	if r.endpoints == nil {
 		r.endpoints = make(map[string]protocol.Endpoint)
@@ -76,12 +80,12 @@
 
 // hasRestarted reports whether the later of two records is of a later incarnation. If either
 // record lacks its incarnation, a lower heartbeat count shows the restart, as each process
-// counts its heartbeats from zero.
+// counts its heartbeats from zero. A count that falls with a restore of the platform is the copy's.
 func hasRestarted(before, after *protocol.Endpoint) bool {
 	if before.Incarnation.Known() && after.Incarnation.Known() {
 		return before.Incarnation.Before(after.Incarnation)
 	}
-	return after.Heartbeats < before.Heartbeats
+	return before.Era == after.Era && after.Heartbeats < before.Heartbeats
 }
 
 // resetState drops everything that is known about an endpoint's earlier incarnation,
--- a/state/registry/late_record.go
+++ b/state/registry/late_record.go
@@ -14,6 +14,7 @@
 type lateRecord struct {
 	endpoint protocol.Endpoint
 	until    time.Time
+	restored bool // it may be of the copy from which the platform came back
 }
 
 // addLateRecord notes a record that seems to be of an earlier incarnation. A running
@@ -25,10 +26,10 @@
 		r.lateRecords = make(map[string]lateRecord)
 	}
 	l, ok := r.lateRecords[e.ID]
-	if !ok || l.endpoint.Incarnation != e.Incarnation {
+	if !ok || l.restored || l.endpoint.Incarnation != e.Incarnation {
 		l.until = now.Add(ProbeGrace)
 	}
-	l.endpoint = e
+	l.endpoint, l.restored = e, false
 	r.lateRecords[e.ID] = l
 }
 
@@ -55,6 +56,10 @@
 			continue
 		}
 		delete(r.lateRecords, id)
+		if l.restored {
+			r.acceptRestored(l.endpoint, now)
+			continue
+		}
 		delete(r.endpoints, id)
 		r.owners.NextBatch()
 		r.owners.Forget(id)
--- a/state/registry/model_test.go
+++ b/state/registry/model_test.go
@@ -47,6 +47,7 @@
 type change struct {
 	endpoint protocol.Endpoint
 	removed  bool
+	era      uint64
 }
 
 // entry is an entry with its registry, the number of changes that it has read, and the
@@ -54,6 +55,7 @@
 type entry struct {
 	registry *registry.Registry
 	read     int
+	era      uint64
 	reports  []report
 }
 
@@ -69,12 +71,14 @@
 	records      map[string]protocol.Endpoint
 	changes      []change
 	entries      []*entry
+	era          uint64
+	copied       map[string]protocol.Endpoint // the copy of the records to restore
 }
 
 func newFleetModel(t *rapid.T) *fleetModel {
 	m := &fleetModel{
 		t: t, now: time.Unix(1000, 0), announces: rapid.Bool().Draw(t, "announces"),
-		running: make(map[string]*process), records: make(map[string]protocol.Endpoint),
+		running: make(map[string]*process), records: make(map[string]protocol.Endpoint), copied: make(map[string]protocol.Endpoint),
 	}
 	for range 2 {
 		m.entries = append(m.entries, &entry{registry: newRegistry()})
@@ -163,7 +167,7 @@
 	m.now = m.now.Add(time.Millisecond)
 	m.records[e.ID] = e
 	m.written = append(m.written, e)
-	m.changes = append(m.changes, change{endpoint: e})
+	m.changes = append(m.changes, change{endpoint: e, era: m.era})
 }
 
 // write lets an engine write its record.
@@ -189,16 +193,39 @@
 }
 
 func (m *fleetModel) remove(id string) {
-	m.changes = append(m.changes, change{endpoint: m.records[id], removed: true})
+	m.changes = append(m.changes, change{endpoint: m.records[id], removed: true, era: m.era})
 	delete(m.records, id)
 }
 
+// makeCopy keeps a copy of the records to restore.
+func (m *fleetModel) makeCopy(*rapid.T) { m.copied = maps.Clone(m.records) }
+
+// restore makes the platform come back from the copy, in the next era. Entries see the records as
+// changes from those that they knew.
+func (m *fleetModel) restore(*rapid.T) {
+	before := m.records
+	m.records = maps.Clone(m.copied)
+	m.era++
+	for _, id := range slices.Sorted(maps.Keys(before)) {
+		if _, kept := m.records[id]; !kept {
+			m.changes = append(m.changes, change{endpoint: before[id], removed: true, era: m.era})
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.records)) {
+		m.changes = append(m.changes, change{endpoint: m.records[id], era: m.era})
+	}
+}
+
 func (m *fleetModel) readOne(e *entry) {
 	if e.read == len(m.changes) {
 		return
 	}
 	c := m.changes[e.read]
 	e.read++
+	if e.era < c.era {
+		e.registry.MarkOutage(m.now)
+	}
+	e.era, c.endpoint.Era = c.era, c.era
 	if c.removed {
 		e.registry.Remove(c.endpoint.ID, m.now)
 	} else {
@@ -346,7 +373,7 @@
 const maxExclusion = registry.ProbeGrace + addrowner.ProbeInterval
 
 // TestOnlyRunningEnginesAreUsed is a model test. Engines start, crash and restart; records
-// arrive late, expire and come back; entries read parts of the changes and receive reports in
+// arrive late, expire, come back, and are restored from a copy; entries read parts of the changes and receive reports in
 // any order. No entry may use two engines of one address, or a record that an answer has
 // disproved. Once nothing else happens, each entry must soon use exactly the running engines,
 // with the layers that they hold.
@@ -355,10 +382,10 @@
 		m := newFleetModel(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"start": m.start, "crash": m.crash, "order": m.order, "write": m.write, "late": m.writeLate,
-			"expire": m.expire, "read": m.readChanges, "publish": m.publish, "deliver": m.deliver, "request": m.request, "probe": m.probe, "advance": m.advance,
+			"expire": m.expire, "copy": m.makeCopy, "restore": m.restore, "read": m.readChanges, "publish": m.publish, "deliver": m.deliver, "request": m.request, "probe": m.probe, "advance": m.advance,
 			"": m.check,
 		})
-		if m.clockSetBack {
+		if m.clockSetBack || m.era > 0 {
 			m.settle(registry.ProbeGrace) // until late records that remain are accepted
 		}
 		m.settle(maxExclusion)
--- a/state/registry/registry.go
+++ b/state/registry/registry.go
@@ -60,7 +60,8 @@
 	useChanges        []RecordUse            // not yet returned by TakeUseChanges
 	unrecorded        map[string]unrecorded  // by ID: endpoints that answered at an address and have no record
 	lateRecords       map[string]lateRecord  // the latest record of its endpoint, ignored for now
-	restarted         []protocol.Endpoint    // endpoints not yet returned by TakeRestarted
+	gone              map[string]goneEndpoint
+	restarted         []protocol.Endpoint // endpoints not yet returned by TakeRestarted
 	revision          atomic.Uint64
 	rebuilds          atomic.Uint64
 	view              atomic.Pointer[fleet.View]
@@ -152,6 +153,7 @@
 			continue
 		}
 		r.forget(id, now)
+		r.rememberGone(e, now)
 		gone = append(gone, e)
 	}
 	r.hasList.Store(true)
@@ -194,6 +196,7 @@
 	}
 	delete(r.endpoints, id)
 	r.forget(id, now)
+	r.rememberGone(e, now)
 	r.markChanged()
 	return true
 }
@@ -209,12 +212,14 @@
 			continue
 		}
 		gone = append(gone, r.endpoints[id])
+		r.rememberGone(r.endpoints[id], now)
 		delete(r.vanished, id)
 		delete(r.endpoints, id)
 		r.forget(id, now)
 	}
 	r.owners.Sweep(now)
 	r.sweepUnrecorded(now)
+	r.sweepGone(now)
 	r.acceptLateRecords(now)
 	if len(gone) > 0 {
 		r.markChanged()
--- a/transport/front/endpoint_sink.go
+++ b/transport/front/endpoint_sink.go
@@ -12,12 +12,17 @@
 )
 
 // endpointSink applies the endpoint records to the endpoint registry.
-type endpointSink struct{ front *Front }
+type endpointSink struct {
+	front *Front
+	era   uint64 // latest era of the platform that was seen
+	seen  bool   // whether any was
+}
 
 // Listed applies a complete list of endpoints.
 func (s *endpointSink) Listed(l protocol.Listing, now time.Time) {
 	f := s.front
 	f.platformAnswered()
+	s.noteEra(l.Revision.Era, now)
 	f.records.retainListed(l.Objects)
 	list := make([]protocol.Endpoint, 0, len(l.Objects))
 	for _, o := range l.Objects {
@@ -36,9 +41,19 @@
 	f.endStartupWaitIfReady()
 }
 
+// noteEra notes a restore of the platform. Endpoints whose records it lacks are kept for a moment, as after
+// an outage: those that run record themselves again.
+func (s *endpointSink) noteEra(era uint64, now time.Time) {
+	if s.seen && s.era < era {
+		s.front.endpoints.MarkOutage(now)
+	}
+	s.era, s.seen = max(s.era, era), true
+}
+
 // Changed applies the change or removal of one endpoint record.
 func (s *endpointSink) Changed(c protocol.Change, now time.Time) {
 	f := s.front
+	s.noteEra(c.Object.Version.Era, now)
 	if c.Deleted {
 		f.records.forget(c.Object.Name)
 		f.source.Quarantine().RecordCrash(c.Object.Name, f.endpoints.Incarnation(c.Object.Name), now)
@@ -90,6 +105,7 @@
 	e, err := f.Dependencies.Decoder.Endpoint(o)
 	if err == nil {
 		f.records.clearDecodeFault(o)
+		e.Era = o.Version.Era
 		return e, true
 	}
 	f.records.setDecodeFault(o, err)
--- a/transport/front/restore_test.go
+++ b/transport/front/restore_test.go
@@ -95,3 +95,26 @@
 		})
 	}
 }
+
+// TestEndpointMissingAfterRestoreIsAwaited restores a copy without the record of an endpoint, which the
+// entry learns from a list or from a peer's changes.
+func TestEndpointMissingAfterRestoreIsAwaited(t *testing.T) {
+	before := protocol.Object{Name: "e1", Version: protocol.Revision{Era: 1, Number: 9}}
+	at := protocol.Revision{Era: 2, Number: 4}
+	now := time.Now()
+	for name, lose := range map[string]func(s *endpointSink){
+		"list": func(s *endpointSink) { s.Listed(protocol.Listing{Revision: at}, now) },
+		"change": func(s *endpointSink) {
+			s.Changed(protocol.Change{Object: protocol.Object{Name: "e1", Version: at}, Deleted: true}, now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &Front{Counters: &metric.Set{}, Dependencies: Dependencies{Decoder: fixedDecoder{}}}
+			s := &endpointSink{front: f}
+			s.Listed(protocol.Listing{Revision: before.Version, Objects: []protocol.Object{before}}, now.Add(-time.Minute))
+			lose(s)
+			require.Len(t, f.endpoints.Endpoints(), 1)
+			require.Len(t, f.endpoints.Sweep(now.Add(2*time.Second)), 1, "it did not come back")
+		})
+	}
+}
