census: count entries on whose records a restored store has lost

What callers lose: retries and shares of rate limits beyond their bounds. All entries' records vanish at once with a copy from before they were written; the count fell to what the copy had, and each entry took a larger share, for up to a minute until the next renewals.

Change: for 30 s after a restore the records that the store lacks count on, and their entries can still be followed. An entry whose record is missing writes it again, after a random delay of up to 10 ms for each entry, a hundred writes a second in all whatever the fleet, and at most 20 s. For 10 s after a restore records are not read from stale lists, which may be from before under the new era; neither is the first list of an entry that starts on a store that was restored before.

Open: an entry that starts in these 30 s counts what the store has.

--- a/coordination/census/census.go
+++ b/coordination/census/census.go
@@ -6,9 +6,10 @@
 // An entry rewrites its record every RenewInterval. Other entries measure a record's age
 // only by how long they have themselves seen its version unchanged, so clocks are never
 // compared. The count errs on the high side: a share that is too small wastes a little of
-// the bound, but a share that is too large exceeds it.
+// the bound, but a share that is too large exceeds it. So the records that a restored
+// platform lacks count on until their entries had time to write them again.
 //
-//	c.Observe(records, now)
+//	records := c.Observe(list, now)
 //	share := slack / float64(c.Count(now))
 package census
 
@@ -29,6 +30,8 @@
 	// removeAfter is how long a record stays in the platform without being renewed. Any entry
 	// that sees an older one removes it.
 	removeAfter = 10 * time.Minute
+	// ReturnPeriod is how long after a restore of the platform the records that it lacks count.
+	ReturnPeriod = 30 * time.Second
 	// DefaultCount is the count before the first read: a little more than the seven or eight
 	// entries of current deployments.
 	DefaultCount = 10
@@ -36,30 +39,49 @@
 
 // Counter holds the records as one entry has seen them. The zero value has seen none.
 type Counter struct {
-	records  map[string]record
-	observed bool
+	records     map[string]record
+	observed    bool
+	era         uint64    // of the platform at the last list
+	returnUntil time.Time // end of the ReturnPeriod
 }
 
-// record is the version of an entry's record and when it was first seen.
+// record is an entry's record and when its version was first seen.
 type record struct {
-	version        protocol.Revision
+	object         protocol.Object
 	unchangedSince time.Time // from when this entry has seen the version unchanged
 }
 
-// Observe records the state of all records as read at the given time.
-func (c *Counter) Observe(objects []protocol.Object, now time.Time) {
-	next := make(map[string]record, len(objects))
-	for _, o := range objects {
-		r := record{version: o.Version, unchangedSince: now}
-		if last, ok := c.records[o.Name]; ok && last.version == o.Version {
+// Observe records the state of all records as read at the given time. It returns the records of the
+// list, and after a restore of the platform also those that the list lacks and that still count.
+func (c *Counter) Observe(l protocol.Listing, now time.Time) []protocol.Object {
+	if c.observed && c.era < l.Revision.Era {
+		c.returnUntil = now.Add(ReturnPeriod)
+	}
+	c.observed, c.era = true, max(c.era, l.Revision.Era)
+	next := make(map[string]record, len(l.Objects))
+	for _, o := range l.Objects {
+		r := record{object: o, unchangedSince: now}
+		if last, ok := c.records[o.Name]; ok && last.object.Version == o.Version {
 			r.unchangedSince = last.unchangedSince
 		}
 		next[o.Name] = r
 	}
+	records := slices.Clone(l.Objects)
+	if now.Before(c.returnUntil) {
+		for name, r := range c.records {
+			if _, listed := next[name]; !listed && r.counts(now) {
+				next[name] = r
+				records = append(records, r.object)
+			}
+		}
+	}
 	c.records = next
-	c.observed = true
+	return records
 }
 
+// counts reports whether the record's entry counts.
+func (r record) counts(now time.Time) bool { return now.Sub(r.unchangedSince) < recordTTL }
+
 // Count returns an estimate of the number of entries, at least 1. It errs on the high side.
 func (c *Counter) Count(now time.Time) int {
 	if !c.observed {
@@ -72,7 +94,7 @@
 func (c *Counter) Names(now time.Time) []string {
 	var names []string
 	for name, r := range c.records {
-		if now.Sub(r.unchangedSince) < recordTTL {
+		if r.counts(now) {
 			names = append(names, name)
 		}
 	}
@@ -97,7 +119,7 @@
 	var stale []StaleRecord
 	for name, r := range c.records {
 		if now.Sub(r.unchangedSince) >= removeAfter {
-			stale = append(stale, StaleRecord{name: name, version: r.version})
+			stale = append(stale, StaleRecord{name: name, version: r.object.Version})
 		}
 	}
 	return stale
--- a/transport/front/registration.go
+++ b/transport/front/registration.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,17 @@
 	// sharedReadInterval is how often an entry that others follow reads the records for all of
 	// them, and how often an entry that follows a peer checks what the peer reported.
 	sharedReadInterval = 2 * time.Second
+	// staleListAge bounds the age of what a stale list shows. After a restore of the platform it may
+	// still be from before, with revisions that the platform gives out again.
+	staleListAge = 10 * time.Second
+	// returnSpread is the time, multiplied by the number of entries, over which entries write their
+	// records again that a restored platform lacks: a hundred a second, a quarter of the platform's
+	// rate. It ends well within census.ReturnPeriod.
+	returnSpread    = 10 * time.Millisecond
+	maxReturnSpread = census.ReturnPeriod * 2 / 3
+	// maxConflicts is how often in a row a write of the own record is repeated with the version that the
+	// platform named.
+	maxConflicts = 2
 )
 
 // registration keeps this entry's record and counts the records of all entries. Of the entries that
@@ -52,6 +64,8 @@
 	entryCount  int
 	members     []string     // names of the entries that count
 	dataCenters atomic.Int64 // number of data centers that have entries
+	restores    int          // restores of the platform that were handled
+	freshUntil  time.Time    // until when stale lists may be from before a restore
 }
 
 func (r *registration) run() {
@@ -62,10 +76,15 @@
 		if !r.started {
 			relinked = r.front.source.Relinked()
 		}
+		restored := r.front.Dependencies.Eras.Restored()
+		if r.front.Dependencies.Eras.Restores() != r.restores {
+			continue
+		}
 		t := time.NewTimer(time.Until(next))
 		select {
 		case <-t.C:
 		case <-relinked:
+		case <-restored:
 		case <-r.done.Done():
 		}
 		t.Stop()
@@ -76,6 +95,7 @@
 func (r *registration) step(now time.Time) time.Time {
 	ctx, cancel := context.WithTimeout(context.Background(), registrationTimeout)
 	defer cancel()
+	r.checkRestores(now)
 	if !r.started {
 		return r.start(ctx, now)
 	}
@@ -90,6 +110,16 @@
 	return earlier(r.nextRead, r.renewAt)
 }
 
+// checkRestores makes a restore of the platform known: all records are read at once, and not from a stale
+// list.
+func (r *registration) checkRestores(now time.Time) {
+	if n := r.front.Dependencies.Eras.Restores(); n != r.restores {
+		r.restores = n
+		r.nextRead = now
+		r.freshUntil = now.Add(staleListAge)
+	}
+}
+
 // earlier returns the earlier of two times.
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
@@ -109,7 +139,7 @@
 		r.updateCount(now)
 		return now.Add(sharedReadInterval)
 	}
-	list, err := r.front.Dependencies.Objects.ListStale(ctx, entryKind)
+	list, err := r.listAll(ctx, now)
 	if err != nil {
 		r.front.platformFailed("entries", err)
 		return now.Add(registrationRetryDelay)
@@ -122,14 +152,23 @@
 	return now.Add(census.ReadInterval)
 }
 
+// listAll reads all records from the platform.
+func (r *registration) listAll(ctx context.Context, now time.Time) (protocol.Listing, error) {
+	if now.Before(r.freshUntil) {
+		return r.front.Dependencies.Objects.List(ctx, entryKind)
+	}
+	return r.front.Dependencies.Objects.ListStale(ctx, entryKind)
+}
+
 // applyList applies a list of all records: it counts them and reports their entries. Unless a peer
 // does so, it also removes the records that are no longer renewed.
 func (r *registration) applyList(ctx context.Context, list protocol.Listing) {
 	now := time.Now()
 	r.revision = list.Revision
-	r.census.Observe(list.Objects, now)
+	r.checkOwnRecord(list, now)
+	objects := r.census.Observe(list, now)
 	r.updateCount(now)
-	records := r.learnEntries(list.Objects, true)
+	records := r.learnEntries(objects, true)
 	if r.front.source.Following() {
 		return
 	}
@@ -141,6 +180,23 @@
 	}
 }
 
+// checkOwnRecord looks for the own record in a list of a later era than the one in which it was written.
+// If the platform has lost it, it is written again.
+func (r *registration) checkOwnRecord(list protocol.Listing, now time.Time) {
+	if r.version.IsZero() || list.Revision.Era <= r.version.Era {
+		return
+	}
+	r.version = protocol.Revision{}
+	for _, o := range list.Objects {
+		if o.Name == r.front.Settings.Name {
+			r.version = o.Version
+			return
+		}
+	}
+	spread := min(maxReturnSpread, returnSpread*time.Duration(max(1, r.entryCount)))
+	r.renewAt = earlier(r.renewAt, now.Add(rand.N(spread)))
+}
+
 // updateCount sets the number and the names of the entries that share the limits.
 func (r *registration) updateCount(now time.Time) {
 	if names := r.census.Names(now); !slices.Equal(names, r.members) {
@@ -193,12 +249,7 @@
 	if err != nil {
 		return err
 	}
-	version, err := f.Dependencies.Objects.Put(ctx, entryKind, f.Settings.Name, r.version, value)
-	var conflict *platform.Conflict
-	if errors.As(err, &conflict) {
-		r.version = conflict.Version()
-		version, err = f.Dependencies.Objects.Put(ctx, entryKind, f.Settings.Name, r.version, value)
-	}
+	version, err := r.putRecord(ctx, value)
 	if err != nil {
 		f.platformFailed("entries", err)
 		return err
@@ -207,3 +258,16 @@
 	r.renewAt = time.Now().Add(census.RenewInterval)
 	return nil
 }
+
+// putRecord writes the own record over whatever version the platform holds: only this entry writes it. The
+// version that a conflict names is unknown if the platform was restored, so there may be two in a row.
+func (r *registration) putRecord(ctx context.Context, value []byte) (protocol.Revision, error) {
+	for attempts := 0; ; attempts++ {
+		version, err := r.front.Dependencies.Objects.Put(ctx, entryKind, r.front.Settings.Name, r.version, value)
+		var conflict *platform.Conflict
+		if !errors.As(err, &conflict) || attempts == maxConflicts {
+			return version, err
+		}
+		r.version = conflict.Version()
+	}
+}
--- a/transport/front/registration_test.go
+++ b/transport/front/registration_test.go
@@ -179,7 +179,7 @@
 	list, err := store.List(t.Context(), entryKind)
 	require.NoError(t, err)
 	long := time.Now().Add(-time.Hour)
-	other.census.Observe(list.Objects, long)
+	other.census.Observe(list, long)
 	store.delayed = true
 	other.applyList(t.Context(), list)
 	require.Len(t, store.late, 1)
--- a/transport/front/startup.go
+++ b/transport/front/startup.go
@@ -88,8 +88,18 @@
 
 // applyStartupList applies all records that were read at startup. If the entry has begun to follow
 // a peer meanwhile, the source keeps the peer's records: a list in between would interrupt their
-// sequence.
+// sequence. A platform that was restored may have been so a moment ago, and the stale list be from
+// before; the source gets another one then.
 func (r *registration) applyStartupList(ctx context.Context, list protocol.Listing) {
+	if !r.front.source.Following() && r.front.Dependencies.Eras.Latest() > 0 {
+		fresh, err := r.front.Dependencies.Objects.List(ctx, entryKind)
+		if err != nil {
+			r.front.platformFailed("entries", err)
+			r.nextRead = time.Now()
+			return
+		}
+		list = fresh
+	}
 	if !r.front.source.Following() {
 		r.front.source.ApplyList(entryKind, list)
 	}
