soak: restore copies of the store

A series of its own, so that the other series draw the same faults from a seed: a copy of the store is kept for up to four seconds, the store goes away for up to one, comes back from the copy in the next era, and the operator and the endpoints write again what they had written. It overlaps with kills, cuts, pauses, stops, lost answers and changes of the table.

--- a/soak/fault_series_test.go
+++ b/soak/fault_series_test.go
@@ -27,15 +27,21 @@
 	recordFaults bool
 	// answerFaults selects what endpoints say in their answers, for the same reason.
 	answerFaults bool
+	// restores selects restores of the store, for the same reason.
+	restores bool
 }
 
-// run injects faults until f.until in count parallel series, plus one series of record faults and one
-// of what endpoints say in their answers. It returns when all faults are over.
+// run injects faults until f.until in count parallel series, plus one series of record faults, one of
+// what endpoints say in their answers, and one of restores of the store. It returns when all faults
+// are over.
 func (f *faultInjection) run(rng *rand.Rand, count int) {
 	f.started = time.Now()
-	for i := range count + 2 {
+	for i := range count + 3 {
 		f.wait.Add(1)
-		go (&series{injection: f, rng: rand.New(rand.NewPCG(rng.Uint64(), 2)), recordFaults: i == count, answerFaults: i > count}).run()
+		go (&series{
+			injection: f, rng: rand.New(rand.NewPCG(rng.Uint64(), 2)),
+			recordFaults: i == count, answerFaults: i == count+1, restores: i == count+2,
+		}).run()
 	}
 	f.wait.Wait()
 }
@@ -109,5 +115,8 @@
 	if s.answerFaults {
 		faults = []func(){s.nameLimit, s.askForBackoff, s.leaveByAnswer}
 	}
+	if s.restores {
+		faults = []func(){s.restoreStore}
+	}
 	faults[s.rng.IntN(len(faults))]()
 }
