--- a/transport/relay/network_test.go
+++ b/transport/relay/network_test.go
@@ -14,6 +14,8 @@
 type network struct {
 	mutex  sync.Mutex
 	served map[string]*server // by address
+	// subprotocols are those that newSilentPeer accepts.
+	subprotocols []string
 }
 
 // server is one address of a network, and the listener of its own HTTP server.
--- a/transport/relay/store_test.go
+++ b/transport/relay/store_test.go
@@ -35,7 +35,7 @@
 }
 
 func newStore() *store {
-	return &store{objects: map[string]protocol.Object{}, changed: make(chan struct{}), calls: map[string]int{}, revision: 1, era: 1}
+	return &store{network: network{subprotocols: protocol.RelaySubprotocols()}, objects: map[string]protocol.Object{}, changed: make(chan struct{}), calls: map[string]int{}, revision: 1, era: 1}
 }
 
 // at returns the revision with a number in the current era.
@@ -237,7 +237,7 @@
 // record.
 func newSilentPeer(t *testing.T, s *store, kind string, o protocol.Object) protocol.EntryRecord {
 	server := s.network.serve("silent:1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		socket, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: protocol.RelaySubprotocols()})
+		socket, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: s.network.subprotocols})
 		if err != nil {
 			return
 		}
