soak: check the table after a restore far behind in calm time

Now others write up to a hundred objects between a copy and its restore, and in calm time a copy a hundred revisions behind is restored before the table is checked again.

--- a/soak/recovery_test.go
+++ b/soak/recovery_test.go
@@ -36,6 +36,8 @@
 	}
 	time.Sleep(settleTime)
 	r.checkTable()
+	r.restoreStore()
+	r.checkTable()
 	r.checkDrain()
 	r.checkRateLimit()
 	r.checkCrashWork()
--- a/soak/restore_test.go
+++ b/soak/restore_test.go
@@ -4,6 +4,8 @@
 
 import (
 	"slices"
+	"strconv"
+	"time"
 
 	"pinerun.example/pinerun/platform/platformtest"
 )
@@ -14,6 +16,7 @@
 	tb := s.injection.testbed
 	c := tb.store.Copy()
 	s.pause(100, 4000)
+	tb.writeUnrelated(s.rng.IntN(maxUnrelated))
 	tb.tableMutex.Lock()
 	defer tb.tableMutex.Unlock()
 	s.injection.record("restore the store")
@@ -27,6 +30,30 @@
 	tb.rewriteRecords()
 }
 
+// maxUnrelated bounds the writes of others between a copy and its restore. They keep revisions after
+// the restore below those before.
+const maxUnrelated = 100
+
+// writeUnrelated writes objects that no entry reads.
+func (tb *testbed) writeUnrelated(n int) {
+	for i := range n {
+		tb.store.Put("unrelated", strconv.Itoa(i), i)
+	}
+}
+
+// restoreStore restores a copy far behind, and waits until the bounds apply again.
+func (r *recovery) restoreStore() {
+	tb := r.testbed
+	c := tb.store.Copy()
+	tb.writeUnrelated(maxUnrelated)
+	tb.changeTable(permanentKey, spareKey)
+	time.Sleep(configBound)
+	tb.store.Restore(c)
+	tb.putTable()
+	tb.rewriteRecords()
+	time.Sleep(settleTime)
+}
+
 // rewriteRecords writes the records of all endpoints again, and deletes those of endpoints that are gone.
 func (tb *testbed) rewriteRecords() {
 	var known []string
