front: count no record that a restore has lost as a crash

What callers lose: valid work is refused. A record that vanishes counts as the crash of its endpoint, and work that had broken off there is held responsible; after a restore that lacks the records of three such endpoints it was refused everywhere (TestRecordLostByRestoreIsNoCrash: Refused instead of PreferIsolation).

Also rewrites the list of seed entries after a restore, whose writer took its last write for held, and sends no confirmed object to a follower if the store has none.

--- a/state/registry/restore.go
+++ b/state/registry/restore.go
@@ -23,6 +23,15 @@
 	until    time.Time
 }
 
+// IsOfEarlierEra reports whether the record of an endpoint was read in an earlier era of the platform's
+// store than the given one, so that a restore and not the endpoint may have removed it.
+func (r *Registry) IsOfEarlierEra(id string, era uint64) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	e, known := r.endpoints[id]
+	return known && e.Era < era
+}
+
 // holdBack decides whether a record is ignored for now because it may be older than what is known. That
 // is so for the first record of an endpoint in a new era of the platform's store: it may be that of the
 // copy, unless the endpoint has written it since. A running process overwrites the copy's record with
--- a/transport/front/endpoint_sink.go
+++ b/transport/front/endpoint_sink.go
@@ -56,7 +56,9 @@
 	s.noteEra(c.Object.Version.Era, now)
 	if c.Deleted {
 		f.records.forget(c.Object.Name)
-		f.source.Quarantine().RecordCrash(c.Object.Name, f.endpoints.Incarnation(c.Object.Name), now)
+		if !f.endpoints.IsOfEarlierEra(c.Object.Name, c.Object.Version.Era) {
+			f.source.Quarantine().RecordCrash(c.Object.Name, f.endpoints.Incarnation(c.Object.Name), now)
+		}
 		if f.endpoints.Remove(c.Object.Name, now) {
 			event.EndpointGone.Log(f.Logger, slog.String("endpoint", c.Object.Name), slog.String("reason", "record gone"),
 				c.Object.Version.LogAttr())
--- a/transport/front/registration.go
+++ b/transport/front/registration.go
@@ -115,6 +115,7 @@
 func (r *registration) checkRestores(now time.Time) {
 	if n := r.front.Dependencies.Eras.Restores(); n != r.restores {
 		r.restores = n
+		r.seedEntries = seedEntries{} // the platform may have lost it
 		r.nextRead = now
 		r.freshUntil = now.Add(staleListAge)
 	}
--- a/transport/front/restore_test.go
+++ b/transport/front/restore_test.go
@@ -4,11 +4,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"pinerun.example/pinerun/coordination/quarantine"
 	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
@@ -118,3 +120,30 @@
 		})
 	}
 }
+
+// TestRecordLostByRestoreIsNoCrash restores a copy without the records of endpoints at which work has
+// broken off. The work was held responsible for three crashes.
+func TestRecordLostByRestoreIsNoCrash(t *testing.T) {
+	known := protocol.Revision{Era: 1, Number: 9}
+	statusAfter := func(gone protocol.Revision) quarantine.Status {
+		f := &Front{Counters: &metric.Set{}, Dependencies: Dependencies{Decoder: fixedDecoder{}}}
+		s := &endpointSink{front: f}
+		q := f.source.Quarantine()
+		work := protocol.Fingerprint{1}
+		now := time.Now().Add(-10 * time.Second)
+		for _, name := range []string{"e1", "e2", "e3"} {
+			now = now.Add(3 * time.Second)
+			o := protocol.Object{Name: name, Version: known}
+			s.Changed(protocol.Change{Object: o}, now)
+			q.Report(protocol.WorkReport{Work: work, Endpoint: name, Observation: protocol.WorkBroke}, now)
+			o.Version = gone
+			if !gone.IsZero() {
+				s.Changed(protocol.Change{Object: o, Deleted: true}, now.Add(time.Millisecond))
+			}
+		}
+		return q.Status(work, now.Add(time.Second))
+	}
+	kept := statusAfter(protocol.Revision{})
+	require.IsType(t, kept, statusAfter(protocol.Revision{Era: 2, Number: 4}))
+	require.NotEqual(t, fmt.Sprintf("%T", kept), fmt.Sprintf("%T", statusAfter(protocol.Revision{Era: 1, Number: 20})), "a removed record is a crash")
+}
--- a/transport/relay/follower.go
+++ b/transport/relay/follower.go
@@ -241,7 +241,7 @@
 	s := f.source
 	mirrored, _ := s.mirror.Object(s.ConfirmedKind, s.ConfirmedName)
 	o := s.platformStatus().confirmed.object
-	if o.Version != a.Version || !protocol.LaterRevision(mirrored.Version, f.aheadVersion).Before(o.Version) {
+	if o.Version.IsZero() || o.Version != a.Version || !protocol.LaterRevision(mirrored.Version, f.aheadVersion).Before(o.Version) {
 		return nil
 	}
 	delta, err := f.encoder.encode(s.ConfirmedKind, mirror.Delta{After: mirrored.Version, To: o.Version, Changes: []protocol.Change{{Object: o}}})
