--- a/transport/relay/versions_test.go
+++ b/transport/relay/versions_test.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,8 +21,9 @@
 // earlierFollower is a follower of an earlier version of the program: it knows arrays only, and no eras.
 type earlierFollower struct {
 	socket *websocket.Conn
+	mutex  sync.Mutex
 	frames []protocol.RelayFrame
-	status websocket.StatusCode
+	status websocket.StatusCode // after done is closed
 	done   chan struct{}
 }
 
@@ -56,10 +59,19 @@
 		if err != nil {
 			return
 		}
+		f.mutex.Lock()
 		f.frames = append(f.frames, frame)
+		f.mutex.Unlock()
 	}
 }
 
+// received returns the frames so far.
+func (f *earlierFollower) received() []protocol.RelayFrame {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.Clone(f.frames)
+}
+
 // TestFollowerOfEarlierVersionListsAgainAfterRestore has a follower that knows no eras get changes as
 // before, and list again once the platform was restored.
 func TestFollowerOfEarlierVersionListsAgainAfterRestore(t *testing.T) {
@@ -71,10 +83,11 @@
 		time.Sleep(time.Second)
 		s.put(table, "two")
 		time.Sleep(time.Second)
-		require.Len(t, f.frames, 2)
-		require.True(t, f.frames[0].Deltas[0].Snapshot)
-		require.Equal(t, "two", string(f.frames[1].Deltas[0].Changes[0].Value))
-		require.Equal(t, s.revision, f.frames[1].Deltas[0].Revision.Number)
+		frames := f.received()
+		require.Len(t, frames, 2)
+		require.True(t, frames[0].Deltas[0].Snapshot)
+		require.Equal(t, "two", string(frames[1].Deltas[0].Changes[0].Value))
+		require.Equal(t, s.revision, frames[1].Deltas[0].Revision.Number)
 		s.restore(s.copied())
 		s.put(table, "three")
 		<-f.done
@@ -83,7 +96,8 @@
 		time.Sleep(time.Second)
 		s.put(table, "four")
 		time.Sleep(time.Second)
-		require.Equal(t, "four", string(again.frames[len(again.frames)-1].Deltas[0].Changes[0].Value), "from its revision on")
+		frames = again.received()
+		require.Equal(t, "four", string(frames[len(frames)-1].Deltas[0].Changes[0].Value), "from its revision on")
 		require.NoError(t, again.socket.CloseNow())
 	})
 }
