--- a/transport/relay/restore_test.go
+++ b/transport/relay/restore_test.go
@@ -17,6 +17,9 @@
 // connected.
 const changeBound = 2 * time.Second
 
+// fleetSize is the number of entries of a large fleet.
+const fleetSize = 200
+
 // requireWithin waits until entries have a value of the table, and fails if one gets it later than
 // changeBound after a time.
 func requireWithin(t *testing.T, entries []*entry, value string, since time.Time) {
@@ -140,3 +143,24 @@
 		}
 	})
 }
+
+// TestRestoreOfLargeFleetCostsFewCalls restores a copy under hundreds of entries. All have the next change
+// within the bound, and hardly any calls the platform for it.
+func TestRestoreOfLargeFleetCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put(table, "one")
+		all := newEntriesAcross(t, s, fleetSize, 9)
+		earlier := s.copied()
+		s.putOthers(50)
+		s.put(table, "lost")
+		requireWithin(t, all, "lost", time.Now())
+		before := totalCalls(all)
+		s.restore(earlier)
+		s.put(table, "two")
+		requireWithin(t, all, "two", time.Now())
+		calls := totalCalls(all) - before
+		t.Logf("%d entries: %d calls", len(all), calls)
+		require.LessOrEqual(t, calls, 30)
+	})
+}
