forward: tell which endpoints this entry reaches by its own connections

Now a gauge counts the endpoints that answered on connections of this entry in the last 3 s, /fleet tells when each last did, 3022 says at the witness of a loss what it reached besides, and 2006 how many bytes were sent. No decision changes.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -65,6 +65,7 @@
 	RateLimitChanged    = Event{3019, "endpoint limits requests", slog.LevelWarn}
 	BackoffAsked        = Event{3020, "endpoint asks for backoff", slog.LevelInfo}
 	LeavingTold         = Event{3021, "endpoint tells that it leaves", slog.LevelInfo}
+	LossObserved        = Event{3022, "loss observed", slog.LevelWarn}
 	ConfigInForce       = Event{4001, "configuration in force", slog.LevelInfo}
 	ConfigIgnored       = Event{4002, "configuration ignored", slog.LevelWarn}
 	KeysUnconfirmed     = Event{4003, "keys unconfirmed", slog.LevelWarn}
@@ -108,7 +109,7 @@
 		PathOrdered, PathAnswered, WorkRefused, WorkReleased, RefusalIgnored, CrashUnresolved, IsolatedRunAwaited, StageLost,
 		RunnerConnected, RunnerLost, RunnerEjected, FrameBroken, ReportIgnored,
 		EndpointJoined, EndpointLeaving, EndpointGone, LayersChanged, LossReported,
-		RecordSuperseded, RecordDisproved, RecordUnusable, RecordUsable, EndpointSlow, EndpointRecovered, EndpointRestarted, RateLimitChanged, BackoffAsked, LeavingTold,
+		RecordSuperseded, RecordDisproved, RecordUnusable, RecordUsable, EndpointSlow, EndpointRecovered, EndpointRestarted, RateLimitChanged, BackoffAsked, LeavingTold, LossObserved,
 		ConfigInForce, ConfigIgnored, KeysUnconfirmed, KeysConfirmed, ConfigPassedOver,
 		PlatformUnreached, PlatformBack, PlatformCalled, StoreRestored,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
--- a/protocol/status.go
+++ b/protocol/status.go
@@ -38,6 +38,7 @@
 	OpenLayerPasses int64         `json:"open"`               // layer passes of this entry's requests in progress at the endpoint
 	OrderedFrom     int           `json:"ordered_from"`       // the layers it was last ordered to hold, as far as this entry knows;
 	OrderedTo       int           `json:"ordered_to"`         // none unless OrderedTo is greater
+	ReachedMS       *int64        `json:"reached_ms"`         // how long ago it last answered on a connection of this entry, null for never
 }
 
 // EndpointState says whether an endpoint gets new work, and if not, why.
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -35,6 +35,7 @@
 	deviation        atomic.Uint64
 	measuredAt       atomic.Int64  // unix nanoseconds
 	heardAt          atomic.Int64  // unix nanoseconds
+	reachedAt        atomic.Int64  // unix nanoseconds
 	usedByOthers     atomic.Uint64 // layer passes that other entries' requests held by the last report, a float
 	usedUntil        atomic.Int64  // unix nanoseconds until when usedByOthers is trusted
 	ejectedUntil     atomic.Int64  // unix nanoseconds
@@ -109,6 +110,18 @@
 // HeardAt returns when the runner last sent a message.
 func (r *Runner) HeardAt() time.Time { return time.Unix(0, r.heardAt.Load()) }
 
+// Reached notes that the runner sent a message on a connection of this entry, not through another runner.
+func (r *Runner) Reached(now time.Time) { r.reachedAt.Store(now.UnixNano()) }
+
+// ReachedAt returns when the runner last sent a message on a connection of this entry, the zero time for
+// never.
+func (r *Runner) ReachedAt() time.Time {
+	if at := r.reachedAt.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
+
 // Served notes that an event of a request came through the runner. The request was sent at the given
 // time with an urgency from 0, the most urgent.
 func (r *Runner) Served(sentAt time.Time, urgency int) {
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -62,6 +62,7 @@
 	reportedLost     []*fleet.Runner      // later stages that were reported lost; exchange only
 	head             *http.Response       // head of the stream, nil until received; exchange only
 
+	sent         int  // bytes of the request that were written; run only
 	connReturned bool // the connection went back to the pool, which owns its buffer; run only
 	ctx          context.Context
 	cancel       context.CancelFunc
@@ -84,9 +85,10 @@
 	a.request = nil // frees the memory while the response is awaited
 	if err != nil {
 		a.closeConn()
-		a.post(attemptEnded{attempt: a, cause: err, unsent: n == 0, stale: c.reused})
+		a.post(attemptEnded{attempt: a, cause: err, sent: n, unsent: n == 0, stale: c.reused})
 		return
 	}
+	a.sent = n
 	a.readResponse(c)
 }
 
@@ -179,14 +181,14 @@
 	head, begun, err := a.readHead(c)
 	if err != nil {
 		a.closeConn()
-		a.post(attemptEnded{attempt: a, cause: err, stale: c.reused && !begun})
+		a.post(attemptEnded{attempt: a, cause: err, sent: a.sent, stale: c.reused && !begun})
 		return
 	}
 	defer head.Body.Close()
 	terms := a.forwarder.Headers.ParseResponse(head.StatusCode, head.Header, clock.Now())
 	if terms.RequestID != "" && terms.RequestID != a.id {
 		a.closeConn()
-		a.post(attemptEnded{attempt: a, cause: errWrongResponse, stale: c.reused})
+		a.post(attemptEnded{attempt: a, cause: errWrongResponse, sent: a.sent, stale: c.reused})
 		return
 	}
 	a.recordRateLimit(head.StatusCode, &terms)
@@ -223,7 +225,7 @@
 func (a *attempt) readStream(head *http.Response, terms protocol.AnswerTerms) {
 	if err := validateResponse(head, terms); err != nil {
 		a.closeConn()
-		a.post(attemptEnded{attempt: a, cause: err})
+		a.post(attemptEnded{attempt: a, cause: err, sent: a.sent})
 		return
 	}
 	a.post(headReceived{attempt: a, head: head, terms: terms})
@@ -238,7 +240,7 @@
 		}
 		if err != nil {
 			a.closeConn()
-			a.post(attemptEnded{attempt: a, cause: err})
+			a.post(attemptEnded{attempt: a, cause: err, sent: a.sent})
 			return
 		}
 		if n := len(e.content); n > smallBytes && !a.reservation.reserveWait(int64(n), a.ctx.Done()) {
@@ -255,7 +257,7 @@
 	}
 	if err != nil {
 		a.closeConn()
-		a.post(attemptEnded{attempt: a, cause: err})
+		a.post(attemptEnded{attempt: a, cause: err, sent: a.sent})
 		return
 	}
 	a.returnConn(head)
@@ -319,9 +321,11 @@
 	return nil
 }
 
-// recordHeard records as working every runner that the attempt certainly uses. The first event says all
+// recordHeard records as working every runner that the attempt certainly uses, and as reached the endpoint
+// that the attempt is connected to. The first event says all
 // that there is to say about when the request was sent.
 func (x *exchange) recordHeard(a *attempt, now time.Time) {
+	a.endpoint.Reached(now)
 	for i := range a.path.Len() {
 		if a.provesStage(i) {
 			x.forwarder.recordWorking(a.path.Runner(i), now)
--- a/transport/forward/decide.go
+++ b/transport/forward/decide.go
@@ -101,9 +101,10 @@
 }
 
 // attemptFailed logs the failure of an attempt and applies the retry policy.
-func (x *exchange) attemptFailed(a *attempt, r retry.Result, cause error) {
+func (x *exchange) attemptFailed(m *attemptEnded, r retry.Result) {
+	a := m.attempt
 	x.forwarder.log(event.AttemptBroken, x.requestAttr(), slog.Int("attempt", a.number), slog.String("endpoint", a.endpoint.Name()),
-		slog.Int("events", x.events), slog.String("fingerprint", x.workFingerprint().String()), slog.String("cause", cause.Error()))
+		slog.Int("events", x.events), slog.String("fingerprint", x.workFingerprint().String()), slog.Int("sent_bytes", m.sent), slog.String("cause", m.cause.Error()))
 	x.decideRetry(a, r, nil)
 }
 
--- a/transport/forward/failure.go
+++ b/transport/forward/failure.go
@@ -63,11 +63,36 @@
 }
 
 func (f *Forwarder) reportObservation(r *fleet.Runner, observation protocol.LossObservation, now time.Time) {
+	if observation != protocol.LossAnswered {
+		f.logLossObserved(r, observation, now)
+	}
 	if f.ReportLoss != nil {
 		f.ReportLoss(r.Name(), observation, now)
 	}
 }
 
+// reachedWindow is how recently an endpoint must have been reached to count as reached in a log line.
+const reachedWindow = time.Second
+
+// logLossObserved logs a failure at a runner together with what this entry reached besides.
+func (f *Forwarder) logLossObserved(r *fleet.Runner, observation protocol.LossObservation, now time.Time) {
+	reached, sinceMS := 0, int64(-1)
+	for _, other := range f.Registry.View().Runners() {
+		at := other.ReachedAt()
+		if at.IsZero() {
+			continue
+		}
+		if ms := now.Sub(at).Milliseconds(); sinceMS < 0 || ms < sinceMS {
+			sinceMS = ms
+		}
+		if other != r && now.Sub(at) <= reachedWindow {
+			reached++
+		}
+	}
+	f.log(event.LossObserved, slog.String("runner", r.Name()), slog.String("sign", observation.String()),
+		slog.Int("reached", reached), slog.Int64("reached_ms", sinceMS))
+}
+
 // ApplyLossReport applies the change that a loss report or an address owner report makes, and
 // reports whether the director may need to act on it.
 func (f *Forwarder) ApplyLossReport(report loss.Report, change loss.Change) bool {
--- a/transport/forward/handle.go
+++ b/transport/forward/handle.go
@@ -138,14 +138,14 @@
 		x.undoReached(a)
 		x.forwarder.reportError(a.endpoint, m.cause, a.sentAt, now)
 		x.ejectFaulty(a, a.endpoint.Spec().Address, metric.EjectedConnection, now)
-		x.attemptFailed(a, retry.NeverSent, m.cause)
+		x.attemptFailed(&m, retry.NeverSent)
 	case m.stale:
 		// A reused connection closed before the response. The endpoint may have run the request all
 		// the same, but is hardly at fault.
-		x.attemptFailed(a, retry.Broken, m.cause)
+		x.attemptFailed(&m, retry.Broken)
 	default:
 		x.ejectFaulty(a, "", metric.EjectedFailed, now)
-		x.attemptFailed(a, retry.Broken, m.cause)
+		x.attemptFailed(&m, retry.Broken)
 	}
 }
 
--- a/transport/forward/message.go
+++ b/transport/forward/message.go
@@ -34,11 +34,12 @@
 }
 
 // attemptEnded reports the end of an attempt. The cause is nil if a stream ended properly. unsent
-// is set if no byte was sent; stale is set if a reused connection turned out to be closed.
+// is set if no byte was sent, and sent is how many were; stale is set if a reused connection turned out to be closed.
 type attemptEnded struct {
 	attempt *attempt
 	cause   error
 	unsent  bool
+	sent    int
 	stale   bool
 }
 
--- a/transport/front/fleet.go
+++ b/transport/front/fleet.go
@@ -54,6 +54,10 @@
 	if r != nil {
 		s.Utilization = r.Utilization(now, 0)
 		s.OpenLayerPasses = r.Outstanding()
+		if at := r.ReachedAt(); !at.IsZero() {
+			ms := now.Sub(at).Milliseconds()
+			s.ReachedMS = &ms
+		}
 	}
 	switch {
 	case e.Leaving:
--- a/transport/front/gauges.go
+++ b/transport/front/gauges.go
@@ -7,10 +7,15 @@
 	"fmt"
 	"io"
 	"slices"
+	"time"
 
 	"pinerun.example/pinerun/protocol"
 )
 
+// reachedWindow is how recently an endpoint must have answered on a connection of this entry to count as
+// reached: longer than the pauses between the requests of an entry that is in use.
+const reachedWindow = 3 * time.Second
+
 // groupKey identifies the endpoints of one service in one data center.
 type groupKey struct {
 	service, dataCenter string
@@ -23,6 +28,7 @@
 	open           int64   // outstanding layer passes of this entry's requests there
 	utilizationSum float64 // summed over the endpoints that new work goes to
 	serving        int     // number of endpoints that new work goes to
+	reached        int     // number of endpoints reached within reachedWindow
 }
 
 // stateCount is the number of endpoints in a state.
@@ -59,6 +65,9 @@
 	}
 	g.states[at].count++
 	g.open += e.OpenLayerPasses
+	if e.ReachedMS != nil && *e.ReachedMS <= reachedWindow.Milliseconds() {
+		g.reached++
+	}
 	if e.State == protocol.EndpointServing || e.State == protocol.EndpointSlow {
 		g.serving++
 		g.utilizationSum += e.Utilization
@@ -79,6 +88,7 @@
 		for _, c := range group.states {
 			gauges.write("endpoints", fmt.Sprintf("%s,state=%q", labels, c.state), float64(c.count))
 		}
+		gauges.write("endpoints_reached", labels, float64(group.reached))
 		gauges.write("open_passes", labels, float64(group.open))
 		if group.serving > 0 {
 			gauges.write("room_taken", labels, group.utilizationSum/float64(group.serving))
