--- a/transport/forward/conn.go
+++ b/transport/forward/conn.go
@@ -49,6 +49,14 @@
 	dial    func(ctx context.Context, address string) (net.Conn, error)
 }
 
+// connect connects to the address of an endpoint.
+func (f *Forwarder) connect(ctx context.Context, address string) (net.Conn, error) {
+	if f.Dial != nil {
+		return f.Dial(ctx, address)
+	}
+	return dialTCP(ctx, address)
+}
+
 // dialTCP connects to an endpoint over TCP.
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: backlog.LimitEngineSocket}
--- a/transport/forward/crash_probe.go
+++ b/transport/forward/crash_probe.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"os"
 	"time"
 
@@ -58,7 +57,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	queriedAt := clock.Now()
-	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.runner.Spec().Address)
+	c, err := p.forwarder.connect(ctx, p.runner.Spec().Address)
 	if err != nil {
 		return p.classifyError(err, queriedAt)
 	}
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -109,7 +109,7 @@
 
 // Start starts the background maintenance of connections, queues and engine reports.
 func (f *Forwarder) Start() {
-	f.pool.dial = f.Dial
+	f.pool.dial = f.connect
 	f.pool.opened = func() { f.Counters.Add(metric.EndpointConnections, 1) }
 	f.faultLocator.forwarder = f
 	f.poller.forwarder = f
--- a/transport/front/dependencies.go
+++ b/transport/front/dependencies.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/era"
@@ -22,6 +23,8 @@
 	RoutingKind  string
 	RoutingName  string
 	EndpointKind string
+	// DialEndpoint connects to the address of an endpoint. If it is nil, connections are over TCP.
+	DialEndpoint func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Objects is the platform's object store.
@@ -46,6 +49,8 @@
 	// Identify asks the process at an address for the name of its endpoint, at the health path of
 	// the service. It returns "" if the response does not name one.
 	Identify(ctx context.Context, address, path string) (string, error)
+	// DialWith sets how connections to engines are made. It is called before any other method.
+	DialWith(dial func(ctx context.Context, address string) (net.Conn, error))
 }
 
 // Decoder decodes the objects of the platform.
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -129,6 +129,10 @@
 		Late:               f.scheduling.Late,
 		PlatformFailedAt:   f.source.FailedAt,
 	}
+	if dial := f.Dependencies.DialEndpoint; dial != nil {
+		f.forwarder.Dial = dial
+		f.Dependencies.Engines.DialWith(dial)
+	}
 	if s.ChangePaths {
 		f.forwarder.PathChanger = f.Dependencies.Engines
 	}
