tunnel: connect to endpoints through other entries

What callers saw: an entry that no longer reached the endpoints served nothing and answered 502, 503 and 504; and at all other entries callers were refused, because sound endpoints were taken for lost.

Cause: an entry could not part its own cut from the death of endpoints. A refused connection was a loss by one witness, and there was no second way to connect.

Change: one Dialer makes all connections to endpoints (requests, reports, orders, probes). Where it can't connect it asks another entry, which connects and passes bytes: the choice of endpoints, attempts, budgets and deadlines stay with the first entry. An endpoint is reported lost, silent or slow only if another entry, which reaches others, finds the same.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -66,6 +66,11 @@
 	BackoffAsked        = Event{3020, "endpoint asks for backoff", slog.LevelInfo}
 	LeavingTold         = Event{3021, "endpoint tells that it leaves", slog.LevelInfo}
 	LossObserved        = Event{3022, "loss observed", slog.LevelWarn}
+	PathBlocked         = Event{3023, "path to endpoint cut", slog.LevelWarn}
+	PathRestored        = Event{3024, "path to endpoint works", slog.LevelInfo}
+	EntryCutOff         = Event{3025, "cut off from endpoints", slog.LevelWarn}
+	EntryReconnected    = Event{3026, "reaches endpoints again", slog.LevelInfo}
+	TunnelFailed        = Event{3027, "tunnel failed", slog.LevelWarn}
 	ConfigInForce       = Event{4001, "configuration in force", slog.LevelInfo}
 	ConfigIgnored       = Event{4002, "configuration ignored", slog.LevelWarn}
 	KeysUnconfirmed     = Event{4003, "keys unconfirmed", slog.LevelWarn}
@@ -110,6 +115,7 @@
 		RunnerConnected, RunnerLost, RunnerEjected, FrameBroken, ReportIgnored,
 		EndpointJoined, EndpointLeaving, EndpointGone, LayersChanged, LossReported,
 		RecordSuperseded, RecordDisproved, RecordUnusable, RecordUsable, EndpointSlow, EndpointRecovered, EndpointRestarted, RateLimitChanged, BackoffAsked, LeavingTold, LossObserved,
+		PathBlocked, PathRestored, EntryCutOff, EntryReconnected, TunnelFailed,
 		ConfigInForce, ConfigIgnored, KeysUnconfirmed, KeysConfirmed, ConfigPassedOver,
 		PlatformUnreached, PlatformBack, PlatformCalled, StoreRestored,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -161,6 +161,14 @@
 	s.counters.Add("platform_calls_by."+string(call)+" "+kind, 1)
 }
 
+// CountTunnelAsked counts a request for a tunnel that this entry made, by what came of it.
+func (s *Set) CountTunnelAsked(outcome string) { s.counters.Add("tunnels_asked_by."+outcome, 1) }
+
+// CountTunnelServed counts a request for a tunnel that another entry made, by its outcome.
+func (s *Set) CountTunnelServed(o protocol.TunnelOutcome) {
+	s.counters.Add("tunnels_served_by."+o.String(), 1)
+}
+
 // CountPlatformStatus counts an answer of the platform with that HTTP status.
 func (s *Set) CountPlatformStatus(status int) {
 	s.counters.Add("platform_answers_by."+strconv.Itoa(status), 1)
--- a/protocol/relay.go
+++ b/protocol/relay.go
@@ -17,6 +17,12 @@
 	Heartbeat uint64  `json:"beat"` // increases with each write
 }
 
+// An entry presents the key of another one's record in the header KeyHeader, after KeyPrefix.
+const (
+	KeyHeader = "Authorization"
+	KeyPrefix = "Bearer "
+)
+
 // SeedEntries holds the records of the entries that all others try to follow. The entry that
 // calls the platform for all others maintains it. A starting entry reads it instead of all
 // records.
--- a/state/registry/registry.go
+++ b/state/registry/registry.go
@@ -39,6 +39,12 @@
 // center. A plain service has one model for all data centers, with the data center "".
 func ModelName(service, dataCenter string) string { return service + "@" + dataCenter }
 
+// ServiceOf returns the service in the name of a model.
+func ServiceOf(model string) string {
+	service, _, _ := strings.Cut(model, "@")
+	return service
+}
+
 // Registry holds the live endpoints. The exported fields must be set before use.
 type Registry struct {
 	// Entry is the local entry.
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -62,8 +62,9 @@
 	reportedLost     []*fleet.Runner      // later stages that were reported lost; exchange only
 	head             *http.Response       // head of the stream, nil until received; exchange only
 
-	sent         int  // bytes of the request that were written; run only
-	connReturned bool // the connection went back to the pool, which owns its buffer; run only
+	sent         int    // bytes of the request that were written; run only
+	peer         string // the entry that the connection goes through, "" for none; set before the first message
+	connReturned bool   // the connection went back to the pool, which owns its buffer; run only
 	ctx          context.Context
 	cancel       context.CancelFunc
 	mutex        sync.Mutex
@@ -72,11 +73,12 @@
 
 func (a *attempt) run() {
 	defer a.stop()
-	c, err := a.pool.get(a.ctx, a.endpoint.Name(), a.endpoint.Spec().Address, a.newConn)
+	c, err := a.pool.get(a.ctx, a.endpoint.Name(), a.endpoint.Spec().Address, a.newConn || a.forwarder.blocked(a.endpoint))
 	if err != nil {
 		a.post(attemptEnded{attempt: a, cause: err, unsent: true})
 		return
 	}
+	a.peer = c.peer
 	defer a.recycleBuffer(c)
 	if !a.attachConn(c) {
 		return
@@ -92,6 +94,13 @@
 	a.readResponse(c)
 }
 
+// recordReached records that the endpoint answered on a new connection of this entry.
+func (a *attempt) recordReached(c *conn) {
+	if links := a.forwarder.Links; links != nil && c.peer == "" && !c.reused {
+		links.RecordReached(a.endpoint.Spec().Address, c.openedAt)
+	}
+}
+
 // markEvent records an event and reports whether it is the first of the attempt.
 func (a *attempt) markEvent() bool {
 	before := a.hasEvent
@@ -159,7 +168,7 @@
 	if a.conn == nil {
 		return
 	}
-	if head.Close {
+	if head.Close || a.conn.peer != "" {
 		_ = a.conn.Close()
 	} else {
 		a.connReturned = true
@@ -185,6 +194,7 @@
 		return
 	}
 	defer head.Body.Close()
+	a.recordReached(c)
 	terms := a.forwarder.Headers.ParseResponse(head.StatusCode, head.Header, clock.Now())
 	if terms.RequestID != "" && terms.RequestID != a.id {
 		a.closeConn()
@@ -325,7 +335,9 @@
 // that the attempt is connected to. The first event says all
 // that there is to say about when the request was sent.
 func (x *exchange) recordHeard(a *attempt, now time.Time) {
-	a.endpoint.Reached(now)
+	if a.peer == "" {
+		a.endpoint.Reached(now)
+	}
 	for i := range a.path.Len() {
 		if a.provesStage(i) {
 			x.forwarder.recordWorking(a.path.Runner(i), now)
--- a/transport/forward/baseline.go
+++ b/transport/forward/baseline.go
@@ -29,6 +29,9 @@
 		return
 	}
 	if x.slowdownOf(a, now) >= slowCallRatio {
+		if !x.reachedSince(a, now) {
+			return
+		}
 		a.reportedSlow = true
 		x.forwarder.reportObservedSlowdown(a, slowCallRatio, now) // a lower bound, reported now because the response may never arrive
 	}
@@ -36,7 +39,7 @@
 
 // recordResponseTime records how long a plain service took to respond.
 func (x *exchange) recordResponseTime(a *attempt, now time.Time) {
-	if x.service.Engine != nil || a.sentAt.Before(x.resumedAt) {
+	if x.service.Engine != nil || a.sentAt.Before(x.resumedAt) || a.peer != "" {
 		return
 	}
 	x.forwarder.reportObservedSlowdown(a, x.slowdownOf(a, now), now)
--- a/transport/forward/conn.go
+++ b/transport/forward/conn.go
@@ -16,6 +16,7 @@
 
 	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/transport/backlog"
+	"pinerun.example/pinerun/transport/tunnel"
 )
 
 const (
@@ -36,6 +37,8 @@
 	reader    *bufio.Reader
 	endpoint  string
 	reused    bool
+	peer      string    // the entry that the connection goes through, "" for none
+	openedAt  time.Time // when connecting began
 	idleUntil time.Time
 }
 
@@ -51,6 +54,9 @@
 
 // connect connects to the address of an endpoint.
 func (f *Forwarder) connect(ctx context.Context, address string) (net.Conn, error) {
+	if f.Links != nil {
+		return f.Links.Dial(ctx, address)
+	}
 	if f.Dial != nil {
 		return f.Dial(ctx, address)
 	}
@@ -77,11 +83,12 @@
 	if dial == nil {
 		dial = dialTCP
 	}
+	openedAt := clock.Now()
 	raw, err := dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: p.buffers.get(raw), endpoint: endpoint}, nil
+	return &conn{Conn: raw, reader: p.buffers.get(raw), endpoint: endpoint, peer: tunnel.Peer(raw), openedAt: openedAt}, nil
 }
 
 func (p *connPool) takeIdle(endpoint string, now time.Time) *conn {
--- a/transport/forward/crash_probe.go
+++ b/transport/forward/crash_probe.go
@@ -71,11 +71,11 @@
 	return quarantine.ProbeInconclusive
 }
 
-// classifyError classifies a failed query: a refused connection means that the incarnation is over,
-// any other error leaves it unclear.
+// classifyError classifies a failed query: a refused connection means that the incarnation is over, unless
+// this entry may be cut off from it. Any other error leaves it unclear.
 func (p *crashProbe) classifyError(cause error, queriedAt time.Time) quarantine.ProbeResult {
 	p.forwarder.reportError(p.runner, cause, queriedAt, clock.Now())
-	if observation, _ := observationOf(cause); observation == protocol.LossRefused {
+	if observation, _ := observationOf(cause); observation == protocol.LossRefused && p.forwarder.isEndpointsFault(cause) {
 		return quarantine.ProbeCrashed
 	}
 	return quarantine.ProbeInconclusive
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -55,15 +55,16 @@
 	mayHaveRun bool            // an earlier attempt may have run
 	finished   bool
 
-	headSent   bool   // the caller has the head of a stream
-	lastEvent  string // ID of the last event that the caller has
-	events     int    // events that the caller has
-	timing     eventTiming
-	lateEvents int            // consecutive events that took longer than expected of the path
-	lateSince  time.Time      // when the wait for the first late event began
-	lastAction silenceAction  // last action logged for a silence
-	queued     *queuedRequest // set while the request waits for capacity
-	isolation  *isolationWait // set while quarantined work waits to run
+	headSent    bool   // the caller has the head of a stream
+	lastEvent   string // ID of the last event that the caller has
+	events      int    // events that the caller has
+	timing      eventTiming
+	lateEvents  int            // consecutive events that took longer than expected of the path
+	lateSince   time.Time      // when the wait for the first late event began
+	lastAction  silenceAction  // last action logged for a silence
+	linkCheckAt time.Time      // when to check the paths to the endpoints of open attempts
+	queued      *queuedRequest // set while the request waits for capacity
+	isolation   *isolationWait // set while quarantined work waits to run
 
 	caller      *backlog.Conn // buffers what the caller has not read, nil if writes block
 	paused      bool          // messages are not received, because the caller does not read
@@ -137,9 +138,9 @@
 		return x.recheckAt
 	}
 	if at := x.timing.overdueAt(); at.Before(x.deadline) {
-		return at
+		return x.linkCheckDue(at)
 	}
-	return x.deadline
+	return x.linkCheckDue(x.deadline)
 }
 
 // dispatches returns the channel of dispatch offers while the request is queued, nil otherwise.
--- a/transport/forward/failure.go
+++ b/transport/forward/failure.go
@@ -16,19 +16,34 @@
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/fleet"
+	"pinerun.example/pinerun/transport/tunnel"
 )
 
 // reportError reports to the other entries what a failed connection or query to a runner, begun at
 // the time since, says about it. Without such reports each entry finds out for itself: one lost
 // engine of 85 caused 120 failed connections at 47 entries in 3.7 s (logs of 73 entries over 48 s).
+//
+// It is reported only if another entry finds the runner at fault too: this one may be cut off, and all others
+// would believe it.
 func (f *Forwarder) reportError(r *fleet.Runner, cause error, since, now time.Time) {
 	observation, certain := observationOf(cause)
-	if !certain && !f.reachesOthers(r, since) {
-		return // this entry, or its network path to the runner, may be at fault
+	if observation == 0 {
+		return
 	}
-	if observation != 0 {
-		f.reportObservation(r, observation, now)
+	var failed *tunnel.DialError
+	switch dialed := errors.As(cause, &failed); {
+	case dialed && failed.Verdict() == tunnel.EndpointFailed:
+	case dialed && failed.Verdict() == tunnel.NoPath:
+		return
+	case !dialed && f.asksPeers():
+		go (&silenceCheck{forwarder: f, runner: r}).run()
+		return
+	case f.asksPeers() || !certain:
+		if !f.reachesOthers(r, since) {
+			return // this entry, or its network path to the runner, may be at fault
+		}
 	}
+	f.reportObservation(r, observation, now)
 }
 
 // observationOf returns what an error says about the endpoint, 0 for nothing, and whether that is
@@ -45,6 +60,23 @@
 	}
 }
 
+// isEndpointsFault reports whether another entry found the endpoint of a failed connection at fault too, or
+// there is none that could tell.
+func (f *Forwarder) isEndpointsFault(cause error) bool {
+	var failed *tunnel.DialError
+	if !errors.As(cause, &failed) || !f.asksPeers() {
+		return true
+	}
+	return failed.Verdict() == tunnel.EndpointFailed
+}
+
+// reachesNone reports whether a connection failed because neither this entry nor any other that was asked
+// reaches endpoints.
+func reachesNone(cause error) bool {
+	var failed *tunnel.DialError
+	return errors.As(cause, &failed) && failed.Verdict() == tunnel.NoPath
+}
+
 // reachesOthers reports whether this entry has heard from other endpoints since a time, but not
 // from this one.
 func (f *Forwarder) reachesOthers(r *fleet.Runner, since time.Time) bool {
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -20,6 +20,7 @@
 	"pinerun.example/pinerun/state/routing"
 	"pinerun.example/pinerun/transport/backlog"
 	"pinerun.example/pinerun/transport/crashcheck"
+	"pinerun.example/pinerun/transport/tunnel"
 )
 
 // HeaderCodec translates between HTTP headers and the terms that they carry.
@@ -81,6 +82,10 @@
 	ReportSlowdown func(report protocol.SlownessReport, at time.Time)
 	// RateLimits holds the rate limits of endpoints. If it is nil, they are ignored.
 	RateLimits RateLimits
+	// Links connects to endpoints. If it is nil, Dial does.
+	Links *tunnel.Dialer
+	// Prober asks endpoints for a sign of life. If it is nil, paths to endpoints are not checked.
+	Prober Prober
 	// Dial connects to the address of an endpoint. If it is nil, connections are over TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
@@ -92,6 +97,7 @@
 	backoffs     backoffs
 	connDoubts   connDoubts
 	faultLocator faultLocator
+	linkChecks   linkChecks
 	crashProbes  crashcheck.Checker
 	queues       waitQueues
 	poller       poller
@@ -112,6 +118,7 @@
 	f.pool.dial = f.connect
 	f.pool.opened = func() { f.Counters.Add(metric.EndpointConnections, 1) }
 	f.faultLocator.forwarder = f
+	f.linkChecks.forwarder = f
 	f.poller.forwarder = f
 	f.slowdowns.forwarder = f
 	f.startup.lateSince = f.LateSince
@@ -159,17 +166,20 @@
 			f.inflight.sweep(f.Registry)
 			f.connDoubts.sweep(f.Registry)
 			f.maintainGate(clock.Now())
+			f.sweepLinks()
 		case <-dispatchTick:
 			now := clock.Now()
 			f.checkSuspension(now)
 			f.queues.dispatchFirst(now)
 		case <-pollTick:
 			now := clock.Now()
+			f.maintainLinks(now)
 			f.poller.pollDue(now)
 			f.slowdowns.queryDue(now)
 		case <-idleTick:
 			now := clock.Now()
 			f.checkSuspension(now)
+			f.maintainLinks(now)
 			f.slowdowns.queryDue(now)
 		case <-activated:
 		case <-f.done.Done():
--- a/transport/forward/handle.go
+++ b/transport/forward/handle.go
@@ -5,6 +5,7 @@
 import (
 	"net/http"
 	"slices"
+	"time"
 
 	"pinerun.example/pinerun/coordination/retry"
 	"pinerun.example/pinerun/internal/clock"
@@ -127,7 +128,7 @@
 	a.disconnected = m.cause != nil && !m.unsent && !m.stale
 	x.closeAttempt(a)
 	if !m.unsent && isDisconnect(m.cause) {
-		x.reportBroken(a, now)
+		x.handleDisconnect(a, now)
 	}
 	switch {
 	case m.cause == nil:
@@ -137,7 +138,9 @@
 	case m.unsent:
 		x.undoReached(a)
 		x.forwarder.reportError(a.endpoint, m.cause, a.sentAt, now)
-		x.ejectFaulty(a, a.endpoint.Spec().Address, metric.EjectedConnection, now)
+		if !reachesNone(m.cause) {
+			x.ejectFaulty(a, a.endpoint.Spec().Address, metric.EjectedConnection, now)
+		}
 		x.attemptFailed(&m, retry.NeverSent)
 	case m.stale:
 		// A reused connection closed before the response. The endpoint may have run the request all
@@ -149,6 +152,18 @@
 	}
 }
 
+// handleDisconnect handles a connection that broke off before the end of the response: the endpoint may have
+// crashed, or the path of this entry to it is cut. Work is not blamed for a path that is known to be cut.
+func (x *exchange) handleDisconnect(a *attempt, now time.Time) {
+	if a.peer == "" {
+		if x.forwarder.blocked(a.endpoint) {
+			return
+		}
+		x.forwarder.linkChecks.begin(a.endpoint, now)
+	}
+	x.reportBroken(a, now)
+}
+
 // claimsNotRun reports whether a status tells the caller that the request did not run.
 func claimsNotRun(status int) bool {
 	return status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -64,6 +64,7 @@
 		return
 	}
 	x.discountLateness(now)
+	x.checkLinks(now)
 	if now.Before(x.timing.overdueAt()) {
 		return
 	}
@@ -77,6 +78,10 @@
 // or the cause is unknown and the silent runners are suspected.
 func (x *exchange) handleSilence(silent *attempt, now time.Time) {
 	x.reportOpenCall(silent, now)
+	if x.isDeaf(silent, now) {
+		x.recoverAttempt(silent, nil, now)
+		return
+	}
 	if silent.waitsOnReusedConn() {
 		x.forwarder.pool.closeIdle(silent.endpoint.Name())
 	}
@@ -104,6 +109,10 @@
 			x.recoverAttempt(a, lost, now)
 			return
 		}
+		if x.isDeaf(a, now) {
+			x.recoverAttempt(a, nil, now)
+			return
+		}
 	}
 }
 
@@ -184,9 +193,9 @@
 // open. It returns the action taken.
 func (x *exchange) hedge(silent *attempt, runners []*fleet.Runner, now time.Time) silenceAction {
 	switch {
-	case len(x.open) >= maxOpenAttempts && !x.closeLostAttempts(now) && x.secondOnReusedConn(now) == nil:
+	case len(x.open) >= maxOpenAttempts && !x.closeLostAttempts(now) && !x.closeDeafAttempts(now) && x.secondOnReusedConn(now) == nil:
 		return silenceHedged
-	case len(runners) == 0 && !x.suspectsConn(silent, now):
+	case len(runners) == 0 && !x.isDeaf(silent, now) && !x.suspectsConn(silent, now):
 		return silenceBusy
 	case !x.route.MayRepeat():
 		return silenceNotRepeatable
@@ -195,8 +204,9 @@
 		return silenceQuarantined
 	}
 	avoidBefore := x.avoid
-	doubts := len(runners) == 0 && silent.hasEvent
-	p, action := x.chooseHedge(silent, runners, doubts, now)
+	deaf := x.isDeaf(silent, now)
+	doubts := len(runners) == 0 && silent.hasEvent && !deaf
+	p, action := x.chooseHedge(silent, runners, doubts || deaf, now)
 	if action == "" {
 		action = x.takeHedge(silent, &p, doubts, now)
 	}
@@ -216,23 +226,23 @@
 		x.forwarder.pool.closeIdle(second.endpoint.Name())
 		x.closeAttempt(second) // closed only now that another attempt replaces it
 	}
-	if doubts {
+	if doubts || deaf {
 		return silenceDeadConn
 	}
 	return silenceElsewhere
 }
 
 // chooseHedge chooses the path of a second attempt. It avoids the silent runners, or the endpoint
-// whose connection may be dead. If only the connection is doubted and no other path is healthy, a new
+// whose connection may be dead. If only the connection is at fault and no other path is healthy, a new
 // connection to the same endpoint will do. The action is "" if there is a path.
-func (x *exchange) chooseHedge(silent *attempt, runners []*fleet.Runner, doubts bool, now time.Time) (path.Path, silenceAction) {
+func (x *exchange) chooseHedge(silent *attempt, runners []*fleet.Runner, onlyConn bool, now time.Time) (path.Path, silenceAction) {
 	before := x.avoid
 	x.avoid = append(x.avoid, runners...)
 	if len(runners) == 0 {
 		x.avoid = append(x.avoid, silent.endpoint)
 	}
 	p, found := x.pickPath(now)
-	if doubts && (!found || !pathHealthy(&p, now, x.avoid)) {
+	if onlyConn && (!found || !pathHealthy(&p, now, x.avoid)) {
 		x.avoid = before
 		p, found = x.pickPath(now)
 	}
--- a/transport/front/dependencies.go
+++ b/transport/front/dependencies.go
@@ -45,6 +45,7 @@
 type Engines interface {
 	forward.Reporter
 	forward.PathChanger
+	forward.Prober
 	director.Engines
 	// Identify asks the process at an address for the name of its endpoint, at the health path of
 	// the service. It returns "" if the response does not name one.
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -26,6 +26,7 @@
 	"pinerun.example/pinerun/transport/director"
 	"pinerun.example/pinerun/transport/forward"
 	"pinerun.example/pinerun/transport/relay"
+	"pinerun.example/pinerun/transport/tunnel"
 	"pinerun.example/pinerun/transport/watch"
 )
 
@@ -58,6 +59,9 @@
 	forwarder         forward.Forwarder
 	director          director.Director
 	source            relay.Source
+	links             tunnel.Dialer
+	tunnels           tunnel.Server
+	addresses         addressIndex
 	watchers          []*watch.Watcher
 	confirmer         watch.Confirmer
 	registration      registration
@@ -129,10 +133,7 @@
 		Late:               f.scheduling.Late,
 		PlatformFailedAt:   f.source.FailedAt,
 	}
-	if dial := f.Dependencies.DialEndpoint; dial != nil {
-		f.forwarder.Dial = dial
-		f.Dependencies.Engines.DialWith(dial)
-	}
+	f.assembleLinks(local)
 	if s.ChangePaths {
 		f.forwarder.PathChanger = f.Dependencies.Engines
 	}
@@ -279,6 +280,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(relay.Path, &relay.Server{Source: &f.source})
 	mux.Handle(relay.TablePath, &relay.TableServer{Source: &f.source})
+	mux.Handle(tunnel.Path, &f.tunnels)
 	f.peers.serve(mux)
 }
 
--- a/transport/front/registration.go
+++ b/transport/front/registration.go
@@ -229,6 +229,7 @@
 	}
 	r.dataCenters.Store(int64(len(dataCenters)))
 	r.front.source.Learn(records, all)
+	r.front.links.SetPeers(records)
 	return records
 }
 
--- a/transport/front/stop.go
+++ b/transport/front/stop.go
@@ -34,7 +34,7 @@
 	for now.Before(abortAt) {
 		if now.After(acceptUntil) {
 			f.forwarder.RefuseNew()
-			if f.forwarder.OpenRequests() == 0 && f.memoryBudget.Held() == 0 {
+			if f.forwarder.OpenRequests() == 0 && f.memoryBudget.Held() == 0 && f.tunnels.Open() == 0 {
 				break
 			}
 		}
@@ -68,6 +68,7 @@
 	}
 	f.confirmer.Close()
 	f.source.Close()
+	f.tunnels.Close()
 	f.registration.done.Close()
 	f.refusals.done.Close()
 	f.director.Close()
--- a/transport/relay/link.go
+++ b/transport/relay/link.go
@@ -22,9 +22,7 @@
 
 const (
 	// Path is the HTTP path of a Server.
-	Path      = "/relay"
-	keyHeader = "Authorization"
-	keyPrefix = "Bearer "
+	Path = "/relay"
 	// maxHoldMS is how long a peer may delay an answer until it has a newer confirmation, in
 	// milliseconds. It is a little more than the interval between two confirmations. answerTimeout
 	// bounds the wait for an answer, which itself takes a millisecond.
@@ -65,7 +63,7 @@
 // is followed for reports only.
 func dial(ctx context.Context, s *Source, peer protocol.EntryRecord, reportsOnly bool) (*link, error) {
 	socket, res, err := websocket.Dial(ctx, "ws://"+peer.PeerAddress+Path, &websocket.DialOptions{
-		HTTPHeader:   http.Header{keyHeader: {keyPrefix + peer.Key}},
+		HTTPHeader:   http.Header{protocol.KeyHeader: {protocol.KeyPrefix + peer.Key}},
 		HTTPClient:   &s.selector.client,
 		Subprotocols: protocol.RelaySubprotocols(),
 	})
--- a/transport/relay/server.go
+++ b/transport/relay/server.go
@@ -44,8 +44,8 @@
 // ServeHTTP serves one follower until its connection ends.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.Source.selector.awaitStart(r.Context()) // the key that was used before a restart may become known
-	expected := keyPrefix + s.Source.key()
-	if subtle.ConstantTimeCompare([]byte(r.Header.Get(keyHeader)), []byte(expected)) != 1 {
+	expected := protocol.KeyPrefix + s.Source.key()
+	if subtle.ConstantTimeCompare([]byte(r.Header.Get(protocol.KeyHeader)), []byte(expected)) != 1 {
 		http.Error(w, "not the key of this entry's record; read the record anew", http.StatusUnauthorized)
 		return
 	}
--- a/transport/relay/tables.go
+++ b/transport/relay/tables.go
@@ -114,7 +114,7 @@
 
 // ServeHTTP answers 200 with the report, or 204 without one.
 func (s *TableServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if subtle.ConstantTimeCompare([]byte(r.Header.Get(keyHeader)), []byte(keyPrefix+s.Source.key())) != 1 {
+	if subtle.ConstantTimeCompare([]byte(r.Header.Get(protocol.KeyHeader)), []byte(protocol.KeyPrefix+s.Source.key())) != 1 {
 		http.Error(w, "not the key of this entry's record; read the record anew", http.StatusUnauthorized)
 		return
 	}
@@ -157,7 +157,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set(keyHeader, keyPrefix+q.peer.Key)
+	req.Header.Set(protocol.KeyHeader, protocol.KeyPrefix+q.peer.Key)
 	res, err := q.source.selector.client.Do(req)
 	if err != nil {
 		return nil, err
