tunnel: blame an endpoint only when three entries find it at fault

Now an entry that blames an endpoint first connects to three others, and knows of no cut path itself; and it takes three entries, in other data centers where there are any. They are asked at once where the own connection hangs, so that a silent endpoint is known as soon as before.

--- a/coordination/reach/peers.go
+++ b/coordination/reach/peers.go
@@ -59,6 +59,9 @@
 	EndpointDataCenter string // "" if it is unknown
 	Tried              map[string]bool
 	Recommended        string // by an entry that is cut off itself, "" for none
+	// Asked are the data centers of entries that were asked already. Those elsewhere are asked first:
+	// they may have another path.
+	Asked map[string]bool
 	Rand               *rand.Rand
 }
 
@@ -136,7 +139,7 @@
 	case q.DataCenter:
 		rank = 1
 	}
-	if q.Now.Before(p.dataCenters[r.DataCenter]) {
+	if q.Asked[r.DataCenter] || q.Now.Before(p.dataCenters[r.DataCenter]) {
 		rank += ranks
 	}
 	return rank
--- a/transport/forward/link_check.go
+++ b/transport/forward/link_check.go
@@ -82,7 +82,7 @@
 		f.Links.RecordReached(address, begun)
 		return
 	}
-	if f.probe(c.runner, f.Links.DialPeers) == nil {
+	if f.probe(c.runner, f.Links.DialManyPeers) == nil {
 		f.Links.RecordUnreachable(address, begun)
 	}
 }
@@ -146,7 +146,7 @@
 func (c *silenceCheck) run() {
 	f := c.forwarder
 	var failed *tunnel.DialError
-	err := f.probe(c.runner, f.Links.DialPeers)
+	err := f.probe(c.runner, f.Links.DialManyPeers)
 	switch {
 	case err == nil:
 		f.linkChecks.begin(c.runner, clock.Now())
--- a/transport/front/links.go
+++ b/transport/front/links.go
@@ -7,7 +7,6 @@
 	"slices"
 	"sync"
 
-	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/fleet"
 	"pinerun.example/pinerun/state/registry"
@@ -36,8 +35,7 @@
 		Dialer:       &f.links,
 		Key:          func() string { return f.source.Record().Key },
 		Serving:      func() bool { return !f.stopping.Load() && f.endpoints.HasList() },
-		Other:        f.addresses.other,
-		OnFailure:    f.reportTunnelFailure,
+		Knows:        f.addresses.knows,
 		MemoryBudget: &f.memoryBudget,
 		Limit:        int(tunnelShare * float64(f.Settings.MaxConnections())),
 		Counters:     f.Counters,
@@ -50,13 +48,6 @@
 	}
 }
 
-// reportTunnelFailure reports an endpoint that this entry could not connect to for another one.
-func (f *Front) reportTunnelFailure(address string, observation protocol.LossObservation) {
-	if id := f.addresses.endpointAt(address); id != "" {
-		f.source.ReportLoss(id, observation, clock.Now())
-	}
-}
-
 // addressIndex finds endpoints by their addresses. It is made anew when the registry has changed.
 type addressIndex struct {
 	registry *registry.Registry
@@ -98,12 +89,6 @@
 	return e.DataCenter
 }
 
-// endpointAt returns the ID of the endpoint at an address, "" for none.
-func (x *addressIndex) endpointAt(address string) string {
-	e, _ := x.at(address)
-	return e.ID
-}
-
 // shuffled returns all addresses in random order.
 func (x *addressIndex) shuffled() []string {
 	x.mutex.Lock()
@@ -114,18 +99,8 @@
 	return all
 }
 
-// other returns the address of a random endpoint other than the one at an address, "" if there is none, and
-// whether there is an endpoint at the address.
-func (x *addressIndex) other(address string) (other string, known bool) {
-	_, known = x.at(address)
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	if n := len(x.addresses); n > 1 {
-		at := rand.IntN(n)
-		if x.addresses[at] == address {
-			at = (at + 1) % n
-		}
-		other = x.addresses[at]
-	}
-	return other, known
+// knows reports whether there is an endpoint at an address.
+func (x *addressIndex) knows(address string) bool {
+	_, known := x.at(address)
+	return known
 }
--- a/transport/tunnel/dialer.go
+++ b/transport/tunnel/dialer.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -33,9 +32,6 @@
 	// answer, in which it connects to the endpoint.
 	peerConnectTimeout = 100 * time.Millisecond
 	peerTimeout        = 250 * time.Millisecond
-	// maxPeers is how many entries are asked for one connection. Most answer within a millisecond that
-	// they can't help.
-	maxPeers = 8
 )
 
 // Dialer connects to endpoints, through other entries where this entry can't. Set the exported fields
@@ -57,8 +53,7 @@
 	Counters *metric.Set
 	Logger   *slog.Logger
 
-	disturbed atomic.Bool  // whether the tracker is not empty
-	connected atomic.Int64 // Unix nanoseconds at which this entry last connected to an endpoint
+	disturbed atomic.Bool // whether the tracker is not empty
 
 	mutex   sync.Mutex
 	tracker reach.Tracker
@@ -149,7 +144,7 @@
 	defer cancel()
 	results := make(chan dialResult)
 	go (&dialing{ctx: ctx, dial: d.dialRest, address: address, results: results}).run()
-	go (&dialing{ctx: ctx, dial: d.DialPeers, address: address, results: results}).run()
+	go (&dialing{ctx: ctx, dial: d.DialManyPeers, address: address, results: results}).run()
 	first := <-results
 	if first.err == nil {
 		d.recordWinner(first.conn, address, begun)
@@ -207,14 +202,6 @@
 
 // DialDirect connects to the endpoint at an address without another entry.
 func (d *Dialer) DialDirect(ctx context.Context, address string) (net.Conn, error) {
-	c, err := d.connect(ctx, address)
-	if err == nil {
-		d.connected.Store(clock.Now().UnixNano())
-	}
-	return c, err
-}
-
-func (d *Dialer) connect(ctx context.Context, address string) (net.Conn, error) {
 	if d.Connect != nil {
 		return d.Connect(ctx, address)
 	}
@@ -222,48 +209,6 @@
 	return t.DialContext(ctx, "tcp", address)
 }
 
-// connectedSince reports whether this entry has connected to an endpoint since a time.
-func (d *Dialer) connectedSince(t time.Time) bool { return d.connected.Load() >= t.UnixNano() }
-
-// DialPeers connects to the endpoint at an address through another entry.
-func (d *Dialer) DialPeers(ctx context.Context, address string) (net.Conn, error) {
-	q := reach.PeerQuery{
-		DataCenter: d.DataCenter, EndpointDataCenter: d.DataCenterOf(address), Tried: make(map[string]bool),
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}
-	failed := &DialError{address: address, cause: errNoPeer}
-	for range maxPeers {
-		peer, ok := d.nextPeer(&q)
-		if !ok || ctx.Err() != nil {
-			break
-		}
-		q.Tried[peer.Name] = true
-		c, answer, err := d.open(ctx, &peer, address)
-		d.recordPeer(&peer, answer, err)
-		failed.peer, q.Recommended = peer.Name, answer.Peer
-		switch answer.Outcome {
-		case protocol.TunnelOpen:
-			return c, nil
-		case protocol.TunnelRefused, protocol.TunnelSilent:
-			failed.cause, failed.verdict = causeOf(answer.Outcome), EndpointFailed
-			return nil, failed
-		case protocol.TunnelCutOff:
-			failed.verdict = NoPath
-		}
-	}
-	if d.CutOff() {
-		failed.verdict = NoPath
-	}
-	return nil, failed
-}
-
-func (d *Dialer) nextPeer(q *reach.PeerQuery) (protocol.EntryRecord, bool) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	q.Now = clock.Now()
-	return d.peers.Next(q)
-}
-
 // openedPeer returns an entry that recently opened a tunnel for this one, "" for none.
 func (d *Dialer) openedPeer(now time.Time) string {
 	d.mutex.Lock()
--- a/transport/tunnel/server.go
+++ b/transport/tunnel/server.go
@@ -31,10 +31,11 @@
 	requestTimeout = time.Second
 	// endpointTimeout bounds how long an endpoint may take to accept the connection of a tunnel.
 	endpointTimeout = 100 * time.Millisecond
-	// vouchTimeout bounds how long another endpoint may take to show that this entry reaches any.
+	// vouchTimeout bounds how long other endpoints may take to show that this entry reaches them.
 	vouchTimeout = 50 * time.Millisecond
-	// vouchAge is how recently this entry must have connected to another endpoint to need no check.
-	vouchAge = 200 * time.Millisecond
+	// vouchEndpoints is how many other endpoints must be reached before one is blamed. An entry that is
+	// cut off from most endpoints may still reach one of them.
+	vouchEndpoints = 3
 	// tunnelBytes is what a tunnel takes from the memory budget: its buffers and those of its sockets.
 	tunnelBytes = 64 << 10
 )
@@ -46,12 +47,8 @@
 	Key func() string
 	// Serving reports whether this entry knows the endpoints and is not stopping.
 	Serving func() bool
-	// Other returns the address of an endpoint other than the one at an address, chosen at random, ""
-	// if there is none, and whether there is an endpoint at the address.
-	Other func(address string) (other string, known bool)
-	// OnFailure is called when an endpoint refused a connection or did not accept it, although this
-	// entry reaches others.
-	OnFailure    func(address string, observation protocol.LossObservation)
+	// Knows reports whether there is an endpoint at an address.
+	Knows        func(address string) bool
 	MemoryBudget *backlog.Budget
 	Limit        int // tunnels open at once, 0 for no limit
 	Counters     *metric.Set
@@ -83,7 +80,9 @@
 	socket.SetReadLimit(protocol.MaxTunnelChunk)
 	ctx, cancel := s.done.Context()
 	defer cancel()
-	if err := s.serve(ctx, socket); err != nil {
+	err = s.serve(ctx, socket)
+	var invalid *protocol.FrameError
+	if errors.As(err, &invalid) { // any other error is an entry that no longer wants the connection
 		event.FrameBroken.Log(s.Logger, slog.String("peer", r.RemoteAddr), slog.String("cause", err.Error()))
 	}
 }
@@ -151,8 +150,7 @@
 	if !s.Serving() {
 		return nil, protocol.TunnelNotServed
 	}
-	other, known := s.Other(address)
-	if !known {
+	if !s.Knows(address) {
 		return nil, protocol.TunnelUnknown
 	}
 	if !s.Dialer.isDirect(address) {
@@ -166,31 +164,37 @@
 		return c, protocol.TunnelOpen
 	case isLocal(err):
 		return nil, protocol.TunnelBusy
-	case !s.vouch(ctx, other):
+	case !s.vouch(ctx, address):
 		return nil, protocol.TunnelCutOff
 	case errors.Is(err, syscall.ECONNREFUSED):
-		s.OnFailure(address, protocol.LossRefused)
 		return nil, protocol.TunnelRefused
 	default:
-		s.OnFailure(address, protocol.LossSilent)
 		return nil, protocol.TunnelSilent
 	}
 }
 
-// vouch reports whether this entry reaches endpoints, so that one that it does not reach is at fault. An
-// entry that knows no other endpoint can't tell, and takes the only one to be at fault.
-func (s *Server) vouch(ctx context.Context, other string) bool {
-	if other == "" || s.Dialer.connectedSince(clock.Now().Add(-vouchAge)) {
-		return true
-	}
+// vouch reports whether this entry reaches endpoints, so that the one at an address that it does not reach is
+// at fault. An entry that knows of a path that is cut can't tell. One that knows no other endpoint takes the
+// only one to be at fault.
+func (s *Server) vouch(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
 	defer cancel()
-	c, err := s.Dialer.DialDirect(ctx, other)
-	if err != nil {
-		return false
+	checked := 0
+	for _, other := range s.Dialer.Addresses() {
+		if other == address {
+			continue
+		}
+		if checked == vouchEndpoints || s.Dialer.Disturbed() {
+			break
+		}
+		c, err := s.Dialer.DialDirect(ctx, other)
+		if err != nil {
+			return false
+		}
+		_ = c.Close() // nothing was sent on it
+		checked++
 	}
-	_ = c.Close() // nothing was sent on it
-	return true
+	return !s.Dialer.Disturbed()
 }
 
 // exchange passes the bytes of one tunnel on.
