--- a/coordination/reach/peers.go
+++ b/coordination/reach/peers.go
@@ -62,7 +62,7 @@
 	// Asked are the data centers of entries that were asked already. Those elsewhere are asked first:
 	// they may have another path.
 	Asked map[string]bool
-	Rand               *rand.Rand
+	Rand  *rand.Rand
 }
 
 // Set sets the entries that may be asked: all but the own one.
