forward: refuse a request that reached no endpoint in four tries

Cause: attempts that sent nothing were bounded only when decided at once; from the wait queue each dispatch allowed another. Now the fourth endpoint that can't be reached ends the request, from the queue as well, and so does the first if no entry that was asked reaches any: refused as not run, with a Retry-After.

--- a/coordination/retry/resend.go
+++ b/coordination/retry/resend.go
@@ -20,7 +20,8 @@
 
 // FailedAttempt holds what the decision after a failed attempt depends on. EndpointAllowed
 // says whether the route allows the request to be sent to a further endpoint. Unreachable
-// counts the endpoints that could not be reached.
+// counts the endpoints that could not be reached. NonReachable says that no endpoint can be at
+// present, by no entry that was asked.
 type FailedAttempt struct {
 	Result          Result
 	MayRepeat       bool
@@ -28,6 +29,7 @@
 	EndpointAllowed bool
 	EndpointReady   bool // an endpoint can take the request now
 	Unreachable     int
+	NonReachable    bool
 	Now             time.Time
 	Deadline        time.Time
 	WaitUntil       time.Time // how long waiting for an endpoint is useful; zero if not at all
@@ -61,8 +63,11 @@
 		return Expire
 	}
 	mayHaveRun := f.MayHaveRun || f.Result == Failed || f.Result == Broken
+	if f.Result == NeverSent && (f.NonReachable || f.Unreachable > maxUnreachable) {
+		return FinalAction(f.Result, mayHaveRun) // waiting for capacity would only try again
+	}
 	if f.EndpointAllowed && (f.MayRepeat || !mayHaveRun) {
-		if f.EndpointReady && f.Result == NeverSent && f.Unreachable <= maxUnreachable {
+		if f.EndpointReady && f.Result == NeverSent {
 			return Resend
 		}
 		if f.EndpointReady && f.Result != NeverSent && w.Spend(f.Now) {
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -38,22 +38,23 @@
 	fingerprint protocol.Fingerprint // zero until workFingerprint computes it
 	deadline    time.Time
 
-	messages   chan message
-	losses     <-chan struct{} // closed when a runner is found lost
-	refusals   <-chan struct{} // closed when work is found to crash endpoints
-	resumed    <-chan struct{} // closed after the VM was suspended
-	suspended  time.Duration   // total suspension already handled
-	resumedAt  time.Time       // when the last suspension was noticed
-	late       time.Duration   // total time in which this process was not run already handled
-	open       []*attempt      // open attempts, oldest first
-	doubted    *attempt        // the open attempt whose connection is taken for dead, nil for none
-	avoid      []*fleet.Runner // runners that failed, refused or fell silent under this request
-	rng        *rand.Rand
-	reached    []*fleet.Runner // endpoints that received the request
-	attempts   int             // attempts started
-	unsent     int             // attempts that sent no byte
-	mayHaveRun bool            // an earlier attempt may have run
-	finished   bool
+	messages    chan message
+	losses      <-chan struct{} // closed when a runner is found lost
+	refusals    <-chan struct{} // closed when work is found to crash endpoints
+	resumed     <-chan struct{} // closed after the VM was suspended
+	suspended   time.Duration   // total suspension already handled
+	resumedAt   time.Time       // when the last suspension was noticed
+	late        time.Duration   // total time in which this process was not run already handled
+	open        []*attempt      // open attempts, oldest first
+	doubted     *attempt        // the open attempt whose connection is taken for dead, nil for none
+	avoid       []*fleet.Runner // runners that failed, refused or fell silent under this request
+	rng         *rand.Rand
+	reached     []*fleet.Runner // endpoints that received the request
+	attempts    int             // attempts started
+	unsent      int             // attempts that sent no byte
+	reachesNone bool            // the last attempt found that no entry reaches any endpoint
+	mayHaveRun  bool            // an earlier attempt may have run
+	finished    bool
 
 	headSent    bool   // the caller has the head of a stream
 	lastEvent   string // ID of the last event that the caller has
--- a/transport/forward/handle.go
+++ b/transport/forward/handle.go
@@ -138,7 +138,8 @@
 	case m.unsent:
 		x.undoReached(a)
 		x.forwarder.reportError(a.endpoint, m.cause, a.sentAt, now)
-		if !reachesNone(m.cause) {
+		x.reachesNone = reachesNone(m.cause)
+		if !x.reachesNone {
 			x.ejectFaulty(a, a.endpoint.Spec().Address, metric.EjectedConnection, now)
 		}
 		x.attemptFailed(&m, retry.NeverSent)
