--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -159,13 +159,18 @@
 
 // withOthers returns addresses whose paths are cut and other known ones in turn.
 func (t *Tracker) withOthers(blocked, known []string) []string {
-	known = slices.DeleteFunc(known, func(a string) bool { return t.blocked[a] != nil || t.reached[a] })
 	var mixed []string
-	for len(known) > 0 && len(mixed) < maxProbes {
-		mixed, known = append(mixed, known[0]), known[1:]
+	for _, a := range known {
+		if t.blocked[a] != nil || t.reached[a] {
+			continue
+		}
+		mixed = append(mixed, a)
 		if len(blocked) > 0 {
 			mixed, blocked = append(mixed, blocked[0]), blocked[1:]
 		}
+		if len(mixed) >= maxProbes {
+			break
+		}
 	}
 	return append(mixed, blocked...)
 }
