tunnel: end a search when its connection is not wanted any more

Found by TestUnwantedConnectionIsNoFailureOfPeer, which hung: a request whose caller left while another entry was asked waited for a result that was thrown away, for good, and so did the two attempts of one connection. Both now end with their context.

--- a/protocol/protocol_test.go
+++ b/protocol/protocol_test.go
@@ -225,3 +225,19 @@
 	}
 	b.ReportMetric(float64(size), "B")
 }
+
+func FuzzDecodeTunnel(f *testing.F) {
+	request, _ := protocol.EncodeTunnelRequest(&protocol.TunnelRequest{Name: "one", Address: "10.0.0.1:80"})
+	answer, _ := protocol.EncodeTunnelAnswer(&protocol.TunnelAnswer{Outcome: protocol.TunnelCutOff, Peer: "two"})
+	f.Add(request)
+	f.Add(answer)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if r, err := protocol.DecodeTunnelRequest(b); err == nil && (r.Name == "" || r.Address == "") {
+			t.Fatal("accepted a request without name or address")
+		}
+		if a, err := protocol.DecodeTunnelAnswer(b); err == nil && a.Outcome.String() == "invalid" {
+			t.Fatal("accepted an outcome without meaning")
+		}
+	})
+}
--- a/transport/tunnel/dialer.go
+++ b/transport/tunnel/dialer.go
@@ -145,21 +145,23 @@
 	results := make(chan dialResult)
 	go (&dialing{ctx: ctx, dial: d.dialRest, address: address, results: results}).run()
 	go (&dialing{ctx: ctx, dial: d.DialManyPeers, address: address, results: results}).run()
-	first := <-results
-	if first.err == nil {
-		d.recordWinner(first.conn, address, begun)
-		return first.conn, nil
-	}
-	second := <-results
-	if second.err == nil {
-		d.recordWinner(second.conn, address, begun)
-		return second.conn, nil
-	}
-	var failed *DialError
-	if errors.As(first.err, &failed) {
-		return nil, first.err
+	var failed error = &DialError{address: address, cause: errNoPeer}
+	for range 2 {
+		select {
+		case r := <-results:
+			if r.err == nil {
+				d.recordWinner(r.conn, address, begun)
+				return r.conn, nil
+			}
+			var verdict *DialError
+			if errors.As(r.err, &verdict) {
+				failed = r.err
+			}
+		case <-ctx.Done():
+			return nil, &DialError{address: address, cause: ctx.Err()}
+		}
 	}
-	return nil, second.err
+	return nil, failed
 }
 
 // dialRest connects by itself for what is left of directTimeout after the head start.
--- a/transport/tunnel/peers.go
+++ b/transport/tunnel/peers.go
@@ -113,11 +113,15 @@
 		go (&asking{ctx: ctx, dialer: s.dialer, peer: &peers[i], address: s.address, results: results}).run()
 	}
 	for range peers {
-		r := <-results
-		if r.conn != nil {
-			return r.conn
+		select {
+		case r := <-results:
+			if r.conn != nil {
+				return r.conn
+			}
+			s.record(&r)
+		case <-ctx.Done():
+			return nil
 		}
-		s.record(&r)
 	}
 	return nil
 }
--- a/wire_test.go
+++ b/wire_test.go
@@ -46,6 +46,8 @@
 		{"relay-hello-map", &protocol.RelayHello{}, encodeMap},
 		{"relay-ask-map", &protocol.RelayRequest{}, encodeMap},
 		{"relay-frame-map", &protocol.RelayFrame{}, encodeMap},
+		{"tunnel-request", &protocol.TunnelRequest{}, func(m any) ([]byte, error) { return protocol.EncodeTunnelRequest(m.(*protocol.TunnelRequest)) }},
+		{"tunnel-answer", &protocol.TunnelAnswer{}, func(m any) ([]byte, error) { return protocol.EncodeTunnelAnswer(m.(*protocol.TunnelAnswer)) }},
 		{"relay-changes", &[]protocol.RelayChange{}, func(m any) ([]byte, error) { return protocol.EncodeRelayChanges(*m.(*[]protocol.RelayChange)) }},
 	}
 	for _, m := range binary {
