soak: cut entries off from all endpoints

A fault series of its own draws entries, one to all, and a form: connections reset, hang, or only new ones reset; at times another entry is killed meanwhile. Which entry a connection is from is asked of the kernel.

Found by it at once: endpoints without a health path only accept connections, and so does a proxy whose other side hangs.

--- a/soak/endpoint_test.go
+++ b/soak/endpoint_test.go
@@ -57,6 +57,7 @@
 	e.SetResponseSizeFor(longSuffix, longEvents, longPadding)
 	if e.link == nil {
 		e.link = newProxy(tb.t, e.Address())
+		e.link.setEntryBehind(tb.entryBehind)
 	} else {
 		e.link.setTarget(e.Address())
 	}
--- a/soak/entry_test.go
+++ b/soak/entry_test.go
@@ -35,7 +35,8 @@
 	exitExpected    bool          // the process was asked to stop, or killed
 	lastPauseChange time.Time     // when it was last paused or resumed
 	lastStart       time.Time
-	peakMB          int // peak memory of all processes of this entry
+	cut             cutForm // how it is cut off from endpoints, guarded by the mutex of the testbed
+	peakMB          int     // peak memory of all processes of this entry
 }
 
 func (tb *testbed) newEntry(dir, name, dataCenter string) *entry {
--- a/soak/fault_series_test.go
+++ b/soak/fault_series_test.go
@@ -29,18 +29,20 @@
 	answerFaults bool
 	// restores selects restores of the store, for the same reason.
 	restores bool
+	// cuts selects entries that are cut off from all endpoints, for the same reason.
+	cuts bool
 }
 
 // run injects faults until f.until in count parallel series, plus one series of record faults, one of
-// what endpoints say in their answers, and one of restores of the store. It returns when all faults
-// are over.
+// what endpoints say in their answers, one of restores of the store, and one of entries that are cut off
+// from endpoints. It returns when all faults are over.
 func (f *faultInjection) run(rng *rand.Rand, count int) {
 	f.started = time.Now()
-	for i := range count + 3 {
+	for i := range count + 4 {
 		f.wait.Add(1)
 		go (&series{
 			injection: f, rng: rand.New(rand.NewPCG(rng.Uint64(), 2)),
-			recordFaults: i == count, answerFaults: i == count+1, restores: i == count+2,
+			recordFaults: i == count, answerFaults: i == count+1, restores: i == count+2, cuts: i == count+3,
 		}).run()
 	}
 	f.wait.Wait()
@@ -118,5 +120,8 @@
 	if s.restores {
 		faults = []func(){s.restoreStore}
 	}
+	if s.cuts {
+		faults = []func(){s.cutEntries}
+	}
 	faults[s.rng.IntN(len(faults))]()
 }
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -42,14 +42,18 @@
 	stateChanged chan struct{} // closed when the state changes
 	conns        map[net.Conn]bool
 	closed       bool
-	changedAt    time.Time // when the link was last disturbed or restored
+	pairs        map[net.Conn]net.Conn // the target's connection of each open one
+	hanging      map[net.Conn]bool     // connections of both sides that pass nothing on for good
+	// entryBehind returns the entry behind an accepted connection if it is cut off. It may be nil.
+	entryBehind func(accepted net.Conn) *entry
+	changedAt   time.Time // when the link was last disturbed or restored
 	// reportShortage reports that the test itself is short of something, such as file descriptors, so
 	// that connections fail which no fault was injected into.
 	reportShortage func(format string, args ...any)
 }
 
 func newProxy(t testing.TB, target string) *proxy {
-	p := &proxy{target: target, listener: platformtest.Listen(), stateChanged: make(chan struct{}), conns: map[net.Conn]bool{}, reportShortage: t.Errorf}
+	p := &proxy{target: target, listener: platformtest.Listen(), stateChanged: make(chan struct{}), conns: map[net.Conn]bool{}, pairs: map[net.Conn]net.Conn{}, hanging: map[net.Conn]bool{}, reportShortage: t.Errorf}
 	go p.run()
 	t.Cleanup(p.close)
 	return p
@@ -119,6 +123,9 @@
 			time.Sleep(acceptRetryInterval)
 			continue
 		}
+		if !p.accepts(in) {
+			continue
+		}
 		out, err := net.Dial("tcp", p.currentTarget())
 		if errors.Is(err, syscall.EMFILE) {
 			p.reportShortage("a proxy can't connect: %v; run fewer seeds at once, or fewer in one process", err)
@@ -130,8 +137,8 @@
 		if !p.track(in, out) {
 			return
 		}
-		go (&pipe{proxy: p, from: in, to: out, outbound: true}).run()
-		go (&pipe{proxy: p, from: out, to: in}).run()
+		go (&pipe{proxy: p, from: in, to: out, caller: in, outbound: true}).run()
+		go (&pipe{proxy: p, from: out, to: in, caller: in}).run()
 	}
 }
 
@@ -147,6 +154,7 @@
 		shrinkBuffers(c)
 		p.conns[c] = true
 	}
+	p.pairs[conns[0]] = conns[1]
 	return !p.closed
 }
 
@@ -154,6 +162,8 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	delete(p.conns, c)
+	delete(p.pairs, c)
+	delete(p.hanging, c)
 }
 
 // awaitUnblocked waits while the link state blocks a direction, and returns the delay of the link.
@@ -192,6 +202,7 @@
 type pipe struct {
 	proxy    *proxy
 	from, to net.Conn
+	caller   net.Conn // that of the two which the proxy accepted
 	outbound bool
 }
 
@@ -202,6 +213,9 @@
 		n, err := p.from.Read(b)
 		if n > 0 {
 			time.Sleep(p.proxy.awaitUnblocked(p.outbound))
+			if p.proxy.hangs(p.caller) {
+				continue // what is sent on it is lost
+			}
 			if _, werr := p.to.Write(b[:n]); werr != nil {
 				_ = p.from.Close()
 				return
--- a/soak/recovery_test.go
+++ b/soak/recovery_test.go
@@ -38,6 +38,7 @@
 	r.checkTable()
 	r.restoreStore()
 	r.checkTable()
+	r.checkCut()
 	r.checkDrain()
 	r.checkRateLimit()
 	r.checkCrashWork()
--- a/transport/forward/link_check.go
+++ b/transport/forward/link_check.go
@@ -78,8 +78,10 @@
 	f, address := c.checks.forwarder, c.runner.Spec().Address
 	begun := clock.Now()
 	if f.probe(c.runner, f.Links.DialDirect) == nil {
-		c.runner.Reached(clock.Now())
-		f.Links.RecordReached(address, begun)
+		if f.answersProbes(c.runner) {
+			c.runner.Reached(clock.Now())
+			f.Links.RecordReached(address, begun)
+		}
 		return
 	}
 	if f.probe(c.runner, f.Links.DialManyPeers) == nil {
@@ -109,6 +111,23 @@
 	}
 }
 
+// answersProbes reports whether an endpoint answers a probe. One without a health path only accepts the
+// connection, which something on the network path may do as well.
+func (f *Forwarder) answersProbes(r *fleet.Runner) bool {
+	s := f.serviceOf(r)
+	return s != nil && (s.Engine != nil || s.HealthPath != "")
+}
+
+// anyAnswersProbes reports whether any endpoint answers probes.
+func (f *Forwarder) anyAnswersProbes() bool {
+	for _, r := range f.Registry.View().Runners() {
+		if f.answersProbes(r) {
+			return true
+		}
+	}
+	return false
+}
+
 // probeConnect returns nil if the endpoint accepts a connection and keeps it open.
 func probeConnect(ctx context.Context, dial func(ctx context.Context, address string) (net.Conn, error), address string) error {
 	c, err := dial(ctx, address)
@@ -175,14 +194,23 @@
 }
 
 func (p *pathProbe) run() {
-	f := p.forwarder
 	begun := clock.Now()
+	answered := p.answered()
+	p.forwarder.Links.RecordProbe(p.address, answered, begun)
+}
+
+// answered reports whether the endpoint answers. While the entry is cut off from all of them, one that only
+// accepts connections proves nothing if others could answer.
+func (p *pathProbe) answered() bool {
+	f := p.forwarder
 	r := f.runnerAt(p.address)
+	if (r == nil || !f.answersProbes(r)) && f.Links.CutOff() && f.anyAnswersProbes() {
+		return false
+	}
 	if r == nil {
-		f.Links.RecordProbe(p.address, probeAddress(f, p.address) == nil, begun)
-		return
+		return probeAddress(f, p.address) == nil
 	}
-	f.Links.RecordProbe(p.address, f.probe(r, f.Links.DialDirect) == nil, begun)
+	return f.probe(r, f.Links.DialDirect) == nil
 }
 
 // probeAddress connects to an endpoint that holds no layers, and so can't be asked for anything else.
--- a/transport/tunnel/tunnel_test.go
+++ b/transport/tunnel/tunnel_test.go
@@ -159,7 +159,7 @@
 	all := newEntries(t, 2, e)
 	c, err := all[0].dialer.DialPeers(t.Context(), e.address())
 	require.NoError(t, err)
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	require.Equal(t, "entry-1", tunnel.Peer(c))
 	require.Equal(t, "HELLO", talk(t, c, "hello"))
 	long := strings.Repeat("x", 5*protocol.MaxTunnelChunk)
@@ -195,7 +195,7 @@
 			all := newEntries(t, 2, e)
 			c, err := all[0].dialer.DialPeers(t.Context(), e.address())
 			require.NoError(t, err)
-			defer c.Close()
+			defer func() { _ = c.Close() }()
 			require.Equal(t, "A", talk(t, c, "a"))
 			test.end(e, all[1])
 			_, err = c.Read(make([]byte, 1))
@@ -234,7 +234,7 @@
 	}
 	c, err := all[0].dialer.Dial(t.Context(), endpoints[0].address())
 	require.NoError(t, err, "one of the two others reaches it")
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	require.Equal(t, "entry-2", tunnel.Peer(c))
 	require.True(t, all[0].dialer.Blocked(endpoints[0].address()))
 	require.False(t, all[0].dialer.Blocked(endpoints[1].address()))
@@ -377,6 +377,6 @@
 	}
 	c, err := all[0].dialer.DialPeers(t.Context(), e.address())
 	require.NoError(t, err)
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	require.Equal(t, "A", talk(t, c, "a"))
 }
