forward: take a probe that an endpoint does not allow for no sign of a cut

Found in reading: the check of a path took a first probe that was held back by a rate limit or backoff for a failure, and one through another entry that passed a moment later for proof of a cut.

--- a/transport/forward/conn.go
+++ b/transport/forward/conn.go
@@ -15,14 +15,10 @@
 	"time"
 
 	"pinerun.example/pinerun/internal/clock"
-	"pinerun.example/pinerun/transport/backlog"
 	"pinerun.example/pinerun/transport/tunnel"
 )
 
 const (
-	// dialTimeout bounds how long an endpoint may take to accept a connection. Endpoints are within
-	// a millisecond, and a lost packet would be sent again only after a second.
-	dialTimeout = 300 * time.Millisecond
 	// maxIdleTime is the longest idle time of a connection if the endpoint announces none.
 	maxIdleTime = 5 * time.Second
 	// idleTimeMargin is how much earlier than the endpoint the pool closes an idle connection.
@@ -60,13 +56,7 @@
 	if f.Dial != nil {
 		return f.Dial(ctx, address)
 	}
-	return dialTCP(ctx, address)
-}
-
-// dialTCP connects to an endpoint over TCP.
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: backlog.LimitEngineSocket}
-	return d.DialContext(ctx, "tcp", address)
+	return tunnel.DialTCP(ctx, address)
 }
 
 // get returns an idle connection or opens one. If fresh is true, it always opens one.
@@ -81,7 +71,7 @@
 	}
 	dial := p.dial
 	if dial == nil {
-		dial = dialTCP
+		dial = tunnel.DialTCP
 	}
 	openedAt := clock.Now()
 	raw, err := dial(ctx, address)
--- a/transport/forward/crash_probe.go
+++ b/transport/forward/crash_probe.go
@@ -54,7 +54,7 @@
 
 // probePort connects to an endpoint that makes no reports.
 func (p *crashProbe) probePort() quarantine.ProbeResult {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 	defer cancel()
 	queriedAt := clock.Now()
 	c, err := p.forwarder.connect(ctx, p.runner.Spec().Address)
--- a/transport/forward/link_check.go
+++ b/transport/forward/link_check.go
@@ -77,15 +77,15 @@
 	defer c.checks.running.Add(-1)
 	f, address := c.checks.forwarder, c.runner.Spec().Address
 	begun := clock.Now()
-	if f.probe(c.runner, f.Links.DialDirect) == nil {
-		if f.answersProbes(c.runner) {
-			c.runner.Reached(clock.Now())
-			f.Links.RecordReached(address, begun)
+	switch err := f.probe(c.runner, f.Links.DialDirect); {
+	case errors.Is(err, errProbeNotAllowed):
+	case err != nil:
+		if f.probe(c.runner, f.Links.DialManyPeers) == nil {
+			f.Links.RecordUnreachable(address, begun)
 		}
-		return
-	}
-	if f.probe(c.runner, f.Links.DialManyPeers) == nil {
-		f.Links.RecordUnreachable(address, begun)
+	case f.answersProbes(c.runner):
+		c.runner.Reached(clock.Now())
+		f.Links.RecordReached(address, begun)
 	}
 }
 
--- a/transport/tunnel/dialer.go
+++ b/transport/tunnel/dialer.go
@@ -207,6 +207,11 @@
 	if d.Connect != nil {
 		return d.Connect(ctx, address)
 	}
+	return DialTCP(ctx, address)
+}
+
+// DialTCP connects to an endpoint over TCP.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	t := net.Dialer{Timeout: directTimeout, KeepAlive: -1, Control: backlog.LimitEngineSocket}
 	return t.DialContext(ctx, "tcp", address)
 }
