--- a/coordination/reach/peers.go
+++ b/coordination/reach/peers.go
@@ -19,6 +19,9 @@
 	// The time doubles with each failure in a row.
 	minFailureRest = time.Second
 	maxFailureRest = 16 * time.Second
+	// failureRetry is how long after a failure an entry is asked again all the same if no other is left. It
+	// may be the only one that reaches endpoints.
+	failureRetry = 100 * time.Millisecond
 	// unsupportedRest is how long an entry of a version without tunnels is not asked again. It may be
 	// restarted with a later one.
 	unsupportedRest = 10 * time.Second
@@ -50,6 +53,7 @@
 type peerRest struct {
 	until    time.Time
 	failures int
+	failedAt time.Time // when it last did not answer, zero if it answered since
 }
 
 // PeerQuery holds what the choice of an entry depends on.
@@ -110,12 +114,33 @@
 			}
 		}
 	}
+	if best == nil {
+		best = p.lastResort(q)
+	}
 	if best == nil {
 		return protocol.EntryRecord{}, false
 	}
 	return *best, true
 }
 
+// lastResort returns the entry that has not failed for longest among those that did, nil if there is none or
+// it failed a moment ago.
+func (p *Peers) lastResort(q *PeerQuery) *protocol.EntryRecord {
+	var best *protocol.EntryRecord
+	var failedAt time.Time
+	for i := range p.records {
+		r := &p.records[i]
+		rest, resting := p.rests[r.Name]
+		if !resting || rest.failedAt.IsZero() || q.Tried[r.Name] || q.Now.Sub(rest.failedAt) < failureRetry {
+			continue
+		}
+		if best == nil || rest.failedAt.Before(failedAt) {
+			best, failedAt = r, rest.failedAt
+		}
+	}
+	return best
+}
+
 func (p *Peers) find(name string) *protocol.EntryRecord {
 	for i := range p.records {
 		if name != "" && p.records[i].Name == name {
@@ -155,7 +180,7 @@
 		p.rests[r.Name] = peerRest{until: now.Add(unsupportedRest)}
 	case result == PeerFailed:
 		failures := p.rests[r.Name].failures
-		p.rests[r.Name] = peerRest{until: now.Add(min(maxFailureRest, minFailureRest<<min(failures, 10))), failures: failures + 1}
+		p.rests[r.Name] = peerRest{until: now.Add(min(maxFailureRest, minFailureRest<<min(failures, 10))), failures: failures + 1, failedAt: now}
 	case outcome == protocol.TunnelCutOff:
 		p.rests[r.Name] = peerRest{until: now.Add(cutOffRest)}
 		p.dataCenters[r.DataCenter] = now.Add(cutOffRest)
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -154,7 +154,9 @@
 		shrinkBuffers(c)
 		p.conns[c] = true
 	}
-	p.pairs[conns[0]] = conns[1]
+	if p.pairs != nil { // a proxy without entries behind it keeps none
+		p.pairs[conns[0]] = conns[1]
+	}
 	return !p.closed
 }
 
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -62,13 +62,13 @@
 	reportedLost     []*fleet.Runner      // later stages that were reported lost; exchange only
 	head             *http.Response       // head of the stream, nil until received; exchange only
 
-	sent         int    // bytes of the request that were written; run only
-	peer         string // the entry that the connection goes through, "" for none; set before the first message
-	connReturned bool   // the connection went back to the pool, which owns its buffer; run only
+	sent         int  // bytes of the request that were written; run only
+	connReturned bool // the connection went back to the pool, which owns its buffer; run only
 	ctx          context.Context
 	cancel       context.CancelFunc
 	mutex        sync.Mutex
 	conn         *conn
+	peer         string // the entry that the last connection goes through, "" for none; under the mutex
 }
 
 func (a *attempt) run() {
@@ -78,7 +78,6 @@
 		a.post(attemptEnded{attempt: a, cause: err, unsent: true})
 		return
 	}
-	a.peer = c.peer
 	defer a.recycleBuffer(c)
 	if !a.attachConn(c) {
 		return
@@ -94,6 +93,13 @@
 	a.readResponse(c)
 }
 
+// throughPeer returns the entry that the attempt's connection goes or went through, "" for none.
+func (a *attempt) throughPeer() string {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.peer
+}
+
 // recordReached records that the endpoint answered on a new connection of this entry.
 func (a *attempt) recordReached(c *conn) {
 	if links := a.forwarder.Links; links != nil && c.peer == "" && !c.reused {
@@ -124,7 +130,7 @@
 		_ = c.Close()
 		return false
 	}
-	a.conn = c
+	a.conn, a.peer = c, c.peer
 	return true
 }
 
@@ -335,7 +341,7 @@
 // that the attempt is connected to. The first event says all
 // that there is to say about when the request was sent.
 func (x *exchange) recordHeard(a *attempt, now time.Time) {
-	if a.peer == "" {
+	if a.throughPeer() == "" {
 		a.endpoint.Reached(now)
 	}
 	for i := range a.path.Len() {
--- a/transport/forward/baseline.go
+++ b/transport/forward/baseline.go
@@ -39,7 +39,7 @@
 
 // recordResponseTime records how long a plain service took to respond.
 func (x *exchange) recordResponseTime(a *attempt, now time.Time) {
-	if x.service.Engine != nil || a.sentAt.Before(x.resumedAt) || a.peer != "" {
+	if x.service.Engine != nil || a.sentAt.Before(x.resumedAt) || a.throughPeer() != "" {
 		return
 	}
 	x.forwarder.reportObservedSlowdown(a, x.slowdownOf(a, now), now)
--- a/transport/forward/handle.go
+++ b/transport/forward/handle.go
@@ -156,7 +156,7 @@
 // handleDisconnect handles a connection that broke off before the end of the response: the endpoint may have
 // crashed, or the path of this entry to it is cut. Work is not blamed for a path that is known to be cut.
 func (x *exchange) handleDisconnect(a *attempt, now time.Time) {
-	if a.peer == "" {
+	if a.throughPeer() == "" {
 		if x.forwarder.blocked(a.endpoint) {
 			return
 		}
--- a/transport/tunnel/peers.go
+++ b/transport/tunnel/peers.go
@@ -42,7 +42,8 @@
 	query     reach.PeerQuery
 	known     int // entries that there are to ask
 	asked     int
-	witnesses int // that did not reach the endpoint, though others
+	witnesses int  // that did not reach the endpoint, though others
+	unknown   bool // whether one knows no endpoint at the address, so that others may be reached
 	failed    DialError
 }
 
@@ -79,7 +80,10 @@
 			wave = laterWave
 		}
 	}
-	if s.dialer.CutOff() {
+	switch {
+	case s.unknown:
+		s.failed.verdict = Undecided
+	case s.dialer.CutOff():
 		s.failed.verdict = NoPath
 	}
 	return nil, &s.failed
@@ -133,6 +137,8 @@
 	case protocol.TunnelRefused, protocol.TunnelSilent:
 		s.witnesses++
 		s.failed.cause = causeOf(r.answer.Outcome)
+	case protocol.TunnelUnknown:
+		s.unknown = true
 	case protocol.TunnelCutOff:
 		s.failed.verdict = NoPath
 		s.query.Recommended = r.answer.Peer
--- a/transport/tunnel/server.go
+++ b/transport/tunnel/server.go
@@ -31,11 +31,13 @@
 	requestTimeout = time.Second
 	// endpointTimeout bounds how long an endpoint may take to accept the connection of a tunnel.
 	endpointTimeout = 100 * time.Millisecond
-	// vouchTimeout bounds how long other endpoints may take to show that this entry reaches them.
-	vouchTimeout = 50 * time.Millisecond
+	// vouchTimeout bounds how long another endpoint may take to show that this entry reaches it.
+	vouchTimeout = 20 * time.Millisecond
 	// vouchEndpoints is how many other endpoints must be reached before one is blamed. An entry that is
 	// cut off from most endpoints may still reach one of them.
 	vouchEndpoints = 3
+	// maxVouchFailures is how many others may fail meanwhile: several endpoints may have crashed.
+	maxVouchFailures = 2
 	// tunnelBytes is what a tunnel takes from the memory budget: its buffers and those of its sockets.
 	tunnelBytes = 64 << 10
 )
@@ -177,24 +179,34 @@
 // at fault. An entry that knows of a path that is cut can't tell. One that knows no other endpoint takes the
 // only one to be at fault.
 func (s *Server) vouch(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
-	defer cancel()
-	checked := 0
+	reached, failures, others := 0, 0, 0
 	for _, other := range s.Dialer.Addresses() {
 		if other == address {
 			continue
 		}
-		if checked == vouchEndpoints || s.Dialer.Disturbed() {
+		if reached == vouchEndpoints || failures > maxVouchFailures || s.Dialer.Disturbed() {
 			break
 		}
-		c, err := s.Dialer.DialDirect(ctx, other)
-		if err != nil {
-			return false
+		others++
+		if s.reaches(ctx, other) {
+			reached++
+		} else {
+			failures++
 		}
-		_ = c.Close() // nothing was sent on it
-		checked++
 	}
-	return !s.Dialer.Disturbed()
+	return reached >= min(vouchEndpoints, others) && !s.Dialer.Disturbed()
+}
+
+// reaches reports whether this entry can connect to an endpoint.
+func (s *Server) reaches(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
+	defer cancel()
+	c, err := s.Dialer.DialDirect(ctx, address)
+	if err != nil {
+		return false
+	}
+	_ = c.Close() // nothing was sent on it
+	return true
 }
 
 // exchange passes the bytes of one tunnel on.
--- a/transport/tunnel/tunnel_test.go
+++ b/transport/tunnel/tunnel_test.go
@@ -322,6 +322,26 @@
 	}
 }
 
+// TestEndpointThatHelperDoesNotKnowIsNotTakenForNoPath has an entry that is cut off ask for an endpoint whose
+// record only it uses. Requests were refused as if no endpoint could be reached.
+func TestEndpointThatHelperDoesNotKnowIsNotTakenForNoPath(t *testing.T) {
+	endpoints := []*echoEndpoint{newEchoEndpoint(t), newEchoEndpoint(t), newEchoEndpoint(t)}
+	all := newEntries(t, 2, endpoints...)
+	all[0].partition.Set(platformtest.CutRefusesNew, "")
+	for _, e := range endpoints[:2] {
+		c, err := all[0].dialer.Dial(t.Context(), e.address())
+		require.NoError(t, err)
+		_ = c.Close()
+	}
+	require.True(t, all[0].dialer.CutOff())
+	unknown := endpoints[2].address()
+	all[1].server.Knows = func(address string) bool { return address != unknown }
+	_, err := all[0].dialer.Dial(t.Context(), unknown)
+	var failed *tunnel.DialError
+	require.ErrorAs(t, err, &failed)
+	require.Equal(t, tunnel.Undecided, failed.Verdict())
+}
+
 func TestLimitOfTunnelsIsKept(t *testing.T) {
 	e := newEchoEndpoint(t)
 	all := newEntries(t, 2, e)
