--- a/transport/tunnel/dialer.go
+++ b/transport/tunnel/dialer.go
@@ -111,8 +111,7 @@
 	if ctx.Err() != nil || isLocal(err) || !d.HasPeers() {
 		return d.dialAlone(ctx, address, err)
 	}
-	var net net.Error
-	if errors.As(err, &net) && net.Timeout() || errors.Is(err, context.DeadlineExceeded) {
+	if isTimeout(err) {
 		return d.race(ctx, address, begun)
 	}
 	c, failed := d.DialPeers(ctx, address)
@@ -125,8 +124,7 @@
 
 // dialAlone goes on without another entry after a first attempt that failed.
 func (d *Dialer) dialAlone(ctx context.Context, address string, cause error) (net.Conn, error) {
-	var net net.Error
-	if ctx.Err() != nil || !errors.As(cause, &net) || !net.Timeout() {
+	if ctx.Err() != nil || !isTimeout(cause) {
 		return nil, &DialError{address: address, cause: cause}
 	}
 	ctx, cancel := context.WithTimeout(ctx, directTimeout-headStart)
--- a/transport/tunnel/errors.go
+++ b/transport/tunnel/errors.go
@@ -3,7 +3,9 @@
 package tunnel
 
 import (
+	"context"
 	"errors"
+	"net"
 	"os"
 	"syscall"
 
@@ -13,7 +15,7 @@
 // Verdict says where the fault is when no connection to an endpoint could be made.
 type Verdict uint8
 
-// Undecided means that no other entry could be asked. EndpointFailed means that an entry which reaches other
+// Undecided means that no other entry could tell. EndpointFailed means that enough entries which reach other
 // endpoints could not connect either. NoPath means that neither this entry nor any that it asked
 // reaches endpoints.
 const (
@@ -74,6 +76,12 @@
 // errNoPeer says that there is no entry to ask.
 var errNoPeer = errors.New("no other entry can connect")
 
+// isTimeout reports whether an endpoint did not accept a connection in time.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, context.DeadlineExceeded)
+}
+
 // isLocal reports whether an error is this process's own and says nothing of the path to an endpoint.
 func isLocal(err error) bool {
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL)
