--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -71,7 +71,10 @@
 	}
 	dir := t.TempDir()
 	for i := range entries {
-		tb.entries = append(tb.entries, tb.newEntry(dir, fmt.Sprint("entry-", i), dataCenterOf(i)))
+		e := tb.newEntry(dir, fmt.Sprint("entry-", i), dataCenterOf(i))
+		tb.mutex.Lock() // the proxies of the endpoints look for entries that are cut off
+		tb.entries = append(tb.entries, e)
+		tb.mutex.Unlock()
 	}
 	for _, e := range tb.entries {
 		e.start()
