forward: probe a port by one function

From reading the change once more: the new probe of a path without a health path was the crash probe's connect and wait written again, so the crash probe calls it now, with the same results. An accessor that nothing called and an Unwrap that returned nil are gone. Behaviour is unchanged. Checked: linter on transport, transport/forward, tunnel and front with -race, the crash and cut tests of platform.

--- a/transport/forward/crash_probe.go
+++ b/transport/forward/crash_probe.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"os"
 	"time"
 
 	"pinerun.example/pinerun/coordination/quarantine"
@@ -57,18 +56,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 	defer cancel()
 	queriedAt := clock.Now()
-	c, err := p.forwarder.connect(ctx, p.runner.Spec().Address)
-	if err != nil {
-		return p.classifyError(err, queriedAt)
-	}
-	defer func() { _ = c.Close() }() // nothing was sent on it
-	if err := c.SetReadDeadline(time.Now().Add(portProbeTime)); err != nil {
-		return quarantine.ProbeInconclusive // the connection is already closed
-	}
-	if _, err := c.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+	switch err := probeConnect(ctx, p.forwarder.connect, p.runner.Spec().Address); {
+	case err == nil:
 		return quarantine.ProbeAnswered
+	case errors.Is(err, errClosedAtOnce):
+		return quarantine.ProbeInconclusive
+	default:
+		return p.classifyError(err, queriedAt)
 	}
-	return quarantine.ProbeInconclusive
 }
 
 // classifyError classifies a failed query: a refused connection means that the incarnation is over, unless
--- a/transport/tunnel/errors.go
+++ b/transport/tunnel/errors.go
@@ -51,7 +51,8 @@
 // Verdict returns where the fault is.
 func (e *DialError) Verdict() Verdict { return e.verdict }
 
-// PeerLost says that a connection ended because its tunnel did, and not by the endpoint.
+// PeerLost says that a connection ended because its tunnel did, and not by the endpoint. It does not unwrap to
+// its cause, which could be taken for the endpoint's.
 type PeerLost struct {
 	peer  string
 	cause error
@@ -62,9 +63,6 @@
 	return "the tunnel through " + e.peer + " ended: " + e.cause.Error()
 }
 
-// Unwrap returns nothing: the cause is not the endpoint's.
-func (e *PeerLost) Unwrap() error { return nil }
-
 // causeOf returns what an entry found at an endpoint, as an error of a connection of one's own would say it.
 func causeOf(o protocol.TunnelOutcome) error {
 	if o == protocol.TunnelRefused {
--- a/transport/tunnel/reach.go
+++ b/transport/tunnel/reach.go
@@ -36,13 +36,6 @@
 	return d.tracker.CutOff()
 }
 
-// BlockedCount returns how many paths are known to be cut.
-func (d *Dialer) BlockedCount() int {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.tracker.Blocked()
-}
-
 // RecordUnreachable records that another entry reached an endpoint while this one did not, in an attempt that
 // began at a time. It counts for nothing if this entry was not run since: its own connection may be as good.
 func (d *Dialer) RecordUnreachable(address string, begun time.Time) {
