platform: name the parts of prompts in failed attempts

Logs could not tell what failed requests have in common other than all of it. No decision uses it yet.

--- a/protocol/fingerprint.go
+++ b/protocol/fingerprint.go
@@ -12,8 +12,8 @@
 const fingerprintBytes = 16
 
 // Fingerprint identifies the content of a request, independent of the entry that receives it
-// and of the ID of the attempt. It is a hash of the team, method, host, target and body. The
-// zero value stands for no request.
+// and of the ID of the attempt, or a part of its prompt. It is a hash of the team, method, host,
+// target and body, or of the name of the part. The zero value stands for no request.
 type Fingerprint [fingerprintBytes]byte
 
 // FingerprintOf returns the fingerprint of a request. The team is "" where callers have no keys.
@@ -30,6 +30,15 @@
 	return f
 }
 
+// FingerprintOfPart returns the fingerprint of a part of a prompt, which is the same whatever else a
+// request holds.
+func FingerprintOfPart(id string) Fingerprint {
+	var f Fingerprint
+	sum := sha256.Sum256([]byte("part\x00" + id)) // fewer separators than in the hash of any request
+	copy(f[:], sum[:])
+	return f
+}
+
 // ParseFingerprint parses the output of String and reports whether the text is valid.
 func ParseFingerprint(text string) (Fingerprint, bool) {
 	var f Fingerprint
--- a/protocol/forward.go
+++ b/protocol/forward.go
@@ -16,6 +16,9 @@
 	LastEvent    string
 	PromptTokens int
 	AnswerTokens int
+	// Parts names the parts of the prompt that other requests may share, in order and without the last,
+	// which belongs to the request itself or to its session.
+	Parts []string
 }
 
 // AttemptTerms holds what an endpoint receives in addition to the request. Path is empty
--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -59,6 +59,7 @@
 	isolated         bool                 // other quarantined work avoids the endpoint; exchange only
 	reportedBroken   bool                 // the work was reported as aborted there; exchange only
 	reportedRan      bool                 // the work was reported to run well there; exchange only
+	recordedParts    bool                 // the parts of the prompt were recorded to run well there; exchange only
 	reportedLost     []*fleet.Runner      // later stages that were reported lost; exchange only
 	head             *http.Response       // head of the stream, nil until received; exchange only
 
--- a/transport/forward/decide.go
+++ b/transport/forward/decide.go
@@ -104,7 +104,8 @@
 func (x *exchange) attemptFailed(m *attemptEnded, r retry.Result) {
 	a := m.attempt
 	x.forwarder.log(event.AttemptBroken, x.requestAttr(), slog.Int("attempt", a.number), slog.String("endpoint", a.endpoint.Name()),
-		slog.Int("events", x.events), slog.String("fingerprint", x.workFingerprint().String()), slog.Int("sent_bytes", m.sent), slog.String("cause", m.cause.Error()))
+		slog.Int("events", x.events), slog.String("fingerprint", x.workFingerprint().String()), x.partsAttr(clock.Now()),
+		slog.Int("sent_bytes", m.sent), slog.String("cause", m.cause.Error()))
 	x.decideRetry(a, r, nil)
 }
 
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -35,7 +35,8 @@
 	service     *protocol.RoutedService
 	team        *protocol.RoutedTeam
 	body        []byte
-	fingerprint protocol.Fingerprint // zero until workFingerprint computes it
+	fingerprint protocol.Fingerprint   // zero until workFingerprint computes it
+	parts       []protocol.Fingerprint // nil until partFingerprints computes them
 	deadline    time.Time
 
 	messages    chan message
--- a/transport/forward/handle.go
+++ b/transport/forward/handle.go
@@ -114,6 +114,9 @@
 		// explicit statement does.
 		x.decideRetry(a, retry.Broken, &m)
 	default:
+		if m.head.StatusCode < http.StatusMultipleChoices {
+			x.recordParts(a, now)
+		}
 		x.reportRan(a, now)
 		x.recordHeard(a, now)
 		x.recordResponseTime(a, now)
--- a/transport/forward/quarantine.go
+++ b/transport/forward/quarantine.go
@@ -45,6 +45,10 @@
 	// RecordUnresolved records that it may become known soon whether an incarnation of an endpoint
 	// has crashed.
 	RecordUnresolved(endpoint string, incarnation protocol.Incarnation, now time.Time)
+	// RecordParts records that parts of prompts ran well at this entry.
+	RecordParts(parts []protocol.Fingerprint, at time.Time)
+	// PartRuns returns how often and when a part ran well at this entry.
+	PartRuns(part protocol.Fingerprint) quarantine.Runs
 	crashcheck.Recorder
 }
 
@@ -268,6 +272,7 @@
 	}
 	if now.Sub(a.firstEventAt) >= quarantine.SafeAfter {
 		x.clearIsolated(a, now)
+		x.recordParts(a, now)
 		x.reportRan(a, now)
 	}
 }
--- a/transport/relay/quarantine.go
+++ b/transport/relay/quarantine.go
@@ -33,6 +33,7 @@
 	tracker  quarantine.Tracker
 	nonEmpty atomic.Bool         // whether the tracker holds any reports
 	pending  []quarantine.Report // of this entry, not sent while the crash is not confirmed
+	history  quarantine.History  // of the parts that ran well at this entry
 	log      reportLog
 	changed  lifecycle.Signal // signaled when a report changes something
 }
@@ -80,6 +81,25 @@
 	q.pending = remaining
 }
 
+// RecordParts records that parts of prompts ran well at this entry.
+func (q *Quarantine) RecordParts(parts []protocol.Fingerprint, at time.Time) {
+	if len(parts) == 0 {
+		return
+	}
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	for _, part := range parts {
+		q.history.Record(part, at)
+	}
+}
+
+// PartRuns returns how often and when a part ran well at this entry.
+func (q *Quarantine) PartRuns(part protocol.Fingerprint) quarantine.Runs {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.history.Runs(part)
+}
+
 // RecordUnresolved records that it is not known yet whether an incarnation of an endpoint crashed.
 func (q *Quarantine) RecordUnresolved(endpoint string, incarnation protocol.Incarnation, now time.Time) {
 	q.mutex.Lock()
