--- a/transport/forward/quarantine.go
+++ b/transport/forward/quarantine.go
@@ -59,7 +59,7 @@
 	deadline  time.Time // until when waiting is useful
 	recheckAt time.Time
 	since     time.Time // from when no other run was in the way
-	failed    *attempt // the last attempt, nil if there was none
+	failed    *attempt  // the last attempt, nil if there was none
 	result    retry.Result
 	response  *responseReceived
 }
