soak: crash engines on a part of prompts

Every request names parts: one that all share, one of five, and its own. Half of the crashing requests during the faults, and all of a check after them, hold a part on which engines crash, no two alike. Parts must arrive unchanged.

--- a/coordination/quarantine/isolation.go
+++ b/coordination/quarantine/isolation.go
@@ -22,13 +22,15 @@
 	// IsolationRetryAfter is when the caller should retry after an isolated run did not start in
 	// time.
 	IsolationRetryAfter = 500 * time.Millisecond
-	// doublingInterval is in which time the probability doubles with which one of many entries starts a run. The
-	// report of a run reaches the others meanwhile.
-	doublingInterval = 2 * IsolationPollInterval
+	// pollsUntilReported is how often the other entries check until the report of a run has reached them all.
+	pollsUntilReported = settleTime / IsolationPollInterval
+	// doublingInterval is in which time the probability doubles with which one of many entries starts a run. At a
+	// thousand entries, one that waits alone starts within a second.
+	doublingInterval = settleTime / 2
 	// maxConcurrentRuns is how many requests with the same part may run in isolation at one endpoint.
 	maxConcurrentRuns = 2
 	// maxDoublings is enough for a million entries.
-	maxDoublings = 20
+	maxDoublings = 24
 )
 
 // isolatedRunKey identifies an isolated run by its endpoint and its work.
@@ -121,7 +123,8 @@
 // same engine become free, and those that start before the reports of each other arrive would share it. So each
 // starts with a probability of 1/n for n waiting suspects. With a single sample before the first check, work
 // shared its engine at all five of its isolated runs under a simulated load. Requests with the same part
-// may wait at any number of entries: the probability begins with one for all of them and doubles until one starts.
+// may wait at any number of entries: the probability begins so low that one of all of them starts until its report has
+// reached the others, and doubles until one starts.
 func (t *Tracker) MayStartIsolatedRun(now time.Time, c Contention) bool {
 	waiting := 0
 	for f, w := range t.suspects {
@@ -132,9 +135,12 @@
 			waiting++
 		}
 	}
-	doublings := min(maxDoublings, now.Sub(c.Since)/doublingInterval)
-	entries := max(1, float64(c.Entries)/float64(uint64(1)<<doublings))
-	return c.Sample*float64(waiting)*entries < 1
+	contenders := 1.0
+	if c.Entries > 1 {
+		doublings := min(maxDoublings, now.Sub(c.Since)/doublingInterval)
+		contenders = max(1, float64(c.Entries)*float64(pollsUntilReported)/float64(uint64(1)<<doublings))
+	}
+	return c.Sample*float64(waiting)*contenders < 1
 }
 
 // needsIsolation reports whether the suspect was in so many possible crashes that it runs in isolation.
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -41,6 +41,7 @@
 type call struct {
 	id          string
 	work        string // requested work that several calls share, "" for work unique to this call
+	parts       string // the parts of the prompt, "" for those of a sound request
 	kind        string
 	key         string
 	entry       *entry
@@ -56,6 +57,9 @@
 // content returns the name of the requested work.
 func (c *call) content() string { return cmp.Or(c.work, c.id) }
 
+// sentParts returns the parts of the prompt.
+func (c *call) sentParts() string { return cmp.Or(c.parts, soundParts(c.content())) }
+
 // runsAtMostOnce reports whether the request must not run more than once.
 func (c *call) runsAtMostOnce() bool { return c.kind == nonIdempotent }
 
@@ -179,6 +183,7 @@
 	req.Header.Set("X-Pinerun-Request-Id", q.id)
 	req.Header.Set("X-Pinerun-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	req.Header.Set("Authorization", "Token "+q.key)
+	req.Header.Set("X-Pinerun-Prompt-Prefix", q.sentParts())
 	res, err := client.Do(req)
 	if err != nil {
 		q.err = err
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -133,6 +133,9 @@
 	if r.Method != http.MethodPost || r.Target != "/"+c.kind+"/"+c.content() || r.Body != bodyOf(c.content()) {
 		tb.reportProblem("%s arrived changed: %s %s %q", c.id, r.Method, r.Target, r.Body)
 	}
+	if r.Parts != c.sentParts() {
+		tb.reportProblem("%s arrived with the parts %q", c.id, r.Parts)
+	}
 	if r.Team != "team" || r.Key != "" {
 		tb.reportProblem("%s arrived as team %q with key %q", c.id, r.Team, r.Key)
 	}
