entry: find messages that crash runners

The messages but the last are parts of a prompt. Reports of work between entries have a second form with parts; frames without them stay as they were, and both forms are pinned. The hash of a part begins with a byte that no team's name has, since a message's role could otherwise be chosen to equal the hash of a request.

Ruled out: parts as reports of their own, which would lose what stood in one request.

--- a/protocol/chat.go
+++ b/protocol/chat.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"slices"
 	"strings"
 	"unicode/utf8"
 )
@@ -25,6 +26,18 @@
 	Content string `json:"content"`
 }
 
+// SharedParts returns the fingerprints of the first messages, which other requests may share. The last message is
+// the request's own.
+func (r *ChatRequest) SharedParts() []Fingerprint {
+	var parts []Fingerprint
+	for _, m := range r.Messages[:max(0, min(MaxReportParts, len(r.Messages)-1))] {
+		if f := FingerprintOfPart(m.Role + "\x00" + m.Content); !slices.Contains(parts, f) {
+			parts = append(parts, f)
+		}
+	}
+	return parts
+}
+
 // DefaultMaxTokens is the maximum number of output tokens of a request that sets no limit.
 const DefaultMaxTokens = 256
 
--- a/protocol/fingerprint.go
+++ b/protocol/fingerprint.go
@@ -34,7 +34,7 @@
 // request holds.
 func FingerprintOfPart(id string) Fingerprint {
 	var f Fingerprint
-	sum := sha256.Sum256([]byte("part\x00" + id)) // fewer separators than in the hash of any request
+	sum := sha256.Sum256([]byte("\xffpart\x00" + id)) // no team's name begins with that byte
 	copy(f[:], sum[:])
 	return f
 }
--- a/protocol/peer.go
+++ b/protocol/peer.go
@@ -67,13 +67,60 @@
 	Work          []WorkReport // observations of work that may crash runners
 }
 
+// peerFrameWithParts is a PeerFrame whose reports of work have parts. Entries of earlier versions can't read
+// more elements than they know, so other frames have the form before.
+type peerFrameWithParts struct {
+	_             struct{} `cbor:",toarray"`
+	Hello         *Member
+	Heartbeat     *PeerHeartbeat
+	Change        *ConfigChange
+	WantConfig    bool
+	ClaimRequests []ClaimRequest
+	ClaimAnswers  []ClaimAnswer
+	Members       []Member
+	Work          []WorkReport
+	WorkParts     []ReportParts
+}
+
+// peerFrameWithPartsHead begins each encoded peerFrameWithParts: an array of nine elements.
+const peerFrameWithPartsHead = 0x89
+
 // EncodePeer encodes a frame.
-func EncodePeer(f PeerFrame) ([]byte, error) { return encoder.Marshal(f) }
+func EncodePeer(f PeerFrame) ([]byte, error) {
+	parts := partsOf(f.Work)
+	if len(parts) == 0 {
+		return encoder.Marshal(f)
+	}
+	return encoder.Marshal(peerFrameWithParts{
+		Hello: f.Hello, Heartbeat: f.Heartbeat, Change: f.Change, WantConfig: f.WantConfig, ClaimRequests: f.ClaimRequests,
+		ClaimAnswers: f.ClaimAnswers, Members: f.Members, Work: f.Work, WorkParts: parts,
+	})
+}
+
+// decodePeerForm decodes a frame of either form.
+func decodePeerForm(b []byte) (PeerFrame, error) {
+	if len(b) == 0 || b[0] != peerFrameWithPartsHead {
+		var f PeerFrame
+		err := decodeFrame("peer", b, &f)
+		return f, err
+	}
+	var f peerFrameWithParts
+	if err := decodeFrame("peer", b, &f); err != nil {
+		return PeerFrame{}, err
+	}
+	if !setParts(f.Work, f.WorkParts) {
+		return PeerFrame{}, &FrameError{kind: "peer"}
+	}
+	return PeerFrame{
+		Hello: f.Hello, Heartbeat: f.Heartbeat, Change: f.Change, WantConfig: f.WantConfig, ClaimRequests: f.ClaimRequests,
+		ClaimAnswers: f.ClaimAnswers, Members: f.Members, Work: f.Work,
+	}, nil
+}
 
 // DecodePeer decodes and validates a frame.
 func DecodePeer(b []byte) (PeerFrame, error) {
-	var f PeerFrame
-	if err := decodeFrame("peer", b, &f); err != nil {
+	f, err := decodePeerForm(b)
+	if err != nil {
 		return PeerFrame{}, err
 	}
 	if f.Hello != nil && (f.Hello.Name == "" || f.Hello.Address == "") {
--- a/protocol/work_test.go
+++ b/protocol/work_test.go
@@ -33,6 +33,16 @@
 	require.Equal(t, protocol.RelayRequest{Work: workWithParts()}, request)
 }
 
+func TestPeerFramesKeepPartsOfReports(t *testing.T) {
+	frame := protocol.PeerFrame{Members: []protocol.Member{{Name: "e1", Address: "127.0.0.1:1"}}, Work: workWithParts()}
+	b, err := protocol.EncodePeer(frame)
+	require.NoError(t, err)
+	read, err := protocol.DecodePeer(b)
+	require.NoError(t, err)
+	require.Equal(t, frame.Work, read.Work)
+	require.Equal(t, frame.Members, read.Members)
+}
+
 // frameBeforeParts is a RelayFrame as the version before parts of prompts reads it.
 type frameBeforeParts struct {
 	FailedMS int64                 `cbor:"3,keyasint"`
--- a/transport/entry/chat.go
+++ b/transport/entry/chat.go
@@ -42,7 +42,7 @@
 	response := newChatResponse(c, e, k, r)
 	run := &modelRun{
 		entry: e, id: k.id, model: m, repeatable: k.repeatable != "no",
-		deadline: k.deadline, trace: k.trace, sink: response, slot: slot, call: k,
+		deadline: k.deadline, trace: k.trace, sink: response, slot: slot, call: k, messages: &r,
 	}
 	err = run.serve(c.Request().Context(), prompt, r.TokenLimit(), k.team.Priority)
 	return response.finish(len(prompt), run.machine.Emitted(), r.TokenLimit(), err)
--- a/transport/entry/crash_test.go
+++ b/transport/entry/crash_test.go
@@ -25,7 +25,17 @@
 // sendPrompt requests two tokens and returns the status and the body.
 func sendPrompt(t *testing.T, e *entry.Entry, text string) (int, string) {
 	t.Helper()
-	body := fmt.Sprintf(`{"model":"fares","max_tokens":2,"messages":[{"role":"user","content":%q}]}`, text)
+	return sendMessages(t, e, text)
+}
+
+// sendMessages is like sendPrompt, for a prompt of several messages.
+func sendMessages(t *testing.T, e *entry.Entry, texts ...string) (int, string) {
+	t.Helper()
+	var messages []string
+	for _, text := range texts {
+		messages = append(messages, fmt.Sprintf(`{"role":"user","content":%q}`, text))
+	}
+	body := fmt.Sprintf(`{"model":"fares","max_tokens":2,"messages":[%s]}`, strings.Join(messages, ","))
 	req, err := http.NewRequest(http.MethodPost, "http://"+e.CallerAddress()+"/v1/chat/completions", strings.NewReader(body))
 	require.NoError(t, err)
 	req.Header.Set("Authorization", "Bearer "+key)
@@ -122,3 +132,50 @@
 	require.LessOrEqual(t, d.Crashes(), crashes+1, "at most one request runs before the reports arrive")
 	waitUntilServed(t, later)
 }
+
+// TestRequestsWithMessageThatCrashesRunnersAreRefused sends requests of which no two are alike, but which share a message that
+// crashes each runner, to two entries, beside requests that share their first message.
+func TestRequestsWithMessageThatCrashesRunnersAreRefused(t *testing.T) {
+	const (
+		sharedMessage = "you help at the fare desk"
+		requests      = 30
+		maxCrashes    = 5 + 3
+	)
+	d := startDeploymentOf(t, fast, 4)
+	entries := startLinked(t, d)
+	d.CrashOn(crashingPrompt, 100*time.Millisecond)
+	var others sync.WaitGroup
+	stop := make(chan struct{})
+	served, refused := make([]int, len(entries)), make([]int, len(entries))
+	for i, e := range entries {
+		others.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				status, body := sendMessages(t, e, sharedMessage, fmt.Sprint("fare ", i, " ", n, "?"))
+				switch {
+				case status == http.StatusOK:
+					served[i]++
+				case strings.Contains(body, "ends_endpoints"):
+					refused[i]++
+				}
+			}
+		})
+	}
+	var body string
+	for i := range requests {
+		_, body = sendMessages(t, entries[i%2], sharedMessage, crashingPrompt, fmt.Sprint("question ", i))
+	}
+	close(stop)
+	others.Wait()
+	t.Logf("%d crashes, other requests served %v", d.Crashes(), served)
+	require.LessOrEqual(t, d.Crashes(), maxCrashes)
+	require.Contains(t, body, "ends_endpoints")
+	require.Equal(t, []int{0, 0}, refused, "other work is not refused")
+	for _, e := range entries {
+		waitUntilServed(t, e)
+	}
+}
--- a/transport/entry/isolation.go
+++ b/transport/entry/isolation.go
@@ -34,9 +34,17 @@
 	return m.workFingerprint
 }
 
+// sharedParts returns the fingerprints of the messages that other requests may share.
+func (m *modelRun) sharedParts() []protocol.Fingerprint {
+	if m.parts == nil && m.messages != nil {
+		m.parts = m.messages.SharedParts()
+	}
+	return m.parts
+}
+
 // content returns what the request may have in common with others that crash runners.
 func (m *modelRun) content() *quarantine.Content {
-	c := quarantine.NewContent(m.fingerprint(), nil)
+	c := quarantine.NewContent(m.fingerprint(), m.sharedParts())
 	return &c
 }
 
@@ -44,9 +52,14 @@
 // runners runs in isolation: on a runner without other suspected work, one request at a time.
 func (m *modelRun) awaitPath(ctx context.Context) (path.Path, error) {
 	var waited bool
+	var since time.Time // from when no other isolated run was in the way
 	for deadline := clock.Now().Add(quarantine.IsolationTimeout); ; {
 		now := clock.Now()
-		p, allowed, err := m.choosePath(m.workStatus(now), now)
+		status := m.workStatus(now)
+		if _, blocked := status.(quarantine.Waiting); blocked || since.IsZero() {
+			since = now
+		}
+		p, allowed, err := m.choosePath(status, since, now)
 		if allowed || err != nil {
 			return p, err
 		}
@@ -63,23 +76,29 @@
 	}
 }
 
-// choosePath returns a path for work with the given status, and whether the work may run on it now.
-func (m *modelRun) choosePath(s quarantine.Status, now time.Time) (p path.Path, allowed bool, err error) {
+// choosePath returns a path for work with the given status, and whether the work may run on it now. Since is from
+// when no other isolated run was in the way.
+func (m *modelRun) choosePath(s quarantine.Status, since, now time.Time) (p path.Path, allowed bool, err error) {
 	var reserved []string
 	switch s := s.(type) {
 	case quarantine.Refused:
 		return p, false, m.crashRefusal(s)
 	case quarantine.Waiting:
 		return p, false, nil
-	case quarantine.PreferIsolation, quarantine.RequireIsolation:
-		reserved = m.entry.quarantine.tracker.ReservedEndpoints(m.content(), now)
+	default:
+		if !m.entry.quarantine.tracker.Empty() {
+			reserved = m.entry.quarantine.tracker.ReservedEndpoints(m.content(), now)
+		}
 	}
 	if p, err = m.findPath(reserved); err != nil {
 		return p, false, err
 	}
-	if _, isolated := s.(quarantine.RequireIsolation); isolated {
-		first := p.Runner(0)
-		return p, first.Usable(time.Now()) && !slices.Contains(reserved, first.Name()) && m.entry.quarantine.tracker.MayStartIsolatedRun(now, now, 1), nil
+	if isolated, ok := s.(quarantine.RequireIsolation); ok {
+		first, entries := p.Runner(0), 1
+		if isolated.Shared() {
+			entries = m.entry.liveEntries()
+		}
+		return p, first.Usable(time.Now()) && !slices.Contains(reserved, first.Name()) && m.entry.quarantine.tracker.MayStartIsolatedRun(now, since, entries), nil
 	}
 	return p, true, nil
 }
@@ -107,6 +126,9 @@
 // crashRefusal returns the refusal for work that is refused because it crashed runners.
 func (m *modelRun) crashRefusal(refused quarantine.Refused) *protocol.Refusal {
 	message := fmt.Sprintf("%d runners ended when they ran the same request", refused.Crashes())
+	if refused.Part() {
+		message = fmt.Sprintf("%d runners ended when they ran requests with the same message", refused.Crashes())
+	}
 	if m.mayHaveRun {
 		return protocol.Uncertain(protocol.StageFailed, message)
 	}
@@ -173,6 +195,10 @@
 func (m *modelRun) reportSafe() {
 	m.endIsolatedRun()
 	tracker := &m.entry.quarantine.tracker
+	if !m.partsRecorded {
+		m.partsRecorded = true
+		tracker.RecordParts(m.sharedParts(), clock.Now())
+	}
 	if m.safeReported || tracker.Empty() || !tracker.IsSuspected(m.content()) {
 		return
 	}
@@ -183,7 +209,7 @@
 
 // reportWork records an observation of the request's work at a runner.
 func (m *modelRun) reportWork(r *fleet.Runner, incarnation protocol.Incarnation, observation protocol.WorkObservation, now time.Time) {
-	m.entry.quarantine.tracker.Report(protocol.WorkReport{Work: m.fingerprint(), Endpoint: r.Name(), Incarnation: incarnation, Observation: observation}, now)
+	m.entry.quarantine.tracker.Report(protocol.WorkReport{Work: m.fingerprint(), Parts: m.sharedParts(), Endpoint: r.Name(), Incarnation: incarnation, Observation: observation}, now)
 }
 
 // incarnationOf returns the incarnation of the runner's process that the entry is connected to.
--- a/transport/entry/model_run.go
+++ b/transport/entry/model_run.go
@@ -48,10 +48,13 @@
 	lastTokenAt time.Time // when the last token arrived
 
 	call            *call
-	workFingerprint protocol.Fingerprint // zero until fingerprint computes it
-	isolatedOn      *fleet.Runner        // the runner reserved for an isolated run, nil for none
-	firstTokenAt    time.Time            // when the first token arrived, on the clock of clock.Now
-	safeReported    bool                 // peers have a report that the work ran well
+	messages        *protocol.ChatRequest
+	workFingerprint protocol.Fingerprint   // zero until fingerprint computes it
+	parts           []protocol.Fingerprint // of the messages that other requests may share, nil until sharedParts computes them
+	isolatedOn      *fleet.Runner          // the runner reserved for an isolated run, nil for none
+	firstTokenAt    time.Time              // when the first token arrived, on the clock of clock.Now
+	safeReported    bool                   // peers have a report that the work ran well
+	partsRecorded   bool                   // this entry has recorded that the messages ran well
 }
 
 // serve runs the request. A returned error is a Refusal whose outcome covers all
--- a/wire_test.go
+++ b/wire_test.go
@@ -37,6 +37,7 @@
 		{"steps", &protocol.StepFrame{}, func(m any) ([]byte, error) { return protocol.EncodeSteps(*m.(*protocol.StepFrame)) }},
 		{"replies", &protocol.ReplyFrame{}, func(m any) ([]byte, error) { return protocol.EncodeReplies(*m.(*protocol.ReplyFrame)) }},
 		{"peer", &protocol.PeerFrame{}, func(m any) ([]byte, error) { return protocol.EncodePeer(*m.(*protocol.PeerFrame)) }},
+		{"peer-with-parts", &protocol.PeerFrame{}, encodePeerWithParts},
 		{"claims", &protocol.ClaimBatch{}, func(m any) ([]byte, error) { return protocol.EncodeClaims(*m.(*protocol.ClaimBatch)) }},
 		{"relay-hello", &protocol.RelayHelloArray{}, encodeArray},
 		{"relay-ask", &protocol.RelayRequestArray{}, encodeArray},
@@ -142,6 +143,13 @@
 	return protocol.RelayMaps.Encode(message.(protocol.RelayMessage))
 }
 
+// encodePeerWithParts encodes a message between entries of pinerun's own interface, whose second report has parts.
+func encodePeerWithParts(message any) ([]byte, error) {
+	f := message.(*protocol.PeerFrame)
+	f.Work[1].Parts = []protocol.Fingerprint{{1, 2, 3}, {4, 5, 6}}
+	return protocol.EncodePeer(*f)
+}
+
 // encodeWithParts encodes a message between entries as a map. Its second report has parts of a prompt.
 func encodeWithParts(message any) ([]byte, error) {
 	parts := []protocol.Fingerprint{{1, 2, 3}, {4, 5, 6}}
