--- a/coordination/quarantine/decide.go
+++ b/coordination/quarantine/decide.go
@@ -249,10 +249,15 @@
 }
 
 // isForemost reports whether a suspect was in more crashes than any other at a crash that is not known to have run well.
+// What was in the same requests there does not count.
 func (t *Tracker) isForemost(f protocol.Fingerprint, id crashID, now time.Time) bool {
+	accused := t.crashes[id]
 	crashes := t.suspects[f].countCrashes(now).confirmed()
-	for other := range t.crashes[id] {
-		if w := t.suspects[other]; other != f && !w.isProven(now) && w.countCrashes(now).confirmed() >= crashes {
+	for other := range accused {
+		if other == f || accused.inseparable(f, other) && accused.inseparable(other, f) {
+			continue
+		}
+		if w := t.suspects[other]; !w.isProven(now) && w.countCrashes(now).confirmed() >= crashes {
 			return false
 		}
 	}
