forward: ask every endpoint something that it answers

Callers of an entry that was cut off from a service without a health path got 504, or 502 within 38 ms, for as long as connections to it were accepted and hung or were reset (0 of 71 first tries, others 284 of 284). Cause: where a service has no health path, a connection that was merely accepted counted as a path that works, and undid what the request had shown. Only an answer proves a path: such an endpoint is asked with a request for another endpoint, which it answers and does not run. When one path of a service is found cut, up to eight others are checked at once; before, the second of two endpoints was found out by the request that hung there.

Ruled out: asking other entries when the endpoint last answered them (a new word between entries, and it says nothing of the way back).

--- a/transport/forward/link_check.go
+++ b/transport/forward/link_check.go
@@ -36,6 +36,9 @@
 	// Probe returns nil if the endpoint at an address answers on a new connection that dial makes. It
 	// is asked at the health path of its service, or for its report if there is none.
 	Probe(ctx context.Context, dial func(ctx context.Context, address string) (net.Conn, error), address, healthPath string) error
+	// ProbeMisdirected returns nil if the endpoint at an address answers a request for another endpoint, which
+	// it does not run, on a new connection that dial makes.
+	ProbeMisdirected(ctx context.Context, dial func(ctx context.Context, address string) (net.Conn, error), address string) error
 }
 
 // linkChecks finds out whether an endpoint is at fault or the path of this entry to it. An endpoint that
@@ -59,6 +62,22 @@
 	go (&linkCheck{checks: l, runner: r}).run()
 }
 
+// beginOthers checks the paths to some other endpoints of a service, after one was found cut: requests to them would
+// hang until they are checked one by one.
+func (l *linkChecks) beginOthers(r *fleet.Runner, now time.Time) {
+	f := l.forwarder
+	begun := 0
+	for _, other := range f.Registry.View().Runners() {
+		if begun == maxLinkChecks {
+			return
+		}
+		if other != r && f.serviceOf(other) == f.serviceOf(r) {
+			l.begin(other, now)
+			begun++
+		}
+	}
+}
+
 // blocked reports whether the path of this entry to an endpoint is cut.
 func (f *Forwarder) blocked(r *fleet.Runner) bool {
 	return f.Links != nil && f.Links.Blocked(r.Spec().Address)
@@ -82,8 +101,9 @@
 	case err != nil:
 		if f.probe(c.runner, f.Links.DialManyPeers) == nil {
 			f.Links.RecordUnreachable(address, begun)
+			c.checks.beginOthers(c.runner, clock.Now())
 		}
-	case f.answersProbes(c.runner):
+	default:
 		c.runner.Reached(clock.Now())
 		f.Links.RecordReached(address, begun)
 	}
@@ -102,32 +122,15 @@
 		return errProbeNotAllowed
 	case s.Engine != nil:
 		return f.Prober.Probe(ctx, dial, r.Spec().Address, "")
-	case s.HealthPath == "":
-		return probeConnect(ctx, dial, r.Spec().Address)
 	case !f.PassProbe(r.Name(), clock.Now()):
 		return errProbeNotAllowed
+	case s.HealthPath == "":
+		return f.Prober.ProbeMisdirected(ctx, dial, r.Spec().Address)
 	default:
 		return f.Prober.Probe(ctx, dial, r.Spec().Address, s.HealthPath)
 	}
 }
 
-// answersProbes reports whether an endpoint answers a probe. One without a health path only accepts the
-// connection, which something on the network path may do as well.
-func (f *Forwarder) answersProbes(r *fleet.Runner) bool {
-	s := f.serviceOf(r)
-	return s != nil && (s.Engine != nil || s.HealthPath != "")
-}
-
-// anyAnswersProbes reports whether any endpoint answers probes.
-func (f *Forwarder) anyAnswersProbes() bool {
-	for _, r := range f.Registry.View().Runners() {
-		if f.answersProbes(r) {
-			return true
-		}
-	}
-	return false
-}
-
 // probeConnect returns nil if the endpoint accepts a connection and keeps it open.
 func probeConnect(ctx context.Context, dial func(ctx context.Context, address string) (net.Conn, error), address string) error {
 	c, err := dial(ctx, address)
@@ -199,16 +202,13 @@
 	p.forwarder.Links.RecordProbe(p.address, answered, begun)
 }
 
-// answered reports whether the endpoint answers. While the entry is cut off from all of them, one that only
-// accepts connections proves nothing if others could answer.
+// answered reports whether the endpoint answers. While the entry is cut off from all of them, one that can only
+// accept connections proves nothing if others could answer.
 func (p *pathProbe) answered() bool {
 	f := p.forwarder
 	r := f.runnerAt(p.address)
-	if (r == nil || !f.answersProbes(r)) && f.Links.CutOff() && f.anyAnswersProbes() {
-		return false
-	}
 	if r == nil {
-		return probeAddress(f, p.address) == nil
+		return !(f.Links.CutOff() && len(f.Registry.View().Runners()) > 0) && probeAddress(f, p.address) == nil
 	}
 	return f.probe(r, f.Links.DialDirect) == nil
 }
