--- a/coordination/quarantine/decide.go
+++ b/coordination/quarantine/decide.go
@@ -218,7 +218,7 @@
 // other work there ran for the first time.
 func (t *Tracker) crashedInIsolation(f protocol.Fingerprint, w *suspect, now time.Time) bool {
 	for id, fail := range w.failures {
-		if fail.counts() && w.crashesBefore(fail.at) >= isolationThreshold && t.isolatedAt(f, id, fail.at, now) && !t.explainedByOther(f, id) {
+		if fail.counts() && w.crashesBefore(fail.at) >= isolationThreshold && t.isolatedAt(f, id, fail.at, now) && !t.explainedByOther(f, id) && !t.isAmbiguous(f, id, now) {
 			return true
 		}
 	}
@@ -248,6 +248,36 @@
 	return len(suspected) <= 1 || t.isForemost(f, id, now) && (len(suspected) <= maxConcurrentRuns || accused.hasOthers(f))
 }
 
+// isAmbiguous reports whether another part of the same request at a crash explains it as well as the given part or
+// better: it is not known to have run well either, was near fewer requests, or near as many and in as many crashes.
+func (t *Tracker) isAmbiguous(f protocol.Fingerprint, id crashID, now time.Time) bool {
+	accused, w := t.crashes[id], t.suspects[f]
+	if !w.part {
+		return false
+	}
+	works, crashes := t.mostWorks(f, w), w.countCrashes(now).confirmed()
+	for other := range accused {
+		beside := t.suspects[other]
+		if other == f || !beside.part || beside.isProven(now) || beside.reported || !accused.inseparable(f, other) || t.alwaysTogether(f, other) {
+			continue
+		}
+		if n := t.mostWorks(other, beside); n < works || n == works && beside.countCrashes(now).confirmed() >= crashes {
+			return true
+		}
+	}
+	return false
+}
+
+// alwaysTogether reports whether two parts were in the same requests at all crashes of the first.
+func (t *Tracker) alwaysTogether(f, other protocol.Fingerprint) bool {
+	for id := range t.suspects[f].failures {
+		if !t.crashes[id].inseparable(f, other) || !t.crashes[id].inseparable(other, f) {
+			return false
+		}
+	}
+	return true
+}
+
 // isForemost reports whether a suspect was in more crashes than any other at a crash that is not known to have run well.
 // What was in the same requests there does not count.
 func (t *Tracker) isForemost(f protocol.Fingerprint, id crashID, now time.Time) bool {
