forward: end a broken stream by HTTP/1.0 with a reset

A caller by HTTP/1.0 gets a stream without chunks and takes the end of the connection for its end. A stream that was broken off at every engine ended like a whole one (TestBrokenAnswerDoesNotEndLikeWholeOneByHTTP10: nil after two of its events). The connection now ends with a reset as long as the stream is not complete, also where the process is killed. Answers that are no streams have a length. Through another entry the end of an answer was safe already: the close code of a tunnel tells who ended it.

Ruled out: a reset only where this process breaks the stream off (a kill closes the socket like a complete answer).

--- a/transport/backlog/conn.go
+++ b/transport/backlog/conn.go
@@ -232,6 +232,20 @@
 	}
 }
 
+// SetReset sets whether the end of the connection is a reset from now on, however it ends.
+func (c *Conn) SetReset(reset bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	t, ok := c.Conn.(*net.TCPConn)
+	switch {
+	case !ok:
+	case reset:
+		_ = t.SetLinger(0)
+	default:
+		_ = t.SetLinger(-1)
+	}
+}
+
 // closeSocket closes the socket. After a failure it discards the socket's unsent bytes, which would
 // otherwise stay in the kernel's memory until the caller reads them. The mutex is held.
 func (c *Conn) closeSocket() error {
--- a/transport/forward/reply.go
+++ b/transport/forward/reply.go
@@ -53,9 +53,18 @@
 	x.copyHead(head)
 	x.writer.Header().Del("Content-Length")
 	x.setWriteDeadline()
+	x.resetUnlessComplete(true)
 	x.writer.WriteHeader(head.StatusCode)
 }
 
+// resetUnlessComplete makes the end of the caller's connection a reset as long as the stream is not complete, also if this
+// process is killed: a caller by HTTP/1.0 gets no chunks and takes the end of the connection for that of the stream.
+func (x *exchange) resetUnlessComplete(incomplete bool) {
+	if x.caller != nil && !x.request.ProtoAtLeast(1, 1) {
+		x.caller.SetReset(incomplete)
+	}
+}
+
 func (x *exchange) setWriteDeadline() {
 	err := http.NewResponseController(x.writer).SetWriteDeadline(clock.TimerDeadline(x.deadline.Add(writeGrace)))
 	if err != nil {
@@ -80,6 +89,7 @@
 		x.recordCallerLeft()
 		return
 	}
+	x.resetUnlessComplete(false)
 	x.recordAnswered(http.StatusOK)
 }
 
