--- a/coordination/quarantine/bench_test.go
+++ b/coordination/quarantine/bench_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"pinerun.example/pinerun/coordination/quarantine"
 	"pinerun.example/pinerun/protocol"
 )
 
@@ -65,3 +66,42 @@
 		runtime.KeepAlive(h)
 	}
 }
+
+// BenchmarkStatusWithParts is BenchmarkStatus for requests with three parts, of which one is in all of them.
+func BenchmarkStatusWithParts(b *testing.B) {
+	h := newHarness()
+	for n := range 1000 {
+		h.reportParts(protocol.WorkBroke, "e-1", fingerprint(n), first, fingerprint(10_000+n%8), fingerprint(20_000+n%100))
+	}
+	h.tracker.RecordCrash("e-1", 1, h.now)
+	b.ReportAllocs()
+	for n := range b.N {
+		h.partStatus(fingerprint(n%2000), first, fingerprint(10_000+n%8), fingerprint(20_000+n%100))
+	}
+}
+
+// BenchmarkRecordParts records what an entry does for each request with three parts in calm time.
+func BenchmarkRecordParts(b *testing.B) {
+	var history quarantine.History
+	b.ReportAllocs()
+	for n := range b.N {
+		for _, id := range []string{"aa00", "5b07", "91bd3f06"} {
+			history.Record(protocol.FingerprintOfPart(id), startTime.Add(time.Duration(n)))
+		}
+	}
+}
+
+// BenchmarkNewRefusals looks for refusals among a thousand pieces of work that were near two crashes each, as an
+// entry does every 50 ms while anything is suspected.
+func BenchmarkNewRefusals(b *testing.B) {
+	h := newHarness()
+	for n := range 1000 {
+		h.reportParts(protocol.WorkBroke, "e-1", fingerprint(n), first, fingerprint(10_000+n%8))
+		h.reportParts(protocol.WorkBroke, "e-2", fingerprint(n), first, fingerprint(10_000+n%8))
+	}
+	h.tracker.RecordCrash("e-1", 1, h.now)
+	h.tracker.RecordCrash("e-2", 1, h.now)
+	for range b.N {
+		h.tracker.NewRefusals(h.now, h.now)
+	}
+}
--- a/coordination/quarantine/expire.go
+++ b/coordination/quarantine/expire.go
@@ -16,11 +16,13 @@
 		return
 	}
 	t.lastExpiry = now
+	t.refuses = false
 	for f, w := range t.suspects {
 		if now.Sub(w.storedUntil) > Retention {
 			w.storedUntil = time.Time{}
 		}
 		t.expireFailures(f, w, now)
+		t.refuses = t.refuses || w.reported
 		if len(w.failures) == 0 && w.storedUntil.IsZero() && now.Sub(w.clearedAt) > UnconfirmedRetention && now.Sub(w.provenAt) > UnconfirmedRetention {
 			delete(t.suspects, f)
 		}
--- a/coordination/quarantine/refusal.go
+++ b/coordination/quarantine/refusal.go
@@ -63,6 +63,7 @@
 		if !refused {
 			continue
 		}
+		t.refuses = true
 		w.reported, w.with = true, t.inseparableFrom(c.suspect, w, now)
 		t.explain(w)
 		all = append(all, Refusal{
@@ -174,6 +175,7 @@
 	if w == nil {
 		w = t.addSuspect(f, now)
 	}
+	t.refuses = true
 	w.part, w.reported = r.Part, true // before its crashes, which nothing else explains
 	w.with = w.with[:0]
 	for _, name := range r.With[:min(protocol.MaxReportParts, len(r.With))] {
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -88,6 +88,7 @@
 	exits        map[string]exit   // the latest known exit of each endpoint
 	isolatedRuns map[isolatedRunKey]isolatedRun
 	lastExpiry   time.Time
+	refuses      bool // whether anything may be refused
 }
 
 // suspect is what is known about a whole work, or about a part of prompts.
@@ -150,7 +151,7 @@
 			changed = true
 		}
 	}
-	if changed {
+	if changed && t.refuses {
 		t.explainAt(r.crashID())
 	}
 	return changed
