ratelimit: lend what is not needed, and give loans back

Shares follow demand by idleness: an entry with a few requests lends nothing, one without any for a second by chance lends all, for 11 s.

An entry lends what it does not need of its share, twice what it sent in the last 1.5 s, and adds to a loan; a borrower that needs less gives loans back by the same report in the other direction. Requests for more count for 2.5 s, not 7.

Not run: whole processes under such a crowd.

--- a/coordination/ratelimit/crowd_test.go
+++ b/coordination/ratelimit/crowd_test.go
@@ -3,6 +3,7 @@
 package ratelimit_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -32,24 +33,36 @@
 	return float64(n) / (crowdDemand * to.Sub(from).Seconds())
 }
 
+// crowdSeeds is with how many sequences of requests each crowd is played. One sequence has a few dozen requests in a phase.
+const crowdSeeds = 5
+
 // TestSharesFollowCrowdAtOneEntry sends most requests to one entry, then to another one, then to all again.
 func TestSharesFollowCrowdAtOneEntry(t *testing.T) {
 	for _, entries := range []int{5, 7, 15} {
 		for _, crowd := range []float64{0.8, 0.9, 1} {
-			f := newFleet(entries, crowdLimit)
-			f.name()
-			spread := func(int) float64 { return crowdDemand / float64(entries) }
-			f.run(20*time.Second, spread)
-			before := f.servedPart(f.now.Add(-10*time.Second), f.now)
-			for phase, demand := range []func(int) float64{crowdAt(0, entries, crowd), crowdAt(1, entries, crowd), spread} {
-				begin := f.now
-				f.run(crowdPhase, demand)
-				after := f.servedPart(begin.Add(followTime), f.now)
+			var before, first [3]float64
+			var after [3]float64
+			for seed := range uint64(crowdSeeds) {
+				f := newFleet(entries, crowdLimit)
+				f.random = rand.New(rand.NewPCG(seed, 3))
+				f.name()
+				spread := func(int) float64 { return crowdDemand / float64(entries) }
+				f.run(20*time.Second, spread)
+				calm := f.servedPart(f.now.Add(-10*time.Second), f.now)
+				for phase, demand := range []func(int) float64{crowdAt(0, entries, crowd), crowdAt(1, entries, crowd), spread} {
+					begin := f.now
+					f.run(crowdPhase, demand)
+					before[phase] += calm / crowdSeeds
+					first[phase] += f.servedPart(begin, begin.Add(followTime)) / crowdSeeds
+					after[phase] += f.servedPart(begin.Add(followTime), f.now) / crowdSeeds
+				}
+				require.LessOrEqual(t, f.most(), int(4*crowdLimit)+3+entries, "requests in any four seconds")
+			}
+			for phase := range after {
 				t.Logf("%d entries, %.0f%% at one, phase %d: %.2f in the first %s, then %.2f, %.2f before", entries, 100*crowd, phase,
-					f.servedPart(begin, begin.Add(followTime)), followTime, after, before)
-				assert.GreaterOrEqual(t, after, leastServed*before)
+					first[phase], followTime, after[phase], before[phase])
+				assert.GreaterOrEqual(t, after[phase], leastServed*before[phase])
 			}
-			require.LessOrEqual(t, f.most(), int(4*crowdLimit)+3+entries, "requests in any four seconds")
 		}
 	}
 }
--- a/coordination/ratelimit/loan.go
+++ b/coordination/ratelimit/loan.go
@@ -13,10 +13,10 @@
 const (
 	// wantInterval is how often an entry reports that it wants more, and wantTTL is how long that
 	// report counts. One may be lost.
-	wantInterval = 3 * time.Second
-	wantTTL      = 7 * time.Second
-	// idleAfter is how long an entry must have had no request for an endpoint to lend its share.
-	idleAfter = time.Second
+	wantInterval = time.Second
+	wantTTL      = 2500 * time.Millisecond
+	// leastLent is the least part of a share that is worth lending, or adding to a loan.
+	leastLent = 0.3
 	// loanTTL is how long a borrower uses a share, and loanRenewal is the remaining time from which
 	// the loan is extended.
 	loanTTL     = 8 * time.Second
@@ -33,6 +33,7 @@
 	share       float64 // fraction of the limit
 	lenderRank  int
 	from, until time.Time
+	returnedAt  time.Time // when this entry gave the last loan of that lender back
 }
 
 // Want notes that this entry has a request for an endpoint. It returns the report that the entry
@@ -83,7 +84,14 @@
 	}
 	t.updateShare(s, now)
 	s.refill(now)
+	if r.message.Borrower == t.members.self && s.share.lentTo == r.Observer() && now.Before(s.share.backAt) {
+		s.share.lentTo, s.share.lent, s.share.backAt = "", 0, now // the borrower gave it back
+		return true
+	}
 	p := s.peers[r.Observer()]
+	if now.Sub(p.loan.returnedAt) < loanMargin {
+		return true // sent before the lender knew that it has the share back
+	}
 	from := now
 	if p.loan.borrower == r.message.Borrower && now.Before(p.loan.until) {
 		from = p.loan.from
@@ -107,39 +115,85 @@
 	return reports
 }
 
-// lendShare lends or extends the loan of one share, if that is due.
+// lendShare lends, extends or adds to the loan of one share, or gives a loan back, if that is due.
 func (t *Tracker) lendShare(s *endpointState, now time.Time) (Report, bool) {
-	if s.limit == 0 || now.Sub(s.wantedAt) < idleAfter {
+	if s.limit == 0 {
 		return Report{}, false
 	}
 	t.updateShare(s, now)
-	if !s.holdsShare() {
+	if lender := s.needlessLoan(now); lender != "" {
+		return t.giveBack(s, lender, now), true
+	}
+	if !s.holdsShare() || now.Sub(s.announcedAt) < wantTTL {
 		return Report{}, false
 	}
-	borrower := t.nextBorrower(s, now)
+	borrower, share := t.nextLoan(s, now)
 	if borrower == "" {
 		return Report{}, false
 	}
 	s.refill(now)
-	s.share.lentTo, s.share.backAt = borrower, now.Add(loanTTL+loanMargin)
+	s.share.lentTo, s.share.lent, s.share.backAt = borrower, share, now.Add(loanTTL+loanMargin)
 	s.refill(now) // drops what the bucket holds beyond the remaining shares
+	return t.newLoan(s, borrower, share, now), true
+}
+
+// newLoan returns the report of a loan.
+func (t *Tracker) newLoan(s *endpointState, borrower string, share float64, now time.Time) Report {
 	r := t.newReport(protocol.EndpointProcess{ID: s.endpoint, Incarnation: s.incarnation}, protocol.RateLimitLent, s.limit, now)
-	r.message.Borrower, r.message.Share = borrower, 1/float64(s.shares())
-	return r, true
+	r.message.Borrower, r.message.Share = borrower, share
+	return r
+}
+
+// needlessLoan returns the lender of the largest loan without which this entry has more than it needs, "" if there is
+// none.
+func (s *endpointState) needlessLoan(now time.Time) string {
+	spare := s.fraction(now) - s.used.needed(now)/s.limit
+	lender, largest := "", 0.0
+	for name, p := range s.peers {
+		if !p.loan.ours || !now.Before(p.loan.until) || now.Sub(p.loan.from) < usageWindow {
+			continue
+		}
+		if f := s.usable(&p.loan); f <= spare && (f > largest || f == largest && name < lender) {
+			lender, largest = name, f
+		}
+	}
+	return lender
+}
+
+// giveBack ends the use of a loan and returns the report to its lender.
+func (t *Tracker) giveBack(s *endpointState, lender string, now time.Time) Report {
+	s.refill(now)
+	p := s.peers[lender]
+	share := p.loan.share
+	p.loan = loan{returnedAt: now}
+	s.refill(now) // drops what the bucket holds beyond the remaining shares
+	return t.newLoan(s, lender, share, now)
+}
+
+// spareShare returns the fraction of the limit that this entry does not need of its share.
+func (s *endpointState) spareShare(now time.Time) float64 {
+	share := 1 / float64(s.shares())
+	spare := min(share, share-s.used.needed(now)/s.limit)
+	if spare < leastLent*share {
+		return 0
+	}
+	return spare
 }
 
-// nextBorrower returns the entry to which the share should be lent from now on, "" if that is not
-// due. A loan can be extended before it ends, and go to another entry only once it has ended
-// everywhere.
-func (t *Tracker) nextBorrower(s *endpointState, now time.Time) string {
-	loanEnd := s.share.backAt.Add(-loanMargin)
+// nextLoan returns the entry to which a part of the share should be lent from now on, and which part, "" if that is not
+// due. A loan can be extended or added to before it ends, and go to another entry only once it has ended everywhere.
+func (t *Tracker) nextLoan(s *endpointState, now time.Time) (borrower string, share float64) {
+	spare, loanEnd := s.spareShare(now), s.share.backAt.Add(-loanMargin)
+	more := spare >= s.share.lent+leastLent/float64(s.shares())
 	switch {
+	case spare == 0:
+		return "", 0
 	case !now.Before(s.share.backAt):
-		return t.neediest(s, now)
-	case now.Before(loanEnd) && loanEnd.Sub(now) <= loanRenewal && s.wants(s.share.lentTo, now):
-		return s.share.lentTo
+		return t.neediest(s, now), spare
+	case now.Before(loanEnd) && (loanEnd.Sub(now) <= loanRenewal || more) && s.wants(s.share.lentTo, now) && spare >= s.share.lent:
+		return s.share.lentTo, spare
 	default:
-		return ""
+		return "", 0
 	}
 }
 
--- a/coordination/ratelimit/share.go
+++ b/coordination/ratelimit/share.go
@@ -67,7 +67,8 @@
 	entries int
 	rank    int       // how many entries come before this one
 	lentTo  string    // "" if the share was never lent
-	backAt  time.Time // when this entry may use the share again
+	lent    float64   // the fraction of the limit that is lent
+	backAt  time.Time // when this entry may use all of the share again
 }
 
 // bucket holds the requests that this entry may send at once. The zero value is empty.
@@ -92,11 +93,17 @@
 	return min(l.share, 1/float64(shares))
 }
 
+// kept returns the fraction of the limit that this entry may use of its share while the rest is lent.
+func (s *endpointState) kept() float64 { return max(0, 1/float64(s.shares())-s.share.lent) }
+
 // fraction returns the fraction of the limit that this entry may use.
 func (s *endpointState) fraction(now time.Time) float64 {
 	f := 0.0
-	if s.holdsShare() && !now.Before(s.share.backAt) {
-		f = 1 / float64(s.shares())
+	if s.holdsShare() {
+		f = s.kept()
+		if !now.Before(s.share.backAt) {
+			f = 1 / float64(s.shares())
+		}
 	}
 	for _, p := range s.peers {
 		if p.loan.ours && now.Before(p.loan.until) {
@@ -120,8 +127,9 @@
 // this entry could use then.
 func (s *endpointState) earned(from, to time.Time) float64 {
 	seconds := 0.0
-	if begin := later(from, s.share.backAt); s.holdsShare() && begin.Before(to) {
-		seconds = to.Sub(begin).Seconds() / float64(s.shares())
+	if s.holdsShare() {
+		back := earlier(later(from, s.share.backAt), to)
+		seconds = back.Sub(from).Seconds()*s.kept() + to.Sub(back).Seconds()/float64(s.shares())
 	}
 	for _, p := range s.peers {
 		begin, end := later(from, p.loan.from), earlier(to, p.loan.until)
@@ -178,6 +186,7 @@
 	for i := range targets {
 		if s := t.limited(targets[i]); s != nil {
 			s.bucket.requests--
+			s.used.add(now)
 		}
 	}
 	return true
--- a/coordination/ratelimit/tracker.go
+++ b/coordination/ratelimit/tracker.go
@@ -39,6 +39,7 @@
 	reportedAt  time.Time // when the limit was last reported
 	usedAt      time.Time // when the endpoint last named a limit, or a request was to be sent to it under one
 	bucket      bucket
+	used        usage // requests sent
 	share       ownShare
 	peers       map[string]*peer // other entries that reported anything, by name
 	droppedAt   time.Time        // when old peers were last dropped
--- a/transport/forward/link_check.go
+++ b/transport/forward/link_check.go
@@ -208,7 +208,8 @@
 	f := p.forwarder
 	r := f.runnerAt(p.address)
 	if r == nil {
-		return !(f.Links.CutOff() && len(f.Registry.View().Runners()) > 0) && probeAddress(f, p.address) == nil
+		mayTell := !f.Links.CutOff() || len(f.Registry.View().Runners()) == 0
+		return mayTell && probeAddress(f, p.address) == nil
 	}
 	return f.probe(r, f.Links.DialDirect) == nil
 }
