relay: pass on that a part ran well after a failure

Cause: a report that a part ran well was passed on only if a crash was confirmed by then. Where the crash was confirmed later, the failure went out and what had cleared it did not. An entry that had just been started after a kill counted such failures, had no runs of its own, refused the part and stored that, and all others believed it.

An entry that passes a failure on adds that its parts ran well since, if it saw that; a stored refusal of a part that ran well here since its crashes is dropped, and the others are told. TestEntryThatStartsRefusesNoPartThatOthersHaveCleared and TestStoredRefusalOfPartThatRanWellSinceIsDropped fail before.

--- a/transport/relay/quarantine.go
+++ b/transport/relay/quarantine.go
@@ -189,10 +189,21 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	accepted := q.tracker.RestoreRefusal(work, r, now, wall)
+	if accepted && r.Part {
+		q.clearRestored(work, r.Crashes[0].Endpoint, now)
+	}
 	q.nonEmpty.Store(!q.tracker.Empty())
 	return accepted
 }
 
+// clearRestored ends the refusal of a part that has run well at this entry since its crashes. The caller holds the
+// mutex.
+func (q *Quarantine) clearRestored(part protocol.Fingerprint, endpoint string, now time.Time) {
+	if ran, ok := q.ranReport(part, endpoint, now); ok && q.tracker.Apply(ran, now) {
+		q.publish(ran, "", now)
+	}
+}
+
 // Release removes a refusal on behalf of an operator, and reports whether the work was refused. The
 // reports of that work are no longer sent to new followers.
 func (q *Quarantine) Release(work protocol.Fingerprint, now time.Time) bool {
@@ -266,21 +277,24 @@
 	switch {
 	case r.Observation() == protocol.WorkRan:
 		for _, part := range r.Content().Parts() {
-			q.vouched.Record(part, now)
+			q.vouched.Record(part, r.At())
 		}
 	case r.Observation().Broke():
 		q.vouch(&r, now)
 	}
 }
 
-// vouch passes on that the parts of a failed request ran well at this entry before, unless it did lately. Without
-// that, a part that most requests share would be suspected by entries that have just started.
+// vouch passes on when the parts of a failed request last ran well at this entry, if that clears the failure or no such
+// report was passed on lately. Without that, a part that most requests share would be refused by entries that have
+// just started: they get the failures that others have cleared since.
 func (q *Quarantine) vouch(r *quarantine.Report, now time.Time) {
 	for _, part := range r.Content().Parts() {
-		if now.Sub(q.vouched.Runs(part).Last()) < vouchInterval {
+		ran, ok := q.ranReport(part, r.Endpoint(), now)
+		if !ok {
 			continue
 		}
-		if ran, ok := q.ranReport(part, r.Endpoint(), now); ok {
+		told := q.vouched.Runs(part).Last()
+		if clears := ran.At().After(r.At()) && !told.After(r.At()); clears || ran.At().Sub(told) >= vouchInterval {
 			q.publish(ran, "", now)
 		}
 	}
