--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -3,7 +3,6 @@
 package quarantine
 
 import (
-	"slices"
 	"time"
 
 	"pinerun.example/pinerun/protocol"
@@ -91,31 +90,6 @@
 	refuses      bool // whether anything may be refused
 }
 
-// suspect is what is known about a whole work, or about a part of prompts.
-type suspect struct {
-	part        bool // it is a part of prompts, which requests with different work may share
-	failures    map[crashID]failure
-	clearedAt   time.Time // failures up to then no longer count
-	provenAt    time.Time // when the part last ran well, zero if it is not known to have
-	storedUntil time.Time // end of the refusal in the platform's store, zero for none
-	reported    bool      // the refusal has been returned by NewRefusals
-	// with is what else was in all requests that crashed endpoints with a part that is refused. One of them is the
-	// cause, so only requests with all of them are refused.
-	with []protocol.Fingerprint
-}
-
-// failure is a failure of a suspect at an endpoint.
-type failure struct {
-	at              time.Time
-	confirmed       bool                 // the endpoint is known to have crashed
-	laterStage      bool                 // the endpoint was a later stage of the work's path
-	unresolvedUntil time.Time            // end of the wait for the result of probes, zero for none
-	explainedBy     protocol.Fingerprint // the refused suspect that explains the crash, zero for none
-}
-
-// counts reports whether the failure is a confirmed crash that nothing else explains.
-func (f *failure) counts() bool { return f.confirmed && f.explainedBy.IsZero() }
-
 // exit is the end of an incarnation of an endpoint.
 type exit struct {
 	incarnation protocol.Incarnation
@@ -301,75 +275,6 @@
 	return x.at.Sub(at).Abs() <= unconfirmedTimeout
 }
 
-// lastFailure returns the time of the last failure.
-func (w *suspect) lastFailure() time.Time {
-	var last time.Time
-	for _, fail := range w.failures {
-		if fail.at.After(last) {
-			last = fail.at
-		}
-	}
-	return last
-}
-
-// isProven reports whether the suspect is a part that is known to have run well.
-func (w *suspect) isProven(now time.Time) bool {
-	return !w.provenAt.IsZero() && now.Sub(w.provenAt) <= Retention
-}
-
-// crashCount is the number of crashes in which a suspect was involved.
-type crashCount struct {
-	firstStage  int // confirmed, at the first engine of its path
-	laterStage  int // confirmed, at later engines
-	unconfirmed int // possible crashes
-}
-
-// confirmed returns the number of confirmed crashes that count.
-func (c crashCount) confirmed() int {
-	if c.laterStage < laterStageThreshold {
-		return c.firstStage
-	}
-	return c.firstStage + c.laterStage
-}
-
-// possible returns the largest number of crashes in which the suspect may have been involved.
-func (c crashCount) possible() int { return c.confirmed() + c.unconfirmed }
-
-// countCrashes returns the number of crashes in which the suspect was involved, and that nothing else explains.
-func (w *suspect) countCrashes(now time.Time) crashCount {
-	var c crashCount
-	for _, fail := range w.failures {
-		switch {
-		case !fail.explainedBy.IsZero():
-		case fail.confirmed && fail.laterStage:
-			c.laterStage++
-		case fail.confirmed:
-			c.firstStage++
-		case !fail.laterStage && now.Sub(fail.at) <= unconfirmedTimeout:
-			c.unconfirmed++
-		}
-	}
-	return c
-}
-
-// countSpaced returns the number of crashes that came one after the other, crashSpacing apart.
-func (w *suspect) countSpaced() int {
-	var times []time.Time
-	for _, fail := range w.failures {
-		if fail.counts() {
-			times = append(times, fail.at)
-		}
-	}
-	slices.SortFunc(times, time.Time.Compare)
-	n, last := 0, time.Time{}
-	for _, at := range times {
-		if at.Sub(last) >= crashSpacing {
-			n, last = n+1, at
-		}
-	}
-	return n
-}
-
 // Confirmed reports whether a suspect of a report was involved in a confirmed crash. For a failure
 // it is the crash of the report's endpoint, for other observations any crash.
 func (t *Tracker) Confirmed(r *Report) bool {
@@ -403,15 +308,5 @@
 	return false
 }
 
-// hasOpenFailure reports whether the suspect failed in a crash that nothing else explains.
-func (w *suspect) hasOpenFailure() bool {
-	for _, fail := range w.failures {
-		if fail.explainedBy.IsZero() {
-			return true
-		}
-	}
-	return false
-}
-
 // Empty reports whether nothing is known against anything.
 func (t *Tracker) Empty() bool { return len(t.suspects) == 0 }
