--- a/coordination/quarantine/isolation.go
+++ b/coordination/quarantine/isolation.go
@@ -108,7 +108,7 @@
 	return time.Time{}
 }
 
-// Contention is who else may start an isolated run at the same time.
+// Contention describes the other requests that may start an isolated run at the same time.
 type Contention struct {
 	// Entries is the number of entries with requests that wait for the same run, 1 if no other can have any. Each
 	// entry knows only its own.
