--- a/coordination/quarantine/refusal.go
+++ b/coordination/quarantine/refusal.go
@@ -12,12 +12,11 @@
 
 // Refusal is work, or a part of prompts, that is refused, with the evidence for it.
 type Refusal struct {
-	suspect  protocol.Fingerprint
-	part     bool
-	with     []protocol.Fingerprint
-	crashes  []protocol.WorkCrash
-	until    time.Time
-	provenAt time.Time
+	suspect protocol.Fingerprint
+	part    bool
+	with    []protocol.Fingerprint
+	crashes []protocol.WorkCrash
+	until   time.Time
 }
 
 // Suspect returns the fingerprint of what is refused.
@@ -30,9 +29,6 @@
 // them are refused.
 func (r *Refusal) With() []protocol.Fingerprint { return r.with }
 
-// ProvenAt returns when the part last ran well, zero if it is not known to have.
-func (r *Refusal) ProvenAt() time.Time { return r.provenAt }
-
 // Until returns the time from which the work may run in isolation again.
 func (r *Refusal) Until() time.Time { return r.until }
 
@@ -67,7 +63,7 @@
 		w.reported, w.with = true, t.inseparableFrom(c.suspect, w, now)
 		t.explain(w)
 		all = append(all, Refusal{
-			suspect: c.suspect, part: w.part, with: w.with, crashes: w.evidence(now, wall), until: r.until, provenAt: w.provenAt,
+			suspect: c.suspect, part: w.part, with: w.with, crashes: w.evidence(now, wall), until: r.until,
 		})
 	}
 	return all
@@ -177,7 +173,7 @@
 	}
 	t.refuses = true
 	w.part, w.reported = r.Part, true // before its crashes, which nothing else explains
-	w.with = w.with[:0]
+	w.with = nil                      // a Refusal may still hold the former
 	for _, name := range r.With[:min(protocol.MaxReportParts, len(r.With))] {
 		if other, ok := protocol.ParseFingerprint(name); ok {
 			w.with = append(w.with, other)
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -68,7 +68,7 @@
 	// Retention is how long a crash counts if it has not led to a refusal, and how long a refusal
 	// is remembered after it has expired.
 	Retention = time.Hour
-	// maxSuspects limits the works and parts that are remembered, at some 1,000 bytes each. An outage of
+	// maxSuspects limits the works and parts that are remembered, at some 1,400 bytes each. An outage of
 	// a data center crashes some hundred endpoints, each with a few new pieces of work.
 	maxSuspects = 4096
 	// evictionDivisor sets the share of work that is evicted at once when the limit is reached: one
