--- a/review/standin/bench.go
+++ b/review/standin/bench.go
@@ -95,6 +95,16 @@
 	return b.awaitReady()
 }
 
+// recordLog copies the log of an entry into the record.
+func (b *bench) recordLog(e *entry) {
+	content, err := os.ReadFile(e.log)
+	if err != nil {
+		b.record.add("%s has no log: %v", e.name, err)
+		return
+	}
+	b.record.add("the log of %s:\n%s", e.name, content)
+}
+
 // startEntry starts one entry by the command of the deploy file, with settings from its template.
 func (b *bench) startEntry(name, zone, ip string) error {
 	port, err := b.store.listen()
@@ -102,13 +112,9 @@
 		return err
 	}
 	e := &entry{name: name, port: port, log: filepath.Join(b.dir, name+".log")}
-	var addresses []string
-	for range 3 {
-		a, err := freeAddress(ip)
-		if err != nil {
-			return err
-		}
-		addresses = append(addresses, a)
+	addresses, err := freeAddresses(ip, 3)
+	if err != nil {
+		return err
 	}
 	e.callers, e.readiness = addresses[0], addresses[1]
 	_, peers, _ := net.SplitHostPort(addresses[2])
@@ -162,6 +168,7 @@
 func (b *bench) awaitReady() error {
 	for _, e := range b.entries {
 		if !await(readyTimeout, e.isReady) {
+			b.recordLog(e)
 			return fmt.Errorf("%w: %s is not ready", errNotRun, e.name)
 		}
 		b.record.add("%s is ready", e.name)
@@ -169,14 +176,18 @@
 	return nil
 }
 
-// freeAddress returns an address on which nobody listens.
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// freeAddresses returns different addresses on which nobody listens.
+func freeAddresses(ip string, n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }() // at the end, so that none is returned twice
+		addresses = append(addresses, l.Addr().String())
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return addresses, nil
 }
 
 var (
