front, forward: say in the log why a caller's connection ended

Two ends of a request could not be told apart, and two had no event. 2008 stood for callers that left and for requests whose connection this entry had closed itself; it now has the connection's own error as its cause. A connection that the entry closes without a request has event 2024 with the reason, and a counter for each. Bytes that are no whole request, which the server answers or drops by itself, have 2025. A panic of a handler, which the server swallows, has 2026 with the stack.

No logic changed.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -46,6 +46,9 @@
 	IsolatedRunAwaited  = Event{2021, "waits to run alone", slog.LevelInfo}
 	StageLost           = Event{2022, "waits for a lost stage", slog.LevelWarn}
 	QuarantineApplied   = Event{2023, "kept from endpoints", slog.LevelInfo}
+	ConnectionClosed    = Event{2024, "connection closed", slog.LevelInfo}
+	RequestUnreadable   = Event{2025, "request unreadable", slog.LevelInfo}
+	RequestFailed       = Event{2026, "request handler failed", slog.LevelError}
 	RunnerConnected     = Event{3001, "runner connected", slog.LevelInfo}
 	RunnerLost          = Event{3002, "runner lost", slog.LevelWarn}
 	RunnerEjected       = Event{3003, "runner ejected", slog.LevelWarn}
@@ -114,6 +117,7 @@
 		RequestRefused, RequestRetried, RequestSent, RequestAnswered, SilenceSuspected, AttemptBroken,
 		StreamCut, CallerLeft, CallerUnbounded, AttemptNotRun, QueueWaitFailed, QueueWaitStarted, AnswerStopped, AnswerAborted,
 		PathOrdered, PathAnswered, WorkRefused, WorkReleased, RefusalIgnored, CrashUnresolved, IsolatedRunAwaited, StageLost, QuarantineApplied,
+		ConnectionClosed, RequestUnreadable, RequestFailed,
 		RunnerConnected, RunnerLost, RunnerEjected, FrameBroken, ReportIgnored,
 		EndpointJoined, EndpointLeaving, EndpointGone, LayersChanged, LossReported,
 		RecordSuperseded, RecordDisproved, RecordUnusable, RecordUsable, EndpointSlow, EndpointRecovered, EndpointRestarted, RateLimitChanged, BackoffAsked, LeavingTold, LossObserved,
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -85,6 +85,8 @@
 	PressureDropped     Name = "pressure_dropped"
 	PressureEnded       Name = "pressure_ended"
 	ConnectionsClosed   Name = "connections_closed"
+	RequestsUnreadable  Name = "requests_unreadable"
+	RequestsFailed      Name = "requests_failed"
 	EndpointsSlow       Name = "endpoints_slow"
 	SlownessReports     Name = "slow_news"
 	EndpointsLimited    Name = "endpoints_limited"
@@ -106,7 +108,7 @@
 		RunnersEjected, PeerConnections, PeerFrames, PeerBytes,
 		EndpointConnections, ReportRequests, PlansComputed, OrdersGiven, LinesDropped, RequestsQueued,
 		RecordsSuperseded, RecordsDisproved, RestartsSeen, EndpointsKept,
-		HeldAnswerBytes, HeldBodyBytes, PressureStopped, PressureDropped, PressureEnded, ConnectionsClosed,
+		HeldAnswerBytes, HeldBodyBytes, PressureStopped, PressureDropped, PressureEnded, ConnectionsClosed, RequestsUnreadable, RequestsFailed,
 		EndpointsSlow, SlownessReports, EndpointsLimited, LimitWaits, PathOrders, IsolatedRuns, WorkRefused,
 		ConfirmationWaits, ConfigPassedOver, StoreRestores,
 	}
@@ -147,6 +149,13 @@
 // CountRefusal counts a refusal of the kind.
 func (s *Set) CountRefusal(k protocol.Kind) { s.counters.Add("refused."+string(k), 1) }
 
+// CountConnectionClosed counts a caller's connection that this entry closed before it brought a request, in total and by
+// reason.
+func (s *Set) CountConnectionClosed(r CloseReason) {
+	s.Add(ConnectionsClosed, 1)
+	s.counters.Add(string(ConnectionsClosed)+"_by."+string(r), 1)
+}
+
 // CountRetry counts a retry for the reason.
 func (s *Set) CountRetry(r Reason) { s.counters.Add("retried."+string(r), 1) }
 
--- a/transport/backlog/conn.go
+++ b/transport/backlog/conn.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -51,6 +52,8 @@
 	held               atomic.Int64          // number of pending bytes
 	reservationChanged atomic.Bool           // whether the reservation changed since the last Decide
 	firstByteAt        atomic.Int64          // when the first byte was read, in Unix nanoseconds
+	readErr            atomic.Pointer[error] // why nothing more can be read, nil while it can
+	awaitsHandler      atomic.Bool           // whether bytes of a request were read that no handler has begun to serve
 
 	// The request whose response is written. Only the goroutine that writes the response uses
 	// these.
@@ -148,9 +151,27 @@
 	if n > 0 && c.firstByteAt.Load() == 0 {
 		c.firstByteAt.Store(time.Now().UnixNano())
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.readErr.Store(&err)
+	}
 	return n, err
 }
 
+// ReadErr returns why nothing more can be read: io.EOF after the caller closed its sending side, net.ErrClosed after this
+// entry closed the connection. It is nil while more may come; a deadline that has passed does not count.
+func (c *Conn) ReadErr() error {
+	if err := c.readErr.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+// SetAwaitsHandler sets whether bytes of a request were read that no handler has begun to serve.
+func (c *Conn) SetAwaitsHandler(awaits bool) { c.awaitsHandler.Store(awaits) }
+
+// AwaitsHandler reports whether bytes of a request were read that no handler has begun to serve.
+func (c *Conn) AwaitsHandler() bool { return c.awaitsHandler.Load() }
+
 // Write writes as much as the socket accepts at once and keeps the rest pending. If the budget
 // can't hold the rest, Write waits for the caller.
 func (c *Conn) Write(p []byte) (int, error) {
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -3,15 +3,19 @@
 package forward
 
 import (
+	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"time"
 
 	"pinerun.example/pinerun/coordination/quarantine"
 	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/fleet"
 	"pinerun.example/pinerun/state/routing"
@@ -199,7 +203,32 @@
 // recordCallerLeft counts and logs a caller that disconnected.
 func (x *exchange) recordCallerLeft() {
 	x.forwarder.Counters.CountRefusal(protocol.CallerGone)
-	x.forwarder.log(event.CallerLeft, x.requestAttr(), slog.Int("events", x.events), slog.Int64("after_ms", clock.Since(x.begun).Milliseconds()))
+	x.forwarder.log(event.CallerLeft, x.requestAttr(), slog.Int("events", x.events), slog.Int64("after_ms", clock.Since(x.begun).Milliseconds()),
+		slog.Int("sends", x.attempts), slog.String("cause", x.leaveCause()))
+}
+
+// leaveCause returns why the caller is taken for gone, as far as its connection tells.
+func (x *exchange) leaveCause() string {
+	if x.caller == nil {
+		return ""
+	}
+	if err := errors.Join(x.caller.Err(), x.caller.ReadErr()); err != nil {
+		return err.Error()
+	}
+	return "its connection can still be read and written"
+}
+
+// logPanic logs a panic of the handler, which the server would end without a word, and lets it continue.
+func (x *exchange) logPanic() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if err, ok := p.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		x.forwarder.Counters.Add(metric.RequestsFailed, 1)
+		x.forwarder.log(event.RequestFailed, x.requestAttr(), slog.Int("sends", x.attempts), slog.String("cause", fmt.Sprint(p)), slog.String("stack", string(debug.Stack())))
+	}
+	panic(p)
 }
 
 func (x *exchange) requestAttr() slog.Attr { return slog.String("request", x.terms.RequestID) }
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -197,6 +197,10 @@
 	defer f.openCount.Add(-1)
 	f.Counters.Add(metric.Requests, 1)
 	x := &exchange{forwarder: f, writer: w, request: r, begun: clock.Now(), caller: backlog.FromContext(r.Context())}
+	if x.caller != nil {
+		x.caller.SetAwaitsHandler(false)
+	}
+	defer x.logPanic()
 	f.startup.wait(r.Context())
 	x.reservation.budget = f.MemoryBudget
 	defer x.reservation.releaseAll()
--- a/transport/front/callers.go
+++ b/transport/front/callers.go
@@ -3,11 +3,13 @@
 package front
 
 import (
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/transport/backlog"
@@ -32,6 +34,7 @@
 	memoryBudget   *backlog.Budget
 	maxConnections int // 0 for any number
 	counters       *metric.Set
+	logger         *slog.Logger
 
 	mutex          sync.Mutex
 	open           int                    // connections
@@ -73,13 +76,38 @@
 		c.open++
 		c.awaitingHeader[conn] = time.Now()
 		c.closeExcess(conn)
+	case http.StateActive:
+		awaitHandler(conn)
 	case http.StateIdle:
 		c.idle[conn] = time.Now()
 	case http.StateClosed, http.StateHijacked:
 		c.open--
+		c.logUnreadable(conn)
 	}
 }
 
+// awaitHandler notes that bytes of a request were read.
+func awaitHandler(conn net.Conn) {
+	if b, ok := conn.(*backlog.Conn); ok {
+		b.SetAwaitsHandler(true)
+	}
+}
+
+// logUnreadable logs the end of a connection whose last bytes were no whole request, which the server answers itself or
+// not at all.
+func (c *callerServer) logUnreadable(conn net.Conn) {
+	b, ok := conn.(*backlog.Conn)
+	if !ok || !b.AwaitsHandler() {
+		return
+	}
+	cause := "malformed"
+	if err := b.ReadErr(); err != nil {
+		cause = err.Error()
+	}
+	c.counters.Add(metric.RequestsUnreadable, 1)
+	event.RequestUnreadable.Log(c.logger, slog.String("caller", conn.RemoteAddr().String()), slog.String("cause", cause))
+}
+
 // closeExcess closes a connection if there are too many: the one that has been without a request
 // for longest, or the newest if all have one. The mutex is held.
 func (c *callerServer) closeExcess(newest net.Conn) {
@@ -94,15 +122,17 @@
 			}
 		}
 	}
-	c.closeConn(oldest)
+	c.closeConn(oldest, oldestSince, metric.ClosedExcess)
 }
 
-// closeConn closes a connection that has no request open. The mutex is held.
-func (c *callerServer) closeConn(conn net.Conn) {
+// closeConn closes a connection that has had no request open since a time. The mutex is held.
+func (c *callerServer) closeConn(conn net.Conn, since time.Time, reason metric.CloseReason) {
 	_ = conn.Close()
 	delete(c.idle, conn)
 	delete(c.awaitingHeader, conn)
-	c.counters.Add(metric.ConnectionsClosed, 1)
+	c.counters.CountConnectionClosed(reason)
+	event.ConnectionClosed.Log(c.logger, slog.String("caller", conn.RemoteAddr().String()), slog.String("reason", string(reason)),
+		slog.Int64("open_ms", time.Since(since).Milliseconds()))
 }
 
 // sweep closes connections that have been idle for longer than the limit in force, and those that
@@ -114,12 +144,12 @@
 	defer c.mutex.Unlock()
 	for conn, since := range c.idle {
 		if limits.IdleMS > 0 && now.After(limits.IdleBy(since).Add(idleSlack)) {
-			c.closeConn(conn)
+			c.closeConn(conn, since, metric.ClosedIdle)
 		}
 	}
 	for conn, since := range c.awaitingHeader {
 		if c.headerOverdue(conn, &limits, since, now) {
-			c.closeConn(conn)
+			c.closeConn(conn, since, metric.ClosedLate)
 		}
 	}
 }
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -279,7 +279,7 @@
 	f.callers.limits = f.callerLimits
 	f.callers.memoryBudget = &f.memoryBudget
 	f.callers.maxConnections = f.Settings.MaxConnections()
-	f.callers.counters = f.Counters
+	f.callers.counters, f.callers.logger = f.Counters, f.Logger
 	f.callers.serve(&f.forwarder)
 	f.readiness.serve(f.readinessHandler())
 	f.metrics.serve(f.metricsHandler())
