front, backlog: close no connection whose request was read

What callers saw: a request that had been sent whole on a kept connection, also one that may run once, reached an endpoint, and its connection was closed without an answer. A table that lowers the idle limit makes many connections overdue at one moment.

Cause: one goroutine decides that a connection is idle, by the state that the HTTP server reported last; another takes bytes from the socket. The server reports a request only once its whole head is parsed, so a connection was closed between the two, and the request was served nevertheless: the read had succeeded. The class: a decision on a state that another goroutine has left meanwhile.

Change: a byte is taken from a caller's socket and noted under one mutex (backlog.Conn.Read). A connection is closed as idle, late or excess only while its server waits for bytes, none have arrived, and from then on none are read. A request that arrives at that moment is served instead. The head of a request on a kept connection now counts by the header limit instead of the idle limit.

--- a/transport/backlog/conn.go
+++ b/transport/backlog/conn.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -46,14 +45,12 @@
 	net.Conn
 	budget             *Budget
 	account            pressure.Account      // guarded by the budget
-	raw                syscall.RawConn       // for non-blocking writes, nil if the connection has none
+	raw                syscall.RawConn       // for non-blocking reads and writes, nil if the connection has none
 	sendFunc           func(fd uintptr) bool // sendNonblocking, converted once
 	progress           chan struct{}         // signalled when pending bytes were written or the connection failed
 	held               atomic.Int64          // number of pending bytes
 	reservationChanged atomic.Bool           // whether the reservation changed since the last Decide
-	firstByteAt        atomic.Int64          // when the first byte was read, in Unix nanoseconds
-	readErr            atomic.Pointer[error] // why nothing more can be read, nil while it can
-	awaitsHandler      atomic.Bool           // whether bytes of a request were read that no handler has begun to serve
+	reader             reader
 
 	// The request whose response is written. Only the goroutine that writes the response uses
 	// these.
@@ -82,7 +79,7 @@
 	c.drained.L = &c.mutex
 	if t, ok := n.(*net.TCPConn); ok {
 		if raw, err := t.SyscallConn(); err == nil {
-			c.raw, c.sendFunc = raw, c.sendNonblocking
+			c.raw, c.sendFunc, c.reader.receiveFunc = raw, c.sendNonblocking, c.reader.receive
 		}
 	}
 	return c
@@ -137,41 +134,6 @@
 	return d
 }
 
-// FirstByteAt returns when the caller's first byte was read, or the zero time.
-func (c *Conn) FirstByteAt() time.Time {
-	if at := c.firstByteAt.Load(); at != 0 {
-		return time.Unix(0, at)
-	}
-	return time.Time{}
-}
-
-// Read reads bytes that the caller sent.
-func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 && c.firstByteAt.Load() == 0 {
-		c.firstByteAt.Store(time.Now().UnixNano())
-	}
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.readErr.Store(&err)
-	}
-	return n, err
-}
-
-// ReadErr returns why nothing more can be read: io.EOF after the caller closed its sending side, net.ErrClosed after this
-// entry closed the connection. It is nil while more may come; a deadline that has passed does not count.
-func (c *Conn) ReadErr() error {
-	if err := c.readErr.Load(); err != nil {
-		return *err
-	}
-	return nil
-}
-
-// SetAwaitsHandler sets whether bytes of a request were read that no handler has begun to serve.
-func (c *Conn) SetAwaitsHandler(awaits bool) { c.awaitsHandler.Store(awaits) }
-
-// AwaitsHandler reports whether bytes of a request were read that no handler has begun to serve.
-func (c *Conn) AwaitsHandler() bool { return c.awaitsHandler.Load() }
-
 // Write writes as much as the socket accepts at once and keeps the rest pending. If the budget
 // can't hold the rest, Write waits for the caller.
 func (c *Conn) Write(p []byte) (int, error) {
--- a/transport/front/callers.go
+++ b/transport/front/callers.go
@@ -23,6 +23,8 @@
 	maxHeaderTimeout = 30 * time.Second
 	// maxHeaderBytes bounds a request's header before a table is in force.
 	maxHeaderBytes = 64 << 10
+	// maxExcessTries bounds how many connections are tried to make room for a new one.
+	maxExcessTries = 4
 )
 
 // callerServer serves the callers' connections. The idle limit is the one in force while a
@@ -36,10 +38,15 @@
 	counters       *metric.Set
 	logger         *slog.Logger
 
-	mutex          sync.Mutex
-	open           int                    // connections
-	idle           map[net.Conn]time.Time // since when, between two requests
-	awaitingHeader map[net.Conn]time.Time // since when, without a complete header
+	mutex   sync.Mutex
+	open    int                            // connections
+	waiting map[*backlog.Conn]waitingSince // connections without a whole header of a request
+}
+
+// waitingSince says since when a connection has had no request open, and whether it has brought one before.
+type waitingSince struct {
+	at   time.Time
+	kept bool
 }
 
 // listen opens the address. Connections wait until serve is called.
@@ -54,8 +61,7 @@
 
 // serve begins to serve callers.
 func (c *callerServer) serve(h http.Handler) {
-	c.idle = make(map[net.Conn]time.Time)
-	c.awaitingHeader = make(map[net.Conn]time.Time)
+	c.waiting = make(map[*backlog.Conn]waitingSince)
 	c.server = http.Server{
 		Handler: h, ReadHeaderTimeout: maxHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: c.connStateChanged,
 		ConnContext: backlog.NewContext, DisableGeneralOptionsHandler: true,
@@ -65,71 +71,82 @@
 
 func (c *callerServer) run() { _ = c.server.Serve(c.memoryBudget.NewListener(c.socket)) }
 
-// connStateChanged keeps track of the open and the idle connections.
-func (c *callerServer) connStateChanged(conn net.Conn, state http.ConnState) {
+// connStateChanged keeps track of the open and the waiting connections.
+func (c *callerServer) connStateChanged(n net.Conn, state http.ConnState) {
+	conn, ok := n.(*backlog.Conn)
+	if !ok {
+		return
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	delete(c.idle, conn)
-	delete(c.awaitingHeader, conn)
+	delete(c.waiting, conn)
 	switch state {
 	case http.StateNew:
 		c.open++
-		c.awaitingHeader[conn] = time.Now()
+		c.waiting[conn] = waitingSince{at: time.Now()}
 		c.closeExcess(conn)
 	case http.StateActive:
-		awaitHandler(conn)
+		conn.SetAwaitsHandler(true)
 	case http.StateIdle:
-		c.idle[conn] = time.Now()
+		conn.BeginIdle()
+		c.waiting[conn] = waitingSince{at: time.Now(), kept: true}
 	case http.StateClosed, http.StateHijacked:
 		c.open--
 		c.logUnreadable(conn)
 	}
 }
 
-// awaitHandler notes that bytes of a request were read.
-func awaitHandler(conn net.Conn) {
-	if b, ok := conn.(*backlog.Conn); ok {
-		b.SetAwaitsHandler(true)
-	}
-}
-
 // logUnreadable logs the end of a connection whose last bytes were no whole request, which the server answers itself or
 // not at all.
-func (c *callerServer) logUnreadable(conn net.Conn) {
-	b, ok := conn.(*backlog.Conn)
-	if !ok || !b.AwaitsHandler() {
+func (c *callerServer) logUnreadable(conn *backlog.Conn) {
+	if !conn.AwaitsHandler() {
 		return
 	}
 	cause := "malformed"
-	if err := b.ReadErr(); err != nil {
+	if err := conn.ReadErr(); err != nil {
 		cause = err.Error()
 	}
 	c.counters.Add(metric.RequestsUnreadable, 1)
 	event.RequestUnreadable.Log(c.logger, slog.String("caller", conn.RemoteAddr().String()), slog.String("cause", cause))
 }
 
-// closeExcess closes a connection if there are too many: the one that has been without a request
-// for longest, or the newest if all have one. The mutex is held.
-func (c *callerServer) closeExcess(newest net.Conn) {
+// closeExcess closes a connection if there are too many: the one that has been without a request for longest, or the
+// newest if requests arrive on the others. The mutex is held.
+func (c *callerServer) closeExcess(newest *backlog.Conn) {
 	if c.maxConnections == 0 || c.open <= c.maxConnections {
 		return
 	}
-	oldest, oldestSince := newest, c.awaitingHeader[newest]
-	for _, conns := range []map[net.Conn]time.Time{c.awaitingHeader, c.idle} {
-		for conn, since := range conns {
-			if since.Before(oldestSince) {
-				oldest, oldestSince = conn, since
-			}
+	var after time.Time
+	for range maxExcessTries {
+		oldest, since := c.oldestAfter(after)
+		if oldest == nil || oldest == newest {
+			break
+		}
+		if oldest.CloseWaiting() {
+			c.recordClosed(oldest, since, metric.ClosedExcess)
+			return
+		}
+		after = since
+	}
+	if newest.CloseUnread() {
+		c.recordClosed(newest, c.waiting[newest].at, metric.ClosedExcess)
+	}
+}
+
+// oldestAfter returns the connection that has waited for longest of those that have waited since later than a time, or nil.
+// The mutex is held.
+func (c *callerServer) oldestAfter(after time.Time) (oldest *backlog.Conn, since time.Time) {
+	for conn, w := range c.waiting {
+		if w.at.After(after) && (oldest == nil || w.at.Before(since)) {
+			oldest, since = conn, w.at
 		}
 	}
-	c.closeConn(oldest, oldestSince, metric.ClosedExcess)
+	return oldest, since
 }
 
-// closeConn closes a connection that has had no request open since a time. The mutex is held.
-func (c *callerServer) closeConn(conn net.Conn, since time.Time, reason metric.CloseReason) {
-	_ = conn.Close()
-	delete(c.idle, conn)
-	delete(c.awaitingHeader, conn)
+// recordClosed records that a connection was closed that had brought no request since a time. The mutex is held.
+func (c *callerServer) recordClosed(conn *backlog.Conn, since time.Time, reason metric.CloseReason) {
+	delete(c.waiting, conn)
 	c.counters.CountConnectionClosed(reason)
 	event.ConnectionClosed.Log(c.logger, slog.String("caller", conn.RemoteAddr().String()), slog.String("reason", string(reason)),
 		slog.Int64("open_ms", time.Since(since).Milliseconds()))
@@ -142,28 +159,21 @@
 	limits := c.limits()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for conn, since := range c.idle {
-		if limits.IdleMS > 0 && now.After(limits.IdleBy(since).Add(idleSlack)) {
-			c.closeConn(conn, since, metric.ClosedIdle)
-		}
-	}
-	for conn, since := range c.awaitingHeader {
-		if c.headerOverdue(conn, &limits, since, now) {
-			c.closeConn(conn, since, metric.ClosedLate)
+	for conn, w := range c.waiting {
+		reason, overdue := overdueFor(conn, &limits, w.at, now)
+		if overdue && conn.CloseWaiting() {
+			c.recordClosed(conn, w.at, reason)
 		}
 	}
 }
 
-// headerOverdue reports whether a connection has sent no complete header for too long. A connection
-// that has sent nothing at all is idle, as between two requests.
-func (c *callerServer) headerOverdue(conn net.Conn, limits *protocol.CallerLimits, since, now time.Time) bool {
-	idleDeadline := limits.IdleBy(since)
-	if b, ok := conn.(*backlog.Conn); ok {
-		if headerStart := b.FirstByteAt(); !headerStart.IsZero() {
-			return limits.HeaderMS > 0 && now.After(limits.HeaderBy(headerStart).Add(idleSlack))
-		}
+// overdueFor reports whether a connection has been idle for too long, or has begun a request and not sent its whole
+// header in time.
+func overdueFor(conn *backlog.Conn, limits *protocol.CallerLimits, since, now time.Time) (metric.CloseReason, bool) {
+	if headerStart := conn.FirstByteAt(); !headerStart.IsZero() {
+		return metric.ClosedLate, limits.HeaderMS > 0 && now.After(limits.HeaderBy(headerStart).Add(idleSlack))
 	}
-	return limits.IdleMS > 0 && now.After(idleDeadline.Add(idleSlack))
+	return metric.ClosedIdle, limits.IdleMS > 0 && now.After(limits.IdleBy(since).Add(idleSlack))
 }
 
 // close closes every connection at once.
