forward: end no request of a caller that closed its sending side as a success

What callers saw: one that shuts down its sending side after its request got '200 OK' with an empty body that no endpoint had sent, or a stream that ended as complete after its third event; one that read a large answer slowly lost the rest of it.

Cause: the handler returned when the caller's side ended, and net/http completes what a handler leaves: an empty success, or the last chunk. The wait for a slow reader ended at the same signal, though the answer was whole.

Change: a request that is given up because its caller closed is aborted, so its connection ends without an answer. The answer of a request that is over is written as long as the connection takes it, until the write deadline.

Ruled out: treating the end of the caller's side as no sign that it left. Endpoints must be told within half a second of a close, and the two look alike.

--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -128,8 +128,7 @@
 		case <-timer.C:
 			x.wake(clock.Now())
 		case <-x.request.Context().Done():
-			x.recordCallerLeft()
-			return
+			x.abandon()
 		}
 		if !x.finished {
 			timer.Reset(clock.Until(x.nextWake()))
@@ -200,6 +199,13 @@
 	}
 }
 
+// abandon ends a request whose caller closed its connection. The server would end it as an empty success, or as the end of
+// a stream, which a caller that shut down only its sending side would believe.
+func (x *exchange) abandon() {
+	x.recordCallerLeft()
+	panic(http.ErrAbortHandler)
+}
+
 // recordCallerLeft counts and logs a caller that disconnected.
 func (x *exchange) recordCallerLeft() {
 	x.forwarder.Counters.CountRefusal(protocol.CallerGone)
--- a/transport/forward/slow_caller.go
+++ b/transport/forward/slow_caller.go
@@ -158,18 +158,14 @@
 }
 
 // drain waits until the caller has read what is buffered for it, and reports whether it did. The
-// write deadline bounds the wait.
+// write deadline bounds the wait. A caller that shut down its sending side may still read.
 func (x *exchange) drain() bool {
 	if x.caller == nil || x.caller.Held() == 0 {
 		return true
 	}
 	x.flush()
 	for x.caller.Held() > 0 && x.caller.Err() == nil {
-		select {
-		case <-x.caller.Progress():
-		case <-x.request.Context().Done():
-			return false
-		}
+		<-x.caller.Progress()
 	}
 	return x.caller.Err() == nil
 }
