forward: answer a request whose handler panics

What callers saw: the end of their connection, without an answer, whatever the request. net/http swallows a panic and closes.

With a part of an answer the connection is aborted, as before.

Looked for and not found: a place where a table that no longer names a service makes a handler panic. Requests keep the table, route and service that they were admitted by; the places that look a service up in the table in force check for none. Also ruled out: the deadline of a request's body, left on the connection, ends no request. net/http clears it before it reads on.

--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -224,17 +224,22 @@
 	return "its connection can still be read and written"
 }
 
-// logPanic logs a panic of the handler, which the server would end without a word, and lets it continue.
-func (x *exchange) logPanic() {
+// endPanic ends a request whose handler panicked, which the server would do without a word: by a refusal if the caller has
+// nothing yet, otherwise by the end of its connection.
+func (x *exchange) endPanic() {
 	p := recover()
 	if p == nil {
 		return
 	}
-	if err, ok := p.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
-		x.forwarder.Counters.Add(metric.RequestsFailed, 1)
-		x.forwarder.log(event.RequestFailed, x.requestAttr(), slog.Int("sends", x.attempts), slog.String("cause", fmt.Sprint(p)), slog.String("stack", string(debug.Stack())))
+	if err, ok := p.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(p)
 	}
-	panic(p)
+	x.forwarder.Counters.Add(metric.RequestsFailed, 1)
+	x.forwarder.log(event.RequestFailed, x.requestAttr(), slog.Int("sends", x.attempts), slog.String("cause", fmt.Sprint(p)), slog.String("stack", string(debug.Stack())))
+	if x.headSent || x.finished {
+		panic(http.ErrAbortHandler)
+	}
+	x.refuse(protocol.Uncertain(protocol.StageFailed, "the entry failed to serve the request"))
 }
 
 func (x *exchange) requestAttr() slog.Attr { return slog.String("request", x.terms.RequestID) }
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -204,7 +204,7 @@
 	if x.caller != nil {
 		x.caller.SetAwaitsHandler(false)
 	}
-	defer x.logPanic()
+	defer x.endPanic()
 	f.startup.wait(r.Context())
 	x.reservation.budget = f.MemoryBudget
 	defer x.reservation.releaseAll()
--- a/transport/forward/reply.go
+++ b/transport/forward/reply.go
@@ -149,6 +149,7 @@
 // refuse responds with a refusal.
 func (x *exchange) refuse(r *protocol.Refusal) {
 	f := x.forwarder
+	x.finished = true
 	f.Counters.CountRefusal(r.Kind())
 	h := x.writer.Header()
 	h.Set("Content-Type", "application/json")
