director, fleet, loss: move no layers away from an engine that is only silent

What callers saw: while one engine was silent for a second and then went on, streams at other, sound engines ended, and requests were refused for seconds.

Cause: an engine that two entries find silent for half a second is lost, and the director took that for gone. It ordered layers to other engines at once and with their streams cut, though the silence is over before the layers are loaded. The class: a silence that is taken for an end.

Change: an engine is gone for the director if it refused a connection, or if it stays silent for a second after it was found lost. For paths and requests it is lost at once, as before. A refused connection now counts also after a loss by silence.

Price: the layers of an engine that hangs without refusing connections are moved a second later.

Evidence: TestSilentEngineKeepsItsLayers failed before for a silence of 1.2 s; a longer one and a refused connection move layers as before.

--- a/coordination/loss/loss.go
+++ b/coordination/loss/loss.go
@@ -89,11 +89,15 @@
 // Lost means that the endpoint is lost.
 type Lost struct {
 	at, until time.Time
+	refused   bool
 }
 
 // At returns the time of the observation. Later messages from the endpoint disprove the loss.
 func (l Lost) At() time.Time { return l.at }
 
+// Refused reports whether the endpoint refused a connection. One that is only silent may go on.
+func (l Lost) Refused() bool { return l.refused }
+
 // Until returns until when the reports count.
 func (l Lost) Until() time.Time { return l.until }
 
@@ -119,6 +123,7 @@
 // endpointState is what is reported about one endpoint.
 type endpointState struct {
 	lost        bool
+	refused     bool            // it refused a connection
 	silentTo    map[string]bool // observers that found it silent
 	lastFailure time.Time       // time of the latest failure
 	lastAnswer  time.Time       // when it last answered; disproves earlier failures
@@ -182,7 +187,7 @@
 	if s == nil || !s.suspected() || !r.at.After(s.lastFailure) {
 		return NoChange{}
 	}
-	s.lost = false
+	s.lost, s.refused = false, false
 	clear(s.silentTo)
 	s.lastAnswer = r.at
 	s.expires = now.Add(ReportTTL)
@@ -207,19 +212,20 @@
 }
 
 func (s *endpointState) applyFailure(r Report, now time.Time) Change {
-	if s.lost || r.observation == protocol.LossSilent && s.silentTo[r.observer] || !r.at.After(s.lastAnswer) {
+	refused := r.observation == protocol.LossRefused
+	if s.lost && (s.refused || !refused) || !refused && s.silentTo[r.observer] || !r.at.After(s.lastAnswer) {
 		return NoChange{}
 	}
 	if r.at.After(s.lastFailure) {
 		s.lastFailure = r.at
 	}
 	s.expires = now.Add(ReportTTL)
-	if r.observation == protocol.LossSilent {
+	if !refused {
 		s.silentTo[r.observer] = true
 	}
-	if r.observation == protocol.LossRefused || len(s.silentTo) >= minObservers {
-		s.lost = true
-		return Lost{at: s.lastFailure, until: s.expires}
+	if refused || len(s.silentTo) >= minObservers {
+		s.lost, s.refused = true, refused
+		return Lost{at: s.lastFailure, until: s.expires, refused: refused}
 	}
 	return Suspected{}
 }
--- a/state/fleet/ejection.go
+++ b/state/fleet/ejection.go
@@ -24,13 +24,19 @@
 	// sent before may still arrive. Entries that run on a fifth of a core read messages
 	// late while all their streams break.
 	inFlightGrace = time.Second
+	// soundSilence is how much longer a sound runner may be silent once it was found lost for its silence.
+	soundSilence = time.Second
 )
 
 // Failed ejects the runner for a time that doubles with each failure in a row, and returns
 // the end of that time.
 func (r *Runner) Failed(now time.Time) time.Time {
+	wasLost := r.Lost(now)
 	doublings := min(r.failures.Add(1)-1, maxEjectionDoublings)
 	until := now.Add(min(minEjection<<doublings, maxEjection))
+	if !wasLost && r.Lost(now) {
+		r.beginLoss(now)
+	}
 	r.ejectedUntil.Store(until.UnixNano())
 	return until
 }
@@ -56,6 +62,9 @@
 		r.failures.Store(0)
 		r.ejectedUntil.Store(0)
 	}
+	if r.lostUntil.Load() == 0 {
+		r.endLoss()
+	}
 }
 
 // MarkResponsive notes that the runner itself answers, although other runners wait for it.
@@ -79,12 +88,35 @@
 // MarkLost notes that entries found the runner lost, by observations made at a time. The
 // runner gets no new work until the observations expire, unless it sends a message before.
 func (r *Runner) MarkLost(at, until time.Time) {
+	if !r.Lost(at) {
+		r.beginLoss(at)
+	}
 	r.lostAt.Store(at.UnixNano())
 	r.lostUntil.Store(until.UnixNano())
 }
 
+// MarkRefused notes that a lost runner refused a connection, so that it is not just silent.
+func (r *Runner) MarkRefused() { r.refusedConn.Store(true) }
+
 // ClearLost withdraws the loss of the runner.
-func (r *Runner) ClearLost() { r.lostUntil.Store(0) }
+func (r *Runner) ClearLost() {
+	r.lostUntil.Store(0)
+	r.endLoss()
+}
+
+// beginLoss notes when the runner was found lost.
+func (r *Runner) beginLoss(at time.Time) {
+	r.refusedConn.Store(false)
+	r.lostSince.Store(at.UnixNano())
+}
+
+// endLoss notes that the runner is not lost.
+func (r *Runner) endLoss() {
+	if r.lostSince.Load() != 0 {
+		r.lostSince.Store(0)
+		r.refusedConn.Store(false)
+	}
+}
 
 // ClearLostIfHeard handles a message from the runner, and reports whether it disproves the
 // loss of the runner.
@@ -92,6 +124,7 @@
 	if r.lostUntil.Load() == 0 || now.UnixNano() < r.lostAt.Load()+int64(inFlightGrace) {
 		return false
 	}
+	r.endLoss()
 	return r.lostUntil.Swap(0) > now.UnixNano()
 }
 
@@ -101,6 +134,11 @@
 	return r.failures.Load() >= lostAfterFailures || now.UnixNano() < r.lostUntil.Load()
 }
 
+// Gone reports whether the runner is lost and has been silent for longer than a sound one, or refused a connection.
+func (r *Runner) Gone(now time.Time) bool {
+	return r.Lost(now) && (r.refusedConn.Load() || now.UnixNano() >= r.lostSince.Load()+int64(soundSilence))
+}
+
 // Usable reports whether new work may be sent to the runner.
 func (r *Runner) Usable(now time.Time) bool {
 	return !r.Leaving() && now.UnixNano() >= max(r.ejectedUntil.Load(), r.suspectUntil.Load(), r.lostUntil.Load())
--- a/state/fleet/runner.go
+++ b/state/fleet/runner.go
@@ -40,6 +40,8 @@
 	usedUntil        atomic.Int64  // unix nanoseconds until when usedByOthers is trusted
 	ejectedUntil     atomic.Int64  // unix nanoseconds
 	suspectUntil     atomic.Int64  // unix nanoseconds
+	lostSince        atomic.Int64  // unix nanoseconds when the runner was found lost, 0 if it is not
+	refusedConn      atomic.Bool   // the lost runner refused a connection
 	lostAt           atomic.Int64  // unix nanoseconds of the observations that reported the runner lost
 	lostUntil        atomic.Int64  // unix nanoseconds at which they expire, 0 for none
 	reportedSlowdown atomic.Uint64 // slowdown by the reports of entries, a float
--- a/transport/director/director_test.go
+++ b/transport/director/director_test.go
@@ -286,3 +286,44 @@
 		})
 	}
 }
+
+// TestSilentEngineKeepsItsLayers lets the only engine of some layers be silent: orders to others would cut their streams.
+func TestSilentEngineKeepsItsLayers(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		silent         time.Duration
+		refused, moved bool
+	}{
+		{"for as long as a sound one", 1200 * time.Millisecond, false, false},
+		{"for longer", 4 * time.Second, false, true},
+		{"and refuses a connection", 1200 * time.Millisecond, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(3)
+				d := f.director(t, "d")
+				d.Registry.Replace([]protocol.Endpoint{
+					record("e0", protocol.Span{To: 6}), record("e1", protocol.Span{To: 6}), record("e2", protocol.Span{From: 6, To: 10}),
+				}, time.Now())
+				d.Start()
+				time.Sleep(5 * time.Second)
+				before := f.orders()
+				began := time.Now()
+				e := d.Registry.View().Runner("e2")
+				time.Sleep(400 * time.Millisecond) // until two entries have found it silent
+				e.MarkLost(time.Now(), time.Now().Add(4*time.Second))
+				if c.refused {
+					e.MarkRefused()
+				}
+				d.Wake()
+				time.Sleep(time.Until(began.Add(c.silent)))
+				e.ClearLost()
+				d.Wake()
+				time.Sleep(3 * time.Second)
+				d.Close()
+				synctest.Wait()
+				require.Equal(t, c.moved, f.orders() > before)
+			})
+		})
+	}
+}
--- a/transport/director/reassignments.go
+++ b/transport/director/reassignments.go
@@ -122,7 +122,7 @@
 func engineOf(e *protocol.Endpoint, r *fleet.Runner, f *protocol.EngineSpec, held protocol.Span, now time.Time) placement.Engine {
 	return placement.Engine{
 		ID: e.ID, DataCenter: e.DataCenter, Accelerator: e.Accelerator, Held: held, Serving: e.Layers,
-		Leaving: e.Leaving || r != nil && r.Lost(now),
+		Leaving: e.Leaving || r != nil && r.Gone(now),
 		Slow:    slowForLong(f, r, held, now),
 	}
 }
--- a/transport/forward/failure.go
+++ b/transport/forward/failure.go
@@ -139,6 +139,9 @@
 	switch v := change.(type) {
 	case loss.Lost:
 		r.MarkLost(v.At(), v.Until())
+		if v.Refused() {
+			r.MarkRefused()
+		}
 		f.Counters.CountEjection(metric.EjectedLost)
 		f.losses.Broadcast()
 	case loss.Suspected:
