forward: bound the head of an endpoint's answer

Callers got 504 after the whole time of their request, after one attempt, when an endpoint sent a head without end, and the entry kept all that it sent until then.

Cause: http.ReadResponse reads a status line, header lines and interim answers without a bound, so that the deadline of the request was the only one.

The connection now counts what comes before the body of the final answer, interim answers included, with a charge for each line, and fails the attempt beyond 64 KB. What exceeds 4 KB is reserved in the memory budget and released when the head fails. The endpoint is ejected, the cause stands in event 2006, and the request goes elsewhere or fails with 502, as its route says.

Ruled out: chunk extensions, trailers, bodies by length, by chunks or until the end of the connection, and events and comment lines without end were bounded already. Silence of 1.5 s at any byte of an answer is waited for, and a head that trickles in is left no later than a silent endpoint, both also before.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -63,8 +63,9 @@
 	reportedLost     []*fleet.Runner      // later stages that were reported lost; exchange only
 	head             *http.Response       // head of the stream, nil until received; exchange only
 
-	sent         int  // bytes of the request that were written; run only
-	connReturned bool // the connection went back to the pool, which owns its buffer; run only
+	sent         int       // bytes of the request that were written; run only
+	connReturned bool      // the connection went back to the pool, which owns its buffer; run only
+	bound        headBound // run only
 	ctx          context.Context
 	cancel       context.CancelFunc
 	mutex        sync.Mutex
@@ -217,24 +218,6 @@
 	a.readNonStream(head, terms)
 }
 
-// readHead returns the head of the final response. begun reports whether any byte of it was
-// received.
-func (a *attempt) readHead(c *conn) (head *http.Response, begun bool, err error) {
-	req := &http.Request{Method: a.method}
-	for {
-		if _, err := c.reader.Peek(1); err != nil {
-			return nil, false, err
-		}
-		head, err := http.ReadResponse(c.reader, req)
-		if err != nil {
-			return nil, true, err
-		}
-		if head.StatusCode >= http.StatusOK {
-			return head, true, nil
-		}
-	}
-}
-
 func isStream(h http.Header) bool {
 	return strings.HasPrefix(strings.TrimSpace(h.Get("Content-Type")), "text/event-stream")
 }
--- a/transport/forward/conn.go
+++ b/transport/forward/conn.go
@@ -31,6 +31,7 @@
 type conn struct {
 	net.Conn
 	reader    *bufio.Reader
+	head      *headBound // bound of the head that is being read, nil for none
 	endpoint  string
 	reused    bool
 	peer      string    // the entry that the connection goes through, "" for none
@@ -78,7 +79,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: p.buffers.get(raw), endpoint: endpoint, peer: tunnel.Peer(raw), openedAt: openedAt}, nil
+	c := &conn{Conn: raw, endpoint: endpoint, peer: tunnel.Peer(raw), openedAt: openedAt}
+	c.reader = p.buffers.get(c)
+	return c, nil
 }
 
 func (p *connPool) takeIdle(endpoint string, now time.Time) *conn {
--- a/transport/forward/stream_test.go
+++ b/transport/forward/stream_test.go
@@ -153,13 +153,19 @@
 
 // newForwarder returns the forwarder of an entry with four endpoints that answer with the stream.
 func (s *streamedAnswer) newForwarder(t require.TestingT) *forward.Forwarder {
-	now := time.Now()
-	local := fleet.Entry{Name: "one", DataCenter: "a"}
 	budget := &backlog.Budget{Counters: &metric.Set{}}
 	budget.SetLimit(1 << 30)
+	return newPlainForwarder(t, s.dial, budget, protocol.Route{Repeat: protocol.Stream, Resumable: true, TimeoutMS: 60_000, MaxAttempts: maxRuns})
+}
+
+// newPlainForwarder returns the forwarder of an entry with four endpoints that dial connects to, and with
+// a route to them.
+func newPlainForwarder(t require.TestingT, dial func(context.Context, string) (net.Conn, error), budget *backlog.Budget, route protocol.Route) *forward.Forwarder {
+	now := time.Now()
+	local := fleet.Entry{Name: "one", DataCenter: "a"}
 	f := &forward.Forwarder{
 		Entry: local, Routing: &routing.Store{}, Registry: &registry.Registry{Entry: local}, Headers: platform.Headers{},
-		Counters: &metric.Set{}, MemoryBudget: budget, Dial: s.dial,
+		Counters: &metric.Set{}, MemoryBudget: budget, Dial: dial,
 	}
 	f.InitRetryBudget(forward.RetryBudget{Share: 0.2, Slack: 1000, WindowEnd: func(at time.Time) time.Time { return at.Add(10 * time.Second) }}, 1, now)
 	f.Registry.SetServices(services)
@@ -169,10 +175,9 @@
 		list = append(list, protocol.Endpoint{ID: id, Service: "plain", Address: id + ":1", DataCenter: "a"})
 	}
 	f.Registry.Replace(list, now)
-	table, err := routing.Build(protocol.Routing{Version: 1, Services: services, Routes: []protocol.Route{{
-		Name: "plain", Host: "h.example", Prefix: "/plain/", Repeat: protocol.Stream, Resumable: true, TimeoutMS: 60_000, TargetLatencyMS: 30_000,
-		Targets: []protocol.Target{{Service: "plain", Weight: 1}}, MaxAttempts: maxRuns,
-	}}})
+	route.Name, route.Host, route.Prefix, route.TargetLatencyMS = "plain", "h.example", "/plain/", 30_000
+	route.Targets = []protocol.Target{{Service: "plain", Weight: 1}}
+	table, err := routing.Build(protocol.Routing{Version: 1, Services: services, Routes: []protocol.Route{route}})
 	require.NoError(t, err)
 	f.Routing.Offer(table)
 	f.Routing.Confirm(now)
