forward: leave a stream that goes on without data

A caller of a stream got comments, blank lines or fields without data until the deadline, if its endpoint sent them without end, and the request was not continued elsewhere. The entry passed them on as fast as the caller read.

Cause: only one event was bounded, at 1 MB. Any number of events without data made the stream look alive.

A stream that holds more than 256 KB between two events with data is broken off now: event 2006 with the cause, its endpoint ejected, and the request continued elsewhere or visibly cut, as its route says.

Ruled out: comments that keep a connection alive, some bytes each, stay far below the bound. Memory was not at risk, since what a caller has not read is bounded.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -231,8 +231,13 @@
 	a.post(headReceived{attempt: a, head: head, terms: terms})
 	r := a.pool.buffers.get(head.Body)
 	defer a.pool.buffers.put(r)
+	dataless := 0
 	for events := 0; ; events++ {
 		e, err := readEvent(r)
+		dataless = e.datalessAfter(dataless)
+		if err == nil && dataless > maxDatalessBytes {
+			err = errNoData
+		}
 		if errors.Is(err, io.EOF) && events == 0 && endsWithConnection(head) {
 			err = io.ErrUnexpectedEOF // an endpoint that crashed before its first event ends a stream in the same way
 		}
--- a/transport/forward/endless_test.go
+++ b/transport/forward/endless_test.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -294,3 +295,21 @@
 		})
 	}
 }
+
+func TestStreamWithoutDataIsLeft(t *testing.T) {
+	for _, repeat := range []string{": x\n\n", "\n", "id: 7\n\n", "retry: 10\n\n"} {
+		for _, resumable := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%q resumable %t", repeat, resumable), func(t *testing.T) {
+				e := newEndlessEndpoint(t, streamHead+"\r\n"+repeat, repeat, wholeStreamText)
+				f := newPlainForwarder(t, e.dial, &backlog.Budget{}, protocol.Route{Repeat: protocol.Stream, Resumable: resumable, TimeoutMS: 4000, MaxAttempts: 2})
+				defer f.Close()
+				w, complete := callPlain(f)
+				asked, read := e.counts()
+				require.LessOrEqual(t, read, mostReadOfEvent)
+				require.Equal(t, resumable, complete)
+				require.Equal(t, resumable, asked == 2)
+				require.Equal(t, resumable, strings.HasSuffix(w.Body.String(), repeat+wholeEvent))
+			})
+		}
+	}
+}
--- a/transport/forward/event.go
+++ b/transport/forward/event.go
@@ -13,6 +13,10 @@
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
+// maxDatalessBytes bounds what a stream may hold between two events with data. Comments that keep a
+// connection alive take some bytes each.
+const maxDatalessBytes = 256 << 10
+
 // typicalEventBytes is the initial capacity of an event's buffer: growing it line by line takes
 // three allocations.
 const typicalEventBytes = 128
@@ -23,6 +27,9 @@
 // errEventTooLong reports that an event is longer than any endpoint sends.
 var errEventTooLong = errors.New("an event of the stream is too long")
 
+// errNoData reports that a stream goes on without data.
+var errNoData = errors.New("the stream goes on without an event that has data")
+
 // streamEvent is one whole event of a stream as received, with its blank line. The ID is "" if there is
 // none, or none that a header can carry unchanged. Without data it is a comment, or sets fields alone.
 type streamEvent struct {
@@ -73,6 +80,14 @@
 	}
 }
 
+// datalessAfter returns the bytes since the last event with data, given those before this event.
+func (e *streamEvent) datalessAfter(before int) int {
+	if e.hasData {
+		return 0
+	}
+	return before + len(e.content)
+}
+
 // streamError returns errTruncatedEvent for an EOF inside the event, and err otherwise.
 func streamError(e *streamEvent, err error) error {
 	if errors.Is(err, io.EOF) && len(e.content) > 0 {
