forward: release the memory of an answer that is not used

A request whose first endpoint sent an answer that could not be used, such as a body that was too long, kept that answer's share of the entry's memory budget until its end, beside that of the next answer. Up to 16 MB per attempt were missing for other callers.

Cause: what an attempt reserved was released with its request only.

An attempt now knows what it reserved, and gives it back when it fails or is stopped, before the exchange learns of it. What it hands over goes with the message, and is released when the message comes too late or when another attempt replaces the response.

The tests of endless answers compared Budget.Held with zero, which does not count bodies. They look at the counter of held body bytes instead.

Evidence: three of four cases of TestMemoryOfAFailedAnswerIsReleasedBeforeTheNext failed before: the next endpoint waited 2 s for the release and gave up.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -63,9 +63,10 @@
 	reportedLost     []*fleet.Runner      // later stages that were reported lost; exchange only
 	head             *http.Response       // head of the stream, nil until received; exchange only
 
-	sent         int       // bytes of the request that were written; run only
-	connReturned bool      // the connection went back to the pool, which owns its buffer; run only
-	bound        headBound // run only
+	sent         int  // bytes of the request that were written; run only
+	connReturned bool // the connection went back to the pool, which owns its buffer; run only
+	bound        headBound
+	held         int64 // bytes reserved for what was received and not handed over; run only
 	ctx          context.Context
 	cancel       context.CancelFunc
 	mutex        sync.Mutex
@@ -81,14 +82,14 @@
 		return
 	}
 	defer a.recycleBuffer(c)
+	defer a.giveBack()
 	if !a.attachConn(c) {
 		return
 	}
 	n, err := c.Write(a.request)
 	a.request = nil // frees the memory while the response is awaited
 	if err != nil {
-		a.closeConn()
-		a.post(attemptEnded{attempt: a, cause: err, sent: n, unsent: n == 0, stale: c.reused})
+		a.fail(attemptEnded{cause: err, sent: n, unsent: n == 0, stale: c.reused})
 		return
 	}
 	a.sent = n
@@ -185,28 +186,36 @@
 	a.conn = nil
 }
 
-// post sends a message to the exchange, unless the attempt is stopped.
-func (a *attempt) post(m message) {
+// post sends a message to the exchange, unless the attempt is stopped, and reports whether it did.
+func (a *attempt) post(m message) bool {
 	select {
 	case a.messages <- m:
+		return true
 	case <-a.ctx.Done():
+		return false
 	}
 }
 
+// fail closes the connection, releases what was reserved and reports the failure of the attempt.
+func (a *attempt) fail(m attemptEnded) {
+	a.closeConn()
+	a.giveBack()
+	m.attempt = a
+	a.post(m)
+}
+
 // readResponse reads the response and passes it to the exchange.
 func (a *attempt) readResponse(c *conn) {
 	head, begun, err := a.readHead(c)
 	if err != nil {
-		a.closeConn()
-		a.post(attemptEnded{attempt: a, cause: err, sent: a.sent, stale: c.reused && !begun})
+		a.fail(attemptEnded{cause: err, sent: a.sent, stale: c.reused && !begun})
 		return
 	}
 	defer head.Body.Close()
 	a.recordReached(c)
 	terms := a.forwarder.Headers.ParseResponse(head.StatusCode, head.Header, clock.Now())
 	if terms.RequestID != "" && terms.RequestID != a.id {
-		a.closeConn()
-		a.post(attemptEnded{attempt: a, cause: errWrongResponse, sent: a.sent, stale: c.reused})
+		a.fail(attemptEnded{cause: errWrongResponse, sent: a.sent, stale: c.reused})
 		return
 	}
 	a.recordRateLimit(head.StatusCode, &terms)
@@ -224,8 +233,7 @@
 
 func (a *attempt) readStream(head *http.Response, terms protocol.AnswerTerms) {
 	if err := validateResponse(head, terms); err != nil {
-		a.closeConn()
-		a.post(attemptEnded{attempt: a, cause: err, sent: a.sent})
+		a.fail(attemptEnded{cause: err, sent: a.sent})
 		return
 	}
 	a.post(headReceived{attempt: a, head: head, terms: terms})
@@ -247,14 +255,14 @@
 			return
 		}
 		if err != nil {
-			a.closeConn()
-			a.post(attemptEnded{attempt: a, cause: err, sent: a.sent, partial: len(e.content)})
+			a.fail(attemptEnded{cause: err, sent: a.sent, partial: len(e.content)})
 			return
 		}
-		if n := len(e.content); n > smallBytes && !a.reservation.reserveWait(int64(n), a.ctx.Done()) {
+		m := eventReceived{attempt: a, event: e}
+		if !a.reserve(m.reserved()) || !a.post(m) {
 			return
 		}
-		a.post(eventReceived{attempt: a, event: e})
+		a.held -= m.reserved()
 	}
 }
 
@@ -270,12 +278,13 @@
 		err = validateResponse(head, terms)
 	}
 	if err != nil {
-		a.closeConn()
-		a.post(attemptEnded{attempt: a, cause: err, sent: a.sent})
+		a.fail(attemptEnded{cause: err, sent: a.sent})
 		return
 	}
 	a.returnConn(head)
-	a.post(responseReceived{attempt: a, head: head, body: body, terms: terms})
+	if a.post(responseReceived{attempt: a, head: head, body: body, terms: terms, held: a.held}) {
+		a.held = 0
+	}
 }
 
 // readBody reads the body of a response that is not a stream, as the entry's memory budget allows.
@@ -300,7 +309,7 @@
 		case len(body) < cap(body):
 			continue
 		}
-		if !a.reservation.reserveWait(int64(cap(body)), a.ctx.Done()) {
+		if !a.reserve(int64(cap(body))) {
 			return nil, a.ctx.Err()
 		}
 		body = append(make([]byte, 0, 2*cap(body)), body...)
@@ -315,7 +324,7 @@
 	if length < smallBytes || length > maxBodyBytes {
 		return newBodyBuffer(length), true
 	}
-	if !a.reservation.reserveWait(length, a.ctx.Done()) {
+	if !a.reserve(length) {
 		return nil, false
 	}
 	return make([]byte, 0, length+1), true // one more byte to read the end
--- a/transport/forward/decide.go
+++ b/transport/forward/decide.go
@@ -55,6 +55,7 @@
 			x.waitOrEnd(a, r, response, waitUntil, now)
 			return
 		}
+		x.discardResponse(response)
 		x.forwarder.Counters.CountRetry(retryReason(r))
 		x.timing.restart(now)
 	case retry.Enqueue:
--- a/transport/forward/endless_test.go
+++ b/transport/forward/endless_test.go
@@ -12,12 +12,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"pinerun.example/pinerun/internal/metric"
@@ -49,6 +51,7 @@
 	begin  string // sent once
 	repeat string // sent without end
 	sound  string // answer of the others
+	wait   func() // called before the others answer, nil for none
 	hold   chan struct{}
 
 	mutex sync.Mutex
@@ -81,6 +84,9 @@
 	first := e.asked == 1
 	e.mutex.Unlock()
 	if !first {
+		if e.wait != nil {
+			e.wait()
+		}
 		_, _ = io.WriteString(c, e.sound)
 		return
 	}
@@ -180,7 +186,7 @@
 	w, _ = callPlain(f)
 	asked, read := e.counts()
 	require.LessOrEqual(t, read, a.most)
-	require.Zero(t, budget.Held(), "what it held is given back")
+	require.Zero(t, budget.Counters.Value(string(metric.HeldBodyBytes)), "what it held is given back")
 	return w, asked, lines.String()
 }
 
@@ -261,7 +267,7 @@
 	begun := time.Now()
 	w, complete := callPlain(f)
 	require.True(t, complete)
-	require.Zero(t, budget.Held())
+	require.Zero(t, budget.Counters.Value(string(metric.HeldBodyBytes)))
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	return w.Code, e.asked, time.Since(begun)
@@ -313,3 +319,30 @@
 		}
 	}
 }
+
+func TestMemoryOfAFailedAnswerIsReleasedBeforeTheNext(t *testing.T) {
+	const length = 1 << 20
+	failure := "HTTP/1.1 500 Internal Server Error\r\nX-Pinerun-Request-Id: r-1\r\nContent-Length: " + strconv.Itoa(length) + "\r\n\r\n" + strings.Repeat("x", length)
+	endless := []endlessAnswer{
+		{name: "body", begin: wholeHead + "\r\n", repeat: "x"},
+		{name: "head", begin: wholeHead, repeat: "X-Many: x\r\n"},
+		{name: "failure", begin: failure, repeat: "x"},
+		{name: "broken chunks", begin: wholeHead + "Transfer-Encoding: chunked\r\n\r\n100000\r\n" + strings.Repeat("x", length) + "\r\n", repeat: "x"},
+	}
+	for _, a := range endless {
+		t.Run(a.name, func(t *testing.T) {
+			counters := &metric.Set{}
+			e := newEndlessEndpoint(t, a.begin, a.repeat, wholeAnswer)
+			e.wait = func() {
+				assert.Eventually(t, func() bool { return counters.Value(string(metric.HeldBodyBytes)) == 0 }, 2*time.Second, time.Millisecond)
+			}
+			budget := &backlog.Budget{Counters: counters}
+			budget.SetLimit(256 << 20)
+			f := newPlainForwarder(t, e.dial, budget, protocol.Route{Repeat: protocol.Repeatable, TimeoutMS: 4000, MaxAttempts: 2})
+			defer f.Close()
+			w, complete := callPlain(f)
+			require.True(t, complete)
+			require.Equal(t, "whole", w.Body.String())
+		})
+	}
+}
--- a/transport/forward/handle.go
+++ b/transport/forward/handle.go
@@ -16,6 +16,7 @@
 // open.
 func (x *exchange) handleMessage(m message) {
 	if !slices.Contains(x.open, m.from()) {
+		x.discard(m)
 		return
 	}
 	switch m := m.(type) {
@@ -65,8 +66,8 @@
 		x.handleWriteError()
 		return
 	}
-	if n := len(m.event.content); n > smallBytes {
-		x.reservation.reserve(int64(-n))
+	if n := m.reserved(); n > 0 {
+		x.reservation.reserve(-n)
 	}
 	if len(x.messages) == 0 {
 		x.flush()
--- a/transport/forward/head.go
+++ b/transport/forward/head.go
@@ -22,9 +22,8 @@
 
 // headBound bounds the head of an attempt's response. What exceeds smallBytes is reserved.
 type headBound struct {
-	attempt  *attempt
-	size     int64 // memory that the head takes
-	reserved int64
+	attempt *attempt
+	size    int64 // memory that the head takes
 }
 
 // read reads a part of the head from a connection.
@@ -32,34 +31,14 @@
 	if h.size > maxHeadBytes {
 		return 0, errHeadTooLong
 	}
-	if err := h.reserve(h.size - smallBytes - h.reserved); err != nil {
-		return 0, err
+	if !h.attempt.reserve(h.size - smallBytes - h.attempt.held) {
+		return 0, h.attempt.ctx.Err()
 	}
 	n, err := c.Read(b)
 	h.size += int64(n) + headLineBytes*int64(bytes.Count(b[:n], []byte{'\n'}))
 	return n, err
 }
 
-// reserve waits until n more bytes can be reserved, if n is positive.
-func (h *headBound) reserve(n int64) error {
-	if n <= 0 {
-		return nil
-	}
-	if !h.attempt.reservation.reserveWait(n, h.attempt.ctx.Done()) {
-		return h.attempt.ctx.Err()
-	}
-	h.reserved += n
-	return nil
-}
-
-// release releases what was reserved for a head that is not used.
-func (h *headBound) release() {
-	if h.reserved > 0 {
-		h.attempt.reservation.reserve(-h.reserved)
-		h.reserved = 0
-	}
-}
-
 // Read reads from the connection, as far as the bound of a head allows while there is one.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.head != nil {
@@ -74,11 +53,7 @@
 	a.bound.attempt = a
 	c.head = &a.bound
 	defer func() { c.head = nil }()
-	head, begun, err = a.parseHead(c)
-	if err != nil {
-		a.bound.release()
-	}
-	return head, begun, err
+	return a.parseHead(c)
 }
 
 // parseHead skips interim responses and returns the head of the final one.
--- a/transport/forward/message.go
+++ b/transport/forward/message.go
@@ -25,12 +25,21 @@
 	event   streamEvent
 }
 
-// responseReceived carries a whole response that is not a stream.
+// reserved returns the bytes that are reserved for the event.
+func (m *eventReceived) reserved() int64 {
+	if n := len(m.event.content); n > smallBytes {
+		return int64(n)
+	}
+	return 0
+}
+
+// responseReceived carries a whole response that is not a stream, and for which some bytes are held.
 type responseReceived struct {
 	attempt *attempt
 	head    *http.Response
 	body    []byte
 	terms   protocol.AnswerTerms
+	held    int64
 }
 
 // attemptEnded reports the end of an attempt. The cause is nil if a stream ended properly. unsent
--- a/transport/forward/queue.go
+++ b/transport/forward/queue.go
@@ -296,6 +296,7 @@
 		return false
 	}
 	x.dequeue()
+	x.discardResponse(queued.response)
 	queued.queue.recordStart(x.teamName(), now)
 	if queued.failed != nil {
 		x.forwarder.Counters.CountRetry(retryReason(queued.result))
--- a/transport/forward/reservation.go
+++ b/transport/forward/reservation.go
@@ -72,3 +72,42 @@
 		r.bytes = 0
 	}
 }
+
+// reserve waits until n more bytes can be reserved for the attempt's response, if n is positive. It reports
+// false if the attempt is stopped first.
+func (a *attempt) reserve(n int64) bool {
+	if n <= 0 {
+		return true
+	}
+	if !a.reservation.reserveWait(n, a.ctx.Done()) {
+		return false
+	}
+	a.held += n
+	return true
+}
+
+// giveBack releases what the attempt reserved and did not hand over.
+func (a *attempt) giveBack() {
+	if a.held > 0 {
+		a.reservation.reserve(-a.held)
+		a.held = 0
+	}
+}
+
+// discard releases what is reserved for a message that is not used.
+func (x *exchange) discard(m message) {
+	switch m := m.(type) {
+	case eventReceived:
+		x.reservation.reserve(-m.reserved())
+	case responseReceived:
+		x.reservation.reserve(-m.held)
+	}
+}
+
+// discardResponse releases what is reserved for a response that another attempt replaces, nil for none.
+func (x *exchange) discardResponse(r *responseReceived) {
+	if r != nil {
+		x.discard(*r)
+		r.held = 0
+	}
+}
