forward: count an event in the budget while it arrives

An endpoint that sends the beginning of a long event and then nothing more made the entry hold up to 1 MB per stream beside its memory budget, for as long as the callers waited.

Cause: an event was reserved only once it was whole.

What has arrived of an event beyond 4 KB is now reserved before more is read, in doubling steps as for bodies, and cut to the exact size when the event is handed over. Where the budget is used up, reading waits.

Evidence: TestEventThatIsNotWholeIsCounted failed before: 512 KB of an event had arrived and nothing was counted within 5 s.

--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -66,6 +66,7 @@
 	sent         int  // bytes of the request that were written; run only
 	connReturned bool // the connection went back to the pool, which owns its buffer; run only
 	bound        headBound
+	stream       eventBound
 	held         int64 // bytes reserved for what was received and not handed over; run only
 	ctx          context.Context
 	cancel       context.CancelFunc
@@ -237,7 +238,8 @@
 		return
 	}
 	a.post(headReceived{attempt: a, head: head, terms: terms})
-	r := a.pool.buffers.get(head.Body)
+	a.stream = eventBound{attempt: a, body: head.Body}
+	r := a.pool.buffers.get(&a.stream)
 	defer a.pool.buffers.put(r)
 	dataless := 0
 	for events := 0; ; events++ {
@@ -259,7 +261,7 @@
 			return
 		}
 		m := eventReceived{attempt: a, event: e}
-		if !a.reserve(m.reserved()) || !a.post(m) {
+		if !a.stream.handOver(&m) || !a.post(m) {
 			return
 		}
 		a.held -= m.reserved()
--- a/transport/forward/endless_test.go
+++ b/transport/forward/endless_test.go
@@ -49,7 +49,7 @@
 // others answer.
 type endlessEndpoint struct {
 	begin  string // sent once
-	repeat string // sent without end
+	repeat string // sent without end, "" for silence
 	sound  string // answer of the others
 	wait   func() // called before the others answer, nil for none
 	hold   chan struct{}
@@ -93,6 +93,10 @@
 	if !e.send(c, []byte(e.begin)) {
 		return
 	}
+	if e.repeat == "" {
+		<-e.hold
+		return
+	}
 	block := bytes.Repeat([]byte(e.repeat), 1+(16<<10)/len(e.repeat))
 	for sent := 0; sent < mostSent; sent += len(block) {
 		if !e.send(c, block) {
@@ -121,7 +125,11 @@
 
 // callPlain sends a request and returns the response, and whether it looks complete.
 func callPlain(f *forward.Forwarder) (w *httptest.ResponseRecorder, complete bool) {
-	r := httptest.NewRequest(http.MethodPost, "/plain/x", nil)
+	return callPlainWith(context.Background(), f)
+}
+
+func callPlainWith(ctx context.Context, f *forward.Forwarder) (w *httptest.ResponseRecorder, complete bool) {
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/plain/x", nil)
 	r.Host = "h.example"
 	r.Header.Set("X-Pinerun-Request-Id", "r-1")
 	w = httptest.NewRecorder()
@@ -346,3 +354,32 @@
 		})
 	}
 }
+
+// TestEventThatIsNotWholeIsCounted sends half an event, beside one that is within what needs no budget.
+func TestEventThatIsNotWholeIsCounted(t *testing.T) {
+	for _, length := range []int{2 << 10, 512 << 10} {
+		e := newEndlessEndpoint(t, streamHead+"\r\ndata: "+strings.Repeat("x", length), "", "")
+		counters := &metric.Set{}
+		budget := &backlog.Budget{Counters: counters}
+		budget.SetLimit(256 << 20)
+		f := newPlainForwarder(t, e.dial, budget, protocol.Route{Repeat: protocol.Stream, TimeoutMS: 60_000, MaxAttempts: 2})
+		held := func() int64 { return counters.Value(string(metric.HeldBodyBytes)) }
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			callPlainWith(ctx, f)
+		}()
+		if length > 4<<10 {
+			require.Eventually(t, func() bool { return held() >= int64(length) }, 5*time.Second, time.Millisecond)
+		} else {
+			require.Eventually(t, func() bool { _, read := e.counts(); return read > length }, 5*time.Second, time.Millisecond)
+		}
+		require.LessOrEqual(t, held(), int64(2*length))
+		require.Equal(t, length > 4<<10, held() > 0)
+		cancel()
+		<-done
+		require.Zero(t, held())
+		f.Close()
+	}
+}
--- a/transport/forward/reservation.go
+++ b/transport/forward/reservation.go
@@ -89,11 +89,16 @@
 // giveBack releases what the attempt reserved and did not hand over.
 func (a *attempt) giveBack() {
 	if a.held > 0 {
-		a.reservation.reserve(-a.held)
-		a.held = 0
+		a.release(a.held)
 	}
 }
 
+// release releases n bytes of what the attempt reserved.
+func (a *attempt) release(n int64) {
+	a.reservation.reserve(-n)
+	a.held -= n
+}
+
 // discard releases what is reserved for a message that is not used.
 func (x *exchange) discard(m message) {
 	switch m := m.(type) {
