transport: bound the heads of other entries and of step connections

The answer to a request for a tunnel, a relay link, a lost table, a peer link or a step connection could have a head of 10 MB, which the asking entry held beside its budget. A lost table was cut at 4 MB, which its decoder refuses.

Cause: these clients had net/http's own bound.

All use the bound of internal/limited, 64 KB. After the handshake, messages have been bounded by their read limits (4 MB per frame; a tunnel's bytes are read in pieces of the reader's buffer).

--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -22,6 +22,7 @@
 	"pinerun.example/pinerun/coordination/stream"
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/lifecycle"
+	"pinerun.example/pinerun/internal/limited"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/fleet"
@@ -196,7 +197,7 @@
 func (c *Client) dial(ctx context.Context) (*websocket.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	socket, res, err := websocket.Dial(ctx, "ws://"+c.Runner.Spec().Address+"/steps", nil)
+	socket, res, err := websocket.Dial(ctx, "ws://"+c.Runner.Spec().Address+"/steps", &websocket.DialOptions{HTTPClient: limited.Client})
 	if res != nil && res.Body != nil {
 		_ = res.Body.Close()
 	}
--- a/transport/peer/connect.go
+++ b/transport/peer/connect.go
@@ -8,6 +8,8 @@
 	"net/http"
 
 	"github.com/coder/websocket"
+
+	"pinerun.example/pinerun/internal/limited"
 )
 
 // ServeHTTP accepts a connection from a peer.
@@ -34,11 +36,11 @@
 // run dials the peer and serves the link until it breaks.
 func (d *dialer) run() {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	scheme, client := "ws://", http.DefaultClient
+	scheme, client := "ws://", limited.Client
 	m := d.link.mesh
 	if m.TLS != nil {
 		scheme = "wss://"
-		client = &http.Client{Transport: &http.Transport{TLSClientConfig: m.TLS}}
+		client = &http.Client{Transport: limited.Transport(&http.Transport{TLSClientConfig: m.TLS})}
 	}
 	socket, res, err := websocket.Dial(ctx, scheme+d.address+Path, &websocket.DialOptions{
 		HTTPClient: client, HTTPHeader: http.Header{keyHeader: {keyPrefix + m.Key}},
--- a/transport/relay/start.go
+++ b/transport/relay/start.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"pinerun.example/pinerun/internal/limited"
 	"pinerun.example/pinerun/protocol"
 )
 
@@ -31,7 +32,7 @@
 	if dialContext == nil {
 		dialContext = (&net.Dialer{Timeout: connectTimeout}).DialContext
 	}
-	s.client.Transport = &http.Transport{DialContext: dialContext, DisableKeepAlives: true}
+	s.client.Transport = limited.Transport(&http.Transport{DialContext: dialContext, DisableKeepAlives: true})
 }
 
 // awaitStart waits for the end of the start period and of the search for a replacement peer.
--- a/transport/relay/tables.go
+++ b/transport/relay/tables.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"crypto/subtle"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -13,6 +12,7 @@
 
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/lifecycle"
+	"pinerun.example/pinerun/internal/limited"
 	"pinerun.example/pinerun/protocol"
 )
 
@@ -166,7 +166,7 @@
 	if res.StatusCode != http.StatusOK {
 		return nil, nil
 	}
-	b, err := io.ReadAll(io.LimitReader(res.Body, protocol.MaxFrameBytes))
+	b, err := limited.Read(res.Body, protocol.MaxFrameBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/transport/tunnel/dialer.go
+++ b/transport/tunnel/dialer.go
@@ -17,6 +17,7 @@
 	"pinerun.example/pinerun/coordination/reach"
 	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/limited"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/transport/backlog"
@@ -272,7 +273,7 @@
 	defer d.mutex.Unlock()
 	if d.client == nil {
 		t := net.Dialer{Timeout: peerConnectTimeout, Control: backlog.LimitEngineSocket}
-		d.client = &http.Client{Transport: &http.Transport{DialContext: t.DialContext, DisableKeepAlives: true}}
+		d.client = &http.Client{Transport: limited.Transport(&http.Transport{DialContext: t.DialContext, DisableKeepAlives: true})}
 	}
 	return d.client
 }
--- a/transport/tunnel/tunnel_test.go
+++ b/transport/tunnel/tunnel_test.go
@@ -102,6 +102,7 @@
 	serving   atomic.Bool
 	asked     atomic.Int64
 	counters  metric.Set
+	head      string // added to the heads of its answers
 }
 
 // newEntries returns entries before endpoints, each in a data center of its own, that know each other.
@@ -140,6 +141,9 @@
 
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.asked.Add(1)
+	if e.head != "" {
+		w.Header().Set("X-Long", e.head)
+	}
 	e.server.ServeHTTP(w, r)
 }
 
