entry: bound the heads of services' and runners' answers

On pinerun's own interface a service or a runner whose answer had a head without end made the entry hold up to 10 MB per call.

Cause: these clients had net/http's own bound.

All use the bound of internal/limited, 64 KB. A call to a service that is answered so may have run, as with any answer that is cut off.

Evidence: TestAnswersWithLongHeadsAreErrors failed before at the first call that it made (a head of 128 KB was accepted).

--- a/transport/entry/crash_probe.go
+++ b/transport/entry/crash_probe.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"pinerun.example/pinerun/coordination/quarantine"
+	"pinerun.example/pinerun/internal/limited"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/fleet"
 )
@@ -50,7 +51,7 @@
 		return report, err
 	}
 	req.Close = true // an idle connection may belong to the previous process
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := limited.Client.Do(req)
 	if err != nil {
 		return report, err
 	}
--- a/transport/entry/director.go
+++ b/transport/entry/director.go
@@ -14,6 +14,7 @@
 	"pinerun.example/pinerun/coordination/lease"
 	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/limited"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/transport/platform"
 )
@@ -40,13 +41,11 @@
 	holdsLease  bool
 	nextRunner  int
 	lastLeaving map[string]bool // by runner name: whether its last load report said that it is leaving
-	http        http.Client
 }
 
 func (d *director) run() {
 	d.lease.Self = d.entry.mesh.Self.Name
 	d.lastLeaving = map[string]bool{}
-	d.http.Timeout = orderTimeout
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	t := time.NewTicker(directorInterval)
@@ -195,7 +194,7 @@
 	if err != nil {
 		return
 	}
-	resp, err := d.http.Do(req)
+	resp, err := callRunner(req)
 	if err != nil {
 		return // the next pass tries again
 	}
@@ -211,10 +210,17 @@
 	if err != nil {
 		return report, err
 	}
-	resp, err := d.http.Do(req)
+	resp, err := callRunner(req)
 	if err != nil {
 		return report, err
 	}
 	defer resp.Body.Close()
 	return report, json.NewDecoder(http.MaxBytesReader(nil, resp.Body, protocol.MaxFrameBytes)).Decode(&report)
 }
+
+// callRunner sends a request to a runner.
+func callRunner(req *http.Request) (*http.Response, error) {
+	client := *limited.Client
+	client.Timeout = orderTimeout
+	return client.Do(req)
+}
--- a/transport/entry/service.go
+++ b/transport/entry/service.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -21,6 +20,7 @@
 	"pinerun.example/pinerun/coordination/retry"
 	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/limited"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/trace"
@@ -42,8 +42,8 @@
 // never does so on a new connection, so calls that may not be repeated get one.
 func (c *serviceClient) client(repeatable bool) *http.Client {
 	c.once.Do(func() {
-		c.pooled.Transport = &http.Transport{MaxIdleConnsPerHost: maxIdlePerEndpoint}
-		c.unpooled.Transport = &http.Transport{DisableKeepAlives: true}
+		c.pooled.Transport = limited.Transport(&http.Transport{MaxIdleConnsPerHost: maxIdlePerEndpoint})
+		c.unpooled.Transport = limited.Transport(&http.Transport{DisableKeepAlives: true})
 		c.pooled.CheckRedirect = returnRedirect
 		c.unpooled.CheckRedirect = returnRedirect
 	})
@@ -195,8 +195,8 @@
 	}
 	defer resp.Body.Close()
 	s.sent = true
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil || len(body) > maxResponseBytes {
+	body, err := limited.Read(resp.Body, maxResponseBytes)
+	if err != nil {
 		return serviceResponse{}, protocol.Uncertain(protocol.ServiceFailed, "the service's answer was cut off or too long").WithCause(err)
 	}
 	return serviceResponse{
