transport/platform: bound heads and refuse lists that are too long

The store in pinerun's own form could send a head of 10 MB, and a list beyond 64 MB was cut there.

Cause: net/http's own bound, and a limited reader that ends like a whole body.

Both are errors now, by internal/limited. The field HTTP of the client, which nothing set, is gone.

Evidence: TestAnswersBeyondTheirBoundsAreErrors failed before (a head of 128 KB was accepted).

--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -16,13 +16,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"pinerun.example/pinerun/internal/limited"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
 )
@@ -35,9 +35,6 @@
 	maxListBytes = 64 << 20
 )
 
-// errObjectTooLong says that an object is longer than the platform takes.
-var errObjectTooLong = errors.New("the object is longer than protocol.MaxObjectBytes")
-
 // Conflict reports that an object has another version than the write expected.
 type Conflict struct{ version protocol.Revision }
 
@@ -85,7 +82,6 @@
 type Client struct {
 	Base     string
 	Counters *metric.Set
-	HTTP     http.Client
 }
 
 // Get returns an object, or *NotFound.
@@ -116,10 +112,7 @@
 	defer res.Body.Close()
 	switch res.StatusCode {
 	case http.StatusOK:
-		value, err := io.ReadAll(io.LimitReader(res.Body, protocol.MaxObjectBytes+1))
-		if err == nil && len(value) > protocol.MaxObjectBytes {
-			err = errObjectTooLong
-		}
+		value, err := limited.Read(res.Body, protocol.MaxObjectBytes)
 		if err != nil {
 			return protocol.Object{}, &Unavailable{cause: err}
 		}
@@ -199,7 +192,11 @@
 	if res.StatusCode != http.StatusOK {
 		return &Unavailable{cause: errors.New(res.Status)}
 	}
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxListBytes)).Decode(into); err != nil {
+	content, err := limited.Read(res.Body, maxListBytes)
+	if err == nil {
+		err = json.Unmarshal(content, into)
+	}
+	if err != nil {
 		return &Unavailable{cause: err}
 	}
 	return nil
@@ -220,7 +217,7 @@
 	if c.Counters != nil {
 		c.Counters.Add(metric.PlatformCalls, 1)
 	}
-	res, err := c.HTTP.Do(req)
+	res, err := limited.Client.Do(req)
 	if err != nil && c.Counters != nil {
 		c.Counters.Add(metric.PlatformFaults, 1)
 	}
