command, load: bound what is read of an entry

The operator's commands printed the first 16 MB of a longer answer as if whole and took heads of 10 MB; the load tool read answers without a bound.

Both use internal/limited now.

--- a/command/fleet_test.go
+++ b/command/fleet_test.go
@@ -7,10 +7,12 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"pinerun.example/pinerun/internal/limited"
 	"pinerun.example/pinerun/protocol"
 )
 
@@ -74,3 +76,18 @@
 	require.Contains(t, errs.String(), "check -entry")
 	require.Empty(t, out.String())
 }
+
+func TestAnswerBeyondItsBoundIsNotPrinted(t *testing.T) {
+	head, blanks := 0, 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Long", strings.Repeat("x", head))
+		_, _ = w.Write([]byte("{}" + strings.Repeat(" ", blanks)))
+	}))
+	defer s.Close()
+	for _, length := range []struct{ head, blanks int }{{2 * limited.HeadBytes, 0}, {0, maxResponseBytes}} {
+		head, blanks = length.head, length.blanks
+		var out, errs bytes.Buffer
+		require.Equal(t, exitFailed, Main([]string{"fleet", "-entry", s.URL, "-json"}, &out, &errs))
+		require.Empty(t, out.String())
+	}
+}
--- a/command/status.go
+++ b/command/status.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/integrii/flaggy"
+
+	"pinerun.example/pinerun/internal/limited"
 )
 
 const (
@@ -58,14 +60,14 @@
 // callEntry sends a request to an entry and returns the status and the body of the response,
 // of which it reads at most maxResponseBytes.
 func callEntry(req *http.Request) (status int, body []byte, err error) {
-	res, err := http.DefaultClient.Do(req)
+	res, err := limited.Client.Do(req)
 	if err != nil {
 		return 0, nil, fmt.Errorf("the entry does not answer: %w; check -entry", err)
 	}
 	defer res.Body.Close()
-	body, err = io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	body, err = limited.Read(res.Body, maxResponseBytes)
 	if err != nil {
-		return 0, nil, fmt.Errorf("the answer was cut off: %w; ask again", err)
+		return 0, nil, fmt.Errorf("the answer did not come whole: %w; ask again", err)
 	}
 	return res.StatusCode, body, nil
 }
--- a/load/attempt.go
+++ b/load/attempt.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"pinerun.example/pinerun/internal/limited"
 	"pinerun.example/pinerun/protocol"
 )
 
@@ -37,6 +38,9 @@
 // it counts as missing.
 const responseGrace = 10 * time.Second
 
+// maxResponseBytes bounds a response. A longer one counts as missing.
+const maxResponseBytes = 16 << 20
+
 // execute sends the request and records its outcome.
 func (a *attempt) execute(ctx context.Context) {
 	defer a.run.inFlight.Done()
@@ -53,29 +57,30 @@
 		return protocol.MayHaveRun, false
 	}
 	defer res.Body.Close()
+	body := io.LimitReader(res.Body, maxResponseBytes)
 	if res.StatusCode != http.StatusOK {
-		return parseRefusal(res)
+		return parseRefusal(body)
 	}
 	switch {
 	case a.service:
-		_, err := io.ReadAll(res.Body)
+		_, err := limited.Read(res.Body, maxResponseBytes)
 		return protocol.Answered, err == nil
 	case a.stream:
-		return a.readStream(res.Body)
+		return a.readStream(body)
 	default:
-		return a.readResponse(res.Body)
+		return a.readResponse(body)
 	}
 }
 
 // parseRefusal returns the outcome that an error response states, and false if it states
 // none.
-func parseRefusal(res *http.Response) (protocol.Outcome, bool) {
+func parseRefusal(r io.Reader) (protocol.Outcome, bool) {
 	var body struct {
 		Error struct {
 			Outcome string `json:"outcome"`
 		} `json:"error"`
 	}
-	if json.NewDecoder(res.Body).Decode(&body) != nil {
+	if json.NewDecoder(r).Decode(&body) != nil {
 		return protocol.MayHaveRun, false
 	}
 	if body.Error.Outcome == protocol.NotRun.String() {
--- a/load/load.go
+++ b/load/load.go
@@ -17,6 +17,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"pinerun.example/pinerun/internal/limited"
 	"pinerun.example/pinerun/protocol"
 )
 
@@ -71,7 +72,7 @@
 // sends no further requests.
 func (r *Run) Do(ctx context.Context) Report {
 	r.firstToken, r.betweenTokens = newHistogram(), newHistogram()
-	r.client.Transport = &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}
+	r.client.Transport = limited.Transport(&http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true})
 	rng := rand.New(rand.NewPCG(r.Seed, 7))
 	r.startTime = time.Now()
 	nextArrival := r.startTime
