front: bound the heads of requests of others than callers

The servers for peers, metrics and the load balancer took heads of 1 MB from anybody that reaches them, for up to 5 s each and beside the budget.

They have the bound of callers' heads now, 64 KB.

Evidence: TestLongHeadOfARequestIsRefused failed before (200 for a head of 256 KB).

--- a/transport/front/aux_server.go
+++ b/transport/front/aux_server.go
@@ -36,7 +36,7 @@
 	if s.socket == nil {
 		return
 	}
-	s.server = http.Server{Handler: h, ReadHeaderTimeout: auxHeaderTimeout, IdleTimeout: auxIdleTimeout}
+	s.server = http.Server{Handler: h, ReadHeaderTimeout: auxHeaderTimeout, IdleTimeout: auxIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	go s.run()
 }
 
