forward: avoid an endpoint that closes after an interim answer

An endpoint that sent an interim answer on a connection that was used before, and then closed it, kept getting requests: callers of requests that may be repeated paid an attempt each time.

Cause: whether an answer had begun was forgotten after an interim one, so that the connection passed for one that was closed while idle, which is no fault.

Evidence: TestEndpointThatClosesAfterAnInterimAnswerIsAvoided failed before in 20 of 20 runs, and passes in 50 of 50 with the race detector.

--- a/transport/forward/head.go
+++ b/transport/forward/head.go
@@ -61,8 +61,9 @@
 	req := &http.Request{Method: a.method}
 	for {
 		if _, err := c.reader.Peek(1); err != nil {
-			return nil, false, err
+			return nil, begun, err
 		}
+		begun = true
 		head, err := http.ReadResponse(c.reader, req)
 		if err != nil {
 			return nil, true, err
