quarantine: take the announced end of an endpoint for no crash

Cause: a failure counts as a crash once its endpoint is gone, within 30 s. A cut of this entry breaks requests off at endpoints that say meanwhile that they leave, and go as they announced: each counted as a crash of the parts that its requests had, also for failures that were reported after it was gone.

Change: an endpoint's word that it leaves, in its record or in an answer, is kept for its incarnation for an hour, and the end of that incarnation confirms no failure. It gets no new requests from then on, so work that crashes endpoints gains at most what it already has there.

Ruled out: counting only ends that come within a moment of the failure. Ports behind forwarders show a crash seconds later, by the record alone.

Not covered: endpoints that leave without a word, and those whose word reaches no entry because all are cut off.

The models of TestOnlyRealCrashesCount and TestOnlyRealCrashesCountAgainstParts let endpoints leave now; with one announcement kept for an ID instead of for an incarnation the second one failed.

--- a/coordination/quarantine/expire.go
+++ b/coordination/quarantine/expire.go
@@ -33,6 +33,11 @@
 			delete(t.exits, id)
 		}
 	}
+	for id, at := range t.leaving {
+		if now.Sub(at) > Retention {
+			delete(t.leaving, id)
+		}
+	}
 	t.expireIsolatedRuns(now)
 }
 
--- a/coordination/quarantine/model_test.go
+++ b/coordination/quarantine/model_test.go
@@ -35,11 +35,12 @@
 	now          time.Time
 	incarnations [modelEndpoints]protocol.Incarnation
 	crashed      map[endpointIncarnation]bool
+	left         map[endpointIncarnation]bool             // said that they leave before they ended
 	failed       [modelWorks]map[endpointIncarnation]bool // since the work last ran successfully
 }
 
 func newModel() *model {
-	m := &model{now: startTime, crashed: make(map[endpointIncarnation]bool)}
+	m := &model{now: startTime, crashed: make(map[endpointIncarnation]bool), left: make(map[endpointIncarnation]bool)}
 	for i := range m.incarnations {
 		m.incarnations[i] = 1
 	}
@@ -66,10 +67,19 @@
 	}
 }
 
-// crash crashes and restarts an endpoint. Failures there may be reported before or after that.
-func (m *model) crash(t *rapid.T) {
+// leave has an endpoint say that it leaves.
+func (m *model) leave(t *rapid.T) {
 	endpoint := drawEndpoint(t)
-	m.crashed[endpointIncarnation{endpoint, m.incarnations[endpoint]}] = true
+	m.left[endpointIncarnation{endpoint, m.incarnations[endpoint]}] = true
+	m.tracker.RecordLeaving(fmt.Sprint(endpoint), m.incarnations[endpoint], m.now)
+}
+
+// end ends and restarts an endpoint, which is a crash if it did not say before that it leaves. Failures there may be
+// reported before or after that.
+func (m *model) end(t *rapid.T) {
+	endpoint := drawEndpoint(t)
+	id := endpointIncarnation{endpoint, m.incarnations[endpoint]}
+	m.crashed[id] = !m.left[id]
 	m.tracker.RecordCrash(fmt.Sprint(endpoint), m.incarnations[endpoint], m.now)
 	if rapid.Bool().Draw(t, "late report") {
 		work := drawWork(t)
@@ -124,7 +134,7 @@
 func drawWork(t *rapid.T) int     { return rapid.IntRange(0, modelWorks-1).Draw(t, "work") }
 func drawEndpoint(t *rapid.T) int { return rapid.IntRange(0, modelEndpoints-1).Draw(t, "endpoint") }
 
-// TestOnlyRealCrashesCount lets work fail, endpoints crash, restart and answer probes, and reports
+// TestOnlyRealCrashesCount lets work fail, endpoints leave, crash, restart and answer probes, and reports
 // arrive late, in any order. Nothing may be refused or isolated without the crashes that justify
 // it, and nothing may wait forever.
 func TestOnlyRealCrashesCount(t *testing.T) {
@@ -134,7 +144,8 @@
 			"":                     m.check,
 			"fails":                func(t *rapid.T) { m.failAt(t, protocol.WorkBroke) },
 			"fails at later stage": func(t *rapid.T) { m.failAt(t, protocol.WorkBrokeAtLaterStage) },
-			"crashes":              m.crash,
+			"leaves":               m.leave,
+			"ends":                 m.end,
 			"answers":              m.answerProbe,
 			"succeeds":             m.succeed,
 			"time passes":          m.advance,
--- a/coordination/quarantine/parts_test.go
+++ b/coordination/quarantine/parts_test.go
@@ -390,7 +390,7 @@
 	}
 }
 
-// TestOnlyRealCrashesCountAgainstParts lets requests with shared parts fail and run, endpoints crash, restart and answer
+// TestOnlyRealCrashesCountAgainstParts lets requests with shared parts fail and run, endpoints leave, crash, restart and answer
 // probes, and reports arrive twice and out of order.
 func TestOnlyRealCrashesCountAgainstParts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -399,7 +399,8 @@
 			"":            m.checkParts,
 			"fails":       func(t *rapid.T) { m.observe(t, protocol.WorkBroke) },
 			"succeeds":    func(t *rapid.T) { m.observe(t, protocol.WorkRan) },
-			"crashes":     func(t *rapid.T) { m.crash(t) },
+			"leaves":      m.leave,
+			"ends":        m.end,
 			"answers":     m.answerProbe,
 			"time passes": m.advance,
 		})
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -86,8 +86,9 @@
 // Tracker tracks the reports of all entries. The zero value is empty.
 type Tracker struct {
 	suspects     map[protocol.Fingerprint]*suspect
-	crashes      map[crashID]crash // what failed in each confirmed or possible crash
-	exits        map[string]exit   // the latest known exit of each endpoint
+	crashes      map[crashID]crash     // what failed in each confirmed or possible crash
+	exits        map[string]exit       // the latest known exit of each endpoint
+	leaving      map[crashID]time.Time // when incarnations of endpoints said that they leave
 	isolatedRuns map[isolatedRunKey]isolatedRun
 	lastExpiry   time.Time
 	refuses      bool // whether anything may be refused
@@ -155,7 +156,7 @@
 	if len(w.failures) >= maxCrashesPerSuspect {
 		t.dropFailure(f, w)
 	}
-	fail := failure{at: r.at, confirmed: t.exits[r.endpoint].covers(r.incarnation, r.at), laterStage: r.observation == protocol.WorkBrokeAtLaterStage}
+	fail := failure{at: r.at, confirmed: t.crashed(r.crashID(), r.at), laterStage: r.observation == protocol.WorkBrokeAtLaterStage}
 	if r.unresolved {
 		fail.unresolvedUntil = r.at.Add(UnresolvedTimeout)
 	}
@@ -261,7 +262,7 @@
 		}
 		for f := range accused {
 			w := t.suspects[f]
-			if fail := w.failures[id]; !fail.confirmed && x.covers(id.incarnation, fail.at) {
+			if fail := w.failures[id]; !fail.confirmed && t.crashed(id, fail.at) {
 				fail.confirmed = true
 				w.failures[id] = fail
 			}
@@ -269,6 +270,23 @@
 	}
 }
 
+// RecordLeaving records that an incarnation of an endpoint said that it leaves. Its end is expected then, and says
+// nothing about the work that failed there.
+func (t *Tracker) RecordLeaving(endpoint string, incarnation protocol.Incarnation, at time.Time) {
+	if t.leaving == nil {
+		t.leaving = make(map[crashID]time.Time)
+	}
+	t.leaving[crashID{endpoint: endpoint, incarnation: incarnation}] = at
+}
+
+// crashed reports whether an incarnation of an endpoint ended without notice after something failed there at a time.
+func (t *Tracker) crashed(id crashID, at time.Time) bool {
+	if _, announced := t.leaving[id]; announced {
+		return false
+	}
+	return t.exits[id.endpoint].covers(id.incarnation, at)
+}
+
 // covers reports whether the exit ended the incarnation at which something failed at a time.
 func (x exit) covers(incarnation protocol.Incarnation, at time.Time) bool {
 	if x.at.IsZero() {
--- a/coordination/quarantine/tracker_test.go
+++ b/coordination/quarantine/tracker_test.go
@@ -148,6 +148,29 @@
 	require.IsType(t, quarantine.Unrestricted{}, h.status(work))
 }
 
+// TestAnnouncedEndIsNoCrash: the announcement counts for the incarnation that made it, and its reports may be late.
+func TestAnnouncedEndIsNoCrash(t *testing.T) {
+	h, work := newHarness(), fingerprint(0)
+	for i := range 3 {
+		e := fmt.Sprint("e-", i)
+		h.report(protocol.WorkBroke, work, e, "entry")
+		h.now = h.now.Add(time.Second)
+		h.tracker.RecordLeaving(e, 1, h.now)
+		h.tracker.RecordCrash(e, 1, h.now.Add(time.Second))
+		h.now = h.now.Add(2 * time.Second)
+		h.report(protocol.WorkBroke, work, e, "other")
+	}
+	h.now = h.now.Add(10 * time.Second)
+	require.Equal(t, quarantine.Unrestricted{}, h.status(work))
+	for i := range 3 {
+		e := fmt.Sprint("e-", i)
+		h.tracker.Apply(quarantine.NewReport(protocol.WorkReport{Work: work, Endpoint: e, Incarnation: 2, Observer: "entry", Observation: protocol.WorkBroke}, h.now), h.now)
+		h.tracker.RecordCrash(e, 2, h.now)
+		h.now = h.now.Add(time.Second)
+	}
+	require.IsType(t, quarantine.Refused{}, h.status(work), "the next incarnations crashed")
+}
+
 // TestLateReportDoesNotUndoSuccessfulRun: a report that arrives late describes a time before the
 // work ran successfully.
 func TestLateReportDoesNotUndoSuccessfulRun(t *testing.T) {
--- a/transport/forward/backoff.go
+++ b/transport/forward/backoff.go
@@ -99,6 +99,9 @@
 		f.log(event.BackoffAsked, slog.String("endpoint", a.endpoint.Name()), slog.String("request", a.id), slog.Int64("retry_after_ms", clock.Until(terms.RetryAt).Milliseconds()))
 	}
 	if leaves {
+		if f.Quarantine != nil {
+			f.Quarantine.RecordLeaving(a.endpoint.Name(), a.incarnation, clock.Now())
+		}
 		f.log(event.LeavingTold, slog.String("endpoint", a.endpoint.Name()))
 	}
 }
--- a/transport/forward/backoff_test.go
+++ b/transport/forward/backoff_test.go
@@ -13,7 +13,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"pinerun.example/pinerun/coordination/quarantine"
 	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/transport/relay"
 )
 
 // These are the platform's terms for backoff: from backoffGrace after an endpoint asked an entry for backoff
@@ -147,3 +149,29 @@
 		})
 	}
 }
+
+// TestEndOfEndpointThatSaidInAnAnswerThatItLeavesIsNoCrash: a connection broke off, and the endpoint left as announced.
+func TestEndOfEndpointThatSaidInAnAnswerThatItLeavesIsNoCrash(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			e := &testEndpoint{ID: "e", DataCenter: "a", Respond: func(_ string, h http.Header) int {
+				if leaves {
+					h.Set("Server-Leaving", "1")
+				}
+				return 0
+			}}
+			d := newTestFleet(t, 1, e)
+			q, work := &relay.Quarantine{Self: "entry-0"}, protocol.Fingerprint{1}
+			d.entries[0].forwarder.Quarantine = q
+			status, h := d.entries[0].call("plain", "r-1")
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, leaves, h.Get("Server-Leaving") != "", "callers get the header")
+			q.Report(protocol.WorkReport{Work: work, Endpoint: "e", Observation: protocol.WorkBroke}, time.Now())
+			q.RecordCrash("e", 0, time.Now())
+			time.Sleep(10 * time.Second) // a failure without a crash counts for a moment
+			content := quarantine.NewContent(work, nil)
+			_, unrestricted := q.Status(&content, time.Now()).(quarantine.Unrestricted)
+			require.Equal(t, leaves, unrestricted)
+		})
+	}
+}
--- a/transport/forward/quarantine.go
+++ b/transport/forward/quarantine.go
@@ -46,6 +46,8 @@
 	// RecordUnresolved records that it may become known soon whether an incarnation of an endpoint
 	// has crashed.
 	RecordUnresolved(endpoint string, incarnation protocol.Incarnation, now time.Time)
+	// RecordLeaving records that an incarnation of an endpoint said that it leaves.
+	RecordLeaving(endpoint string, incarnation protocol.Incarnation, at time.Time)
 	// RecordParts records that parts of prompts ran well at this entry.
 	RecordParts(parts []protocol.Fingerprint, at time.Time)
 	// PartRuns returns how often and when a part ran well at this entry.
--- a/transport/front/endpoint_sink.go
+++ b/transport/front/endpoint_sink.go
@@ -32,6 +32,7 @@
 			continue
 		}
 		list = append(list, e)
+		s.noteLeaving(&e, now)
 		if !f.endpoints.Has(e.ID) {
 			s.logJoined(e, o.Version)
 		}
@@ -61,6 +62,13 @@
 	s.era, s.seen = max(s.era, era), true
 }
 
+// noteLeaving notes that an endpoint's record says that it leaves, so that its end is no crash.
+func (s *endpointSink) noteLeaving(e *protocol.Endpoint, now time.Time) {
+	if e.Leaving {
+		s.front.source.Quarantine().RecordLeaving(e.ID, e.Incarnation, now)
+	}
+}
+
 // Changed applies the change or removal of one endpoint record.
 func (s *endpointSink) Changed(c protocol.Change, now time.Time) {
 	f := s.front
@@ -81,7 +89,11 @@
 	if !ok {
 		return
 	}
-	switch f.endpoints.Update(e, now) {
+	result := f.endpoints.Update(e, now)
+	if result != registry.Stale {
+		s.noteLeaving(&e, now)
+	}
+	switch result {
 	case registry.Joined:
 		s.logJoined(e, c.Object.Version)
 		return
--- a/transport/relay/quarantine.go
+++ b/transport/relay/quarantine.go
@@ -86,6 +86,13 @@
 	q.pending = remaining
 }
 
+// RecordLeaving records that an incarnation of an endpoint said that it leaves, so that its end is no crash.
+func (q *Quarantine) RecordLeaving(endpoint string, incarnation protocol.Incarnation, at time.Time) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.tracker.RecordLeaving(endpoint, incarnation, at)
+}
+
 // RecordParts records that parts of prompts ran well at this entry.
 func (q *Quarantine) RecordParts(parts []protocol.Fingerprint, at time.Time) {
 	if len(parts) == 0 {
