forward: use endpoints again that go on after a silence

Callers of services whose endpoints stood still for 1.2 s were refused for up to 4.5 s ("no engines have room"), or waited as long, although the endpoints went on after 1.2 s. With a single entry an endpoint stayed out of use for 30 s.

Cause: an endpoint that two entries find silent counts as lost for 4 s, and what is received from it in the first second of that disproves nothing, since it may have been sent before. So the streams that went on at such an endpoint, to their ends, did not bring it back. And each of the requests whose connections timed out in one silence doubled the ejection, to 30 s; a second one marked the endpoint as lost for good until something was received from it.

Runners that are lost or ejected because of a silence are now asked for a sign of life until they answer, by all entries together a few times a second, less often after some queries, and at once when something is received from one. An answer of the same incarnation ends the ejection and the loss, here and at the other entries.

Ruled out: no request that had been sent lost its answer in any of these cases, before or after; no stream was cut, nothing ran twice.

TestFirstAndLastStageSilentCostNoAnswer and TestSilentEndpointCostsNoAnswerToALongBody passed before as well.

--- a/transport/forward/failure.go
+++ b/transport/forward/failure.go
@@ -89,8 +89,11 @@
 	f.lastHeard.Store(now.UnixNano())
 	r.Heard(now)
 	r.MarkWorking()
-	if r.ClearLostIfHeard(now) {
+	switch {
+	case r.ClearLostIfHeard(now):
 		f.reportObservation(r, protocol.LossAnswered, now)
+	case r.Lost(now):
+		f.silentRunners.heardFrom(r, now)
 	}
 }
 
@@ -141,6 +144,9 @@
 		r.MarkLost(v.At(), v.Until())
 		f.Counters.CountEjection(metric.EjectedLost)
 		f.losses.Broadcast()
+		if report.Observation() == protocol.LossSilent {
+			f.silentRunners.watch(r, now)
+		}
 	case loss.Suspected:
 		r.Suspect(now.Add(suspectDuration))
 	case loss.Recovered:
--- a/transport/forward/fault_locator.go
+++ b/transport/forward/fault_locator.go
@@ -98,6 +98,9 @@
 func (q *stallQuery) eject(r *fleet.Runner, reason metric.Ejection, cause error, now time.Time) {
 	f := q.locator.forwarder
 	until := r.Failed(now)
+	if isSilence(cause) {
+		f.silentRunners.watch(r, now)
+	}
 	f.Counters.CountEjection(reason)
 	attrs := []slog.Attr{
 		slog.String("runner", r.Name()), slog.String("reason", string(reason)),
@@ -128,6 +131,9 @@
 	now := clock.Now()
 	f.reportError(p.runner, err, queriedAt, now)
 	until := p.runner.Failed(now)
+	if isSilence(err) {
+		f.silentRunners.watch(p.runner, now)
+	}
 	f.Counters.CountEjection(metric.EjectedUnanswered)
 	f.log(event.RunnerEjected, slog.String("runner", p.runner.Name()), slog.String("reason", string(metric.EjectedUnanswered)), slog.String("cause", err.Error()),
 		slog.Int64("till_ms", until.Sub(now).Milliseconds()))
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -98,6 +98,7 @@
 	connDoubts     connDoubts
 	faultLocator   faultLocator
 	linkChecks     linkChecks
+	silentRunners  silentRunners
 	crashProbes    crashcheck.Checker
 	isolationWaits isolationWaits
 	queues         waitQueues
@@ -120,6 +121,7 @@
 	f.pool.opened = func() { f.Counters.Add(metric.EndpointConnections, 1) }
 	f.faultLocator.forwarder = f
 	f.linkChecks.forwarder = f
+	f.silentRunners.forwarder = f
 	f.poller.forwarder = f
 	f.slowdowns.forwarder = f
 	f.startup.lateSince = f.LateSince
@@ -175,12 +177,14 @@
 		case <-pollTick:
 			now := clock.Now()
 			f.maintainLinks(now)
+			f.silentRunners.askDue(now)
 			f.poller.pollDue(now)
 			f.slowdowns.queryDue(now)
 		case <-idleTick:
 			now := clock.Now()
 			f.checkSuspension(now)
 			f.maintainLinks(now)
+			f.silentRunners.askDue(now)
 			f.slowdowns.queryDue(now)
 		case <-activated:
 		case <-f.done.Done():
--- a/transport/forward/handle.go
+++ b/transport/forward/handle.go
@@ -143,6 +143,9 @@
 		if !x.reachesNone {
 			x.ejectFaulty(a, a.endpoint.Spec().Address, metric.EjectedConnection, now)
 		}
+		if isSilence(m.cause) {
+			x.forwarder.silentRunners.watch(a.endpoint, now)
+		}
 		x.attemptFailed(&m, retry.NeverSent)
 	case m.stale:
 		// A reused connection closed before the response. The endpoint may have run the request all
--- a/transport/tunnel/dialer.go
+++ b/transport/tunnel/dialer.go
@@ -144,6 +144,7 @@
 	go (&dialing{ctx: ctx, dial: d.dialRest, address: address, results: results}).run()
 	go (&dialing{ctx: ctx, dial: d.DialManyPeers, address: address, results: results}).run()
 	var failed error = &DialError{address: address, cause: errNoPeer}
+	silent := false
 	for range 2 {
 		select {
 		case r := <-results:
@@ -154,12 +155,14 @@
 			var verdict *DialError
 			if errors.As(r.err, &verdict) {
 				failed = r.err
+			} else {
+				silent = isTimeout(r.err)
 			}
 		case <-ctx.Done():
 			return nil, &DialError{address: address, cause: ctx.Err()}
 		}
 	}
-	return nil, failed
+	return nil, withSilence(failed, silent)
 }
 
 // dialRest connects by itself for what is left of directTimeout after the head start.
@@ -295,6 +298,15 @@
 	}
 }
 
+// withSilence returns the error of asking other entries with whether the own attempt got no answer.
+func withSilence(err error, silent bool) error {
+	var failed *DialError
+	if errors.As(err, &failed) {
+		failed.silent = silent
+	}
+	return err
+}
+
 // withOwnCause returns the error of asking other entries with the cause of the own attempt.
 func withOwnCause(err, cause error) error {
 	var failed *DialError
--- a/transport/tunnel/errors.go
+++ b/transport/tunnel/errors.go
@@ -30,6 +30,7 @@
 	cause   error // of the own attempt, or what another entry found
 	verdict Verdict
 	peer    string // the entry that was asked last, "" for none
+	silent  bool   // the endpoint did not accept this entry's own connection in time
 }
 
 // Error returns the cause with the remedy.
@@ -51,6 +52,9 @@
 // Verdict returns where the fault is.
 func (e *DialError) Verdict() Verdict { return e.verdict }
 
+// Silent reports whether the endpoint neither accepted nor refused this entry's own connection.
+func (e *DialError) Silent() bool { return e.silent || isTimeout(e.cause) }
+
 // PeerLost says that a connection ended because its tunnel did, and not by the endpoint. It does not unwrap to
 // its cause, which could be taken for the endpoint's.
 type PeerLost struct {
