forward: do not refuse at once because endpoints complete no connection

Requests were refused after 0.3 s, as not run, when the endpoint that they were sent to completed no connection for 1.2 s, also beside another sound endpoint of the service, in fleets of a few endpoints with several entries. With all endpoints of a service silent they were refused after 0.3 to 1.2 s.

Cause: an entry that is asked for a connection vouches for itself only if it reaches three others. In a small fleet it can't with one of them silent, so its answer counted as "no entry reaches any endpoint", which ended the request at the first endpoint. And a request was given up after four endpoints, a connect timeout of 0.3 s each, which is less than a sound endpoint may be silent.

Now that answer ends a request only at the second endpoint in a row, and not while the entry heard from any endpoint in the last 1.5 s and the connections time out. Endpoints that only time out are tried until the request is 1.5 s old. A refused connection, and entries that answer at once that they are cut off, count as before, so nothing is tried in a tight loop.

Price: an entry cut off by connections that hang, with no other entry to help, refuses requests up to 1.8 s later in the first 1.5 s, and after that at the second endpoint.

Before: 9 of 12 cases of TestEndpointThatCompletesNoConnectionCostsNoAnswer failed in one run; each refusal was a truthful one of a request that had not been sent.

Open: the same for an entry that is itself cut off and connects through others, which still refuses at once.

--- a/coordination/retry/resend.go
+++ b/coordination/retry/resend.go
@@ -21,7 +21,8 @@
 // FailedAttempt holds what the decision after a failed attempt depends on. EndpointAllowed
 // says whether the route allows the request to be sent to a further endpoint. Unreachable
 // counts the endpoints that could not be reached. NonReachable says that no endpoint can be at
-// present, by no entry that was asked.
+// present, by no entry that was asked. SilentUntil is until when it is too early to give up endpoints
+// that only do not accept a connection; it is zero if the attempt failed otherwise.
 type FailedAttempt struct {
 	Result          Result
 	MayRepeat       bool
@@ -30,6 +31,7 @@
 	EndpointReady   bool // an endpoint can take the request now
 	Unreachable     int
 	NonReachable    bool
+	SilentUntil     time.Time
 	Now             time.Time
 	Deadline        time.Time
 	WaitUntil       time.Time // how long waiting for an endpoint is useful; zero if not at all
@@ -63,7 +65,7 @@
 		return Expire
 	}
 	mayHaveRun := f.MayHaveRun || f.Result == Failed || f.Result == Broken
-	if f.Result == NeverSent && (f.NonReachable || f.Unreachable > maxUnreachable) {
+	if f.Result == NeverSent && (f.NonReachable || f.Unreachable > maxUnreachable && !f.Now.Before(f.SilentUntil)) {
 		return FinalAction(f.Result, mayHaveRun) // waiting for capacity would only try again
 	}
 	if f.EndpointAllowed && (f.MayRepeat || !mayHaveRun) {
--- a/transport/forward/decide.go
+++ b/transport/forward/decide.go
@@ -47,7 +47,8 @@
 	waitUntil := x.queueDeadline()
 	next := x.forwarder.retryBudgets.decide(x.service.Name, retry.FailedAttempt{
 		Result: r, MayRepeat: x.mayRepeat(), MayHaveRun: x.mayHaveRun,
-		EndpointAllowed: x.mayRetry(), EndpointReady: ready && x.mayReach(&p), Unreachable: x.unsent, NonReachable: x.reachesNone, Now: now, Deadline: x.deadline, WaitUntil: waitUntil,
+		EndpointAllowed: x.mayRetry(), EndpointReady: ready && x.mayReach(&p), Unreachable: x.unsent, NonReachable: x.unreachable.none, SilentUntil: x.silentUntil(),
+		Now: now, Deadline: x.deadline, WaitUntil: waitUntil,
 	})
 	switch next {
 	case retry.Resend:
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -59,7 +59,7 @@
 	reached     []*fleet.Runner // endpoints that received the request
 	attempts    int             // attempts started
 	unsent      int             // attempts that sent no byte
-	reachesNone bool            // the last attempt found that no entry reaches any endpoint
+	unreachable dialFailures    // attempts to connect that failed last
 	mayHaveRun  bool            // an earlier attempt may have run
 	finished    bool
 
--- a/transport/forward/handle.go
+++ b/transport/forward/handle.go
@@ -139,8 +139,8 @@
 	case m.unsent:
 		x.undoReached(a)
 		x.forwarder.reportError(a.endpoint, m.cause, a.sentAt, now)
-		x.reachesNone = reachesNone(m.cause)
-		if !x.reachesNone {
+		x.recordDialFailure(a, m.cause, now)
+		if !reachesNone(m.cause) {
 			x.ejectFaulty(a, a.endpoint.Spec().Address, metric.EjectedConnection, now)
 		}
 		if isSilence(m.cause) {
