--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -60,7 +60,7 @@
 	attempts    int             // attempts started
 	unsent      int             // attempts that sent no byte
 	notRun      int             // attempts whose endpoints say that they did not run the request
-	reachesNone bool            // the last attempt found that no entry reaches any endpoint
+	unreachable dialFailures    // attempts to connect that failed last
 	mayHaveRun  bool            // an earlier attempt may have run
 	finished    bool
 
--- a/transport/forward/handle.go
+++ b/transport/forward/handle.go
@@ -141,10 +141,13 @@
 	case m.unsent:
 		x.undoReached(a)
 		x.forwarder.reportError(a.endpoint, m.cause, a.sentAt, now)
-		x.reachesNone = reachesNone(m.cause)
-		if !x.reachesNone {
+		x.recordDialFailure(a, m.cause, now)
+		if !reachesNone(m.cause) {
 			x.ejectFaulty(a, a.endpoint.Spec().Address, metric.EjectedConnection, now)
 		}
+		if isSilence(m.cause) {
+			x.forwarder.silentRunners.watch(a.endpoint, now)
+		}
 		x.attemptFailed(&m, retry.NeverSent)
 	case m.stale:
 		// A reused connection closed before the response. The endpoint may have run the request all
--- a/transport/forward/reachable.go
+++ b/transport/forward/reachable.go
@@ -34,7 +34,7 @@
 }
 
 // mayReachMore reports whether the route allows the request at an endpoint that it has not reached yet.
-// Endpoints that are gone do not count.
+// Endpoints that are gone do not count; one that is only silent does.
 func (x *exchange) mayReachMore(now time.Time) bool {
 	if len(x.reached) < x.route.MaxAttempts {
 		return true
@@ -42,7 +42,7 @@
 	view := x.forwarder.Registry.View()
 	present := 0
 	for _, r := range x.reached {
-		if view.Runner(r.Name()) != nil && !r.Lost(now) {
+		if view.Runner(r.Name()) != nil && !r.Gone(now) {
 			present++
 		}
 	}
