forward: keep an attempt at a silent endpoint open until another one replaces it

What callers saw: streams ended in the middle, at the entry's own hand, while an endpoint was silent for a second and went on.

Cause: an attempt whose endpoint was found silent, or whose network path was found cut, was closed as soon as another attempt was open, before that one had been answered. If it was refused, nothing was left. Work that might crash endpoints gave its only attempt up for a silence, and an attempt with an unanswered order was given up for the first tenth of a second without an event, however long it had gone on since. The class: a silence that is taken for an end.

Change: an attempt is closed when another one delivers, when a further one has begun in its place, or when its endpoint is gone: it refused a connection or stays silent for longer than a sound one. Work that may be open at one endpoint only moves when that is gone.

TestClosedAttemptGivesNoOrder now closes its attempt for an engine that refuses connections: for a silent one it stays open. What it checks is the same. Two new tests failed before: TestAttemptAtASilentEndpointStaysOpenBesideAnother, TestStreamAfterAnUnansweredOrderIsNotGivenUpForAShortSilence.

Not changed: reports that silent endpoints may have crashed under some work. They count only once the endpoint is known to have ended.

--- a/transport/forward/link_check.go
+++ b/transport/forward/link_check.go
@@ -289,17 +289,6 @@
 	return x.forwarder.blocked(a.endpoint) && a.unheard(now)
 }
 
-// closeDeafAttempts closes the open attempts that are deaf, except the last open one, and reports whether
-// another attempt is useful.
-func (x *exchange) closeDeafAttempts(now time.Time) bool {
-	for _, a := range slices.Clone(x.open) {
-		if len(x.open) > 1 && x.isDeaf(a, now) {
-			x.closeAttempt(a)
-		}
-	}
-	return len(x.open) == 1 && x.isDeaf(x.open[0], now)
-}
-
 // checkLinks checks the paths to the endpoints of open attempts from which nothing is received.
 func (x *exchange) checkLinks(now time.Time) {
 	if x.forwarder.Links == nil || now.Before(x.linkCheckAt) {
--- a/transport/forward/quarantine.go
+++ b/transport/forward/quarantine.go
@@ -275,10 +275,10 @@
 	}
 }
 
-// abandonLost closes an attempt that waits for a lost endpoint, for a request that may not be open
+// abandonGone closes an attempt that waits for an endpoint that is gone, for a request that may not be open
 // at two endpoints. It reports whether it did.
-func (x *exchange) abandonLost(a *attempt, now time.Time) bool {
-	if len(lostRunners(a, now)) == 0 || len(x.open) != 1 || x.open[0] != a {
+func (x *exchange) abandonGone(a *attempt, now time.Time) bool {
+	if !waitsForGone(a, now) || len(x.open) != 1 || x.open[0] != a {
 		return false
 	}
 	if a.endpoint.Lost(now) {
@@ -289,6 +289,11 @@
 	return true
 }
 
+// waitsForGone reports whether a runner of an attempt's path is gone.
+func waitsForGone(a *attempt, now time.Time) bool {
+	return slices.ContainsFunc(lostRunners(a, now), func(r *fleet.Runner) bool { return r.Gone(now) })
+}
+
 // isDisconnect reports whether an attempt ended the way it does when its endpoint crashes, and not
 // because the endpoint sent something invalid.
 func isDisconnect(cause error) bool {
--- a/transport/forward/reroute_test.go
+++ b/transport/forward/reroute_test.go
@@ -3,6 +3,7 @@
 package forward
 
 import (
+	"io"
 	"testing"
 	"time"
 
@@ -193,6 +194,7 @@
 	x.attempts = maxAttempts
 	for _, a := range x.open {
 		a.path.Runner(1).MarkLost(now, now.Add(time.Minute))
+		a.path.Runner(1).MarkRefused()
 	}
 	x.handleLosses(now)
 	require.NotContains(t, x.open, closed)
@@ -201,3 +203,39 @@
 	s.recordOrder()
 	s.check()
 }
+
+// TestAttemptAtASilentEndpointStaysOpenBesideAnother guards against a stream that ends because its second attempt is refused.
+func TestAttemptAtASilentEndpointStaysOpenBesideAnother(t *testing.T) {
+	s := newPathChangeHarness(t, silentEngines(t), true)
+	t.Cleanup(s.end)
+	x := s.exchange
+	first := x.open[0]
+	s.lose(0)
+	require.Len(t, x.open, 2)
+	x.handleLosses(time.Now())
+	require.Contains(t, x.open, first)
+	second := x.open[1]
+	x.handleMessage(attemptEnded{attempt: second, cause: io.ErrUnexpectedEOF, sent: 1})
+	require.Equal(t, []*attempt{first}, x.open)
+	require.False(t, x.finished)
+	require.NoError(t, first.ctx.Err())
+}
+
+// TestStreamAfterAnUnansweredOrderIsNotGivenUpForAShortSilence guards against the end of a stream that an endpoint still runs.
+func TestStreamAfterAnUnansweredOrderIsNotGivenUpForAShortSilence(t *testing.T) {
+	s := newPathChangeHarness(t, silentEngines(t), true)
+	t.Cleanup(s.end)
+	x := s.exchange
+	first := x.open[0]
+	lost := first.path.Runner(2)
+	s.lose(2)
+	s.answer(protocol.PathUnanswered{Cause: errNoAnswer})
+	lost.ClearLost()
+	first.hasEvent = true
+	x.recordPathChange(first, time.Now())
+	x.timing.recordEvent(time.Now())
+	now := time.Now().Add(200 * time.Millisecond)
+	x.recoverAttempt(first, []*fleet.Runner{first.endpoint}, now)
+	require.Equal(t, []*attempt{first}, x.open)
+	require.NoError(t, first.ctx.Err())
+}
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -150,16 +150,39 @@
 		slog.Int64("silent_ms", now.Sub(x.timing.lastEvent).Milliseconds()), slog.Int("quiet", len(runners)), slog.String("action", string(action)))
 }
 
-// closeLostAttempts closes the open attempts that wait for a lost runner, except the last open one,
-// and reports whether another attempt is useful. It is not while an attempt is open that has no
-// lost runner.
-func (x *exchange) closeLostAttempts(now time.Time) bool {
+// replaceable returns the open attempt that a further one replaces, nil if there is room for one more, and false for
+// neither. An attempt stays open until another one that may be answered has begun: a silent endpoint may go on.
+func (x *exchange) replaceable(now time.Time) (*attempt, bool) {
+	if len(x.open) < maxOpenAttempts {
+		return nil, true
+	}
+	if second := x.secondOnReusedConn(now); second != nil {
+		return second, true
+	}
+	x.closeGone(now)
+	for _, a := range x.open {
+		if len(lostRunners(a, now)) == 0 && !x.isDeaf(a, now) {
+			return nil, false
+		}
+	}
+	if len(x.open) < maxOpenAttempts {
+		return nil, true
+	}
+	return x.open[len(x.open)-1], true
+}
+
+// closeGone closes the open attempts that wait for a runner that is gone, except the last open one.
+func (x *exchange) closeGone(now time.Time) {
 	for _, a := range slices.Clone(x.open) {
-		if len(x.open) > 1 && len(lostRunners(a, now)) > 0 {
+		if len(x.open) > 1 && waitsForGone(a, now) {
 			x.closeAttempt(a)
 		}
 	}
-	return len(x.open) == 1 && len(lostRunners(x.open[0], now)) > 0
+}
+
+// mayGoOn reports whether an attempt that a late order may still move to another path is more likely only silent.
+func (x *exchange) mayGoOn(a *attempt, now time.Time) bool {
+	return a.pathChange.MayApplyLate() && len(lostRunners(a, now)) == 0 && !x.isDeaf(a, now) && now.Before(x.deadAt())
 }
 
 // suspectsConn reports whether a silent attempt whose runners are heard on other streams more
@@ -192,15 +215,18 @@
 // hedge starts a second attempt that avoids the silent runners, while the silent attempt stays
 // open. It returns the action taken.
 func (x *exchange) hedge(silent *attempt, runners []*fleet.Runner, now time.Time) silenceAction {
+	replaced, hasRoom := x.replaceable(now)
 	switch {
-	case len(x.open) >= maxOpenAttempts && !x.closeLostAttempts(now) && !x.closeDeafAttempts(now) && x.secondOnReusedConn(now) == nil:
+	case !hasRoom:
 		return silenceHedged
+	case x.mayGoOn(x.open[0], now):
+		return silenceChanging
 	case len(runners) == 0 && !x.isDeaf(silent, now) && !x.suspectsConn(silent, now):
 		return silenceBusy
 	case !x.mayRepeat():
 		return silenceNotRepeatable
 	case !x.mayHedge(x.open[0], now):
-		x.abandonLost(x.open[0], now)
+		x.abandonGone(x.open[0], now)
 		return silenceQuarantined
 	}
 	avoidBefore := x.avoid
@@ -210,7 +236,6 @@
 	if action == "" {
 		action = x.takeHedge(silent, &p, doubts, now)
 	}
-	second := x.secondOnReusedConn(now)
 	if action == "" && !x.startAttempt(&p) {
 		x.endDoubt()
 		action = silenceNoPath
@@ -222,16 +247,24 @@
 	x.forwarder.Counters.CountRetry(metric.Silence)
 	x.forwarder.Counters.RecordDuration(metric.Detection, now.Sub(x.timing.lastEvent))
 	x.closeUnresolved()
-	if second != nil {
-		x.forwarder.pool.closeIdle(second.endpoint.Name())
-		x.closeAttempt(second) // closed only now that another attempt replaces it
-	}
+	x.closeReplaced(replaced)
 	if doubts || deaf {
 		return silenceDeadConn
 	}
 	return silenceElsewhere
 }
 
+// closeReplaced closes an attempt once another one has begun in its place, nil for none.
+func (x *exchange) closeReplaced(a *attempt) {
+	if a == nil {
+		return
+	}
+	if a.waitsOnReusedConn() {
+		x.forwarder.pool.closeIdle(a.endpoint.Name())
+	}
+	x.closeAttempt(a)
+}
+
 // chooseHedge chooses the path of a second attempt. It avoids the silent runners, or the endpoint
 // whose connection may be dead. If only the connection is at fault and no other path is healthy, a new
 // connection to the same endpoint will do. The action is "" if there is a path.
