soak: count what becomes of every request that was sent whole

No check of ours joined what a caller sent, what came back, and which event of the entry tells why.

Ruled out as faults of the test, after traces: log lines not yet written when they were read or when a process was killed, requests sent on a connection whose end had been read, tables that name no service for a route.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -65,8 +65,11 @@
 
 // promisesNotRun reports whether the status guarantees that the request has not run and
 // will not run.
-func (c *call) promisesNotRun() bool {
-	switch c.status {
+func (c *call) promisesNotRun() bool { return promisesNotRun(c.status) }
+
+// promisesNotRun reports whether a status guarantees that the request has not run and will not run.
+func promisesNotRun(status int) bool {
+	switch status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		return true
 	default:
--- a/soak/cut_test.go
+++ b/soak/cut_test.go
@@ -52,6 +52,7 @@
 	tb.mutex.Lock()
 	for _, e := range entries {
 		e.cut = form
+		e.cutChanges = append(e.cutChanges, time.Now())
 	}
 	tb.mutex.Unlock()
 	for _, p := range tb.allEndpoints() {
@@ -59,6 +60,23 @@
 	}
 }
 
+// wasCutOff reports whether an entry was cut off from endpoints at any time of a span.
+func (tb *testbed) wasCutOff(e *entry, from, to time.Time) bool {
+	tb.mutex.Lock()
+	defer tb.mutex.Unlock()
+	isCut := false
+	for _, at := range e.cutChanges {
+		if at.After(to) {
+			break
+		}
+		isCut = !isCut
+		if at.After(from) {
+			return true
+		}
+	}
+	return isCut
+}
+
 // entryBehind returns the entry behind a connection that a proxy accepted, nil if it is not cut off or not
 // known.
 func (tb *testbed) entryBehind(accepted net.Conn) *entry {
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -17,6 +17,10 @@
 //	go test ./soak -soak.entries 60              // more entries
 //	go test ./soak -soak.race                    // build the program with the race detector
 //
+// TestEveryRequestHasAnEnd is a run of its own, in which callers count what became of each request:
+//
+//	go test ./soak -run TestEveryRequestHasAnEnd/standstills -soak.count 30s -soak.count.seed 7 -v
+//
 // Entries store nothing on disk and don't compare wall-clock times, so the tests inject no
 // disk or clock faults.
 package soak
--- a/soak/endpoint_test.go
+++ b/soak/endpoint_test.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"sync"
@@ -47,7 +48,7 @@
 
 // startEndpoint starts the process of an endpoint and writes its record.
 func (tb *testbed) startEndpoint(e *endpoint, id string) {
-	e.service = "plain"
+	e.service = cmp.Or(e.service, "plain")
 	if e.engine {
 		e.service = "llm"
 		e.Endpoint = platformtest.NewEngine(tb.t, id)
--- a/soak/entry_test.go
+++ b/soak/entry_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -35,8 +36,11 @@
 	exitExpected    bool          // the process was asked to stop, or killed
 	lastPauseChange time.Time     // when it was last paused or resumed
 	lastStart       time.Time
-	cut             cutForm // how it is cut off from endpoints, guarded by the mutex of the testbed
-	peakMB          int     // peak memory of all processes of this entry
+	starts          []time.Time
+	signals         []sentSignal
+	cut             cutForm     // how it is cut off from endpoints, guarded by the mutex of the testbed
+	cutChanges      []time.Time // when it was cut off and reconnected, guarded by the mutex of the testbed
+	peakMB          int         // peak memory of all processes of this entry
 }
 
 func (tb *testbed) newEntry(dir, name, dataCenter string) *entry {
@@ -69,6 +73,7 @@
 	defer e.mutex.Unlock()
 	e.process, e.exited, e.exitExpected = p, make(chan struct{}), false
 	e.lastStart = time.Now()
+	e.starts = append(e.starts, e.lastStart)
 	go (&processMonitor{entry: e, process: p, exited: e.exited}).run()
 }
 
@@ -90,10 +95,17 @@
 	close(m.exited)
 }
 
+// sentSignal is a signal that a process of an entry was sent.
+type sentSignal struct {
+	signal os.Signal
+	at     time.Time
+}
+
 // signal sends a signal to the current process.
 func (e *entry) signal(s os.Signal) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	e.signals = append(e.signals, sentSignal{signal: s, at: time.Now()})
 	if e.process != nil {
 		_ = e.process.Process.Signal(s) // it may have exited
 	}
@@ -114,6 +126,20 @@
 	return e.lastPauseChange.After(at)
 }
 
+// sentSignals returns the signals that the processes of the entry were sent.
+func (e *entry) sentSignals() []sentSignal {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return slices.Clone(e.signals)
+}
+
+// startedWithin reports whether a process of the entry was started between two times.
+func (e *entry) startedWithin(from, to time.Time) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return slices.ContainsFunc(e.starts, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+}
+
 // expectExit marks an exit of the process as expected. It returns a channel that is closed when
 // the process has exited.
 func (e *entry) expectExit() <-chan struct{} {
