soak: let counted callers shut down their side also in the middle of a stream

Callers' view: a caller that shuts down its sending side while its stream is under way gets an end that looks complete, with some of its events.

The counting callers shut down at once, so that no stream had begun. Half of them now wait up to 120 ms.

--- a/soak/counting_caller_test.go
+++ b/soak/counting_caller_test.go
@@ -182,6 +182,9 @@
 		time.Sleep(c.drawMS(120))
 		c.drop()
 	case q.form.shutsDown:
+		if c.rng.IntN(2) == 0 {
+			time.Sleep(c.drawMS(120)) // also in the middle of a stream
+		}
 		_ = c.conn.conn.CloseWrite()
 	}
 	return batch
