--- a/soak/count_checks_test.go
+++ b/soak/count_checks_test.go
@@ -173,7 +173,7 @@
 		c.report(q, "a refusal that promises that it has not run")
 	case isInEveryVersion && (q.status == http.StatusUnauthorized || q.status == http.StatusNotFound):
 		c.report(q, "a refusal that no version allows")
-	case q.status == http.StatusBadGateway && !c.wasCutOff(q):
+	case q.status == http.StatusBadGateway && !c.wasCutOff(q) && !c.lostHelper(q):
 		c.report(q, "given up although no endpoint broke off")
 	}
 }
@@ -194,6 +194,8 @@
 		return "killed"
 	case q.form.leaves:
 		return "left"
+	case c.writtenLate(q):
+		return "time over when it was written"
 	case q.status == 0 && !q.form.shutsDown && c.hasEvent(q, event.CallerLeft):
 		return "" // the caller did not leave
 	case q.begun.After(q.conn.endedAt):
@@ -300,6 +302,14 @@
 	return false
 }
 
+// writtenLate reports whether the time of a request was over, also that for writing, when its answer was to be written.
+func (c *countCheck) writtenLate(q *countedRequest) bool {
+	isLate := func(l *entryLine) bool {
+		return l.is(event.CallerLeft) && strings.Contains(l.Cause, os.ErrDeadlineExceeded.Error())
+	}
+	return c.timeOver(q) && slices.ContainsFunc(c.logs[q.conn.entry].byRequest[q.id], isLate)
+}
+
 // brokeOff reports whether the connection to the endpoint was cut under a request.
 func (c *countCheck) brokeOff(q *countedRequest) bool {
 	return c.hasEvent(q, event.StreamCut) && c.wasCutOff(q)
@@ -311,6 +321,14 @@
 	return c.testbed.wasCutOff(q.conn.entry, q.begun.Add(-cutMargin), q.endedAt())
 }
 
+// lostHelper reports whether another entry, through which a request may have reached its endpoint, was cut off or killed.
+func (c *countCheck) lostHelper(q *countedRequest) bool {
+	from, to := q.begun.Add(-cutMargin), q.endedAt()
+	return slices.ContainsFunc(c.testbed.entries, func(e *entry) bool {
+		return e != q.conn.entry && (c.testbed.wasCutOff(e, from, to) || e.killedWithin(from, to))
+	})
+}
+
 // shutDown reports whether the entry took a caller for gone that had shut down its sending side.
 func (c *countCheck) shutDown(q *countedRequest) bool {
 	return q.form.shutsDown && c.hasEvent(q, event.CallerLeft)
@@ -346,6 +364,9 @@
 	}
 	for _, l := range slices.Concat(c.logs[conn.entry].byRequest[q.id], c.logs[conn.entry].byCaller[conn.local()]) {
 		add(l.At, "%s: %s", conn.entry.name, l.text)
+		if timeout := c.counter.versions.timeout(l.Routing); timeout > 0 {
+			add(q.begun.Add(timeout), "timeout of the route, by version %d", l.Routing)
+		}
 	}
 	for _, a := range c.arrivals[q.id] {
 		add(a.request.At, "%s: request arrives, started %t", a.endpoint.ID, a.started)
--- a/soak/count_test.go
+++ b/soak/count_test.go
@@ -4,7 +4,9 @@
 
 import (
 	"flag"
+	"fmt"
 	"math/rand/v2"
+	"path"
 	"strings"
 	"syscall"
 	"testing"
@@ -95,7 +97,7 @@
 	if len(tb.problems) > 0 {
 		t.Errorf("seed %d: %d problems\n%s\ninjected faults since %s:\n  %s", seed, len(tb.problems), strings.Join(tb.problems, "\n"),
 			injection.started.Format(time.RFC3339Nano), strings.Join(injection.log, "\n  "))
-		saveLogs(t, tb, seed)
+		saveLogs(t, tb, fmt.Sprint(path.Base(t.Name()), "-", seed))
 	}
 }
 
--- a/soak/entry_test.go
+++ b/soak/entry_test.go
@@ -133,6 +133,11 @@
 	return slices.Clone(e.signals)
 }
 
+// killedWithin reports whether a process of the entry was killed between two times.
+func (e *entry) killedWithin(from, to time.Time) bool {
+	return slices.ContainsFunc(e.sentSignals(), func(s sentSignal) bool { return s.signal == os.Kill && s.at.After(from) && s.at.Before(to) })
+}
+
 // startedWithin reports whether a process of the entry was started between two times.
 func (e *entry) startedWithin(from, to time.Time) bool {
 	e.mutex.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -119,7 +119,7 @@
 	}
 	t.Errorf("seed %d: %s\n  %s\ninjected faults since %s:\n  %s\nlate wake-ups of the test itself:\n%s", seed, summary(calls),
 		strings.Join(tb.problems[:min(len(tb.problems), 20)], "\n  "), injection.started.Format(time.RFC3339Nano), strings.Join(injection.log, "\n  "), ownDelays.String())
-	saveLogs(t, tb, seed)
+	saveLogs(t, tb, strconv.FormatUint(seed, 10))
 }
 
 // delayLog collects log lines.
@@ -157,13 +157,13 @@
 }
 
 // saveLogs copies the logs of a failed run to logDir, if set.
-func saveLogs(t *testing.T, tb *testbed, seed uint64) {
+func saveLogs(t *testing.T, tb *testbed, run string) {
 	if *logDir == "" {
 		return
 	}
 	require.NoError(t, os.MkdirAll(*logDir, 0o750))
 	for name, log := range tb.logs() {
-		file := filepath.Join(*logDir, fmt.Sprintf("%d-%s.log", seed, name))
+		file := filepath.Join(*logDir, run+"-"+name+".log")
 		require.NoError(t, os.WriteFile(file, log, 0o600))
 	}
 }
