--- a/soak/cut_test.go
+++ b/soak/cut_test.go
@@ -54,9 +54,35 @@
 		e.cut = form
 	}
 	tb.mutex.Unlock()
+	began := time.Now()
 	for _, p := range tb.allEndpoints() {
 		p.link.applyCuts()
 	}
+	if form == notCut {
+		began = time.Now() // what hung is reset only now
+	}
+	tb.mutex.Lock()
+	defer tb.mutex.Unlock()
+	for _, e := range entries {
+		e.cutChanges = append(e.cutChanges, began)
+	}
+}
+
+// wasCutOff reports whether an entry was cut off from endpoints at any time of a span.
+func (tb *testbed) wasCutOff(e *entry, from, to time.Time) bool {
+	tb.mutex.Lock()
+	defer tb.mutex.Unlock()
+	isCut := false
+	for _, at := range e.cutChanges {
+		if at.After(to) {
+			break
+		}
+		isCut = !isCut
+		if at.After(from) {
+			return true
+		}
+	}
+	return isCut
 }
 
 // entryBehind returns the entry behind a connection that a proxy accepted, nil if it is not cut off or not
