forward: let a stream go back to engines that its route still allows

Callers saw streams cut 0.4 s before they would have left, all at once, after an engine was lost under load: events "waits for room", "waited in vain", "stream cut".

Cause: engines that are full reject the first attempts to go on, and each rejection used up one of the engines that the route allows and one of the four attempts. From then on the choice of a path offered the cheapest engine, and a stream that might not reach it waited in vain, though one that it had reached had room again. Engines that were gone counted as well.

Change: once the route allows no further engine, the choice is among those reached. Engines that are gone don't count for a stream that has begun (before that the request may be what ends them), and neither do, of the four attempts, those that an engine says it did not run. The retry budget counts each.

Ruled out: new requests that take the room meanwhile.

Evidence: TestStreamThatMayReachNoFurtherEngineGoesBackToOneWithRoom failed before (cut). With engines that are gone left out for all requests TestRefusalReachesAllEntriesWhileStoreIsDown failed (platform).

--- a/transport/forward/candidate.go
+++ b/transport/forward/candidate.go
@@ -50,7 +50,7 @@
 		if dataCenter == preferred {
 			continue
 		}
-		q.Gate = f.gate(!found || !best.ready, q.Now)
+		f.setWants(q, !found || !best.ready)
 		other, ok := candidateIn(view, s.Name, dataCenter, q)
 		if ok && (!found || other.betterThan(&best)) {
 			best, found = other, true
--- a/transport/forward/dispatch.go
+++ b/transport/forward/dispatch.go
@@ -79,22 +79,10 @@
 func (x *exchange) pathQuery(now time.Time) path.Query {
 	return path.Query{
 		Now: now, Positions: max(1, x.terms.PromptTokens), OutputTokens: x.terms.AnswerTokens, Entries: x.forwarder.entriesPerDataCenter(x.service.Name),
-		Rand: x.rng, Avoid: x.avoidReserved(x.avoid, now), Gate: x.forwarder.gate(true, now),
+		Rand: x.rng, Avoid: x.avoidReserved(x.avoid, now), Gate: x.admission(now),
 	}
 }
 
-// mayReach reports whether the route allows an attempt over a path. The route bounds the number of
-// distinct endpoints; an endpoint that already received the request counts once.
-func (x *exchange) mayReach(p *path.Path) bool {
-	if x.attempts-x.unsent >= maxAttempts {
-		return false
-	}
-	return len(x.reached) < x.route.MaxAttempts || slices.Contains(x.reached, p.Runner(0))
-}
-
-// mayRetry reports whether the route allows any further attempt.
-func (x *exchange) mayRetry() bool { return x.attempts-x.unsent < maxAttempts }
-
 // undoReached records that an attempt did not reach its endpoint.
 func (x *exchange) undoReached(a *attempt) {
 	x.unsent++
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -59,6 +59,7 @@
 	reached     []*fleet.Runner // endpoints that received the request
 	attempts    int             // attempts started
 	unsent      int             // attempts that sent no byte
+	notRun      int             // attempts whose endpoints say that they did not run the request
 	reachesNone bool            // the last attempt found that no entry reaches any endpoint
 	mayHaveRun  bool            // an earlier attempt may have run
 	finished    bool
--- a/transport/forward/handle.go
+++ b/transport/forward/handle.go
@@ -97,6 +97,7 @@
 		x.handleMisdirected(&m, now)
 		x.decideRetry(a, retry.NotRun, &m)
 	case m.terms.NotRun:
+		x.notRun++
 		x.avoidRefusing(&m, now)
 		x.markFull(a, m.terms.AtFault, now)
 		x.decideRetry(a, retry.NotRun, &m)
