forward: keep the last room of engines for streams that have begun

Callers saw streams cut after an engine was lost under load, while new requests were let in.

Cause: a stream that has begun goes ahead of new requests at its own entry only, and got no more room than they do, up to 0.9 of an engine's capacity. New requests of all entries fill what comes free.

Change: streams that have begun may use an engine up to 1.0. Between 0.9 and 1.0 the room is theirs at all entries, and no entry has to tell the others.

Evidence: TestRoomIsKeptForStreamsThatHaveBegun failed before (cut).

--- a/transport/forward/cache_engine_test.go
+++ b/transport/forward/cache_engine_test.go
@@ -91,6 +91,13 @@
 	return n
 }
 
+// held returns the tokens in the cache.
+func (e *cacheEngine) held() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.used()
+}
+
 // enter takes a stream in, if there is room for what it begins with.
 func (e *cacheEngine) enter(r *cacheRun) bool {
 	e.mutex.Lock()
--- a/transport/forward/candidate.go
+++ b/transport/forward/candidate.go
@@ -22,6 +22,9 @@
 	// maxUtilization is the utilization of a runner up to which it receives requests. The lengths
 	// of responses are estimates, and a request that does not fit is evicted and prefilled again.
 	maxUtilization = 0.9
+	// maxResumeUtilization is that for streams that have begun. What lies between is kept for them, at
+	// all entries, because their callers hold part of an answer.
+	maxResumeUtilization = 1.0
 )
 
 // candidate is a path within one data center.
@@ -69,7 +72,7 @@
 	}
 	c.healthy = pathHealthy(&c.path, q.Now, q.Avoid)
 	c.utilization = pathUtilization(&c.path, q)
-	c.ready = pathReady(&c.path, q)
+	c.ready = pathReady(&c.path, q, maxUtilization)
 	return c, true
 }
 
@@ -85,10 +88,10 @@
 }
 
 // pathReady reports whether every runner of a path accepts work now and has capacity for the
-// request. A runner that has already failed the request counts as ready if no other holds its
+// request up to a utilization. A runner that has already failed the request counts as ready if no other holds its
 // layers: waiting for another would not help.
-func pathReady(p *path.Path, q *path.Query) bool {
-	return pathHealthy(p, q.Now, nil) && pathUtilization(p, q) <= maxUtilization
+func pathReady(p *path.Path, q *path.Query, utilization float64) bool {
+	return pathHealthy(p, q.Now, nil) && pathUtilization(p, q) <= utilization
 }
 
 // pathUtilization returns the highest utilization among the runners of a path, the request
--- a/transport/forward/queue.go
+++ b/transport/forward/queue.go
@@ -213,7 +213,15 @@
 	var p path.Path
 	q := x.pathQuery(now)
 	found := x.forwarder.choosePath(x.service, &q, x.preferredDataCenter(), &p)
-	return p, found && pathReady(&p, &q) && x.fits(&p)
+	return p, found && pathReady(&p, &q, x.utilizationLimit()) && x.fits(&p)
+}
+
+// utilizationLimit returns the utilization of engines up to which they may get the request.
+func (x *exchange) utilizationLimit() float64 {
+	if x.headSent {
+		return maxResumeUtilization
+	}
+	return maxUtilization
 }
 
 // queueDeadline returns until when starting the request is useful. After that the caller leaves
--- a/transport/forward/resumed_stream_test.go
+++ b/transport/forward/resumed_stream_test.go
@@ -54,3 +54,32 @@
 		require.Len(t, order, 3, "the route allows three engines")
 	})
 }
+
+// TestRoomIsKeptForStreamsThatHaveBegun: the engine of a stream ends, and the other has little room left.
+func TestRoomIsKeptForStreamsThatHaveBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newCacheFleet(t, 1, 2)
+		f := d.entries[0]
+		done := make(chan bool)
+		go func() {
+			d.call(f, "large", 8000, 800)
+			done <- true
+		}()
+		time.Sleep(3 * time.Second / 2)
+		go func() {
+			d.call(f, "begun", 1250, 300)
+			done <- true
+		}()
+		time.Sleep(time.Second)
+		for _, e := range d.engines {
+			if e.held() < 8000 {
+				e.end()
+			}
+		}
+		d.list(f)
+		d.call(f, "new", 1250, 300)
+		<-done
+		<-done
+		require.Equal(t, map[string]int{"whole": 1, "late": 1, "refused": 1}, d.outcomes)
+	})
+}
