quarantine: count no failure that came long after the endpoint's end

Callers see sound requests refused because endpoints "ended when they ran" them, though what they sent failed at an endpoint that had ended seconds before.

Cause: an end that is known confirmed every failure of that incarnation, however late, or up to 5 s later where the incarnation is unknown. An entry whose list is old, or that is cut off, goes on sending to an endpoint that has ended, and each new work or part that fails there was accused of the earlier crash.

A later sign of the same end (a refused connection, the record) moves the time on, so a failure with evidence of its own counts as before.

Evidence: TestFailureLongAfterAnExitNeedsEvidenceOfItsOwn failed before (quarantine.Refused).

--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -252,7 +252,7 @@
 		t.exits = make(map[string]exit)
 	}
 	x := exit{incarnation: incarnation, at: at}
-	if previous := t.exits[endpoint]; incarnation.Before(previous.incarnation) || incarnation.Known() && incarnation == previous.incarnation {
+	if previous := t.exits[endpoint]; incarnation.Before(previous.incarnation) || incarnation == previous.incarnation && at.Before(previous.at) {
 		return
 	}
 	t.exits[endpoint] = x
@@ -289,8 +289,8 @@
 
 // covers reports whether the exit ended the incarnation at which something failed at a time.
 func (x exit) covers(incarnation protocol.Incarnation, at time.Time) bool {
-	if x.at.IsZero() {
-		return false
+	if x.at.IsZero() || at.After(x.at.Add(settleTime)) {
+		return false // what failed later was sent when the endpoint had ended already
 	}
 	if x.incarnation.Known() && incarnation.Known() {
 		return !x.incarnation.Before(incarnation)
--- a/coordination/quarantine/tracker_test.go
+++ b/coordination/quarantine/tracker_test.go
@@ -171,6 +171,31 @@
 	require.IsType(t, quarantine.Refused{}, h.status(work), "the next incarnations crashed")
 }
 
+// TestFailureLongAfterAnExitNeedsEvidenceOfItsOwn: what failed was sent when the endpoints had been gone for seconds.
+func TestFailureLongAfterAnExitNeedsEvidenceOfItsOwn(t *testing.T) {
+	for _, incarnation := range []protocol.Incarnation{0, 1} {
+		h, work := newHarness(), fingerprint(0)
+		fail := func(endsAgain bool) {
+			for i := range 3 {
+				e := fmt.Sprint("e-", i)
+				h.now = h.now.Add(time.Second)
+				h.tracker.Apply(quarantine.NewReport(protocol.WorkReport{Work: work, Endpoint: e, Incarnation: incarnation, Observer: "entry", Observation: protocol.WorkBroke}, h.now), h.now)
+				if endsAgain {
+					h.tracker.RecordCrash(e, incarnation, h.now)
+				}
+			}
+			h.now = h.now.Add(afterSettling)
+		}
+		for i := range 3 {
+			h.tracker.RecordCrash(fmt.Sprint("e-", i), incarnation, h.now)
+		}
+		fail(false)
+		require.IsType(t, quarantine.PreferIsolation{}, h.status(work))
+		fail(true)
+		require.IsType(t, quarantine.Refused{}, h.status(work))
+	}
+}
+
 // TestLateReportDoesNotUndoSuccessfulRun: a report that arrives late describes a time before the
 // work ran successfully.
 func TestLateReportDoesNotUndoSuccessfulRun(t *testing.T) {
