--- a/transport/forward/reachable.go
+++ b/transport/forward/reachable.go
@@ -34,11 +34,15 @@
 }
 
 // mayReachMore reports whether the route allows the request at an endpoint that it has not reached yet.
-// Endpoints that are gone do not count; one that is only silent does.
+// Endpoints that are gone do not count for a stream that has begun; one that is only silent does. Before that the
+// request itself may be what ends them.
 func (x *exchange) mayReachMore(now time.Time) bool {
 	if len(x.reached) < x.route.MaxAttempts {
 		return true
 	}
+	if !x.headSent {
+		return false
+	}
 	view := x.forwarder.Registry.View()
 	present := 0
 	for _, r := range x.reached {
