soak: let endpoints stand still and go on

A sound endpoint may be silent for a second or so. The soak had endpoints that hang, pause, crash or are cut off, and none that stands still with all its connections and goes on. A random endpoint, or one time in three all of its kind, now does for 0.8 to 1.4 s, up to three times in a row, in a series of its own, so that the other series draw the same faults from a seed as before.

--- a/soak/fault_series_test.go
+++ b/soak/fault_series_test.go
@@ -39,6 +39,7 @@
 	{(*series).nameLimit, (*series).askForBackoff, (*series).leaveByAnswer},
 	{(*series).restoreStore},
 	{(*series).cutEntries},
+	{(*series).silenceEndpoint},
 }
 
 // run injects faults until f.until: common ones in count parallel series, and one series for each kind of the others.
