backlog: end no request of a connection that was evicted for an answer its caller has read

An eviction is decided under the budget's mutex and carried out by a goroutine of its own. Until that runs, the caller may read its answer and send its next request; the abort ended that one. Now it acts only while the evicted bytes are pending.

TestEvictionDoesNotEndTheNextRequestOfAConnection failed before.

--- a/coordination/pressure/pressure.go
+++ b/coordination/pressure/pressure.go
@@ -151,7 +151,14 @@
 // Close releases all bytes of an account.
 func (b *Budget) Close(a *Account) { b.add(a, -a.held) }
 
-// evict releases all bytes of an account for good.
+// End releases all bytes of an account whose caller has taken everything. An account that was evicted meanwhile may hold
+// bytes again: there is nothing left to abort.
+func (b *Budget) End(a *Account) {
+	b.Close(a)
+	a.evicted = false
+}
+
+// evict releases all bytes of an account until it ends.
 func (b *Budget) evict(a *Account) {
 	b.Close(a)
 	a.evicted = true
--- a/transport/backlog/budget.go
+++ b/transport/backlog/budget.go
@@ -107,12 +107,23 @@
 	b.recordHeld(c, before)
 }
 
-// closeAccount releases all bytes of a connection.
-func (b *Budget) closeAccount(c *Conn) {
+// isEvicted reports whether a connection was evicted and its bytes are still pending.
+func (b *Budget) isEvicted(c *Conn) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return c.account.Evicted()
+}
+
+// closeAccount releases all bytes of a connection. One that has not failed may hold bytes again, even if it was evicted.
+func (b *Budget) closeAccount(c *Conn, failed bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	before := b.accounts.Held()
-	b.accounts.Close(&c.account)
+	if failed {
+		b.accounts.Close(&c.account)
+	} else {
+		b.accounts.End(&c.account)
+	}
 	b.recordHeld(c, before)
 }
 
--- a/transport/backlog/buffer.go
+++ b/transport/backlog/buffer.go
@@ -144,7 +144,7 @@
 	c.flushing = false
 	c.pending = nil
 	c.held.Store(0)
-	c.budget.closeAccount(c)
+	c.budget.closeAccount(c, c.err != nil)
 	c.reserved = 0
 	c.reservationChanged.Store(true)
 	switch {
@@ -172,11 +172,15 @@
 
 func (t *abortTask) run() { t.conn.abort() }
 
-// abort closes the connection and drops its pending bytes.
+// abort closes the connection and drops its pending bytes, unless its caller has read them since the eviction: the
+// connection may serve the next request by now.
 func (c *Conn) abort() {
-	event.AnswerAborted.Log(c.budget.Logger, slog.Int64("held_bytes", c.budget.Held()), slog.String("caller", c.RemoteAddr().String()))
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if !c.budget.isEvicted(c) {
+		return
+	}
+	event.AnswerAborted.Log(c.budget.Logger, slog.Int64("held_bytes", c.budget.Held()), slog.String("caller", c.RemoteAddr().String()))
 	if c.err == nil {
 		c.err = ErrOverBudget
 	}
