backlog: close no waiting connection while a byte of an answer is pending

CloseWaiting left the socket open for the pending bytes, and a byte that arrived meanwhile made the server's read fail: the server closed the connection once more, which dropped the rest of the answer. TestClosingAWaitingConnectionKeepsItsPendingBytes failed before.

--- a/transport/backlog/read.go
+++ b/transport/backlog/read.go
@@ -142,10 +142,11 @@
 // AwaitsHandler reports whether bytes of a request were read that no handler has begun to serve.
 func (c *Conn) AwaitsHandler() bool { return c.reader.awaitsHandler.Load() }
 
-// CloseWaiting closes the connection if its server waits for more bytes of a request and none have arrived, and reports
-// whether it did. Nothing is read any more, so that no request is served whose caller can't be answered.
+// CloseWaiting closes the connection if its server waits for more bytes of a request, none have arrived, and no byte of an
+// answer is pending, and reports whether it did. Nothing is read any more, so that no request is served whose caller can't
+// be answered. Pending bytes would be lost: the server closes the connection once more as soon as a byte arrives.
 func (c *Conn) CloseWaiting() bool {
-	return c.closeIf(func(r *reader) bool { return (r.waiting || !r.started) && !c.hasArrived() })
+	return c.closeIf(func(r *reader) bool { return (r.waiting || !r.started) && c.Held() == 0 && !c.hasArrived() })
 }
 
 // CloseUnread closes the connection if nothing was ever read from it, and reports whether it did.
