front: close idle connections with a stray byte also without a limit on headers

A kept connection with one to three bytes of a request, or a line end after one, was never closed if the table limits no headers: only the header limit counted since, and the server bounds a header from its fourth byte on. Before that the idle limit counted.

--- a/transport/front/callers.go
+++ b/transport/front/callers.go
@@ -161,7 +161,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for conn, w := range c.waiting {
-		reason, overdue := overdueFor(conn, &limits, w.at, now)
+		reason, overdue := overdueFor(conn, &limits, w, now)
 		if overdue && conn.CloseWaiting() {
 			c.recordClosed(conn, w.at, reason)
 		}
@@ -169,10 +169,15 @@
 }
 
 // overdueFor reports whether a connection has been idle for too long, or has begun a request and not sent its whole
-// header in time.
-func overdueFor(conn *backlog.Conn, limits *protocol.CallerLimits, since, now time.Time) (metric.CloseReason, bool) {
+// header in time. Without a limit on headers, a kept connection may be idle after its first bytes: the server itself bounds
+// only headers of four bytes and more, and a line end after a request is none.
+func overdueFor(conn *backlog.Conn, limits *protocol.CallerLimits, w waitingSince, now time.Time) (metric.CloseReason, bool) {
+	since := w.at
 	if headerStart := conn.FirstByteAt(); !headerStart.IsZero() {
-		return metric.ClosedLate, limits.HeaderMS > 0 && now.After(limits.HeaderBy(headerStart).Add(idleSlack))
+		if limits.HeaderMS > 0 || !w.kept {
+			return metric.ClosedLate, limits.HeaderMS > 0 && now.After(limits.HeaderBy(headerStart).Add(idleSlack))
+		}
+		since = headerStart
 	}
 	return metric.ClosedIdle, limits.IdleMS > 0 && now.After(limits.IdleBy(since).Add(idleSlack))
 }
