forward: count an answer as given only once its connection has taken it

A short answer was in the server's buffer when 2004 was logged, and written after the handler had returned: on a request that got nothing had event 2009 with 'use of closed network connection', and then 2004. TestAnswerThatCouldNotBeWrittenDoesNotCountAsAnswered failed before.

--- a/transport/forward/slow_caller.go
+++ b/transport/forward/slow_caller.go
@@ -151,12 +151,19 @@
 			return false
 		}
 	}
-	if _, err := x.writer.Write(body); err != nil {
+	if _, err := x.writer.Write(body); err != nil || !x.flushAll() {
 		return false
 	}
 	return x.drain()
 }
 
+// flushAll passes what the server buffers on to the connection, and reports whether that took it. The server writes a short
+// answer only after its handler has returned, when nobody notices that the connection has ended.
+func (x *exchange) flushAll() bool {
+	err := http.NewResponseController(x.writer).Flush()
+	return err == nil || errors.Is(err, http.ErrNotSupported)
+}
+
 // drain waits until the caller has read what is buffered for it, and reports whether it did. The
 // write deadline bounds the wait. A caller that shut down its sending side may still read.
 func (x *exchange) drain() bool {
