front: log one event for a connection closed for a late header

The entry's own close had event 2024, and then 2025, which stands for callers that closed and for malformed requests. requests_unreadable counted it too.

--- a/transport/backlog/read.go
+++ b/transport/backlog/read.go
@@ -149,6 +149,13 @@
 	return c.closeIf(func(r *reader) bool { return (r.waiting || !r.started) && c.Held() == 0 && !c.hasArrived() })
 }
 
+// ClosedWaiting reports whether CloseWaiting or CloseUnread closed the connection.
+func (c *Conn) ClosedWaiting() bool {
+	c.reader.mutex.Lock()
+	defer c.reader.mutex.Unlock()
+	return c.reader.closed
+}
+
 // CloseUnread closes the connection if nothing was ever read from it, and reports whether it did.
 func (c *Conn) CloseUnread() bool {
 	return c.closeIf(func(r *reader) bool { return !r.started })
--- a/transport/front/callers.go
+++ b/transport/front/callers.go
@@ -98,9 +98,9 @@
 }
 
 // logUnreadable logs the end of a connection whose last bytes were no whole request, which the server answers itself or
-// not at all.
+// not at all. What this entry closed has its own event.
 func (c *callerServer) logUnreadable(conn *backlog.Conn) {
-	if !conn.AwaitsHandler() {
+	if !conn.AwaitsHandler() || conn.ClosedWaiting() {
 		return
 	}
 	cause := "malformed"
