front, forward: refuse what a stop cuts off

A request that was still open at the end of a planned stop got the end of its connection, and event 2008, caller left, which counts as the caller's own end. One that waited and was never sent got no promise that it has not run. Now the open requests are refused 100 ms before the connections close: 503 if nothing was sent, otherwise a failure that says that the request may have run.

--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -106,6 +106,7 @@
 	f := x.forwarder
 	timer := time.NewTimer(clock.Until(x.nextWake()))
 	defer timer.Stop()
+	cutOff := f.cutOff.Done()
 	for !x.finished {
 		select {
 		case <-x.losses:
@@ -129,6 +130,8 @@
 			x.wake(clock.Now())
 		case <-x.request.Context().Done():
 			x.abandon()
+		case <-cutOff:
+			x.endCutOff(clock.Now())
 		}
 		if !x.finished {
 			timer.Reset(clock.Until(x.nextWake()))
@@ -199,6 +202,15 @@
 	}
 }
 
+// endCutOff ends a request that this entry can't finish because it stops.
+func (x *exchange) endCutOff(now time.Time) {
+	if len(x.open) == 0 && !x.mayHaveRun {
+		x.fail(protocol.Refuse(protocol.Stopping, "this entry is stopping").WithRetryAt(now))
+		return
+	}
+	x.fail(protocol.Uncertain(protocol.StageFailed, "this entry stopped before the answer was there"))
+}
+
 // abandon ends a request whose caller closed its connection. The server would end it as an empty success, or as the end of
 // a stream, which a caller that shut down only its sending side would believe.
 func (x *exchange) abandon() {
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -113,6 +113,7 @@
 	entryCount     atomic.Int64
 	refusing       atomic.Bool
 	closing        atomic.Bool
+	cutOff         lifecycle.Done // closed when open requests are ended
 }
 
 // Start starts the background maintenance of connections, queues and engine reports.
@@ -145,6 +146,9 @@
 // CloseConnections makes every further response tell its caller that the connection closes after it.
 func (f *Forwarder) CloseConnections() { f.closing.Store(true) }
 
+// CutOff ends every open request: with a refusal if its caller has nothing yet.
+func (f *Forwarder) CutOff() { f.cutOff.Close() }
+
 // run does the background maintenance. Most entries of a large fleet have no open requests most of
 // the time, so queues and engine capacity are checked only while a request is open.
 func (f *Forwarder) run() {
--- a/transport/front/stop.go
+++ b/transport/front/stop.go
@@ -19,6 +19,8 @@
 	// abortMargin is how long before the stop deadline an entry aborts what is still open, so that
 	// callers see the connection close and not silence.
 	abortMargin = 250 * time.Millisecond
+	// cutOffPeriod is how much of abortMargin is for the refusals of what is aborted.
+	cutOffPeriod = 100 * time.Millisecond
 	// stopPollInterval is how often the entry checks whether any request is still open.
 	stopPollInterval = 20 * time.Millisecond
 )
@@ -42,8 +44,13 @@
 		time.Sleep(stopPollInterval)
 		now = clock.Now()
 	}
+	cutOff := f.forwarder.OpenRequests()
+	if cutOff > 0 {
+		f.forwarder.CutOff()
+		abortAt = abortAt.Add(cutOffPeriod)
+	}
 	f.finishResponses(abortAt)
-	event.EntryStopped.Log(f.Logger, slog.Int64("cut_off", f.forwarder.OpenRequests()))
+	event.EntryStopped.Log(f.Logger, slog.Int64("cut_off", cutOff))
 	f.close()
 }
 
