--- a/transport/backlog/read.go
+++ b/transport/backlog/read.go
@@ -37,12 +37,19 @@
 	if n > 0 && c.reader.firstByteAt.Load() == 0 {
 		c.reader.firstByteAt.Store(time.Now().UnixNano())
 	}
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.reader.err.Store(&err)
+	if err != nil {
+		c.reader.recordErr(err)
 	}
 	return n, err
 }
 
+// recordErr notes why nothing more can be read.
+func (r *reader) recordErr(err error) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		r.err.Store(&err)
+	}
+}
+
 // receiveWaiting reads what the socket holds, and waits for something if it holds nothing.
 func (c *Conn) receiveWaiting(p []byte) (int, error) {
 	r := &c.reader
@@ -106,11 +113,11 @@
 
 // readError returns an error as a read of a net.Conn has it: an HTTP server answers a request that ends with any other.
 func (c *Conn) readError(err error) error {
-	var op *net.OpError
-	switch {
-	case err == nil, errors.Is(err, io.EOF):
+	if err == nil || errors.Is(err, io.EOF) {
 		return err
-	case errors.As(err, &op):
+	}
+	var op *net.OpError
+	if errors.As(err, &op) {
 		err = op.Err
 	}
 	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
