forward: give an answer that has arrived before a request ends for another reason

A select takes either of two ready channels. Only successes count: nothing is sent anew for a caller that left.

--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -129,9 +129,13 @@
 		case <-timer.C:
 			x.wake(clock.Now())
 		case <-x.request.Context().Done():
-			x.abandon()
+			if !x.takeAnswer() {
+				x.abandon()
+			}
 		case <-cutOff:
-			x.endCutOff(clock.Now())
+			if !x.takeAnswer() {
+				x.endCutOff(clock.Now())
+			}
 		}
 		if !x.finished {
 			timer.Reset(clock.Until(x.nextWake()))
@@ -202,6 +206,19 @@
 	}
 }
 
+// takeAnswer delivers a whole answer that has arrived but was not handled yet, and reports whether there was one. It is
+// called before the request ends for another reason: a select with both takes either.
+func (x *exchange) takeAnswer() bool {
+	for range len(x.messages) {
+		m, ok := (<-x.messages).(responseReceived)
+		if ok && !m.terms.NotRun && m.head.StatusCode < http.StatusMultipleChoices {
+			x.handleMessage(m)
+			return x.finished
+		}
+	}
+	return false
+}
+
 // endCutOff ends a request that this entry can't finish because it stops.
 func (x *exchange) endCutOff(now time.Time) {
 	if len(x.open) == 0 && !x.mayHaveRun {
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -56,7 +56,9 @@
 		return
 	}
 	if !now.Before(x.deadline) {
-		x.fail(deadlinePassed())
+		if !x.takeAnswer() {
+			x.fail(deadlinePassed())
+		}
 		return
 	}
 	if x.paused {
