--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -107,6 +107,7 @@
 	f := x.forwarder
 	timer := time.NewTimer(clock.Until(x.nextWake()))
 	defer timer.Stop()
+	cutOff := f.cutOff.Done()
 	for !x.finished {
 		select {
 		case <-x.losses:
@@ -129,7 +130,13 @@
 		case <-timer.C:
 			x.wake(clock.Now())
 		case <-x.request.Context().Done():
-			x.abandon()
+			if !x.takeAnswer() {
+				x.abandon()
+			}
+		case <-cutOff:
+			if !x.takeAnswer() {
+				x.endCutOff(clock.Now())
+			}
 		}
 		if !x.finished {
 			timer.Reset(clock.Until(x.nextWake()))
@@ -200,6 +207,28 @@
 	}
 }
 
+// takeAnswer delivers a whole answer that has arrived but was not handled yet, and reports whether there was one. It is
+// called before the request ends for another reason: a select with both takes either.
+func (x *exchange) takeAnswer() bool {
+	for range len(x.messages) {
+		m, ok := (<-x.messages).(responseReceived)
+		if ok && !m.terms.NotRun && m.head.StatusCode < http.StatusMultipleChoices {
+			x.handleMessage(m)
+			return x.finished
+		}
+	}
+	return false
+}
+
+// endCutOff ends a request that this entry can't finish because it stops.
+func (x *exchange) endCutOff(now time.Time) {
+	if len(x.open) == 0 && !x.mayHaveRun {
+		x.fail(protocol.Refuse(protocol.Stopping, "this entry is stopping").WithRetryAt(now))
+		return
+	}
+	x.fail(protocol.Uncertain(protocol.StageFailed, "this entry stopped before the answer was there"))
+}
+
 // abandon ends a request whose caller closed its connection. The server would end it as an empty success, or as the end of
 // a stream, which a caller that shut down only its sending side would believe.
 func (x *exchange) abandon() {
