--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -170,7 +170,12 @@
 	if len(x.open) < maxOpenAttempts {
 		return nil, true
 	}
-	return x.open[len(x.open)-1], true
+	for _, a := range x.open {
+		if !a.hasEvent {
+			return a, true
+		}
+	}
+	return nil, false
 }
 
 // closeGone closes the open attempts that wait for a runner that is gone, except the last open one.
