--- a/state/fleet/ejection.go
+++ b/state/fleet/ejection.go
@@ -98,6 +98,9 @@
 // MarkRefused notes that a lost runner refused a connection, so that it is not just silent.
 func (r *Runner) MarkRefused() { r.refusedConn.Store(true) }
 
+// RefusedConnection reports whether a lost runner refused a connection.
+func (r *Runner) RefusedConnection() bool { return r.refusedConn.Load() }
+
 // ClearLost withdraws the loss of the runner.
 func (r *Runner) ClearLost() {
 	r.lostUntil.Store(0)
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -161,7 +161,7 @@
 	if second := x.secondOnReusedConn(now); second != nil {
 		return second, true
 	}
-	x.closeGone(now)
+	x.closeRefused(now)
 	for _, a := range x.open {
 		if len(lostRunners(a, now)) == 0 && !x.isDeaf(a, now) {
 			return nil, false
@@ -178,10 +178,10 @@
 	return nil, false
 }
 
-// closeGone closes the open attempts that wait for a runner that is gone, except the last open one.
-func (x *exchange) closeGone(now time.Time) {
+// closeRefused closes the open attempts that wait for a lost runner that refused a connection, except the last open one.
+func (x *exchange) closeRefused(now time.Time) {
 	for _, a := range slices.Clone(x.open) {
-		if len(x.open) > 1 && waitsForGone(a, now) {
+		if len(x.open) > 1 && slices.ContainsFunc(lostRunners(a, now), (*fleet.Runner).RefusedConnection) {
 			x.closeAttempt(a)
 		}
 	}
