--- a/transport/forward/attempt.go
+++ b/transport/forward/attempt.go
@@ -65,6 +65,9 @@
 
 	sent         int  // bytes of the request that were written; run only
 	connReturned bool // the connection went back to the pool, which owns its buffer; run only
+	bound        headBound
+	stream       eventBound
+	held         int64 // bytes reserved for what was received and not handed over; run only
 	ctx          context.Context
 	cancel       context.CancelFunc
 	mutex        sync.Mutex
@@ -80,14 +83,14 @@
 		return
 	}
 	defer a.recycleBuffer(c)
+	defer a.giveBack()
 	if !a.attachConn(c) {
 		return
 	}
 	n, err := c.Write(a.request)
 	a.request = nil // frees the memory while the response is awaited
 	if err != nil {
-		a.closeConn()
-		a.post(attemptEnded{attempt: a, cause: err, sent: n, unsent: n == 0, stale: c.reused})
+		a.fail(attemptEnded{cause: err, sent: n, unsent: n == 0, stale: c.reused})
 		return
 	}
 	a.sent = n
@@ -184,28 +187,36 @@
 	a.conn = nil
 }
 
-// post sends a message to the exchange, unless the attempt is stopped.
-func (a *attempt) post(m message) {
+// post sends a message to the exchange, unless the attempt is stopped, and reports whether it did.
+func (a *attempt) post(m message) bool {
 	select {
 	case a.messages <- m:
+		return true
 	case <-a.ctx.Done():
+		return false
 	}
 }
 
+// fail closes the connection, releases what was reserved and reports the failure of the attempt.
+func (a *attempt) fail(m attemptEnded) {
+	a.closeConn()
+	a.giveBack()
+	m.attempt = a
+	a.post(m)
+}
+
 // readResponse reads the response and passes it to the exchange.
 func (a *attempt) readResponse(c *conn) {
 	head, begun, err := a.readHead(c)
 	if err != nil {
-		a.closeConn()
-		a.post(attemptEnded{attempt: a, cause: err, sent: a.sent, stale: c.reused && !begun})
+		a.fail(attemptEnded{cause: err, sent: a.sent, stale: c.reused && !begun})
 		return
 	}
 	defer head.Body.Close()
 	a.recordReached(c)
 	terms := a.forwarder.Headers.ParseResponse(head.StatusCode, head.Header, clock.Now())
 	if terms.RequestID != "" && terms.RequestID != a.id {
-		a.closeConn()
-		a.post(attemptEnded{attempt: a, cause: errWrongResponse, sent: a.sent, stale: c.reused})
+		a.fail(attemptEnded{cause: errWrongResponse, sent: a.sent, stale: c.reused})
 		return
 	}
 	a.recordRateLimit(head.StatusCode, &terms)
@@ -217,39 +228,26 @@
 	a.readNonStream(head, terms)
 }
 
-// readHead returns the head of the final response. begun reports whether any byte of it was
-// received.
-func (a *attempt) readHead(c *conn) (head *http.Response, begun bool, err error) {
-	req := &http.Request{Method: a.method}
-	for {
-		if _, err := c.reader.Peek(1); err != nil {
-			return nil, false, err
-		}
-		head, err := http.ReadResponse(c.reader, req)
-		if err != nil {
-			return nil, true, err
-		}
-		if head.StatusCode >= http.StatusOK {
-			return head, true, nil
-		}
-	}
-}
-
 func isStream(h http.Header) bool {
 	return strings.HasPrefix(strings.TrimSpace(h.Get("Content-Type")), "text/event-stream")
 }
 
 func (a *attempt) readStream(head *http.Response, terms protocol.AnswerTerms) {
 	if err := validateResponse(head, terms); err != nil {
-		a.closeConn()
-		a.post(attemptEnded{attempt: a, cause: err, sent: a.sent})
+		a.fail(attemptEnded{cause: err, sent: a.sent})
 		return
 	}
 	a.post(headReceived{attempt: a, head: head, terms: terms})
-	r := a.pool.buffers.get(head.Body)
+	a.stream = eventBound{attempt: a, body: head.Body}
+	r := a.pool.buffers.get(&a.stream)
 	defer a.pool.buffers.put(r)
+	dataless := 0
 	for events := 0; ; events++ {
 		e, err := readEvent(r)
+		dataless = e.datalessAfter(dataless)
+		if err == nil && dataless > maxDatalessBytes {
+			err = errNoData
+		}
 		if errors.Is(err, io.EOF) && events == 0 && endsWithConnection(head) {
 			err = io.ErrUnexpectedEOF // an endpoint that crashed before its first event ends a stream in the same way
 		}
@@ -259,14 +257,14 @@
 			return
 		}
 		if err != nil {
-			a.closeConn()
-			a.post(attemptEnded{attempt: a, cause: err, sent: a.sent, partial: len(e.content)})
+			a.fail(attemptEnded{cause: err, sent: a.sent, partial: len(e.content)})
 			return
 		}
-		if n := len(e.content); n > smallBytes && !a.reservation.reserveWait(int64(n), a.ctx.Done()) {
+		m := eventReceived{attempt: a, event: e}
+		if !a.stream.handOver(&m) || !a.post(m) {
 			return
 		}
-		a.post(eventReceived{attempt: a, event: e})
+		a.held -= m.reserved()
 	}
 }
 
@@ -282,12 +280,13 @@
 		err = validateResponse(head, terms)
 	}
 	if err != nil {
-		a.closeConn()
-		a.post(attemptEnded{attempt: a, cause: err, sent: a.sent})
+		a.fail(attemptEnded{cause: err, sent: a.sent})
 		return
 	}
 	a.returnConn(head)
-	a.post(responseReceived{attempt: a, head: head, body: body, terms: terms})
+	if a.post(responseReceived{attempt: a, head: head, body: body, terms: terms, held: a.held}) {
+		a.held = 0
+	}
 }
 
 // readBody reads the body of a response that is not a stream, as the entry's memory budget allows.
@@ -312,7 +311,7 @@
 		case len(body) < cap(body):
 			continue
 		}
-		if !a.reservation.reserveWait(int64(cap(body)), a.ctx.Done()) {
+		if !a.reserve(int64(cap(body))) {
 			return nil, a.ctx.Err()
 		}
 		body = append(make([]byte, 0, 2*cap(body)), body...)
@@ -327,7 +326,7 @@
 	if length < smallBytes || length > maxBodyBytes {
 		return newBodyBuffer(length), true
 	}
-	if !a.reservation.reserveWait(length, a.ctx.Done()) {
+	if !a.reserve(length) {
 		return nil, false
 	}
 	return make([]byte, 0, length+1), true // one more byte to read the end
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -59,7 +59,8 @@
 	reached     []*fleet.Runner // endpoints that received the request
 	attempts    int             // attempts started
 	unsent      int             // attempts that sent no byte
-	reachesNone bool            // the last attempt found that no entry reaches any endpoint
+	notRun      int             // attempts whose endpoints say that they did not run the request
+	unreachable dialFailures    // attempts to connect that failed last
 	mayHaveRun  bool            // an earlier attempt may have run
 	finished    bool
 
--- a/transport/forward/handle.go
+++ b/transport/forward/handle.go
@@ -16,6 +16,7 @@
 // open.
 func (x *exchange) handleMessage(m message) {
 	if !slices.Contains(x.open, m.from()) {
+		x.discard(m)
 		return
 	}
 	switch m := m.(type) {
@@ -65,8 +66,8 @@
 		x.handleWriteError()
 		return
 	}
-	if n := len(m.event.content); n > smallBytes {
-		x.reservation.reserve(int64(-n))
+	if n := m.reserved(); n > 0 {
+		x.reservation.reserve(-n)
 	}
 	if len(x.messages) == 0 {
 		x.flush()
@@ -97,6 +98,7 @@
 		x.handleMisdirected(&m, now)
 		x.decideRetry(a, retry.NotRun, &m)
 	case m.terms.NotRun:
+		x.notRun++
 		x.avoidRefusing(&m, now)
 		x.markFull(a, m.terms.AtFault, now)
 		x.decideRetry(a, retry.NotRun, &m)
@@ -139,10 +141,13 @@
 	case m.unsent:
 		x.undoReached(a)
 		x.forwarder.reportError(a.endpoint, m.cause, a.sentAt, now)
-		x.reachesNone = reachesNone(m.cause)
-		if !x.reachesNone {
+		x.recordDialFailure(a, m.cause, now)
+		if !reachesNone(m.cause) {
 			x.ejectFaulty(a, a.endpoint.Spec().Address, metric.EjectedConnection, now)
 		}
+		if isSilence(m.cause) {
+			x.forwarder.silentRunners.watch(a.endpoint, now)
+		}
 		x.attemptFailed(&m, retry.NeverSent)
 	case m.stale:
 		// A reused connection closed before the response. The endpoint may have run the request all
--- a/transport/tunnel/dialer.go
+++ b/transport/tunnel/dialer.go
@@ -17,6 +17,7 @@
 	"pinerun.example/pinerun/coordination/reach"
 	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/internal/event"
+	"pinerun.example/pinerun/internal/limited"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/transport/backlog"
@@ -144,6 +145,7 @@
 	go (&dialing{ctx: ctx, dial: d.dialRest, address: address, results: results}).run()
 	go (&dialing{ctx: ctx, dial: d.DialManyPeers, address: address, results: results}).run()
 	var failed error = &DialError{address: address, cause: errNoPeer}
+	silent := false
 	for range 2 {
 		select {
 		case r := <-results:
@@ -154,12 +156,14 @@
 			var verdict *DialError
 			if errors.As(r.err, &verdict) {
 				failed = r.err
+			} else {
+				silent = isTimeout(r.err)
 			}
 		case <-ctx.Done():
 			return nil, &DialError{address: address, cause: ctx.Err()}
 		}
 	}
-	return nil, failed
+	return nil, withSilence(failed, silent)
 }
 
 // dialRest connects by itself for what is left of directTimeout after the head start.
@@ -272,7 +276,7 @@
 	defer d.mutex.Unlock()
 	if d.client == nil {
 		t := net.Dialer{Timeout: peerConnectTimeout, Control: backlog.LimitEngineSocket}
-		d.client = &http.Client{Transport: &http.Transport{DialContext: t.DialContext, DisableKeepAlives: true}}
+		d.client = &http.Client{Transport: limited.Transport(&http.Transport{DialContext: t.DialContext, DisableKeepAlives: true})}
 	}
 	return d.client
 }
@@ -295,6 +299,15 @@
 	}
 }
 
+// withSilence returns the error of asking other entries with whether the own attempt got no answer.
+func withSilence(err error, silent bool) error {
+	var failed *DialError
+	if errors.As(err, &failed) {
+		failed.silent = silent
+	}
+	return err
+}
+
 // withOwnCause returns the error of asking other entries with the cause of the own attempt.
 func withOwnCause(err, cause error) error {
 	var failed *DialError
