forward: count every engine that a stream has reached towards the bound of its route

An engine that had been silent for longer than a second did not count, though it had neither ended nor been cut off. All that were reached count now, as before; a stream that may reach no further engine still goes back to those with room.

--- a/transport/forward/reachable.go
+++ b/transport/forward/reachable.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"pinerun.example/pinerun/coordination/path"
-	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/state/fleet"
 )
 
@@ -17,7 +16,7 @@
 	if !x.mayRetry() {
 		return false
 	}
-	return x.mayReachMore(clock.Now()) || slices.Contains(x.reached, p.Runner(0))
+	return x.mayReachMore() || slices.Contains(x.reached, p.Runner(0))
 }
 
 // mayRetry reports whether the route allows any further attempt.
@@ -34,29 +33,12 @@
 }
 
 // mayReachMore reports whether the route allows the request at an endpoint that it has not reached yet.
-// Endpoints that are gone do not count for a stream that has begun; one that is only silent does. Before that the
-// request itself may be what ends them.
-func (x *exchange) mayReachMore(now time.Time) bool {
-	if len(x.reached) < x.route.MaxAttempts {
-		return true
-	}
-	if !x.headSent {
-		return false
-	}
-	view := x.forwarder.Registry.View()
-	present := 0
-	for _, r := range x.reached {
-		if view.Runner(r.Name()) != nil && !r.Gone(now) {
-			present++
-		}
-	}
-	return present < x.route.MaxAttempts
-}
+func (x *exchange) mayReachMore() bool { return len(x.reached) < x.route.MaxAttempts }
 
 // admission returns the gate for the choice of a path, nil if it may lead over all endpoints.
 func (x *exchange) admission(now time.Time) path.Gate {
 	g := x.forwarder.gate(true, now)
-	if x.service.Engine == nil || x.mayReachMore(now) {
+	if x.service.Engine == nil || x.mayReachMore() {
 		return g
 	}
 	return &reachedGate{next: g, reached: x.reached}
