--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,14 +1,14 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of this review start. It needs no network.
+# Builds the stand-ins that the scripts of this review start, into target/review-2. It needs no network.
 set -eu
 cd "$(dirname "$0")/.."
 out=target/review-2
-mkdir -p "$out/src"
-rm -f "$out"/src/*
-for file in review/standin-2-*.go.txt; do
-	name=${file#review/standin-2-}
-	cp "$file" "$out/src/${name%.txt}"
+mkdir -p "$out/source"
+rm -f "$out"/source/*
+for file in review/source-2/*.txt; do
+	name=$(basename "$file" .txt)
+	cp "$file" "$out/source/$name"
 done
-cp review/standin-2-go.mod.txt "$out/src/go.mod"
-cd "$out/src"
-GOFLAGS= GOWORK=off go build -o ../standin .
+cd "$out/source"
+GOFLAGS=-mod=mod GOPROXY=off GOTOOLCHAIN=local GOWORK=off go build -o ../standin.new .
+mv ../standin.new ../standin
