--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,14 +1,15 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of this review start, into target/review-2. It needs no network.
+# Builds the stand-ins that the scripts of this review start: target/review-2/standin. It needs no network. The sources end in
+# .txt, and are built elsewhere, so that the project's tests don't take them for a package of its own.
 set -eu
 cd "$(dirname "$0")/.."
-out=target/review-2
-mkdir -p "$out/source"
-rm -f "$out"/source/*
+root=$PWD
+mkdir -p target/review-2
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
 for file in review/source-2/*.txt; do
-	name=$(basename "$file" .txt)
-	cp "$file" "$out/source/$name"
+	cp "$file" "$work/$(basename "$file" .txt)"
 done
-cd "$out/source"
-GOFLAGS=-mod=mod GOPROXY=off GOTOOLCHAIN=local GOWORK=off go build -o ../standin.new .
-mv ../standin.new ../standin
+cd "$work"
+GOFLAGS=-mod=mod GOPROXY=off GOTOOLCHAIN=local GOWORK=off go build -o "$root/target/review-2/standin.new" .
+mv "$root/target/review-2/standin.new" "$root/target/review-2/standin"
