relay: give each kind of state an age of its own

Cause: the watch of endpoints waited 5 s, and 1.5 s more for its answer, on a dead connection. Nothing else notices that; the read of the routing table, which was taken to, uses another connection, and vouched for the list of endpoints to all followers. The ended watch then counted as an outage of the store, which keeps endpoints that are gone for another 1.5 s.

Change: a watch waits one second and has one more for its answer. Each kind has its own age (gauge state_age_seconds), and an entry one of whose kinds is older than 3.5 s confirms nothing to its followers. Why it works: noticing (2.0 s) and listing (ms) take less than contact_ms, 3 s, whatever moment of a wait the silence begins at.

Evidence: whole sources and watchers in virtual time. Ruled out: a second dead connection under the list (the change arrives with the first list), followers that know later than the first entry (same milliseconds).

TestRelayedChangesConfirmNothing ran for the wait and a second, which was a fifth of a wait; it runs for one and a half waits now, with the same checks.

--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -33,6 +33,10 @@
 	// accepted. Within half of that time, an entry must learn of changes that its peer has missed
 	// because the peer is cut off from the platform.
 	MaxConfirmationAge = time.Second
+	// MaxStateAge is the largest age of any kind of objects at which an entry vouches for its state to its
+	// followers. Two watches in a row that a platform at its slowest answers, and the pause between them,
+	// take less.
+	MaxStateAge = 3500 * time.Millisecond
 	// MinTrustExtension is how much longer an entry without followers trusts its peer at least. The
 	// extension is random for each entry. The peer itself asks after MaxConfirmationAge and passes
 	// on what it learns, so that one call serves all its followers.
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -69,34 +69,35 @@
 	PeerFrames      Name = "peer_frames_sent"
 	PeerBytes       Name = "peer_bytes_sent"
 
-	EndpointConnections Name = "endpoint_connections"
-	ReportRequests      Name = "reports_asked"
-	PlansComputed       Name = "plans_worked_out"
-	OrdersGiven         Name = "orders_given"
-	LinesDropped        Name = "log_lines_dropped"
-	RequestsQueued      Name = "requests_held"
-	RecordsSuperseded   Name = "records_superseded"
-	RecordsDisproved    Name = "records_disproved"
-	RestartsSeen        Name = "restarts_seen"
-	EndpointsKept       Name = "endpoints_kept"
-	HeldAnswerBytes     Name = "held_answer_bytes"
-	HeldBodyBytes       Name = "held_body_bytes"
-	PressureStopped     Name = "pressure_stopped"
-	PressureDropped     Name = "pressure_dropped"
-	PressureEnded       Name = "pressure_ended"
-	ConnectionsClosed   Name = "connections_closed"
-	RequestsUnreadable  Name = "requests_unreadable"
-	RequestsFailed      Name = "requests_failed"
-	EndpointsSlow       Name = "endpoints_slow"
-	SlownessReports     Name = "slow_news"
-	EndpointsLimited    Name = "endpoints_limited"
-	LimitWaits          Name = "limit_waits"
-	PathOrders          Name = "path_orders"
-	IsolatedRuns        Name = "requests_tried_alone"
-	WorkRefused         Name = "work_refused"
-	ConfirmationWaits   Name = "confirmation_waits"
-	ConfigPassedOver    Name = "config_passed_over"
-	StoreRestores       Name = "store_restores"
+	EndpointConnections    Name = "endpoint_connections"
+	ReportRequests         Name = "reports_asked"
+	PlansComputed          Name = "plans_worked_out"
+	OrdersGiven            Name = "orders_given"
+	LinesDropped           Name = "log_lines_dropped"
+	RequestsQueued         Name = "requests_held"
+	RecordsSuperseded      Name = "records_superseded"
+	RecordsDisproved       Name = "records_disproved"
+	RestartsSeen           Name = "restarts_seen"
+	EndpointsKept          Name = "endpoints_kept"
+	HeldAnswerBytes        Name = "held_answer_bytes"
+	HeldBodyBytes          Name = "held_body_bytes"
+	PressureStopped        Name = "pressure_stopped"
+	PressureDropped        Name = "pressure_dropped"
+	PressureEnded          Name = "pressure_ended"
+	ConnectionsClosed      Name = "connections_closed"
+	RequestsUnreadable     Name = "requests_unreadable"
+	RequestsFailed         Name = "requests_failed"
+	EndpointsSlow          Name = "endpoints_slow"
+	SlownessReports        Name = "slow_news"
+	EndpointsLimited       Name = "endpoints_limited"
+	LimitWaits             Name = "limit_waits"
+	PathOrders             Name = "path_orders"
+	IsolatedRuns           Name = "requests_tried_alone"
+	WorkRefused            Name = "work_refused"
+	ConfirmationWaits      Name = "confirmation_waits"
+	ConfigPassedOver       Name = "config_passed_over"
+	StoreRestores          Name = "store_restores"
+	StoreConnectionsSilent Name = "store_connections_silent"
 )
 
 // Names returns all counters that count neither refusals nor retries.
@@ -110,7 +111,7 @@
 		RecordsSuperseded, RecordsDisproved, RestartsSeen, EndpointsKept,
 		HeldAnswerBytes, HeldBodyBytes, PressureStopped, PressureDropped, PressureEnded, ConnectionsClosed, RequestsUnreadable, RequestsFailed,
 		EndpointsSlow, SlownessReports, EndpointsLimited, LimitWaits, PathOrders, IsolatedRuns, WorkRefused,
-		ConfirmationWaits, ConfigPassedOver, StoreRestores,
+		ConfirmationWaits, ConfigPassedOver, StoreRestores, StoreConnectionsSilent,
 	}
 }
 
--- a/transport/front/gauges.go
+++ b/transport/front/gauges.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pinerun.example/pinerun/protocol"
+	"pinerun.example/pinerun/transport/relay"
 )
 
 // reachedWindow is how recently an endpoint must have answered on a connection of this entry to count as
@@ -80,6 +81,15 @@
 	return err
 }
 
+// writeStateAges writes how old the state of each kind of objects may be.
+func writeStateAges(w io.Writer, ages []relay.KindAge) error {
+	gauges := gaugeWriter{out: w}
+	for _, a := range ages {
+		gauges.write("state_age_seconds", fmt.Sprintf("objects=%q", a.Kind()), a.Age().Seconds())
+	}
+	return gauges.err
+}
+
 // writeGauges writes the current state in the text format of Prometheus.
 func writeGauges(w io.Writer, s protocol.FleetStatus) error {
 	gauges := gaugeWriter{out: w}
--- a/transport/front/handlers.go
+++ b/transport/front/handlers.go
@@ -35,6 +35,9 @@
 		if err := writeStoreEra(c.Response(), f.Dependencies.Eras.Latest()); err != nil {
 			return err
 		}
+		if err := writeStateAges(c.Response(), f.source.Ages(clock.Now())); err != nil {
+			return err
+		}
 		return writeGauges(c.Response(), f.fleetStatus(clock.Now()))
 	})
 	e.GET("/fleet", func(c echo.Context) error {
--- a/transport/platform/errors.go
+++ b/transport/platform/errors.go
@@ -12,6 +12,18 @@
 	return "the platform no longer has the changes since that revision; list the objects and watch from there"
 }
 
+// ConnectionSilent reports that a call got no answer on its connection, while the platform answers calls
+// on others.
+type ConnectionSilent struct{ kind string }
+
+// NewConnectionSilent returns the error of a call for objects of a kind.
+func NewConnectionSilent(kind string) error { return &ConnectionSilent{kind: kind} }
+
+// Error names the kind and the remedy.
+func (c *ConnectionSilent) Error() string {
+	return "the connection of a call for " + c.kind + " went silent; list the objects over a new one"
+}
+
 // NewUnavailable returns the error of a call that had no effect.
 func NewUnavailable(cause error) error { return &Unavailable{cause: cause} }
 
--- a/transport/relay/confirmation.go
+++ b/transport/relay/confirmation.go
@@ -33,10 +33,11 @@
 	defer cancel()
 	for {
 		changed, confirmed := s.mirror.Changed(), s.confirmationChanged()
-		if s.isFresh() || reportsOnly && s.allListed() || !s.Following() && s.platformAnswers(ctx) {
+		current := s.allCurrent(clock.Now())
+		if s.isFresh() || reportsOnly && s.allListed() || !s.Following() && current && s.platformAnswers(ctx) {
 			return true
 		}
-		if !s.allListed() || s.Following() {
+		if !s.allListed() || s.Following() || !current {
 			select {
 			case <-changed:
 				continue
@@ -63,7 +64,8 @@
 // isFresh reports whether every kind is listed and was confirmed a moment ago.
 func (s *Source) isFresh() bool {
 	at := s.platformStatus().confirmed.at
-	return s.allListed() && !at.IsZero() && clock.Since(at) < relay.MaxConfirmationAge
+	now := clock.Now()
+	return s.allListed() && !at.IsZero() && now.Sub(at) < relay.MaxConfirmationAge && s.allCurrent(now)
 }
 
 // platformAnswers reports whether the platform answers this entry. It calls the platform unless a
--- a/transport/relay/follower.go
+++ b/transport/relay/follower.go
@@ -217,7 +217,7 @@
 	if f.request == nil {
 		return nil
 	}
-	c := f.source.platformStatus().confirmed
+	c := f.source.vouched(now)
 	if !c.at.After(f.sentConfirmation) && now.Before(f.holdUntil) {
 		return nil
 	}
--- a/transport/relay/read.go
+++ b/transport/relay/read.go
@@ -74,6 +74,7 @@
 	q.OwnVersion = object.Version
 	switch relay.Decide(q).(type) {
 	case relay.TrustPeer:
+		s.recordRelayed(q.ConfirmedAt)
 		s.recordConfirmation(object, q.ConfirmedAt)
 		if object.Version.IsZero() {
 			return watch.Reading{}, nil
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -98,9 +98,11 @@
 	fallbackAt      time.Time     // when the platform was last asked because the peer could not confirm
 	readFailures    int           // failed reads in a row
 	confirmed       confirmation
-	failedAt        time.Time        // when a call of this entry last failed
-	confirmedSignal lifecycle.Signal // signaled when the confirmation may have changed
-	sendEmptyHello  atomic.Bool      // the next hello reports no known state
+	answeredAt      map[string]time.Time // by kind: when the last call that the platform answered began
+	relayedAt       time.Time            // when the followed peer last vouched for all kinds
+	failedAt        time.Time            // when a call of this entry last failed
+	confirmedSignal lifecycle.Signal     // signaled when the confirmation may have changed
+	sendEmptyHello  atomic.Bool          // the next hello reports no known state
 }
 
 // Start begins to look for a peer to follow. Until it is known whether there is one, lists and
@@ -277,9 +279,11 @@
 	}
 	askedAt := clock.Now()
 	l, err := s.Platform.List(ctx, kind)
+	err = s.tellSilence(ctx, kind, err, askedAt)
 	s.recordPlatformResult(ctx, err, askedAt)
 	if err == nil {
 		s.mirror.ApplyList(kind, l)
+		s.recordAnswered(kind, askedAt)
 		s.confirmListed(kind, l, askedAt)
 	}
 	return l, err
@@ -335,11 +339,16 @@
 func (s *Source) watchPlatform(ctx context.Context, kind string, after protocol.Revision, wait time.Duration) (protocol.Changes, error) {
 	askedAt := clock.Now()
 	c, err := s.Platform.Watch(ctx, kind, after, wait)
+	err = s.tellSilence(ctx, kind, err, askedAt.Add(wait))
 	s.recordPlatformResult(ctx, err, askedAt)
-	if err == nil && len(c.Changes) > 0 && !s.mirror.Apply(kind, mirror.Delta{After: after, To: c.Revision, Changes: c.Changes}) {
+	if err != nil {
+		return c, err
+	}
+	if len(c.Changes) > 0 && !s.mirror.Apply(kind, mirror.Delta{After: after, To: c.Revision, Changes: c.Changes}) {
 		return protocol.Changes{}, &platform.Compacted{}
 	}
-	return c, err
+	s.recordAnswered(kind, askedAt)
+	return c, nil
 }
 
 // recordPlatformResult records whether the platform answered a call. A call that was canceled here, or
@@ -347,7 +356,8 @@
 func (s *Source) recordPlatformResult(ctx context.Context, err error, askedAt time.Time) {
 	var compacted *platform.Compacted
 	var missing *platform.NotFound
-	if err == nil || errors.As(err, &compacted) || errors.As(err, &missing) || ctx.Err() != nil || s.timedOutLate(err, askedAt) {
+	var silent *platform.ConnectionSilent
+	if err == nil || errors.As(err, &compacted) || errors.As(err, &missing) || errors.As(err, &silent) || ctx.Err() != nil || s.timedOutLate(err, askedAt) {
 		return
 	}
 	s.mutex.Lock()
--- a/transport/relay/store_test.go
+++ b/transport/relay/store_test.go
@@ -16,6 +16,7 @@
 	"pinerun.example/pinerun/protocol"
 	"pinerun.example/pinerun/state/era"
 	"pinerun.example/pinerun/transport/platform"
+	"pinerun.example/pinerun/transport/watch"
 )
 
 // store is the platform: objects of one kind and their history.
@@ -128,6 +129,70 @@
 	eras  *era.Tracker
 	mutex sync.Mutex
 	cut   bool
+	// silenced is closed when the open connections go silent; hanging is the kind of objects whose calls
+	// never get an answer.
+	silenced chan struct{}
+	hanging  string
+	delay    time.Duration // of every answer
+}
+
+// setDelay makes every answer to the entry take longer.
+func (p *platformClient) setDelay(d time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.delay = d
+}
+
+// silence makes the calls that wait now never get an answer. Later ones use new connections.
+func (p *platformClient) silence() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.silenced != nil {
+		close(p.silenced)
+	}
+	p.silenced = make(chan struct{})
+}
+
+// hang makes the calls for a kind get no answer from now on.
+func (p *platformClient) hang(kind string) {
+	p.mutex.Lock()
+	p.hanging = kind
+	p.mutex.Unlock()
+	p.silence()
+}
+
+// open returns the channel that is closed when the connection of a call goes silent, and whether it is so
+// already.
+func (p *platformClient) open(kind string) (<-chan struct{}, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.silenced == nil {
+		p.silenced = make(chan struct{})
+	}
+	return p.silenced, p.hanging == kind
+}
+
+// pause waits unless there is nothing to wait for.
+func pause(ctx context.Context, d time.Duration) error {
+	if d == 0 {
+		return nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// timeOut returns the error of a call that began at a time and whose answer may take a limit.
+func timeOut(ctx context.Context, askedAt time.Time, limit time.Duration) error {
+	if err := pause(ctx, time.Until(askedAt.Add(limit))); err != nil {
+		return err
+	}
+	return platform.NewUnavailable(context.DeadlineExceeded)
 }
 
 var errCut = platform.NewUnavailable(errors.New("cut off"))
@@ -146,10 +211,13 @@
 	p.cut = false
 }
 
-func (p *platformClient) call() error {
+func (p *platformClient) call(ctx context.Context) error {
 	p.mutex.Lock()
-	cut := p.cut
+	cut, delay := p.cut, p.delay
 	p.mutex.Unlock()
+	if err := pause(ctx, delay); err != nil {
+		return err
+	}
 	p.store.mutex.Lock()
 	defer p.store.mutex.Unlock()
 	p.store.calls[p.name]++
@@ -160,10 +228,13 @@
 	return nil
 }
 
-func (p *platformClient) List(context.Context, string) (protocol.Listing, error) {
-	if err := p.call(); err != nil {
+func (p *platformClient) List(ctx context.Context, kind string) (protocol.Listing, error) {
+	if err := p.call(ctx); err != nil {
 		return protocol.Listing{}, err
 	}
+	if _, hangs := p.open(kind); hangs {
+		return protocol.Listing{}, timeOut(ctx, time.Now(), listTimeout)
+	}
 	s := p.store
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -174,10 +245,15 @@
 	return l, nil
 }
 
-func (p *platformClient) Watch(ctx context.Context, _ string, after protocol.Revision, wait time.Duration) (protocol.Changes, error) {
-	if err := p.call(); err != nil {
+func (p *platformClient) Watch(ctx context.Context, kind string, after protocol.Revision, wait time.Duration) (protocol.Changes, error) {
+	if err := p.call(ctx); err != nil {
 		return protocol.Changes{}, err
 	}
+	askedAt := time.Now()
+	silenced, hangs := p.open(kind)
+	if hangs {
+		return protocol.Changes{}, timeOut(ctx, askedAt, wait+watch.AnswerMargin)
+	}
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	s := p.store
@@ -211,6 +287,8 @@
 			return c, nil
 		}
 		select {
+		case <-silenced:
+			return protocol.Changes{}, timeOut(ctx, askedAt, wait+watch.AnswerMargin)
 		case <-changed:
 		case <-t.C:
 			return c, nil
@@ -220,8 +298,8 @@
 	}
 }
 
-func (p *platformClient) Get(_ context.Context, _, name string) (protocol.Object, error) {
-	if err := p.call(); err != nil {
+func (p *platformClient) Get(ctx context.Context, _, name string) (protocol.Object, error) {
+	if err := p.call(ctx); err != nil {
 		return protocol.Object{}, err
 	}
 	p.store.mutex.Lock()
@@ -233,6 +311,9 @@
 	return object, nil
 }
 
+// listTimeout bounds a list.
+const listTimeout = 1500 * time.Millisecond
+
 // newSilentPeer starts a peer that sends one object and nothing after that. It returns the peer's
 // record.
 func newSilentPeer(t *testing.T, s *store, kind string, o protocol.Object) protocol.EntryRecord {
--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -24,12 +24,20 @@
 )
 
 const (
-	// PollTimeout is how long one call waits for a change. It is not shorter because each call has
-	// a cost, and because a Confirmer detects a dead connection sooner.
-	PollTimeout = 5 * time.Second
+	// PollTimeout is how long one call waits for a change. Nothing else shows that the connection of
+	// a waiting call is dead: a read that is answered over another one proves nothing about this one.
+	// So PollTimeout and AnswerMargin together, and the list after them, take less than the time after
+	// which an entry must use no endpoint that left.
+	PollTimeout = time.Second
+	// AnswerMargin is how long after its wait a call may be answered. A platform at its slowest takes
+	// 0.4 s, and the entry's own delays add to that.
+	AnswerMargin = time.Second
 	// blindWindow is how long before its end a watch may have missed a change: the platform's
 	// watches may deliver nothing for up to a second before the platform drops its history.
 	blindWindow = time.Second
+	// earlyEnd is how long before the end of its wait an answer without changes is early, so that the
+	// watcher pauses before its next call.
+	earlyEnd = PollTimeout / 2
 	// maxTransit is how long after its end the answer of a watch may arrive. A healthy platform takes
 	// a few milliseconds.
 	maxTransit = 250 * time.Millisecond
@@ -78,7 +86,7 @@
 	done       lifecycle.Done
 	revision   protocol.Revision // revision to watch from, zero before a list
 	failures   int
-	compacted  int       // lists in a row from whose revision the platform had no changes
+	unwatched  int       // calls in a row that led to no answered watch, although the platform answers
 	startUntil time.Time // end of the period in which the whole fleet may be starting
 	mutex      sync.Mutex
 	cancelCall context.CancelFunc // cancels the waiting call
@@ -154,7 +162,7 @@
 		return err
 	}
 	now := clock.Now()
-	w.failures, w.compacted = 0, 0
+	w.failures, w.unwatched = 0, 0
 	for _, change := range c.Changes {
 		w.Sink.Changed(change, now)
 	}
@@ -185,7 +193,7 @@
 		heldAt = deadline
 	}
 	w.Sink.Confirmed(heldAt.Add(-blindWindow))
-	if deadline.Sub(now) > blindWindow {
+	if deadline.Sub(now) > earlyEnd {
 		w.pause(w.batchDelay(now))
 	}
 }
@@ -213,14 +221,15 @@
 		return
 	}
 	var compacted *platform.Compacted
+	var silent *platform.ConnectionSilent
 	w.revision = protocol.Revision{}
 	switch {
 	case errors.Is(err, context.Canceled): // canceled here
-	case errors.As(err, &compacted): // the platform answered
-		if w.compacted > 0 {
-			w.pause(retryDelay(w.compacted - 1))
+	case errors.As(err, &compacted), errors.As(err, &silent): // the platform answers
+		if w.unwatched > 0 {
+			w.pause(retryDelay(w.unwatched - 1))
 		}
-		w.compacted++
+		w.unwatched++
 	default:
 		w.Sink.Failed(err, clock.Now())
 		delay := retryDelay(w.failures)
--- a/transport/watch/watch_test.go
+++ b/transport/watch/watch_test.go
@@ -288,7 +288,7 @@
 	relayed := changed(9, "a")
 	relayed.changes.Relayed = true
 	unchanged := response{changes: &protocol.Changes{Revision: protocol.Revision{Number: 11}, Relayed: true}, delay: watch.PollTimeout}
-	src, snk := runWatcher(t, watch.PollTimeout+time.Second, listing(7), relayed, unchanged)
+	src, snk := runWatcher(t, watch.PollTimeout+watch.PollTimeout/2, listing(7), relayed, unchanged)
 	require.Equal(t, []string{"a"}, snk.changed)
 	require.Equal(t, []uint64{0, 7, 9, 11}, src.requests[:4], "relayed answers advance the revision")
 	require.Less(t, snk.confirmed.Sub(snk.listedAt), time.Second, "only the list confirmed the state")
