forward: pass on no promise that the endpoint did not make

Cause: an endpoint's status from 500 on was handed on before the rule that a status alone proves nothing; that rule knew 429 and 408 only.

Change: protocol.PromisesNotRun names the statuses. An answer with one of them and without the endpoint's word is retry.Unproven: tried elsewhere where the route allows it, never delivered. exchange.refuse is the one place that says "did not run", and only if no attempt may have run. The status of a refusal follows its outcome.

Ruled out: an own 503 of the entry (the answer had the endpoint's signature).

--- a/coordination/retry/resend.go
+++ b/coordination/retry/resend.go
@@ -9,15 +9,23 @@
 
 // NeverSent means that no byte can have reached the endpoint. NotRun means that the endpoint
 // says that it did not run the request. Failed means that the endpoint ran the request and
-// answered with a failure of its own. Broken means that the answer was cut off, was damaged
-// or never came.
+// answered with a failure of its own. Unproven means that it answered with a status that
+// promises callers that the request did not run, without saying so itself. Broken means that
+// the answer was cut off, was damaged or never came.
 const (
 	NeverSent Result = iota
 	NotRun
 	Failed
+	Unproven
 	Broken
 )
 
+// MayHaveRun reports whether the endpoint may have run the request.
+func (r Result) MayHaveRun() bool { return r != NeverSent && r != NotRun }
+
+// Answered reports whether the endpoint gave a whole answer after which it may have run the request.
+func (r Result) Answered() bool { return r == Failed || r == Unproven }
+
 // FailedAttempt holds what the decision after a failed attempt depends on. EndpointAllowed
 // says whether the route allows the request to be sent to a further endpoint. Unreachable
 // counts the endpoints that could not be reached. NonReachable says that no endpoint can be at
@@ -64,7 +72,7 @@
 	if !f.Now.Before(f.Deadline) {
 		return Expire
 	}
-	mayHaveRun := f.MayHaveRun || f.Result == Failed || f.Result == Broken
+	mayHaveRun := f.MayHaveRun || f.Result.MayHaveRun()
 	if f.Result == NeverSent && (f.NonReachable || f.Unreachable > maxUnreachable && !f.Now.Before(f.SilentUntil)) {
 		return FinalAction(f.Result, mayHaveRun) // waiting for capacity would only try again
 	}
@@ -83,12 +91,13 @@
 }
 
 // FinalAction returns the action for a request that is not sent again. Result is the result
-// of its last attempt; mayHaveRun says whether an earlier attempt may have run.
+// of its last attempt; mayHaveRun says whether an earlier attempt may have run. An unproven
+// answer is not delivered: its status would be taken for a promise.
 func FinalAction(result Result, mayHaveRun bool) Action {
 	switch {
 	case result == Failed:
 		return Deliver
-	case mayHaveRun || result == Broken:
+	case mayHaveRun || result.MayHaveRun():
 		return Fail
 	default:
 		return Refuse
--- a/coordination/retry/resend_test.go
+++ b/coordination/retry/resend_test.go
@@ -19,7 +19,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(100, 0)
 		f := retry.FailedAttempt{
-			Result:          retry.Result(rapid.IntRange(0, 3).Draw(t, "result")),
+			Result:          retry.Result(rapid.IntRange(0, int(retry.Broken)).Draw(t, "result")),
 			MayRepeat:       rapid.Bool().Draw(t, "may repeat"),
 			MayHaveRun:      rapid.Bool().Draw(t, "may have run"),
 			EndpointAllowed: rapid.Bool().Draw(t, "allowed"),
@@ -30,7 +30,7 @@
 			Deadline:        now.Add(time.Duration(rapid.IntRange(-1, 1).Draw(t, "left")) * time.Second),
 		}
 		b := retry.WindowBudget{Share: 0.2, Slack: float64(rapid.IntRange(0, 2).Draw(t, "budget")), SpanEnd: spanEnd}
-		mayHaveRun := f.MayHaveRun || f.Result == retry.Failed || f.Result == retry.Broken
+		mayHaveRun := f.MayHaveRun || f.Result != retry.NeverSent && f.Result != retry.NotRun
 		next := b.Decide(f)
 		switch next {
 		case retry.Resend:
--- a/protocol/refusal.go
+++ b/protocol/refusal.go
@@ -62,18 +62,44 @@
 func (r *Refusal) Message() string { return r.message }
 
 // Remedy returns what the caller can do about the failure.
-func (r *Refusal) Remedy() string { return kinds[r.kind].remedy }
+func (r *Refusal) Remedy() string {
+	if r.breaksPromise() {
+		return kinds[StageFailed].remedy
+	}
+	return kinds[r.kind].remedy
+}
 
 // RetryAt returns the time from which a retry may succeed, or zero if a retry does not help.
 func (r *Refusal) RetryAt() time.Time { return r.retryAt }
 
-// Status returns the HTTP status of the refusal.
+// Status returns the HTTP status of the refusal. If the request may have run, it is none that
+// PromisesNotRun.
 func (r *Refusal) Status() int {
 	info, ok := kinds[r.kind]
-	if !ok {
+	switch {
+	case !ok:
 		return http.StatusInternalServerError
+	case r.breaksPromise():
+		return http.StatusBadGateway
+	default:
+		return info.status
+	}
+}
+
+// breaksPromise reports whether the status of the kind says that the request did not run although it may
+// have.
+func (r *Refusal) breaksPromise() bool {
+	return r.outcome == MayHaveRun && PromisesNotRun(kinds[r.kind].status)
+}
+
+// PromisesNotRun reports whether an HTTP status tells callers that the request did not run and will not.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
 	}
-	return info.status
 }
 
 // AsRefusal returns the refusal that err wraps. Any other error becomes a refusal of kind
--- a/transport/forward/decide.go
+++ b/transport/forward/decide.go
@@ -26,7 +26,7 @@
 // attempt is still open.
 func (x *exchange) decideRetry(a *attempt, r retry.Result, response *responseReceived) {
 	now := clock.Now()
-	if r == retry.Failed || r == retry.Broken {
+	if r.MayHaveRun() {
 		x.mayHaveRun = true
 	}
 	if len(x.open) > 0 {
@@ -40,7 +40,7 @@
 
 // retryOrFinish applies the retry policy once no attempt is open.
 func (x *exchange) retryOrFinish(a *attempt, r retry.Result, response *responseReceived, now time.Time) {
-	if r != retry.Failed && (x.mayRepeat() || !x.mayHaveRun) && x.applyQuarantine(a, r, response, now) {
+	if !r.Answered() && (x.mayRepeat() || !x.mayHaveRun) && x.applyQuarantine(a, r, response, now) {
 		return
 	}
 	p, ready := x.pickNext(now)
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -207,6 +207,12 @@
 	}
 }
 
+// abandonAttempt closes an open attempt whose result nobody will know.
+func (x *exchange) abandonAttempt(a *attempt) {
+	x.mayHaveRun = true
+	x.closeAttempt(a)
+}
+
 // takeAnswer delivers a whole answer that has arrived but was not handled yet, and reports whether there was one. It is
 // called before the request ends for another reason: a select with both takes either.
 func (x *exchange) takeAnswer() bool {
--- a/transport/forward/handle.go
+++ b/transport/forward/handle.go
@@ -10,6 +10,7 @@
 	"pinerun.example/pinerun/coordination/retry"
 	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/internal/metric"
+	"pinerun.example/pinerun/protocol"
 )
 
 // handleMessage handles a message of an attempt. It ignores messages of attempts that are no longer
@@ -106,12 +107,12 @@
 		// The caller already has the head of a stream, so no other response can follow, whether it
 		// is a success or the endpoint's own failure.
 		x.decideRetry(a, retry.Broken, &m)
-	case m.head.StatusCode >= http.StatusInternalServerError:
-		x.decideRetry(a, retry.Failed, &m)
-	case claimsNotRun(m.head.StatusCode) && !x.route.MayRepeat():
+	case protocol.PromisesNotRun(m.head.StatusCode):
 		// The status alone does not prove that the request did not run; only the endpoint's
 		// explicit statement does.
-		x.decideRetry(a, retry.Broken, &m)
+		x.decideRetry(a, retry.Unproven, &m)
+	case m.head.StatusCode >= http.StatusInternalServerError:
+		x.decideRetry(a, retry.Failed, &m)
 	default:
 		if m.head.StatusCode < http.StatusMultipleChoices {
 			x.recordRan(a, now)
@@ -170,8 +171,3 @@
 	}
 	x.reportBroken(a, now)
 }
-
-// claimsNotRun reports whether a status tells the caller that the request did not run.
-func claimsNotRun(status int) bool {
-	return status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
-}
--- a/transport/forward/reply.go
+++ b/transport/forward/reply.go
@@ -146,10 +146,14 @@
 	return body
 }
 
-// refuse responds with a refusal.
+// refuse responds with a refusal. Every refusal of an admitted request passes here, so no caller is told
+// that its request did not run while an attempt may have run it.
 func (x *exchange) refuse(r *protocol.Refusal) {
 	f := x.forwarder
 	x.finished = true
+	if r.Outcome() == protocol.NotRun && (x.mayHaveRun || len(x.open) > 0) {
+		r = protocol.Uncertain(r.Kind(), r.Message())
+	}
 	f.Counters.CountRefusal(r.Kind())
 	h := x.writer.Header()
 	h.Set("Content-Type", "application/json")
--- a/transport/forward/reroute_answer.go
+++ b/transport/forward/reroute_answer.go
@@ -112,7 +112,7 @@
 func (x *exchange) closeUnresolved() {
 	for _, a := range slices.Clone(x.open) {
 		if a.pathChange.MayApplyLate() {
-			x.closeAttempt(a)
+			x.abandonAttempt(a)
 		}
 	}
 }
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -182,7 +182,7 @@
 func (x *exchange) closeRefused(now time.Time) {
 	for _, a := range slices.Clone(x.open) {
 		if len(x.open) > 1 && slices.ContainsFunc(lostRunners(a, now), (*fleet.Runner).RefusedConnection) {
-			x.closeAttempt(a)
+			x.abandonAttempt(a)
 		}
 	}
 }
@@ -269,7 +269,7 @@
 	if a.waitsOnReusedConn() {
 		x.forwarder.pool.closeIdle(a.endpoint.Name())
 	}
-	x.closeAttempt(a)
+	x.abandonAttempt(a)
 }
 
 // chooseHedge chooses the path of a second attempt. It avoids the silent runners, or the endpoint
