relay: ask peers which table they have before one is confirmed

Cause: an entry that starts asked three peers for "a table that the store has lost". A peer that has not noticed the restore says "none", which was read as "nothing was lost". The question was asked once, only at a start that followed nobody and had records of others by then.

Change: the question is which version the peer has in force, and its object if that is later; the answer holds whether or not the peer knows of the restore. Event 5006 tells what came of it.

Ruled out: a later table that came and was confirmed against (it was in force at once).

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -86,6 +86,7 @@
 	PlatformCalled        = Event{5003, "platform called", slog.LevelDebug}
 	StoreRestored         = Event{5004, "store restored", slog.LevelWarn}
 	StoreConnectionSilent = Event{5005, "store connection silent", slog.LevelWarn}
+	TableChecked          = Event{5006, "routing table checked", slog.LevelInfo}
 	ClaimShardLoaded      = Event{6001, "claim shard loaded", slog.LevelInfo}
 	ClaimWriteRaced       = Event{6002, "claim write raced", slog.LevelInfo}
 	ClaimAnswerLost       = Event{6003, "claim write answer lost", slog.LevelWarn}
@@ -124,7 +125,7 @@
 		RecordSuperseded, RecordDisproved, RecordUnusable, RecordUsable, EndpointSlow, EndpointRecovered, EndpointRestarted, RateLimitChanged, BackoffAsked, LeavingTold, LossObserved,
 		PathBlocked, PathRestored, EntryCutOff, EntryReconnected, TunnelFailed, EndpointKept,
 		ConfigInForce, ConfigIgnored, KeysUnconfirmed, KeysConfirmed, ConfigPassedOver,
-		PlatformUnreached, PlatformBack, PlatformCalled, StoreRestored, StoreConnectionSilent,
+		PlatformUnreached, PlatformBack, PlatformCalled, StoreRestored, StoreConnectionSilent, TableChecked,
 		ClaimShardLoaded, ClaimWriteRaced, ClaimAnswerLost, ClaimOutcomeUnkept,
 		PeerConnected, PeerLost,
 		EntriesCounted, PeerFollowed, PeerLeft, FollowerGone, EntryIgnored,
--- a/transport/front/fleet_fixture_test.go
+++ b/transport/front/fleet_fixture_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -48,10 +49,11 @@
 	history  []protocol.Change          // each with its revision as the object's version
 	changed  chan struct{}              // closed at each change, also of an access
 	down     bool                       // rejects the calls of all entries
+	era      uint64
 }
 
 func newSharedStore() *sharedStore {
-	return &sharedStore{revision: 1, objects: make(map[string]protocol.Object), changed: make(chan struct{})}
+	return &sharedStore{revision: 1, era: 1, objects: make(map[string]protocol.Object), changed: make(chan struct{})}
 }
 
 // notify wakes the waiting watches. The caller holds the mutex.
@@ -64,7 +66,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.revision++
-	o := protocol.Object{Kind: kind, Name: name, Version: protocol.Revision{Era: 1, Number: s.revision}, Value: []byte(value)}
+	o := protocol.Object{Kind: kind, Name: name, Version: protocol.Revision{Era: s.era, Number: s.revision}, Value: []byte(value)}
 	s.objects[kind+"/"+name] = o
 	s.history = append(s.history, protocol.Change{Object: o})
 	s.notify()
@@ -82,6 +84,32 @@
 	s.notify()
 }
 
+// storeCopy is the content of the store at a moment.
+type storeCopy struct {
+	revision uint64
+	objects  map[string]protocol.Object
+}
+
+// copied returns a copy to restore later.
+func (s *sharedStore) copied() storeCopy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return storeCopy{revision: s.revision, objects: maps.Clone(s.objects)}
+}
+
+// restore makes the store come back from a copy, in the next era and without a history.
+func (s *sharedStore) restore(c storeCopy) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.era++
+	s.revision, s.objects, s.history, s.down = c.revision, maps.Clone(c.objects), nil, false
+	for name, o := range s.objects {
+		o.Version.Era = s.era
+		s.objects[name] = o
+	}
+	s.notify()
+}
+
 func (s *sharedStore) setDown(down bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -93,6 +121,7 @@
 type storeClient struct {
 	Objects // panics for what the tests do not use
 	store   *sharedStore
+	eras    *era.Tracker
 	access  access // guarded by the store's mutex
 }
 
@@ -126,6 +155,10 @@
 	case a == rejects || down:
 		return platform.NewUnavailable(errors.New("503"))
 	}
+	c.store.mutex.Lock()
+	current := c.store.era
+	c.store.mutex.Unlock()
+	c.eras.Observe(current)
 	return nil
 }
 
@@ -146,7 +179,7 @@
 	}
 	c.store.mutex.Lock()
 	defer c.store.mutex.Unlock()
-	l := protocol.Listing{Revision: protocol.Revision{Era: 1, Number: c.store.revision}}
+	l := protocol.Listing{Revision: protocol.Revision{Era: c.store.era, Number: c.store.revision}}
 	for _, o := range c.store.objects {
 		if o.Kind == kind {
 			l.Objects = append(l.Objects, o)
@@ -176,8 +209,12 @@
 	for {
 		s := c.store
 		s.mutex.Lock()
+		if after.Era != s.era {
+			s.mutex.Unlock()
+			return protocol.Changes{}, &platform.Compacted{}
+		}
 		changed := s.changed
-		r := protocol.Changes{Revision: protocol.Revision{Era: 1, Number: s.revision}}
+		r := protocol.Changes{Revision: protocol.Revision{Era: s.era, Number: s.revision}}
 		for _, h := range s.history {
 			if h.Object.Kind == kind && h.Object.Version.Number > after.Number {
 				r.Changes = append(r.Changes, h)
@@ -327,6 +364,16 @@
 	})
 }
 
+// cutOff ends an entry, and leaves connects to its address without an answer.
+func (f *entryFleet) cutOff(t *testing.T, e *fleetEntry) {
+	e.kill()
+	nobody := &fleetEntry{incoming: make(chan net.Conn), closed: make(chan struct{})}
+	t.Cleanup(func() { close(nobody.closed) })
+	f.network.mutex.Lock()
+	defer f.network.mutex.Unlock()
+	f.network.entries[e.source.Self.PeerAddress] = nobody
+}
+
 // run drops vanished endpoints as the entry does.
 func (e *fleetEntry) run() {
 	sweeps := time.NewTicker(sweepInterval)
@@ -353,9 +400,16 @@
 	return r != nil && r.Usable(time.Now())
 }
 
-// recordDecoder decodes endpoint records whose value is their state.
+// recordDecoder decodes endpoint records whose value is their state, and tables whose version is the length
+// of their value.
 type recordDecoder struct{ fixedDecoder }
 
+func (d recordDecoder) Routing(o protocol.Object) (protocol.Routing, error) {
+	r, err := d.fixedDecoder.Routing(o)
+	r.Version = uint64(len(o.Value))
+	return r, err
+}
+
 func (recordDecoder) Endpoint(o protocol.Object) (protocol.Endpoint, error) {
 	return protocol.Endpoint{ID: o.Name, Service: "plain", Address: o.Name, Leaving: string(o.Value) == "draining"}, nil
 }
@@ -385,13 +439,7 @@
 		return len(relay.Candidates(a.source.Self, records)) - len(relay.Candidates(b.source.Self, records))
 	})
 	for _, e := range f.entries {
-		e.source.Start()
-		e.source.Learn(records, true)
-		for _, w := range e.watchers {
-			w.Start()
-		}
-		e.confirmer.Start()
-		go e.run()
+		e.start(records)
 		time.Sleep(1370 * time.Microsecond) // no two tickers fire in the same moment
 		t.Cleanup(e.kill)
 	}
@@ -402,14 +450,26 @@
 	return f
 }
 
+// start starts an entry that knows the records of all.
+func (e *fleetEntry) start(records []protocol.EntryRecord) {
+	e.source.Start()
+	e.source.Learn(records, true)
+	for _, w := range e.watchers {
+		w.Start()
+	}
+	e.confirmer.Start()
+	go e.run()
+}
+
 // newEntry returns an entry that is not started yet.
 func (f *entryFleet) newEntry(name, dataCenter string) *fleetEntry {
-	e := &fleetEntry{client: &storeClient{store: f.store}, incoming: make(chan net.Conn), closed: make(chan struct{}), moving: make(chan struct{})}
+	client := &storeClient{store: f.store, eras: &era.Tracker{}}
+	e := &fleetEntry{client: client, incoming: make(chan net.Conn), closed: make(chan struct{}), moving: make(chan struct{})}
 	close(e.moving)
 	e.Front = &Front{
 		Settings: settings.Front{Name: name, DataCenter: dataCenter}, Counters: &metric.Set{},
 		Dependencies: Dependencies{
-			Objects: e.client, Eras: &era.Tracker{}, RoutingKind: "config", RoutingName: "main", EndpointKind: "servers",
+			Objects: e.client, Eras: client.eras, RoutingKind: "config", RoutingName: "main", EndpointKind: "servers",
 			Decoder: recordDecoder{fixedDecoder{table: protocol.Routing{Version: 1, Services: []protocol.RoutedService{{Name: "plain"}}}}},
 		},
 	}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -170,6 +170,7 @@
 		OnSlownessChange:  f.applySlownessChange,
 		OnRateLimitChange: f.forwarder.ApplyRateLimitChange,
 		OnLostTable:       f.tables.applyLost,
+		TableInForce:      f.tables.inForce,
 		LateSince:         f.scheduling.LateSince,
 	}
 }
--- a/transport/front/routing_sink.go
+++ b/transport/front/routing_sink.go
@@ -89,17 +89,25 @@
 
 // Confirmed notes that no later table than the one applied last was accepted, if that one is in force.
 // A table that can't be used confirms nothing, because it may revoke keys. Neither does an older one: a
-// platform that came back from a copy may have lost more tables than the one that is known here.
+// platform that came back from a copy may have lost more tables than the one that is known here, so peers
+// are asked first.
 func (s *routingSink) Confirmed(at time.Time) {
 	s.front.platformAnswered()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.held == s.versionInForce() {
+	if s.held == s.versionInForce() && s.front.source.TableChecked() {
 		s.front.routing.Confirm(at)
 		s.front.endStartupWaitIfReady()
 	}
 }
 
+// inForce returns the version and the object of the table in force, 0 for none.
+func (s *routingSink) inForce() (version uint64, value []byte) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.versionInForce(), s.value
+}
+
 // versionInForce returns the version of the table in force, 0 for none.
 func (s *routingSink) versionInForce() uint64 {
 	if t := s.front.routing.Current(); t != nil {
--- a/transport/relay/age.go
+++ b/transport/relay/age.go
@@ -49,8 +49,7 @@
 	return s.relayedAt
 }
 
-// allCurrent reports whether this entry may vouch for its state: no kind is older than
-// relay.MaxStateAge. A read of the confirmed object says nothing about the other kinds, whose calls use
+// allCurrent reports whether no kind is older than relay.MaxStateAge. A read of the confirmed object says nothing about the other kinds, whose calls use
 // other connections.
 func (s *Source) allCurrent(now time.Time) bool {
 	for _, a := range s.Ages(now) {
@@ -61,10 +60,15 @@
 	return true
 }
 
-// vouched returns the confirmation to pass on to followers, without a time while a kind is too old.
+// mayVouch reports whether followers may rely on the state here: it is current, and peers were asked whether
+// the platform's table is the latest.
+func (s *Source) mayVouch(now time.Time) bool { return s.allCurrent(now) && s.TableChecked() }
+
+// vouched returns the confirmation to pass on to followers, without a time while a kind is too old or the
+// platform's table may not be the latest.
 func (s *Source) vouched(now time.Time) confirmation {
 	c := s.platformStatus().confirmed
-	if !s.allCurrent(now) {
+	if !s.mayVouch(now) {
 		c.at = time.Time{}
 	}
 	return c
@@ -85,6 +89,7 @@
 	if !wasCurrent {
 		s.confirmedSignal.Broadcast()
 	}
+	s.requireTableCheck()
 }
 
 // recordRelayed notes that the followed peer vouched for all kinds at a time.
--- a/transport/relay/confirmation.go
+++ b/transport/relay/confirmation.go
@@ -33,7 +33,7 @@
 	defer cancel()
 	for {
 		changed, confirmed := s.mirror.Changed(), s.confirmationChanged()
-		current := s.allCurrent(clock.Now())
+		current := s.mayVouch(clock.Now())
 		if s.isFresh() || reportsOnly && s.allListed() || !s.Following() && current && s.platformAnswers(ctx) {
 			return true
 		}
@@ -65,7 +65,7 @@
 func (s *Source) isFresh() bool {
 	at := s.platformStatus().confirmed.at
 	now := clock.Now()
-	return s.allListed() && !at.IsZero() && now.Sub(at) < relay.MaxConfirmationAge && s.allCurrent(now)
+	return s.allListed() && !at.IsZero() && now.Sub(at) < relay.MaxConfirmationAge && s.mayVouch(now)
 }
 
 // platformAnswers reports whether the platform answers this entry. It calls the platform unless a
--- a/transport/relay/read.go
+++ b/transport/relay/read.go
@@ -75,6 +75,7 @@
 	switch relay.Decide(q).(type) {
 	case relay.TrustPeer:
 		s.recordRelayed(q.ConfirmedAt)
+		s.setTableChecked(c.object.Version.Era)
 		s.recordConfirmation(object, q.ConfirmedAt)
 		if object.Version.IsZero() {
 			return watch.Reading{}, nil
@@ -121,6 +122,7 @@
 		o, err = s.Platform.Get(ctx, kind, name)
 	}
 	s.recordPlatformResult(ctx, err, askedAt)
+	s.requireTableCheck()
 	var missing *platform.NotFound
 	if errors.As(err, &missing) {
 		s.countReadResult(nil)
@@ -141,6 +143,8 @@
 // Next returns when to read again after the last read.
 func (s *Source) Next(last time.Time, failed bool) time.Time {
 	switch {
+	case s.takeReadSoon():
+		return last
 	case s.Following():
 		return last.Add(minAskInterval)
 	case failed && s.Followed():
@@ -155,6 +159,15 @@
 	}
 }
 
+// takeReadSoon reports whether the confirmed object is to be read at once, and forgets it.
+func (s *Source) takeReadSoon() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	soon := s.readSoon
+	s.readSoon = false
+	return soon
+}
+
 // fallbackState returns when the platform was last asked because the peer could not confirm, and
 // how many reads in a row failed.
 func (s *Source) fallbackState() (time.Time, int) {
--- a/transport/relay/selector.go
+++ b/transport/relay/selector.go
@@ -14,6 +14,7 @@
 
 	"pinerun.example/pinerun/coordination/relay"
 	"pinerun.example/pinerun/internal/clock"
+	"pinerun.example/pinerun/internal/lifecycle"
 	"pinerun.example/pinerun/protocol"
 )
 
@@ -62,6 +63,7 @@
 	startDeadline   time.Time     // latest end of the start period
 	started         chan struct{} // closed at the end of the start period; nil if the selector was not started
 	searchDone      chan struct{} // closed after the search for a replacement peer; nil if none is pending
+	recordsChanged  lifecycle.Signal
 }
 
 func (s *peerSelector) run() {
@@ -264,9 +266,17 @@
 	s.fallbackCallers = fallbackCallers
 	s.complete = s.complete || complete
 	s.mutex.Unlock()
+	s.recordsChanged.Broadcast()
 	s.wake()
 }
 
+// knownRecords returns the records of the entries, and whether no relevant one is missing.
+func (s *peerSelector) knownRecords() ([]protocol.EntryRecord, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.records, s.complete
+}
+
 // fallbackCallerCount returns how many entries share the calls to the platform while no peer can
 // confirm its state.
 func (s *peerSelector) fallbackCallerCount() int {
--- a/transport/relay/source.go
+++ b/transport/relay/source.go
@@ -77,6 +77,9 @@
 	// OnLostTable is called with a table that peers know and the platform lost. It reports whether the
 	// table is later than the one that this entry knew; nil for no call.
 	OnLostTable func(version uint64, value []byte) bool
+	// TableInForce returns the version and the object of the table in force, 0 for none; nil means that
+	// none ever is.
+	TableInForce func() (version uint64, value []byte)
 	// LateSince reports whether this process was not run for a while since a time, so that a call that
 	// got no answer since may have got one; nil means never.
 	LateSince func(t time.Time) bool
@@ -95,6 +98,9 @@
 	mutex           sync.Mutex
 	link            *link         // to the followed peer, nil for none
 	linkChanged     chan struct{} // closed when link changes
+	checkedEra      uint64        // era in which the platform's table may be confirmed
+	checking        bool          // a tableCheck runs
+	readSoon        bool          // the confirmed object is to be read at once
 	fallbackAt      time.Time     // when the platform was last asked because the peer could not confirm
 	readFailures    int           // failed reads in a row
 	confirmed       confirmation
--- a/transport/relay/start.go
+++ b/transport/relay/start.go
@@ -65,8 +65,8 @@
 	if !ended {
 		return true
 	}
-	if !s.source.Following() {
-		s.source.askForLostTable(records)
+	if era := s.source.Eras.Latest(); era > 0 && !s.source.Following() {
+		s.source.checkTable(era, records)
 	}
 	close(s.started)
 	return false
--- a/transport/relay/tables.go
+++ b/transport/relay/tables.go
@@ -3,26 +3,20 @@
 package relay
 
 import (
-	"context"
 	"crypto/subtle"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
+	"net/url"
+	"strconv"
 	"sync"
 
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/lifecycle"
-	"pinerun.example/pinerun/internal/limited"
 	"pinerun.example/pinerun/protocol"
 )
 
-const (
-	// TablePath is the HTTP path of a TableServer.
-	TablePath = "/relay/table"
-	// askedPeers is how many peers an entry asks at its start for a table that the platform lost. Any
-	// entry that ran during the restore knows it, and so does one that was told.
-	askedPeers = 3
-)
+// TablePath is the HTTP path of a TableServer.
+const TablePath = "/relay/table"
 
 // lostTable is the latest known table that the platform does not hold: it came back from a copy that
 // lacks it. The zero value holds none.
@@ -108,86 +102,46 @@
 	}
 }
 
-// TableServer answers a starting entry that asks for a table that the platform lost. It does not wait
-// for its own start, since the whole fleet may be starting.
+// TableServer answers an entry that asks for the latest table that is known here. It does not wait for its
+// own start, since the whole fleet may be starting. The answer is about this entry's table, whatever it knows
+// of restores: the entry that asks compares.
 type TableServer struct{ Source *Source }
 
-// ServeHTTP answers 200 with the report, or 204 without one.
+// ServeHTTP answers 200 with a protocol.TableReport: the latest version known here, 0 for none, and its
+// object if that is later than the version in the query. An entry of an earlier version sends none, and gets
+// 204 unless the platform has lost a table.
 func (s *TableServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if subtle.ConstantTimeCompare([]byte(r.Header.Get(protocol.KeyHeader)), []byte(protocol.KeyPrefix+s.Source.key())) != 1 {
 		http.Error(w, "not the key of this entry's record; read the record anew", http.StatusUnauthorized)
 		return
 	}
-	report := s.Source.lost.current()
-	if report == nil {
-		w.WriteHeader(http.StatusNoContent)
-		return
-	}
-	b, err := protocol.EncodeTableReport(report)
-	if err == nil {
-		_, err = w.Write(b)
-	}
+	err := s.answer(w, r.URL.Query())
 	if err != nil {
 		event.FrameBroken.Log(s.Source.Logger, slog.String("peer", r.RemoteAddr), slog.String("cause", err.Error()))
 	}
 }
 
-// tableRequest asks one peer for a table that the platform lost.
-type tableRequest struct {
-	source *Source
-	peer   protocol.EntryRecord
-	done   lifecycle.Done
-}
-
-func (q *tableRequest) run() {
-	defer q.done.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
-	defer cancel()
-	report, err := q.ask(ctx)
-	if err != nil {
-		event.PeerLeft.Log(q.source.Logger, slog.String("peer", q.peer.Name), slog.String("cause", err.Error()))
-		return
-	}
-	q.source.receiveTable(report, q.peer.Name)
-}
-
-// ask returns the peer's report, nil for none. A peer that does not know or refuses has none.
-func (q *tableRequest) ask(ctx context.Context) (*protocol.TableReport, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+q.peer.PeerAddress+TablePath, http.NoBody)
-	if err != nil {
-		return nil, err
-	}
-	req.Header.Set(protocol.KeyHeader, protocol.KeyPrefix+q.peer.Key)
-	res, err := q.source.selector.client.Do(req)
-	if err != nil {
-		return nil, err
+func (s *TableServer) answer(w http.ResponseWriter, query url.Values) error {
+	report := s.Source.lost.current()
+	if query.Has(afterParam) {
+		after, err := strconv.ParseUint(query.Get(afterParam), 10, 64)
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return err
+		}
+		if report, err = s.Source.latestTable(after); err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+			return err
+		}
 	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return nil, nil
+	if report == nil {
+		w.WriteHeader(http.StatusNoContent)
+		return nil
 	}
-	b, err := limited.Read(res.Body, protocol.MaxFrameBytes)
+	b, err := protocol.EncodeTableReport(report)
 	if err != nil {
-		return nil, err
-	}
-	return protocol.DecodeTableReport(b)
-}
-
-// askForLostTable asks some peers at once, and returns when all have answered or can't be reached. An
-// entry that starts and follows no peer would otherwise confirm what the platform came back with.
-func (s *Source) askForLostTable(records []protocol.EntryRecord) {
-	if s.Eras.Latest() == 0 {
-		return
-	}
-	var requests []*tableRequest
-	for _, i := range rand.Perm(len(records)) {
-		if r := records[i]; r.Name != s.Self.Name && r.PeerAddress != "" && len(requests) < askedPeers {
-			q := &tableRequest{source: s, peer: r}
-			requests = append(requests, q)
-			go q.run()
-		}
-	}
-	for _, q := range requests {
-		<-q.done.Done()
+		return err
 	}
+	_, err = w.Write(b)
+	return err
 }
