forward: send nothing that a planned stop would cut

Cause: new requests are taken for 2.5 s whatever the grace, and nothing held back an attempt, a wait or a late body when the end was near.

Change: the stop announces its end; no attempt begins that would not be answered before it, by the mean time of its service's answers or the route's target. What waits is refused as not run once it could no longer be sent in time, so that its caller goes elsewhere. A cut also refuses what comes after.

--- a/transport/forward/admit.go
+++ b/transport/forward/admit.go
@@ -31,7 +31,7 @@
 func (x *exchange) admit() *protocol.Refusal {
 	f := x.forwarder
 	x.terms = f.Headers.ParseRequest(x.request.Header, x.begun)
-	if f.refusing.Load() {
+	if f.stop.refusing.Load() {
 		return protocol.Refuse(protocol.Stopping, "this entry is stopping").WithRetryAt(x.begun)
 	}
 	refusal := x.match()
--- a/transport/forward/decide.go
+++ b/transport/forward/decide.go
@@ -47,7 +47,7 @@
 	waitUntil := x.queueDeadline()
 	next := x.forwarder.retryBudgets.decide(x.service.Name, retry.FailedAttempt{
 		Result: r, MayRepeat: x.mayRepeat(), MayHaveRun: x.mayHaveRun,
-		EndpointAllowed: x.mayRetry(), EndpointReady: ready && x.mayReach(&p), Unreachable: x.unsent, NonReachable: x.unreachable.none, SilentUntil: x.silentUntil(),
+		EndpointAllowed: x.mayRetry() && !x.stopsTooSoon(now), EndpointReady: ready && x.mayReach(&p), Unreachable: x.unsent, NonReachable: x.unreachable.none, SilentUntil: x.silentUntil(),
 		Now: now, Deadline: x.deadline, WaitUntil: waitUntil,
 	})
 	switch next {
--- a/transport/forward/dispatch.go
+++ b/transport/forward/dispatch.go
@@ -55,6 +55,7 @@
 		x.reached = append(x.reached, a.endpoint)
 	}
 	x.open = append(x.open, a)
+	x.sentAt = a.sentAt
 	x.linkCheckAt = a.sentAt.Add(linkCheckAfter)
 	x.forwarder.log(event.RequestSent, x.requestAttr(), slog.Int("attempt", a.number), slog.String("path", describePath(&a.path)),
 		slog.Uint64("routing", x.table.Version()), slog.String("after", x.lastEvent), slog.Float64("limit", x.forwarder.rateLimit(a.endpoint.Name())))
--- a/transport/forward/exchange.go
+++ b/transport/forward/exchange.go
@@ -58,6 +58,7 @@
 	rng         *rand.Rand
 	reached     []*fleet.Runner // endpoints that received the request
 	attempts    int             // attempts started
+	sentAt      time.Time       // when the last one began
 	unsent      int             // attempts that sent no byte
 	notRun      int             // attempts whose endpoints say that they did not run the request
 	unreachable dialFailures    // attempts to connect that failed last
@@ -107,7 +108,7 @@
 	f := x.forwarder
 	timer := time.NewTimer(clock.Until(x.nextWake()))
 	defer timer.Stop()
-	cutOff := f.cutOff.Done()
+	cutOff, announced := f.stop.cutOff.Done(), f.stop.announced.Done()
 	for !x.finished {
 		select {
 		case <-x.losses:
@@ -133,6 +134,9 @@
 			if !x.takeAnswer() {
 				x.abandon()
 			}
+		case <-announced:
+			announced = nil
+			x.endUselessWait(clock.Now())
 		case <-cutOff:
 			if !x.takeAnswer() {
 				x.endCutOff(clock.Now())
@@ -148,9 +152,9 @@
 func (x *exchange) nextWake() time.Time {
 	switch {
 	case x.queued != nil:
-		return x.queued.deadline
+		return x.waitUntil(x.queued.deadline)
 	case x.isolation != nil:
-		return x.isolation.recheckAt
+		return x.waitUntil(x.isolation.recheckAt)
 	case x.paused:
 		return x.recheckAt
 	}
--- a/transport/forward/forwarder.go
+++ b/transport/forward/forwarder.go
@@ -112,9 +112,9 @@
 	openCount      atomic.Int64
 	activated      lifecycle.Signal // fires when the first request opens
 	entryCount     atomic.Int64
-	refusing       atomic.Bool
 	closing        atomic.Bool
-	cutOff         lifecycle.Done // closed when open requests are ended
+	stop           stop
+	answerTimes    answerTimes
 }
 
 // Start starts the background maintenance of connections, queues and engine reports.
@@ -141,16 +141,9 @@
 // OpenRequests returns how many requests are being served.
 func (f *Forwarder) OpenRequests() int64 { return f.openCount.Load() }
 
-// RefuseNew makes the forwarder refuse every further request. An entry that stops calls it, because
-// it would not finish the request in time.
-func (f *Forwarder) RefuseNew() { f.refusing.Store(true) }
-
 // CloseConnections makes every further response tell its caller that the connection closes after it.
 func (f *Forwarder) CloseConnections() { f.closing.Store(true) }
 
-// CutOff ends every open request: with a refusal if its caller has nothing yet.
-func (f *Forwarder) CutOff() { f.cutOff.Close() }
-
 // run does the background maintenance. Most entries of a large fleet have no open requests most of
 // the time, so queues and engine capacity are checked only while a request is open.
 func (f *Forwarder) run() {
--- a/transport/forward/queue.go
+++ b/transport/forward/queue.go
@@ -12,6 +12,7 @@
 	"pinerun.example/pinerun/coordination/admit"
 	"pinerun.example/pinerun/coordination/path"
 	"pinerun.example/pinerun/coordination/retry"
+	"pinerun.example/pinerun/internal/clock"
 	"pinerun.example/pinerun/internal/event"
 	"pinerun.example/pinerun/internal/metric"
 	"pinerun.example/pinerun/protocol"
@@ -169,6 +170,10 @@
 
 // start sends the request for the first time, or queues it for capacity.
 func (x *exchange) start(now time.Time) {
+	if sendAt := clock.Now(); x.stopsTooSoon(sendAt) { // later than now by the time that the body took
+		x.endCutOff(sendAt)
+		return
+	}
 	if x.applyQuarantine(nil, retry.NeverSent, nil, now) {
 		return
 	}
@@ -278,6 +283,10 @@
 // tried.
 func (x *exchange) handleDispatch(position int, now time.Time) {
 	queued := x.queued
+	if x.endUselessWait(now) {
+		queued.queue.dispatch(0, now)
+		return
+	}
 	if !x.tryDispatch(now) {
 		queued.queue.dispatch(position+1, now)
 		return
--- a/transport/forward/reply.go
+++ b/transport/forward/reply.go
@@ -107,6 +107,9 @@
 	f := x.forwarder
 	took := clock.Since(x.begun)
 	f.Counters.RecordDuration(metric.WholeAnswer, took)
+	if status < http.StatusMultipleChoices {
+		f.answerTimes.record(x.service.Name, clock.Since(x.sentAt))
+	}
 	if x.events > 1 {
 		f.Counters.RecordDuration(metric.Pause, x.timing.longestPause)
 	}
--- a/transport/forward/silence.go
+++ b/transport/forward/silence.go
@@ -45,6 +45,9 @@
 // wake handles a deadline that has passed and an event that is overdue.
 func (x *exchange) wake(now time.Time) {
 	x.checkSuspension(now)
+	if x.endUselessWait(now) {
+		return
+	}
 	if x.queued != nil {
 		if !now.Before(x.queued.deadline) {
 			x.expireQueued(now)
--- a/transport/forward/stream_test.go
+++ b/transport/forward/stream_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -175,7 +176,7 @@
 		list = append(list, protocol.Endpoint{ID: id, Service: "plain", Address: id + ":1", DataCenter: "a"})
 	}
 	f.Registry.Replace(list, now)
-	route.Name, route.Host, route.Prefix, route.TargetLatencyMS = "plain", "h.example", "/plain/", 30_000
+	route.Name, route.Host, route.Prefix, route.TargetLatencyMS = "plain", "h.example", "/plain/", cmp.Or(route.TargetLatencyMS, 30_000)
 	route.Targets = []protocol.Target{{Service: "plain", Weight: 1}}
 	table, err := routing.Build(protocol.Routing{Version: 1, Services: services, Routes: []protocol.Route{route}})
 	require.NoError(t, err)
--- a/transport/front/stop.go
+++ b/transport/front/stop.go
@@ -33,6 +33,7 @@
 	f.forwarder.CloseConnections()
 	acceptUntil := now.Add(acceptPeriod)
 	abortAt := f.Settings.StopBy(now).Add(-abortMargin)
+	f.forwarder.StopAt(abortAt)
 	for now.Before(abortAt) {
 		f.callers.closeKept(false)
 		if now.After(acceptUntil) {
