fleet: let a view carry the data centers of its models

What callers saw: an entry ended by itself, with all that it had at work.

Cause: the poll of engines combined a view of the registry with data centers that were read from the registry later; a data center whose first engine joined in between has no model in that view, and the nil model's groups ended the process.

Change: the data centers belong to the view, and the registry hands them out no more, here and in the four other places that combined the two. A missing model has no groups and no layers. docs/design/panics.md weighs what goroutines do with a panic.

Evidence: TestMissingModelHasNoGroups panics on the code before; TestModelOfEveryDataCenterIsInTheSameView needs the new method.

--- a/state/fleet/view.go
+++ b/state/fleet/view.go
@@ -48,15 +48,26 @@
 }
 
 // Layers returns how many layers the model has.
-func (m *Model) Layers() int { return m.layers }
+func (m *Model) Layers() int {
+	if m == nil {
+		return 0
+	}
+	return m.layers
+}
 
 // Groups returns the groups in order of their first layer.
-func (m *Model) Groups() []Group { return m.groups }
+func (m *Model) Groups() []Group {
+	if m == nil {
+		return nil
+	}
+	return m.groups
+}
 
 // View holds the runners of all models under one configuration.
 type View struct {
-	models  map[string]*Model
-	runners map[string]*Runner
+	models      map[string]*Model
+	runners     map[string]*Runner
+	dataCenters map[string][]string // by service, see EngineDataCenters
 }
 
 // Entry identifies the local entry: its name, which determines its subsets, and its data
@@ -147,3 +158,16 @@
 	}
 	return v.runners
 }
+
+// SetEngineDataCenters sets what EngineDataCenters returns. It is called before the view is published.
+func (v *View) SetEngineDataCenters(byService map[string][]string) { v.dataCenters = byService }
+
+// EngineDataCenters returns the data centers in which engines of a service hold layers in this view, in
+// order of name. The caller must not change the slice. It belongs to the view, so that each of them has a
+// model there: a later view may have others.
+func (v *View) EngineDataCenters(service string) []string {
+	if v == nil {
+		return nil
+	}
+	return v.dataCenters[service]
+}
--- a/state/fleet/view_test.go
+++ b/state/fleet/view_test.go
@@ -103,3 +103,10 @@
 		})
 	}
 }
+
+// TestMissingModelHasNoGroups guards against the end of the process by a model that a view lacks.
+func TestMissingModelHasNoGroups(t *testing.T) {
+	m := (*fleet.View)(nil).Model("none")
+	require.Empty(t, m.Groups())
+	require.Zero(t, m.Layers())
+}
--- a/state/registry/registry.go
+++ b/state/registry/registry.go
@@ -46,29 +46,28 @@
 	// DataCenters are the valid data centers of endpoints; empty if they are not known.
 	DataCenters []string
 
-	mutex             sync.Mutex
-	endpoints         map[string]protocol.Endpoint
-	vanished          map[string]time.Time // endpoints gone from the list, and until when they are kept
-	kept              []KeptEndpoint       // not yet returned by TakeKept
-	outage            outage               // the last one of the platform
-	services          []protocol.RoutedService
-	hasList           atomic.Bool
-	stale             atomic.Bool // the derived values do not include the latest changes
-	owners            addrowner.Tracker
-	engineStates      map[string]engineState // of endpoints whose record alone does not describe them
-	recordChangedAt   map[string]time.Time   // when a record last had new content
-	unusedRecords     map[string]bool        // records out of use at the last rebuild
-	useChanges        []RecordUse            // not yet returned by TakeUseChanges
-	unrecorded        map[string]unrecorded  // by ID: endpoints that answered at an address and have no record
-	lateRecords       map[string]lateRecord  // the latest record of its endpoint, ignored for now
-	gone              map[string]goneEndpoint
-	restarted         []protocol.Endpoint // endpoints not yet returned by TakeRestarted
-	revision          atomic.Uint64
-	rebuilds          atomic.Uint64
-	view              atomic.Pointer[fleet.View]
-	list              atomic.Pointer[[]protocol.Endpoint]
-	unusable          atomic.Pointer[[]UnusableEndpoint]
-	engineDataCenters atomic.Pointer[map[string][]string] // by service
+	mutex           sync.Mutex
+	endpoints       map[string]protocol.Endpoint
+	vanished        map[string]time.Time // endpoints gone from the list, and until when they are kept
+	kept            []KeptEndpoint       // not yet returned by TakeKept
+	outage          outage               // the last one of the platform
+	services        []protocol.RoutedService
+	hasList         atomic.Bool
+	stale           atomic.Bool // the derived values do not include the latest changes
+	owners          addrowner.Tracker
+	engineStates    map[string]engineState // of endpoints whose record alone does not describe them
+	recordChangedAt map[string]time.Time   // when a record last had new content
+	unusedRecords   map[string]bool        // records out of use at the last rebuild
+	useChanges      []RecordUse            // not yet returned by TakeUseChanges
+	unrecorded      map[string]unrecorded  // by ID: endpoints that answered at an address and have no record
+	lateRecords     map[string]lateRecord  // the latest record of its endpoint, ignored for now
+	gone            map[string]goneEndpoint
+	restarted       []protocol.Endpoint // endpoints not yet returned by TakeRestarted
+	revision        atomic.Uint64
+	rebuilds        atomic.Uint64
+	view            atomic.Pointer[fleet.View]
+	list            atomic.Pointer[[]protocol.Endpoint]
+	unusable        atomic.Pointer[[]UnusableEndpoint]
 }
 
 // View returns the runners of all models, or nil before the first list.
@@ -86,16 +85,6 @@
 // HasList reports whether a whole list has ever been applied.
 func (r *Registry) HasList() bool { return r.hasList.Load() }
 
-// EngineDataCenters returns the data centers in which engines of a service hold layers, in
-// order of name. The caller must not change the slice.
-func (r *Registry) EngineDataCenters(service string) []string {
-	r.refresh()
-	if c := r.engineDataCenters.Load(); c != nil {
-		return (*c)[service]
-	}
-	return nil
-}
-
 // Endpoints returns all usable endpoints, at most one per address, in order of ID and with the
 // layers that they are known to hold. The caller must not change the slice.
 func (r *Registry) Endpoints() []protocol.Endpoint {
@@ -269,6 +258,7 @@
 	for _, c := range centers {
 		slices.Sort(c)
 	}
-	r.engineDataCenters.Store(&centers)
-	r.view.Store(fleet.NewView(r.view.Load(), models, runners, r.Entry))
+	view := fleet.NewView(r.view.Load(), models, runners, r.Entry)
+	view.SetEngineDataCenters(centers)
+	r.view.Store(view)
 }
--- a/state/registry/registry_test.go
+++ b/state/registry/registry_test.go
@@ -48,7 +48,7 @@
 		engine("x", "b", 0, 5), engine("y", "a", 5, 10), engine("empty", "a", 0, 0), {ID: "p", Service: "plain", DataCenter: "b"},
 	}, now)
 	require.True(t, r.HasList())
-	require.Equal(t, []string{"a", "b"}, r.EngineDataCenters("llm"))
+	require.Equal(t, []string{"a", "b"}, r.View().EngineDataCenters("llm"))
 	require.NotNil(t, r.View().Runner("x"))
 	require.Nil(t, r.View().Runner("empty"), "an engine without layers can't serve")
 	require.Len(t, r.View().Model(registry.ModelName("plain", "")).Groups(), 1)
@@ -110,7 +110,7 @@
 	r.Add(engine("y", "b", 0, 10))
 	require.Equal(t, before+2, r.Revision())
 	require.NotNil(t, r.View().Runner("y"))
-	require.Equal(t, []string{"a", "b"}, r.EngineDataCenters("llm"))
+	require.Equal(t, []string{"a", "b"}, r.View().EngineDataCenters("llm"))
 	require.Equal(t, []string{"x", "y"}, ids(r.Endpoints()))
 	require.Same(t, r.View(), r.View(), "without a change nothing is rebuilt")
 	r.Remove("x", time.Unix(100, 0))
@@ -163,7 +163,7 @@
 	r.Update(atX("x", 20, 1, 3), now)
 	require.Equal(t, registry.ReportIgnored, r.Report("x", &report, now.Add(time.Minute)), "nor does a report of that incarnation")
 	require.False(t, r.LayersDenied("x", 10, now.Add(time.Minute)), "nor does an answer")
-	require.Len(t, r.EngineDataCenters("llm"), 1)
+	require.Len(t, r.View().EngineDataCenters("llm"), 1)
 }
 
 // TestLateRecordThatRemainsIsAccepted guards against excluding a running engine for good. A
@@ -363,3 +363,19 @@
 		})
 	}
 }
+
+// TestModelOfEveryDataCenterIsInTheSameView guards against a nil model, which ended the process: the data
+// centers were read after the view, and an engine had joined in between.
+func TestModelOfEveryDataCenterIsInTheSameView(t *testing.T) {
+	r := newRegistry()
+	now := time.Unix(100, 0)
+	r.Replace([]protocol.Endpoint{engine("x", "a", 0, 10)}, now)
+	view := r.View()
+	r.Add(engine("y", "b", 0, 10))
+	r.View()
+	for _, dataCenter := range view.EngineDataCenters("llm") {
+		require.NotNil(t, view.Model(registry.ModelName("llm", dataCenter)), dataCenter)
+	}
+	require.Equal(t, []string{"a"}, view.EngineDataCenters("llm"))
+	require.Equal(t, []string{"a", "b"}, r.View().EngineDataCenters("llm"))
+}
--- a/transport/forward/budget.go
+++ b/transport/forward/budget.go
@@ -113,5 +113,5 @@
 // entriesPerDataCenter returns how many entries send to the engines of one data center of a
 // service. Entries are spread about evenly over data centers.
 func (f *Forwarder) entriesPerDataCenter(service string) float64 {
-	return max(1, float64(f.entryCount.Load())/float64(max(1, len(f.Registry.EngineDataCenters(service)))))
+	return max(1, float64(f.entryCount.Load())/float64(max(1, len(f.Registry.View().EngineDataCenters(service)))))
 }
--- a/transport/forward/candidate.go
+++ b/transport/forward/candidate.go
@@ -49,7 +49,7 @@
 		*into = best.path
 		return true
 	}
-	for _, dataCenter := range f.Registry.EngineDataCenters(s.Name) {
+	for _, dataCenter := range view.EngineDataCenters(s.Name) {
 		if dataCenter == preferred {
 			continue
 		}
--- a/transport/forward/dispatch.go
+++ b/transport/forward/dispatch.go
@@ -73,7 +73,7 @@
 // preferredDataCenter returns the data center whose engines are preferred.
 func (x *exchange) preferredDataCenter() string {
 	f := x.forwarder
-	return path.FirstDataCenter(f.Entry.DataCenter, f.Registry.EngineDataCenters(x.service.Name), x.headSent, x.rng)
+	return path.FirstDataCenter(f.Entry.DataCenter, f.Registry.View().EngineDataCenters(x.service.Name), x.headSent, x.rng)
 }
 
 // pathQuery returns the input for the choice of a path.
--- a/transport/forward/gate.go
+++ b/transport/forward/gate.go
@@ -215,8 +215,9 @@
 func (x *exchange) pathExists(g path.Gate, at time.Time) bool {
 	q := x.pathQuery(at)
 	q.Gate = g
-	for _, dataCenter := range x.forwarder.Registry.EngineDataCenters(x.service.Name) {
-		if _, found := candidateIn(x.forwarder.Registry.View(), x.service.Name, dataCenter, &q); found {
+	view := x.forwarder.Registry.View()
+	for _, dataCenter := range view.EngineDataCenters(x.service.Name) {
+		if _, found := candidateIn(view, x.service.Name, dataCenter, &q); found {
 			return true
 		}
 	}
--- a/transport/forward/poll.go
+++ b/transport/forward/poll.go
@@ -49,7 +49,7 @@
 		if services[i].Engine == nil {
 			continue
 		}
-		for _, dataCenter := range f.Registry.EngineDataCenters(services[i].Name) {
+		for _, dataCenter := range view.EngineDataCenters(services[i].Name) {
 			p.pollModel(view.Model(registry.ModelName(services[i].Name, dataCenter)), services[i].Name, now)
 		}
 	}
--- a/transport/forward/reroute.go
+++ b/transport/forward/reroute.go
@@ -148,7 +148,7 @@
 	view := x.forwarder.Registry.View()
 	pathModel := a.endpoint.Spec().Model
 	list := []*fleet.Model{view.Model(pathModel)}
-	for _, dataCenter := range x.forwarder.Registry.EngineDataCenters(x.service.Name) {
+	for _, dataCenter := range view.EngineDataCenters(x.service.Name) {
 		if name := registry.ModelName(x.service.Name, dataCenter); name != pathModel {
 			list = append(list, view.Model(name))
 		}
