--- a/docs_test.go
+++ b/docs_test.go
@@ -175,3 +175,29 @@
 	}))
 	return files
 }
+
+// readerCalls are the ways in which bytes of another process are read.
+var readerCalls = regexp.MustCompile(`limited\.(Read|Client|Transport)\b|\.SetReadLimit\(|bufio\.New(Reader|Scanner)|io\.ReadAll\(|http\.Read(Request|Response)\(`)
+
+// TestEveryReaderHasARow guards against a reader of another process's bytes that docs/design/readers.md, which says its
+// bounds, does not name: by its file, or by its package.
+func TestEveryReaderHasARow(t *testing.T) {
+	page := readFile(t, "docs/design/readers.md")
+	files, err := filepath.Glob("*/*.go")
+	require.NoError(t, err)
+	deeper, err := filepath.Glob("*/*/*.go")
+	require.NoError(t, err)
+	readers := 0
+	for _, file := range append(files, deeper...) {
+		dir := filepath.Dir(file)
+		if strings.HasSuffix(file, "_test.go") || slices.Contains([]string{"internal/limited", "platform/platformtest", "soak", "standin"}, dir) {
+			continue
+		}
+		if !readerCalls.MatchString(readFile(t, file)) {
+			continue
+		}
+		readers++
+		require.True(t, strings.Contains(page, "`"+file+"`") || strings.Contains(page, "`"+dir+"`"), "%s reads another process's bytes and has no row", file)
+	}
+	require.Greater(t, readers, 15)
+}
--- a/transport/forward/endless_test.go
+++ b/transport/forward/endless_test.go
@@ -383,3 +383,72 @@
 		f.Close()
 	}
 }
+
+// floodingEndpoint is endpoints all of which send bytes without end. It notes how much the entry holds meanwhile.
+type floodingEndpoint struct {
+	endlessEndpoint
+	budget *backlog.Budget
+	most   int64
+	begins []string
+}
+
+func (e *floodingEndpoint) dial(context.Context, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	go e.serve(server)
+	return client, nil
+}
+
+func (e *floodingEndpoint) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	e.mutex.Lock()
+	begin := e.begins[e.asked%len(e.begins)]
+	e.asked++
+	e.mutex.Unlock()
+	block := bytes.Repeat([]byte("x"), 64<<10)
+	for b := []byte(begin); ; b = block {
+		if _, err := c.Write(b); err != nil {
+			return
+		}
+		held := e.budget.Counters.Value(string(metric.HeldBodyBytes))
+		e.mutex.Lock()
+		e.most = max(e.most, held)
+		e.mutex.Unlock()
+	}
+}
+
+// mostHeld returns the most bytes that the entry held.
+func (e *floodingEndpoint) mostHeld() int64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.most
+}
+
+// TestEveryEndpointAnswersWithoutEndWithinTheBudget guards against an entry that runs out of memory when all
+// endpoints of a service send heads and bodies without end at once.
+func TestEveryEndpointAnswersWithoutEndWithinTheBudget(t *testing.T) {
+	const limit, requests = 64 << 20, 40
+	budget := &backlog.Budget{Counters: &metric.Set{}}
+	budget.SetLimit(limit)
+	e := &floodingEndpoint{budget: budget, begins: []string{
+		wholeHead + "X-Long: ", "HTTP/1.1 200 OK\r\nX-Long: ", wholeHead + "\r\n", wholeHead + "Content-Length: 1000000000\r\n\r\n", streamHead + "\r\ndata: ",
+	}}
+	f := newPlainForwarder(t, e.dial, budget, protocol.Route{Repeat: protocol.Repeatable, TimeoutMS: 1_500, MaxAttempts: maxRuns})
+	defer f.Close()
+	var done sync.WaitGroup
+	for range requests {
+		done.Go(func() {
+			w, _ := callPlain(f)
+			assert.GreaterOrEqual(t, w.Code, http.StatusInternalServerError)
+		})
+	}
+	done.Wait()
+	require.Eventually(t, func() bool { return budget.Counters.Value(string(metric.HeldBodyBytes)) == 0 }, 2*time.Second, time.Millisecond)
+	most := e.mostHeld()
+	require.LessOrEqual(t, most, int64(limit))
+	require.Greater(t, most, int64(limit/4), "the endpoints have sent more than the budget")
+}
