registry: believe at once that an endpoint leaves

Cause: records of a start that seems earlier are held back for 5 s, also one that says that the endpoint leaves.

Change: such a record marks the known endpoint as leaving at once. A wrong belief costs one endpoint for a heartbeat, since a running process overwrites a late write; a belief that comes too late costs the requests at work there.

--- a/state/registry/engine_state.go
+++ b/state/registry/engine_state.go
@@ -27,6 +27,8 @@
 	// Stale means that the record is of an earlier incarnation, or may be older than what is known since
 	// the platform was restored. It changes nothing.
 	Stale
+	// StaleLeaving means the same, but the record says that its endpoint leaves, which is believed.
+	StaleLeaving
 )
 
 // engineState is what is known of an endpoint beyond its record.
@@ -42,10 +44,10 @@
 func (r *Registry) putLocked(e protocol.Endpoint, now time.Time) UpdateResult {
 	if e.Incarnation.Before(r.owners.Incarnation(e.ID)) {
 		r.addLateRecord(e, now)
-		return Stale // an earlier incarnation wrote it, and the write took effect late
+		return r.believeLeaving(e) // an earlier incarnation wrote it, and the write took effect late
 	}
 	if r.holdBack(e, now) {
-		return Stale
+		return r.believeLeaving(e)
 	}
 	delete(r.lateRecords, e.ID)
 	if r.endpoints == nil {
--- a/state/registry/late_record.go
+++ b/state/registry/late_record.go
@@ -33,6 +33,19 @@
 	r.lateRecords[e.ID] = l
 }
 
+// believeLeaving takes from a record that is ignored for now that its endpoint leaves. The record may be the
+// endpoint's own after all, and then requests would go on to it until it ends. If it is not, the
+// endpoint gets no new ones until it overwrites the record with its next heartbeat.
+func (r *Registry) believeLeaving(e protocol.Endpoint) UpdateResult {
+	known, ok := r.endpoints[e.ID]
+	if !e.Leaving || !ok || known.Leaving {
+		return Stale
+	}
+	known.Leaving = true
+	r.endpoints[e.ID] = known
+	return StaleLeaving
+}
+
 // pruneLateRecords drops the late records that are not in a list.
 func (r *Registry) pruneLateRecords(list []protocol.Endpoint) {
 	if len(r.lateRecords) == 0 {
--- a/state/registry/registry_test.go
+++ b/state/registry/registry_test.go
@@ -364,6 +364,30 @@
 	}
 }
 
+// TestLeavingIsBelievedOfARecordThatSeemsEarlier guards against requests to an endpoint that started again after its
+// clock was set back, and drains: its records seem to be of an earlier start.
+func TestLeavingIsBelievedOfARecordThatSeemsEarlier(t *testing.T) {
+	r := newRegistry()
+	now := time.Unix(100, 0)
+	first := engine("x", "a", 0, 10)
+	first.Incarnation = 10_000
+	second := first
+	second.Incarnation = 8_000
+	r.Replace([]protocol.Endpoint{first}, now)
+	require.Equal(t, registry.Stale, r.Update(second, now), "it arrives again: that waits")
+	leaving := second
+	leaving.Leaving = true
+	require.Equal(t, registry.StaleLeaving, r.Update(leaving, now.Add(time.Second)))
+	require.True(t, r.Endpoints()[0].Leaving)
+	require.Equal(t, registry.Stale, r.Update(leaving, now.Add(time.Second)))
+	later := first
+	later.Heartbeats++
+	require.Equal(t, registry.Changed, r.Update(later, now.Add(2*time.Second)))
+	require.False(t, r.Endpoints()[0].Leaving, "a running process overwrites a late write, which then costs a heartbeat")
+	r.Replace([]protocol.Endpoint{leaving}, now.Add(3*time.Second))
+	require.True(t, r.Endpoints()[0].Leaving, "in a list, too")
+}
+
 // TestModelOfEveryDataCenterIsInTheSameView guards against a nil model, which ended the process: the data
 // centers were read after the view, and an engine had joined in between.
 func TestModelOfEveryDataCenterIsInTheSameView(t *testing.T) {
--- a/transport/front/endpoint_sink.go
+++ b/transport/front/endpoint_sink.go
@@ -102,6 +102,9 @@
 		return
 	case registry.Stale:
 		return
+	case registry.StaleLeaving:
+		event.EndpointLeaving.Log(f.Logger, slog.String("endpoint", e.ID), c.Object.Version.LogAttr())
+		return
 	}
 	if e.Leaving {
 		event.EndpointLeaving.Log(f.Logger, slog.String("endpoint", e.ID), c.Object.Version.LogAttr())
