backlog: count half a head that came with the request before

Cause: bytes that were read together with the request before wait in the server's buffer; no read of the connection shows them.

Change: the deadline that the server sets for a head between two requests, once it has its first bytes, counts as the first byte. Tried and dropped: the room that the server's buffer has left.

--- a/transport/backlog/read.go
+++ b/transport/backlog/read.go
@@ -18,6 +18,7 @@
 type reader struct {
 	firstByteAt   atomic.Int64          // when the first byte since the last BeginIdle was read, in Unix nanoseconds
 	err           atomic.Pointer[error] // why nothing more can be read, nil while it can
+	kept          atomic.Bool           // whether BeginIdle was called
 	awaitsHandler atomic.Bool           // whether bytes of a request were read that no handler has begun to serve
 	receiveFunc   func(fd uintptr) bool // receive, converted once
 
@@ -34,8 +35,8 @@
 // Read reads bytes that the caller sent. Only one goroutine may read at a time.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.receiveWaiting(p)
-	if n > 0 && c.reader.firstByteAt.Load() == 0 {
-		c.reader.firstByteAt.Store(time.Now().UnixNano())
+	if n > 0 {
+		c.reader.noteFirstByte()
 	}
 	if err != nil {
 		c.reader.recordErr(err)
@@ -43,6 +44,20 @@
 	return n, err
 }
 
+// SetReadDeadline sets the deadline of reads. Between two requests a server with a limit on headers sets one when it has the
+// first bytes of the next request, which may have come together with the one before, so that no read shows them.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	if c.reader.kept.Load() && t.After(time.Now()) {
+		c.reader.noteFirstByte()
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// noteFirstByte notes that bytes of a request were read, unless that is noted already.
+func (r *reader) noteFirstByte() {
+	r.firstByteAt.CompareAndSwap(0, time.Now().UnixNano())
+}
+
 // recordErr notes why nothing more can be read.
 func (r *reader) recordErr(err error) {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -124,7 +139,10 @@
 }
 
 // BeginIdle notes that the next byte begins a request.
-func (c *Conn) BeginIdle() { c.reader.firstByteAt.Store(0) }
+func (c *Conn) BeginIdle() {
+	c.reader.firstByteAt.Store(0)
+	c.reader.kept.Store(true)
+}
 
 // FirstByteAt returns when the first byte of the current request was read, or the zero time.
 func (c *Conn) FirstByteAt() time.Time {
