quarantine: await the runs at work before a part is refused

Cause: a part without a memory of good runs was refused 0.15 s after the third crash, before any run at a sound endpoint had had its first event, and the verdict ended those runs.

Change: the verdict on such a part comes 1.5 s after its first crash at the earliest; no request with it begins meanwhile once there are three crashes. A verdict on a part ends no request whose stream has begun.

TestCrashesAtOneMomentRefuseNoSharedPart asks for the verdict 1.5 s after the first crash now, and that no run begins until then.

--- a/coordination/quarantine/decide.go
+++ b/coordination/quarantine/decide.go
@@ -89,7 +89,11 @@
 		return w.afterOneCrash()
 	}
 	if count.confirmed() >= refusalThreshold {
-		if until := w.lastFailure().Add(settleTime); now.Before(until) {
+		until := w.lastFailure().Add(settleTime)
+		if t.isCause(f, w, now) {
+			until = w.mayBeRefusedAt(now)
+		}
+		if now.Before(until) {
 			return Waiting{until: until}
 		}
 	}
@@ -159,7 +163,7 @@
 		return r, true
 	}
 	crashes, threshold := t.crashesAgainst(f, w, now), w.refusalThreshold(now)
-	if crashes < threshold || now.Before(w.lastFailure().Add(settleTime)) {
+	if crashes < threshold || now.Before(w.mayBeRefusedAt(now)) {
 		return Refused{}, false
 	}
 	r.until = w.lastFailure().Add(refusalDuration << min(maxRefusalDoublings, crashes-threshold))
@@ -169,6 +173,20 @@
 	return r, true
 }
 
+// mayBeRefusedAt returns the earliest time of a verdict: when all observers of the last crash have reported it, and,
+// for a part that nobody remembers to have run well, when the runs that were at work at the first one have shown
+// what they do.
+func (w *suspect) mayBeRefusedAt(now time.Time) time.Time {
+	settled := w.lastFailure().Add(settleTime)
+	if !w.part || w.isProven(now) {
+		return settled
+	}
+	if shown := w.firstFailure().Add(evidenceTime); shown.After(settled) {
+		return shown
+	}
+	return settled
+}
+
 // crashesAgainst returns the number of crashes that count towards a refusal. Of a part that has run well before those
 // count that came one after the other, because it was in most requests that a power loss or a cut broke off.
 func (t *Tracker) crashesAgainst(f protocol.Fingerprint, w *suspect, now time.Time) int {
--- a/coordination/quarantine/parts_test.go
+++ b/coordination/quarantine/parts_test.go
@@ -197,9 +197,41 @@
 	require.Empty(t, h.tracker.NewRefusals(h.now, h.now))
 	require.Equal(t, fmt.Sprintf("%T", quarantine.RequireIsolation{}), fmt.Sprintf("%T", h.partStatus(fingerprint(100), first)), "one request finds out")
 	h.crashParts("e-3", fingerprint(3), first)
+	require.IsType(t, quarantine.Waiting{}, h.partStatus(fingerprint(100), first), "no further run begins")
+	h.now = h.now.Add(evidenceTime)
+	require.Len(t, h.tracker.NewRefusals(h.now, h.now), 1)
 	require.IsType(t, quarantine.Refused{}, h.partStatus(fingerprint(100), first), "a crash after those is that of an isolated run")
 }
 
+// TestRunsAtWorkAreAwaitedBeforeAPartIsRefused guards against the refusal of a part that all requests share, after a start
+// from nothing, by three crashes that came before the runs at sound endpoints had shown anything.
+func TestRunsAtWorkAreAwaitedBeforeAPartIsRefused(t *testing.T) {
+	for _, ran := range []bool{false, true} {
+		h := newHarness()
+		for n, gap := range []time.Duration{20 * time.Millisecond, 35 * time.Millisecond, 270 * time.Millisecond} {
+			h.now = h.now.Add(gap)
+			h.reportParts(protocol.WorkBroke, fmt.Sprint("e-", n), fingerprint(n), first)
+			h.tracker.RecordCrash(fmt.Sprint("e-", n), 1, h.now)
+		}
+		third := h.now
+		for h.now.Before(third.Add(evidenceTime - 400*time.Millisecond)) {
+			h.now = h.now.Add(20 * time.Millisecond)
+			require.Empty(t, h.tracker.NewRefusals(h.now, h.now))
+			status := h.partStatus(fingerprint(100), first)
+			require.NotEqual(t, "quarantine.Refused", fmt.Sprintf("%T", status))
+			require.NotEqual(t, quarantine.Unrestricted{}, status, "one request at a time at most")
+		}
+		if ran {
+			require.True(t, h.reportParts(protocol.WorkRan, "e-9", fingerprint(7), first))
+			require.Equal(t, quarantine.Unrestricted{}, h.partStatus(fingerprint(100), first))
+		}
+		h.now = h.now.Add(evidenceTime)
+		h.tracker.NewRefusals(h.now, h.now)
+		_, refused := h.partStatus(fingerprint(100), first).(quarantine.Refused)
+		require.Equal(t, !ran, refused, "the part is refused unless a run showed that it is sound")
+	}
+}
+
 func TestRunOfAnyRequestClearsPart(t *testing.T) {
 	h := newHarness()
 	for n := range 3 {
@@ -225,6 +257,9 @@
 	require.Equal(t, quarantine.Unrestricted{}, h.partStatus(fingerprint(100), first))
 }
 
+// evidenceTime is how long after its first crash a part that nobody remembers to have run well is not refused.
+const evidenceTime = 1500 * time.Millisecond
+
 // TestOutageRestrictsNoPart crashes a dozen endpoints at once, as the loss of a data center does.
 func TestOutageRestrictsNoPart(t *testing.T) {
 	h := newHarness()
--- a/coordination/quarantine/suspect.go
+++ b/coordination/quarantine/suspect.go
@@ -46,6 +46,17 @@
 	return last
 }
 
+// firstFailure returns the time of the first failure that counts, zero for none.
+func (w *suspect) firstFailure() time.Time {
+	var first time.Time
+	for _, fail := range w.failures {
+		if fail.counts() && (first.IsZero() || fail.at.Before(first)) {
+			first = fail.at
+		}
+	}
+	return first
+}
+
 // isRestored reports whether all that is known against the suspect comes from the platform's store, which does not say
 // what else was at its crashes.
 func (w *suspect) isRestored() bool {
--- a/coordination/quarantine/tracker.go
+++ b/coordination/quarantine/tracker.go
@@ -47,6 +47,10 @@
 	// some milliseconds through the relay tree, and a busy entry takes some tens of milliseconds to
 	// handle a failed attempt.
 	settleTime = 150 * time.Millisecond
+	// evidenceTime is how long after its first crash a part that is not known to have run well may be refused at the
+	// earliest. Requests with it that were sent when that crash came have had their first event by then at sound
+	// endpoints, and SafeAfter more, so that their runs are known. Until then none is begun anew.
+	evidenceTime = 1500 * time.Millisecond
 	// sameCrashWindow is the largest difference between the times at which observers notice the
 	// same crash. An entry takes some tens of milliseconds to notice a broken connection.
 	sameCrashWindow = 30 * time.Millisecond
--- a/transport/forward/quarantine.go
+++ b/transport/forward/quarantine.go
@@ -96,11 +96,17 @@
 		return
 	}
 	for _, a := range x.open {
-		if !a.firstEventAt.IsZero() && now.Sub(a.firstEventAt) >= quarantine.SafeAfter {
+		if a.firstEventAt.IsZero() {
+			continue
+		}
+		if now.Sub(a.firstEventAt) >= quarantine.SafeAfter {
 			a.reportedRan = false
 			x.reportRan(a, now)
 			return
 		}
+		if r.Part() {
+			return // it has begun without a crash, and may soon clear the part
+		}
 	}
 	x.mayHaveRun = x.mayHaveRun || len(x.open) > 0
 	x.dequeue()
