--- a/transport/front/gauges.go
+++ b/transport/front/gauges.go
@@ -82,10 +82,10 @@
 }
 
 // writeStateAges writes how old the state of each kind of objects may be.
-func writeStateAges(w io.Writer, ages []relay.KindAge) error {
+func writeStateAges(w io.Writer, known []relay.KnownKind, now time.Time) error {
 	gauges := gaugeWriter{out: w}
-	for _, a := range ages {
-		gauges.write("state_age_seconds", fmt.Sprintf("objects=%q", a.Kind()), a.Age().Seconds())
+	for _, k := range known {
+		gauges.write("state_age_seconds", fmt.Sprintf("objects=%q", k.Kind()), now.Sub(k.CompleteAt()).Seconds())
 	}
 	return gauges.err
 }
--- a/transport/front/gauges_test.go
+++ b/transport/front/gauges_test.go
@@ -4,7 +4,10 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -40,3 +43,19 @@
 
 // ago returns a time in milliseconds for a status.
 func ago(ms int64) *int64 { return &ms }
+
+// TestStateAgeIsThatOfEachKind guards against an age that is told of a kind and belongs to another.
+func TestStateAgeIsThatOfEachKind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEntryFleet(t, 1, 1)
+		time.Sleep(10 * time.Second)
+		f.entries[0].client.setAccess(hangs)
+		time.Sleep(2 * time.Second)
+		var b strings.Builder
+		known := f.entries[0].source.KnownKinds()
+		require.Len(t, known, 2)
+		require.NoError(t, writeStateAges(&b, known, known[0].CompleteAt().Add(5*time.Second)))
+		require.Contains(t, b.String(), "pinerun_state_age_seconds{objects=\"config\"} 5\n")
+		require.Contains(t, b.String(), "pinerun_state_age_seconds{objects=\"servers\"} ")
+	})
+}
--- a/transport/front/handlers.go
+++ b/transport/front/handlers.go
@@ -35,7 +35,7 @@
 		if err := writeStoreEra(c.Response(), f.Dependencies.Eras.Latest()); err != nil {
 			return err
 		}
-		if err := writeStateAges(c.Response(), f.source.Ages(clock.Now())); err != nil {
+		if err := writeStateAges(c.Response(), f.source.KnownKinds(), clock.Now()); err != nil {
 			return err
 		}
 		return writeGauges(c.Response(), f.fleetStatus(clock.Now()))
--- a/transport/relay/age.go
+++ b/transport/relay/known.go
@@ -15,29 +15,29 @@
 	"pinerun.example/pinerun/transport/platform"
 )
 
-// KindAge says how old the state of a kind may be.
-type KindAge struct {
-	kind string
-	age  time.Duration
+// KnownKind says up to when the state of a kind is known.
+type KnownKind struct {
+	kind       string
+	completeAt time.Time
 }
 
 // Kind returns the kind of the objects.
-func (a *KindAge) Kind() string { return a.kind }
+func (k *KnownKind) Kind() string { return k.kind }
 
-// Age returns for how long changes of the kind may have gone unnoticed.
-func (a *KindAge) Age() time.Duration { return a.age }
+// CompleteAt returns a time at which every object of the kind was known. Changes since then may have gone unnoticed.
+func (k *KnownKind) CompleteAt() time.Time { return k.completeAt }
 
-// Ages returns the age of each kind that this entry has asked the platform for, in the order of Kinds.
-func (s *Source) Ages(now time.Time) []KindAge {
+// KnownKinds returns each kind that this entry has asked the platform for, in the order of Kinds.
+func (s *Source) KnownKinds() []KnownKind {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	var ages []KindAge
+	var known []KnownKind
 	for _, k := range s.Kinds {
 		if _, asked := s.answeredAt[k]; asked {
-			ages = append(ages, KindAge{kind: k, age: now.Sub(s.completeAt(k))})
+			known = append(known, KnownKind{kind: k, completeAt: s.completeAt(k)})
 		}
 	}
-	return ages
+	return known
 }
 
 // completeAt returns a time at which this entry had every object of a kind: when the last answered call
@@ -52,8 +52,8 @@
 // allCurrent reports whether no kind is older than relay.MaxStateAge. A read of the confirmed object says nothing about the other kinds, whose calls use
 // other connections.
 func (s *Source) allCurrent(now time.Time) bool {
-	for _, a := range s.Ages(now) {
-		if a.age > relay.MaxStateAge {
+	for _, k := range s.KnownKinds() {
+		if now.Sub(k.completeAt) > relay.MaxStateAge {
 			return false
 		}
 	}
--- a/transport/relay/silence_test.go
+++ b/transport/relay/silence_test.go
@@ -179,10 +179,10 @@
 				f.store.put(fmt.Sprint("other-", i%7), "value")
 			}
 			time.Sleep(time.Duration(50+37*i%900) * time.Millisecond)
-			ages := f.entries[0].source.Ages(time.Now())
-			require.Len(t, ages, 2)
-			for _, a := range ages {
-				require.LessOrEqual(t, a.Age(), relay.MaxStateAge, a.Kind())
+			known := f.entries[0].source.KnownKinds()
+			require.Len(t, known, 2)
+			for _, k := range known {
+				require.LessOrEqual(t, time.Since(k.CompleteAt()), relay.MaxStateAge, k.Kind())
 			}
 		}
 	})
