--- a/transport/watch/confirm.go
+++ b/transport/watch/confirm.go
@@ -82,7 +82,13 @@
 	for {
 		relinked, wake, restored := c.Source.Relinked(), c.wakeSignal.Changed(), c.Eras.Restored()
 		c.checkRestores()
-		t := time.NewTimer(clock.Until(c.Source.Next(last, c.lastFailed)))
+		next := c.Source.Next(last, c.lastFailed)
+		if !next.After(clock.Now()) && !c.done.Closed() {
+			c.read(ctx)
+			last = clock.Now()
+			continue
+		}
+		t := time.NewTimer(clock.Until(next))
 		select {
 		case <-t.C:
 			c.read(ctx)
