forward: let a stream that has begun wait through a stop without a busy loop

A stream whose caller has part of it is exempt from the bound on attempts before a planned stop, but its wait was shortened by that bound all the same: once the bound had passed, a stream that waited to go on was woken again and again, without a pause, until the stop.

Change: the exemption stands in latestStart, which both use.

Evidence: TestStreamThatWaitsInAStopIsNotWokenWithoutPause fails on the code before; the tests of transport/forward pass, those of the stop with the race detector too.

--- a/transport/forward/cut_off_test.go
+++ b/transport/forward/cut_off_test.go
@@ -71,3 +71,18 @@
 	}
 	require.Equal(t, turns, given)
 }
+
+// TestStreamThatWaitsInAStopIsNotWokenWithoutPause guards against a busy loop of streams that have begun and wait to go on.
+func TestStreamThatWaitsInAStopIsNotWokenWithoutPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, call := newPlainForwarder(t)
+		x := call()
+		deadline := time.Now().Add(time.Second)
+		x.queued, x.headSent = &queuedRequest{deadline: deadline}, true
+		f.StopAt(time.Now())
+		time.Sleep(time.Millisecond)
+		require.Equal(t, deadline, x.nextWake())
+		x.headSent = false
+		require.True(t, x.nextWake().Before(deadline), "one that has not begun is told at once")
+	})
+}
--- a/transport/forward/stop.go
+++ b/transport/forward/stop.go
@@ -40,25 +40,25 @@
 	f.stop.cutOff.Close()
 }
 
-// latestStart returns until when an attempt at the request may begin, and false if no end is planned.
+// latestStart returns until when an attempt at the request may begin, and false if there is no such bound: no
+// end is planned, or the request is a stream that has begun and may go on until then.
 func (x *exchange) latestStart() (time.Time, bool) {
 	endsAt := x.forwarder.stop.endsAt.Load()
-	if endsAt == nil {
+	if endsAt == nil || x.headSent {
 		return time.Time{}, false
 	}
 	return endsAt.Add(-x.forwarder.answerTimes.expected(x.service, x.route)), true
 }
 
-// stopsTooSoon reports whether an attempt that begins now would not be answered before the entry stops. A
-// stream that has begun may go on until then: its caller has it up to there.
+// stopsTooSoon reports whether an attempt that begins now would not be answered before the entry stops.
 func (x *exchange) stopsTooSoon(now time.Time) bool {
-	latest, planned := x.latestStart()
-	return planned && !x.headSent && now.After(latest)
+	latest, bounded := x.latestStart()
+	return bounded && now.After(latest)
 }
 
 // waitUntil returns the earlier of a time and the end of a wait that the planned stop makes useless.
 func (x *exchange) waitUntil(at time.Time) time.Time {
-	if latest, planned := x.latestStart(); planned && latest.Before(at) {
+	if latest, bounded := x.latestStart(); bounded && latest.Before(at) {
 		return latest.Add(time.Nanosecond) // stopsTooSoon from then on
 	}
 	return at
